--- /dev/null
+++ b/cmd/lentilpoint-bench/cluster/cluster.go
@@ -0,0 +1,327 @@
+// Package cluster starts the stand-ins and entry hosts of one experiment in
+// one process over loopback.
+package cluster
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"io"
+	"log/slog"
+	"net/http"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/jonboulle/clockwork"
+	"github.com/zeebo/errs"
+	"go.uber.org/fx"
+
+	"github.com/lentilpoint/lentilpoint/cmd/lentilpoint-bench/standin"
+	"github.com/lentilpoint/lentilpoint/entryhost"
+	"github.com/lentilpoint/lentilpoint/entryhost/config"
+	"github.com/lentilpoint/lentilpoint/entryhost/platform"
+	"github.com/lentilpoint/lentilpoint/model"
+	"github.com/lentilpoint/lentilpoint/settings"
+)
+
+// Error is the class of errors of this package.
+var Error = errs.Class("cluster")
+
+// Names of what a cluster serves.
+const (
+	ServiceAdvisor model.ServiceName = "advisor"
+	ServiceOrders  model.ServiceName = "orders"
+	VersionOne                       = "advisor-v1"
+	plainVersion                     = "orders-v1"
+)
+
+// readyTimeout bounds the start of a cluster.
+const readyTimeout = 10 * time.Second
+
+// Options describe a cluster.
+type Options struct {
+	Seed        uint64
+	DataCentres []model.DataCentre
+	EntryHosts  int
+	Engines     int
+	Plains      int
+	// Organisations lists names and weights; empty means two of weight 1.
+	Organisations []model.Organisation
+	// Engine is the template of each engine.
+	Engine standin.EngineOptions
+	// Service changes the advisor service before it is put in force.
+	Service func(*model.Service)
+	// Settings changes the settings of each entry host.
+	Settings func(*settings.Settings)
+	// HostOptions replace or decorate parts of each entry host.
+	HostOptions []fx.Option
+	Logger      *slog.Logger
+}
+
+// Cluster is a running experiment.
+type Cluster struct {
+	Platform *standin.Platform
+	Engines  []*standin.Engine
+	Plains   []*standin.Plain
+	Hosts    []*entryhost.Host
+	Metrics  []*metrics.Set
+
+	options Options
+	list    []model.Host
+	cancel  context.CancelFunc
+}
+
+// DefaultEngine is an engine of ordinary speed.
+func DefaultEngine() standin.EngineOptions {
+	return standin.EngineOptions{
+		Versions:      []string{VersionOne},
+		TokenInterval: 5 * time.Millisecond,
+		PrefillRate:   256,
+		Capacity:      32,
+		CacheBlocks:   4096,
+		ResumeGrace:   5 * time.Second,
+	}
+}
+
+// Key returns the API key of an organisation.
+func Key(organisation model.OrganisationID) string { return "key-" + string(organisation) }
+
+func withDefaults(options Options) Options {
+	if len(options.DataCentres) == 0 {
+		options.DataCentres = []model.DataCentre{"jkt", "bdg"}
+	}
+	if len(options.Organisations) == 0 {
+		options.Organisations = []model.Organisation{{ID: "bubbles", Weight: 1}, {ID: "wands", Weight: 1}}
+	}
+	if options.Engine.TokenInterval == 0 {
+		options.Engine = DefaultEngine()
+	}
+	if options.Logger == nil {
+		options.Logger = slog.New(slog.NewTextHandler(io.Discard, nil))
+	}
+	return options
+}
+
+// Start starts a cluster and waits until every entry host is ready.
+func Start(ctx context.Context, options Options) (*Cluster, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	c := &Cluster{options: withDefaults(options), cancel: cancel}
+	if err := c.start(ctx); err != nil {
+		c.Stop()
+		return nil, err
+	}
+	return c, nil
+}
+
+func (c *Cluster) start(ctx context.Context) error {
+	var err error
+	if c.Platform, err = standin.StartPlatform(ctx, c.options.Seed); err != nil {
+		return err
+	}
+	if err := c.startServers(ctx); err != nil {
+		return err
+	}
+	c.Platform.SetHosts(c.list)
+	if err := c.putConfiguration(ctx); err != nil {
+		return err
+	}
+	for i := range c.options.EntryHosts {
+		if err := c.startHost(i); err != nil {
+			return err
+		}
+	}
+	return c.WaitReady(ctx)
+}
+
+func (c *Cluster) startServers(ctx context.Context) error {
+	for i := range c.options.Engines {
+		options := c.options.Engine
+		options.ID = fmt.Sprintf("engine-%d", i)
+		options.Seed = c.options.Seed + uint64(i)
+		engine, err := standin.StartEngine(ctx, options)
+		if err != nil {
+			return err
+		}
+		c.Engines = append(c.Engines, engine)
+		c.list = append(c.list, c.backend(i, engine.ID(), engine.Address(), ServiceAdvisor))
+	}
+	for i := range c.options.Plains {
+		plain, err := standin.StartPlain(ctx, fmt.Sprintf("plain-%d", i), plainVersion)
+		if err != nil {
+			return err
+		}
+		c.Plains = append(c.Plains, plain)
+		c.list = append(c.list, c.backend(i, plain.ID(), plain.Address(), ServiceOrders))
+	}
+	return nil
+}
+
+func (c *Cluster) dataCentre(i int) model.DataCentre {
+	return c.options.DataCentres[i%len(c.options.DataCentres)]
+}
+
+func (c *Cluster) backend(i int, id, address string, service model.ServiceName) model.Host {
+	return model.Host{
+		ID: id, Role: model.RoleBackend, Service: service, DataCentre: c.dataCentre(i), Address: address, Incarnation: 1,
+	}
+}
+
+// SetLeaving marks a backend server as leaving in the host list.
+func (c *Cluster) SetLeaving(id string, leaving bool) {
+	for i := range c.list {
+		if c.list[i].ID == id {
+			c.list[i].Leaving = leaving
+		}
+	}
+	c.Platform.SetHosts(c.list)
+}
+
+func (c *Cluster) putConfiguration(ctx context.Context) error {
+	advisor := model.Service{
+		Name: ServiceAdvisor, Kind: model.ServiceEngine, DefaultDeadline: time.Minute,
+		Shares: []model.VersionShare{{Version: VersionOne, Share: model.ShareWhole}},
+	}
+	if c.options.Service != nil {
+		c.options.Service(&advisor)
+	}
+	orders := model.Service{
+		Name: ServiceOrders, Kind: model.ServicePlain, DefaultDeadline: 10 * time.Second,
+		RepeatableMethods: []string{http.MethodGet, http.MethodHead},
+	}
+	changes := []config.Change{{PutService: &advisor}, {PutService: &orders}}
+	for _, organisation := range c.options.Organisations {
+		digest := sha256.Sum256([]byte(Key(organisation.ID)))
+		organisation.KeySHA256 = []string{hex.EncodeToString(digest[:])}
+		changes = append(changes, config.Change{PutOrganisation: &organisation})
+	}
+	return c.commit(ctx, config.RevisionRecord{Revision: 1, ID: "initial", Author: "bench", At: time.Now(), Changes: changes})
+}
+
+func (c *Cluster) commit(ctx context.Context, record config.RevisionRecord) error {
+	client := platform.NewClient(c.Platform.URL(), "")
+	defer client.Close()
+	value, err := json.Marshal(record)
+	if err != nil {
+		return Error.Wrap(err)
+	}
+	head, err := json.Marshal(record.Revision)
+	if err != nil {
+		return Error.Wrap(err)
+	}
+	_, err = client.Transact(ctx, platform.Transaction{Writes: []platform.Write{
+		{Key: config.KeyHead, Value: head},
+		{Key: config.RevisionKey(record.Revision), Value: value},
+	}})
+	return err
+}
+
+func (c *Cluster) startHost(i int) error {
+	values := settings.Settings{
+		HostID:         fmt.Sprintf("entry-%d", i),
+		DataCentre:     string(c.dataCentre(i)),
+		CallerAddress:  "127.0.0.1:0",
+		PlatformURL:    c.Platform.URL(),
+		LogFormat:      "text",
+		LogLevel:       "info",
+		DrainTimeout:   20 * time.Second,
+		ConfigInterval: 100 * time.Millisecond,
+		HostsInterval:  100 * time.Millisecond,
+		LoadInterval:   100 * time.Millisecond,
+		RandomSeed:     c.options.Seed*1000 + uint64(i) + 1,
+	}
+	if c.options.Settings != nil {
+		c.options.Settings(&values)
+	}
+	set := metrics.NewSet()
+	host, err := entryhost.New(values, entryhost.Environment{
+		Clock: clockwork.NewRealClock(), Metrics: set, Logger: c.options.Logger.With("host", values.HostID),
+		Options: c.options.HostOptions,
+	})
+	if err != nil {
+		return err
+	}
+	c.Hosts = append(c.Hosts, host)
+	c.Metrics = append(c.Metrics, set)
+	return host.Start()
+}
+
+// URL returns the base URL of an entry host.
+func (c *Cluster) URL(host int) string {
+	return "http://" + c.Hosts[host%len(c.Hosts)].CallerAddress()
+}
+
+// WaitReady waits until every entry host reports that it is ready.
+func (c *Cluster) WaitReady(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, readyTimeout)
+	defer cancel()
+	for i := range c.Hosts {
+		for !c.ready(ctx, i) {
+			select {
+			case <-ctx.Done():
+				return Error.New("entry host %d is not ready after %s", i, readyTimeout)
+			case <-time.After(20 * time.Millisecond):
+			}
+		}
+	}
+	return nil
+}
+
+func (c *Cluster) ready(ctx context.Context, host int) bool {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, c.URL(host)+"/readyz", nil)
+	if err != nil {
+		return false
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return false
+	}
+	_ = response.Body.Close()
+	return response.StatusCode == http.StatusOK
+}
+
+// Executions counts the executions of each order over all plain servers.
+func (c *Cluster) Executions() map[string]int {
+	counts := make(map[string]int)
+	for _, plain := range c.Plains {
+		for _, execution := range plain.Executions() {
+			if execution.Method == http.MethodPost {
+				counts[execution.Order]++
+			}
+		}
+	}
+	return counts
+}
+
+// Attempts returns the generations that all engines ran, oldest first.
+func (c *Cluster) Attempts() []standin.Attempt {
+	var attempts []standin.Attempt
+	for _, engine := range c.Engines {
+		attempts = append(attempts, engine.Attempts()...)
+	}
+	slices.SortFunc(attempts, func(a, b standin.Attempt) int { return a.Started.Compare(b.Started) })
+	return attempts
+}
+
+// Stop kills the entry hosts and ends the stand-ins.
+func (c *Cluster) Stop() {
+	for _, host := range c.Hosts {
+		if host != nil {
+			_ = host.Kill()
+		}
+	}
+	c.cancel()
+}
+
+// Describe names the parts of the cluster for a person.
+func (c *Cluster) Describe() string {
+	names := make([]string, len(c.options.DataCentres))
+	for i, name := range c.options.DataCentres {
+		names[i] = string(name)
+	}
+	return fmt.Sprintf("%d entry hosts, %d engines and %d plain servers in data centres %s",
+		len(c.Hosts), len(c.Engines), len(c.Plains), strings.Join(names, ", "))
+}
--- /dev/null
+++ b/cmd/lentilpoint-bench/scenario/control.go
@@ -0,0 +1,4 @@
+package scenario
+
+// controlScenarios are the experiments on configuration, leases and moves.
+var controlScenarios = []Scenario{}
--- /dev/null
+++ b/cmd/lentilpoint-bench/scenario/load.go
@@ -0,0 +1,176 @@
+package scenario
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/lentilpoint/lentilpoint/cmd/lentilpoint-bench/check"
+	"github.com/lentilpoint/lentilpoint/cmd/lentilpoint-bench/cluster"
+	"github.com/lentilpoint/lentilpoint/cmd/lentilpoint-bench/standin"
+	"github.com/lentilpoint/lentilpoint/enginewire"
+	"github.com/lentilpoint/lentilpoint/model"
+)
+
+// plannedGeneration is one generation of a load, drawn before the run starts.
+type plannedGeneration struct {
+	number       int
+	host         int
+	organisation model.OrganisationID
+	delay        time.Duration
+	body         cluster.GenerationRequest
+}
+
+// generationLoad describes a load of generations.
+type generationLoad struct {
+	count         int
+	tokens        int
+	promptWords   int
+	spread        time.Duration
+	organisations []model.OrganisationID
+}
+
+// plan draws the generations of a load.
+func (l generationLoad) plan(random *rand.Rand) []plannedGeneration {
+	planned := make([]plannedGeneration, l.count)
+	for i := range planned {
+		planned[i] = plannedGeneration{
+			number:       i,
+			host:         random.IntN(1 << 16),
+			organisation: l.organisations[random.IntN(len(l.organisations))],
+			delay:        time.Duration(random.Int64N(int64(l.spread) + 1)),
+			body: cluster.GenerationRequest{
+				Model:     string(cluster.ServiceAdvisor),
+				Prompt:    promptOf(random, i, l.promptWords),
+				MaxTokens: l.tokens/2 + random.IntN(l.tokens/2+1),
+				Seed:      random.Int64N(1 << 40),
+			},
+		}
+	}
+	return planned
+}
+
+func promptOf(random *rand.Rand, number, words int) string {
+	prompt := fmt.Sprintf("request %d asks:", number)
+	for range words {
+		prompt += fmt.Sprintf(" word%d", random.IntN(10_000))
+	}
+	return prompt
+}
+
+// generationResult is a generation with what its caller received.
+type generationResult struct {
+	plan   plannedGeneration
+	stream cluster.Stream
+}
+
+// answer returns the result in the form of the checkers.
+func (r generationResult) answer() check.Answer {
+	return check.Answer{
+		Request:  fmt.Sprint(r.plan.number),
+		Tokens:   r.stream.Tokens,
+		Finished: r.stream.Finished,
+		Refused:  r.stream.Fault != nil,
+	}
+}
+
+// expected returns the tokens of an undisturbed generation.
+func (r generationResult) expected(version string) []enginewire.TokenID {
+	return standin.Expected(standin.Tokenize(r.plan.body.Prompt), r.plan.body.Seed, version, r.plan.body.MaxTokens)
+}
+
+// runGenerations sends the planned generations at their times and waits for all.
+func runGenerations(ctx context.Context, c *cluster.Cluster, planned []plannedGeneration) []generationResult {
+	results := make(chan generationResult, len(planned))
+	clients := make(map[model.OrganisationID]*cluster.Client)
+	for _, plan := range planned {
+		if clients[plan.organisation] == nil {
+			client := cluster.NewClient(plan.organisation)
+			defer client.Close()
+			clients[plan.organisation] = client
+		}
+	}
+	for _, plan := range planned {
+		go func() {
+			select {
+			case <-ctx.Done():
+			case <-time.After(plan.delay):
+			}
+			stream := clients[plan.organisation].Generate(ctx, c.URL(plan.host), plan.body, "")
+			results <- generationResult{plan: plan, stream: stream}
+		}()
+	}
+	collected := make([]generationResult, 0, len(planned))
+	for range planned {
+		collected = append(collected, <-results)
+	}
+	return collected
+}
+
+// tokenCheck is check.Tokens or check.Whole.
+type tokenCheck func(check.Answer, []enginewire.TokenID) check.Violations
+
+// tokenViolations checks all results against one version.
+func tokenViolations(results []generationResult, version string, rule tokenCheck) check.Violations {
+	violations := check.Violations{}
+	for _, result := range results {
+		violations.Add(rule(result.answer(), result.expected(version)))
+	}
+	return violations
+}
+
+// plannedOrder is one non-idempotent order of a load.
+type plannedOrder struct {
+	name         string
+	host         int
+	organisation model.OrganisationID
+	delay        time.Duration
+}
+
+func planOrders(random *rand.Rand, count int, spread time.Duration, organisations []model.OrganisationID) []plannedOrder {
+	planned := make([]plannedOrder, count)
+	for i := range planned {
+		planned[i] = plannedOrder{
+			name:         fmt.Sprintf("order-%d", i),
+			host:         random.IntN(1 << 16),
+			organisation: organisations[random.IntN(len(organisations))],
+			delay:        time.Duration(random.Int64N(int64(spread) + 1)),
+		}
+	}
+	return planned
+}
+
+// runOrders sends each order once and records what its caller learned.
+func runOrders(ctx context.Context, c *cluster.Cluster, planned []plannedOrder) []check.OrderResult {
+	results := make(chan check.OrderResult, len(planned))
+	for _, plan := range planned {
+		go func() {
+			select {
+			case <-ctx.Done():
+			case <-time.After(plan.delay):
+			}
+			client := cluster.NewClient(plan.organisation)
+			defer client.Close()
+			call := client.Call(ctx, c.URL(plan.host), "POST", "/orders", plan.name, "", []byte(`{"wands":12}`))
+			results <- orderResult(plan.name, call)
+		}()
+	}
+	collected := make([]check.OrderResult, 0, len(planned))
+	for range planned {
+		collected = append(collected, <-results)
+	}
+	return collected
+}
+
+func orderResult(order string, call cluster.CallResult) check.OrderResult {
+	result := check.OrderResult{Order: order, Tries: 1, Executed: model.ExecutedUnknown}
+	switch {
+	case call.Fault != nil:
+		result.Executed = call.Fault.Executed
+	case call.Err == nil:
+		result.Answered = true
+		result.AnsweredOrder = call.Order
+	}
+	return result
+}
--- /dev/null
+++ b/cmd/lentilpoint-bench/standin/engine_http.go
@@ -0,0 +1,146 @@
+package standin
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+
+	"github.com/lentilpoint/lentilpoint/enginewire"
+	"github.com/lentilpoint/lentilpoint/task"
+)
+
+func (e *Engine) handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST "+enginewire.PathCompletions, e.serveStart)
+	mux.HandleFunc("POST "+enginewire.PathChatCompletions, e.serveStart)
+	mux.HandleFunc("GET "+enginewire.PathStreams+"{id}", e.serveResume)
+	mux.HandleFunc("GET "+enginewire.PathLoad, e.serveLoad)
+	mux.HandleFunc("GET "+enginewire.PathCacheEvents, e.serveCache)
+	mux.HandleFunc("POST "+enginewire.PathOrders, e.serveOrder)
+	return mux
+}
+
+func (e *Engine) serveStart(w http.ResponseWriter, r *http.Request) {
+	var body enginewire.Generation
+	if err := json.NewDecoder(r.Body).Decode(&body); err != nil {
+		writeError(w, http.StatusBadRequest, err.Error())
+		return
+	}
+	output := make(chan step, outputSize)
+	result, err := task.Call(r.Context(), e.messages, func(reply task.Reply[startResult]) engineMessage {
+		return startStream{body: body, chat: isChat(r.URL.Path), output: output, reply: reply}
+	})
+	e.write(w, r, result, err, output, isChat(r.URL.Path))
+}
+
+func (e *Engine) serveResume(w http.ResponseWriter, r *http.Request) {
+	from, err := strconv.Atoi(r.URL.Query().Get("from"))
+	if err != nil || from < 0 {
+		writeError(w, http.StatusBadRequest, "from must be a whole number")
+		return
+	}
+	output := make(chan step, outputSize)
+	result, err := task.Call(r.Context(), e.messages, func(reply task.Reply[startResult]) engineMessage {
+		return resumeStream{stream: r.PathValue("id"), from: from, output: output, reply: reply}
+	})
+	e.write(w, r, result, err, output, false)
+}
+
+// write passes steps on as server-sent events until the stream ends.
+func (e *Engine) write(w http.ResponseWriter, r *http.Request, result startResult, err error, output chan step, chat bool) {
+	if err != nil {
+		return
+	}
+	if result.err != "" {
+		writeError(w, http.StatusNotFound, result.err)
+		return
+	}
+	defer func() { _ = e.messages.TrySend(detachStream{stream: result.stream, output: output}) }()
+	w.Header().Set("Content-Type", "text/event-stream")
+	w.Header().Set(enginewire.HeaderStreamID, result.stream)
+	w.WriteHeader(http.StatusOK)
+	writeChunk(w, enginewire.Choice{PromptTokenIDs: result.prompt})
+	for {
+		select {
+		case <-r.Context().Done():
+			return
+		case next := <-output:
+			if next.err != "" {
+				writeEvent(w, enginewire.Chunk{Error: &enginewire.Failure{Message: next.err}})
+				return
+			}
+			writeChunk(w, stepChoice(next, chat))
+			if next.finish != "" {
+				_, _ = w.Write([]byte("data: " + enginewire.StreamEnd + "\n\n"))
+				return
+			}
+		}
+	}
+}
+
+func stepChoice(next step, chat bool) enginewire.Choice {
+	choice := enginewire.Choice{TokenIDs: []enginewire.TokenID{next.id}, FinishReason: next.finish}
+	if chat {
+		choice.Delta = &enginewire.Delta{Content: TokenText(next.id)}
+	} else {
+		choice.Text = TokenText(next.id)
+	}
+	return choice
+}
+
+func writeChunk(w http.ResponseWriter, choice enginewire.Choice) {
+	writeEvent(w, enginewire.Chunk{Choices: []enginewire.Choice{choice}})
+}
+
+func writeEvent(w http.ResponseWriter, body any) {
+	content, err := json.Marshal(body)
+	if err != nil {
+		return
+	}
+	_, _ = w.Write([]byte("data: " + string(content) + "\n\n"))
+	if flusher, ok := w.(http.Flusher); ok {
+		flusher.Flush()
+	}
+}
+
+func (e *Engine) serveLoad(w http.ResponseWriter, r *http.Request) {
+	load, err := task.Call(r.Context(), e.messages, func(reply task.Reply[enginewire.LoadReport]) engineMessage {
+		return readLoad{reply: reply}
+	})
+	writeAnswer(w, load, err)
+}
+
+func (e *Engine) serveCache(w http.ResponseWriter, r *http.Request) {
+	after, _ := strconv.ParseUint(r.URL.Query().Get("after"), 10, 64)
+	events, err := task.Call(r.Context(), e.messages, func(reply task.Reply[enginewire.CacheEvents]) engineMessage {
+		return readCache{after: after, reply: reply}
+	})
+	writeAnswer(w, events, err)
+}
+
+func (e *Engine) serveOrder(w http.ResponseWriter, r *http.Request) {
+	var order enginewire.Order
+	if err := json.NewDecoder(r.Body).Decode(&order); err != nil {
+		writeError(w, http.StatusBadRequest, err.Error())
+		return
+	}
+	result, err := task.Call(r.Context(), e.messages, func(reply task.Reply[enginewire.OrderResult]) engineMessage {
+		return sendOrder{order: order, reply: reply}
+	})
+	writeAnswer(w, result, err)
+}
+
+func writeAnswer(w http.ResponseWriter, body any, err error) {
+	if err != nil {
+		writeError(w, http.StatusServiceUnavailable, err.Error())
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(body)
+}
+
+func writeError(w http.ResponseWriter, status int, message string) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(enginewire.Chunk{Error: &enginewire.Failure{Message: message}})
+}
--- /dev/null
+++ b/cmd/lentilpoint-bench/standin/engine_messages.go
@@ -0,0 +1,138 @@
+package standin
+
+import (
+	"context"
+	"time"
+
+	"github.com/lentilpoint/lentilpoint/enginewire"
+	"github.com/lentilpoint/lentilpoint/task"
+)
+
+// engineMessage is a message to the engine task.
+type engineMessage interface{ apply(e *Engine) }
+
+type startStream struct {
+	body   enginewire.Generation
+	chat   bool
+	output chan<- step
+	reply  task.Reply[startResult]
+}
+
+type startResult struct {
+	stream string
+	prompt []enginewire.TokenID
+	err    string
+}
+
+type resumeStream struct {
+	stream string
+	from   int
+	output chan<- step
+	reply  task.Reply[startResult]
+}
+
+type detachStream struct {
+	stream string
+	output chan<- step
+}
+
+type readLoad struct {
+	reply task.Reply[enginewire.LoadReport]
+}
+
+type readCache struct {
+	after uint64
+	reply task.Reply[enginewire.CacheEvents]
+}
+
+type sendOrder struct {
+	order enginewire.Order
+	reply task.Reply[enginewire.OrderResult]
+}
+
+// change runs a fault or a delayed step inside the engine task.
+type change struct {
+	run  func(e *Engine)
+	done chan<- struct{}
+}
+
+func (m startStream) apply(e *Engine)  { m.reply.Send(e.begin(m)) }
+func (m resumeStream) apply(e *Engine) { m.reply.Send(e.resume(m)) }
+func (m detachStream) apply(e *Engine) { e.detach(m.stream, m.output) }
+func (m readLoad) apply(e *Engine)     { m.reply.Send(e.load()) }
+func (m sendOrder) apply(e *Engine)    { m.reply.Send(e.order(m.order)) }
+
+func (m readCache) apply(e *Engine) {
+	m.reply.Send(enginewire.CacheEvents{Incarnation: e.incarnation, Events: e.cache.since(m.after)})
+}
+
+func (m change) apply(e *Engine) {
+	m.run(e)
+	if m.done != nil {
+		close(m.done)
+	}
+}
+
+// controlTimeout bounds a fault or a read by a test.
+const controlTimeout = 10 * time.Second
+
+func (e *Engine) do(run func(e *Engine)) {
+	ctx, cancel := context.WithTimeout(context.Background(), controlTimeout)
+	defer cancel()
+	done := make(chan struct{})
+	if err := e.messages.Send(ctx, change{run: run, done: done}); err != nil {
+		return
+	}
+	select {
+	case <-done:
+	case <-ctx.Done():
+	}
+}
+
+// Die cuts all connections and forgets all state.
+func (e *Engine) Die() { e.do((*Engine).die) }
+
+// Revive starts the engine again after Die, with a new incarnation.
+func (e *Engine) Revive() { e.do(func(e *Engine) { _ = e.revive() }) }
+
+// Pause stops all progress; connections stay open.
+func (e *Engine) Pause() { e.do(func(e *Engine) { e.paused = true }) }
+
+// Unpause ends a pause; late tokens are sent at once.
+func (e *Engine) Unpause() { e.do((*Engine).unpause) }
+
+// Silence makes the open connections silent for good; new ones work.
+func (e *Engine) Silence() { e.do(func(e *Engine) { e.endpoint.silence() }) }
+
+// Slow multiplies the time of each token.
+func (e *Engine) Slow(factor float64) { e.do(func(e *Engine) { e.slow = factor }) }
+
+// SetFault makes a version bad.
+func (e *Engine) SetFault(version string, fault VersionFault) {
+	e.do(func(e *Engine) { e.faults[version] = fault })
+}
+
+// Attempts returns the generations that the engine ran.
+func (e *Engine) Attempts() []Attempt {
+	var attempts []Attempt
+	e.do(func(e *Engine) {
+		for _, attempt := range e.attempts {
+			attempts = append(attempts, *attempt)
+		}
+	})
+	return attempts
+}
+
+// Orders returns the orders that the engine carried out.
+func (e *Engine) Orders() []enginewire.Order {
+	var orders []enginewire.Order
+	e.do(func(e *Engine) { orders = append(orders, e.orders...) })
+	return orders
+}
+
+// Load returns the engine's present load report.
+func (e *Engine) Load() enginewire.LoadReport {
+	var load enginewire.LoadReport
+	e.do(func(e *Engine) { load = e.load() })
+	return load
+}
--- /dev/null
+++ b/cmd/lentilpointd/main.go
@@ -0,0 +1,74 @@
+// Command lentilpointd is the daemon of an entry host.
+package main
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/jonboulle/clockwork"
+	"github.com/spf13/cobra"
+
+	"github.com/lentilpoint/lentilpoint/entryhost"
+	"github.com/lentilpoint/lentilpoint/settings"
+	"github.com/lentilpoint/lentilpoint/version"
+)
+
+func main() {
+	if err := command().Execute(); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+}
+
+func command() *cobra.Command {
+	var values settings.Settings
+	daemon := &cobra.Command{
+		Use:           "lentilpointd",
+		Short:         "Serve generations and plain services on this entry host",
+		Version:       version.String(),
+		Args:          cobra.NoArgs,
+		SilenceUsage:  true,
+		SilenceErrors: true,
+		Example: "  lentilpointd --host-id entry-1 --data-centre jkt --caller-address 10.0.0.7:8080 --platform-url http://10.0.0.5:7000\n" +
+			"  LENTILPOINT_HOST_ID=entry-1 lentilpointd --data-centre jkt --platform-url http://10.0.0.5:7000",
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			if err := settings.ApplyEnvironment(cmd.Flags(), settings.EnvironmentPrefix, settings.Lookup); err != nil {
+				return err
+			}
+			if err := values.Check(); err != nil {
+				return err
+			}
+			return run(cmd.Context(), values)
+		},
+	}
+	settings.Register(daemon.Flags(), &values)
+	return daemon
+}
+
+// run serves until a signal asks for a graceful shutdown or the tree fails.
+func run(ctx context.Context, values settings.Settings) error {
+	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	logger := values.NewLogger(os.Stderr)
+	slog.SetDefault(logger)
+	host, err := entryhost.New(values, entryhost.Environment{
+		Clock: clockwork.NewRealClock(), Metrics: metrics.NewSet(), Logger: logger,
+	})
+	if err != nil {
+		return err
+	}
+	if err := host.Start(); err != nil {
+		return err
+	}
+	select {
+	case <-ctx.Done():
+		return host.Stop(context.WithoutCancel(ctx))
+	case <-host.Done():
+		return host.Err()
+	}
+}
--- /dev/null
+++ b/entryhost/backends/fx.go
@@ -0,0 +1,48 @@
+package backends
+
+import (
+	"log/slog"
+
+	"github.com/jonboulle/clockwork"
+	"go.uber.org/fx"
+
+	"github.com/lentilpoint/lentilpoint/entryhost/platform"
+	"github.com/lentilpoint/lentilpoint/settings"
+	"github.com/lentilpoint/lentilpoint/task"
+)
+
+// hostsMailboxSize is 4, as only the newest host list matters; a full mailbox
+// drops the list.
+const hostsMailboxSize = 4
+
+// Module provides the pool of backend servers.
+var Module = fx.Module("backends",
+	fx.Provide(provideHosts, providePool),
+	task.AsChild[*Pool](),
+)
+
+type hostsOut struct {
+	fx.Out
+
+	Mailbox    task.Mailbox[platform.HostsRead] `name:"backend_hosts"`
+	Subscriber task.Mailbox[platform.HostsRead] `group:"host_list_subscribers"`
+}
+
+func provideHosts() hostsOut {
+	mailbox := task.NewMailbox[platform.HostsRead](hostsMailboxSize)
+	return hostsOut{Mailbox: mailbox, Subscriber: mailbox}
+}
+
+type poolIn struct {
+	fx.In
+
+	Hosts    task.Mailbox[platform.HostsRead] `name:"backend_hosts"`
+	Events   task.Mailbox[Event]
+	Clock    clockwork.Clock
+	Settings settings.Settings
+	Logger   *slog.Logger
+}
+
+func providePool(in poolIn) *Pool {
+	return NewPool(in.Hosts, in.Events, in.Clock, in.Settings.LoadInterval, in.Logger)
+}
--- /dev/null
+++ b/entryhost/backends/messages.go
@@ -0,0 +1,195 @@
+package backends
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/zeebo/errs"
+
+	"github.com/lentilpoint/lentilpoint/enginewire"
+	"github.com/lentilpoint/lentilpoint/model"
+	"github.com/lentilpoint/lentilpoint/task"
+)
+
+// Error is the class of errors of this package.
+var Error = errs.Class("backends")
+
+// Attempt numbers the tries of one request. Events of older attempts are dropped.
+type Attempt uint32
+
+// Token is one generated token with its text.
+type Token struct {
+	ID   enginewire.TokenID
+	Text string
+}
+
+// StreamEvent is what a stream task sends to its request. Exactly one of
+// Tokens, Finish and Err is set, apart from PromptIDs, which comes with the
+// first tokens.
+type StreamEvent struct {
+	Attempt Attempt
+	// PromptIDs are the token ids of the prompt, once known.
+	PromptIDs []enginewire.TokenID
+	Tokens    []Token
+	// Finish is the engine's reason for the regular end of the stream.
+	Finish string
+	Err    *StreamError
+	// EngineStream is the engine's id of the stream, sent with the first event.
+	EngineStream string
+}
+
+// FailureKind says how a stream or exchange ended early.
+type FailureKind string
+
+// The kinds of failure of a stream or exchange.
+const (
+	// FailureConnect means that no byte of the request was sent.
+	FailureConnect FailureKind = "connect"
+	// FailureBroken means that the connection was lost after the request may have been sent.
+	FailureBroken FailureKind = "broken"
+	// FailureRefused means that the server answered that it did not run the request.
+	FailureRefused FailureKind = "refused"
+	// FailureStatus means that the server answered with an error status.
+	FailureStatus FailureKind = "status"
+	// FailureInvalid means that the server rejected the request as invalid.
+	FailureInvalid FailureKind = "invalid"
+	// FailureSilent means that an open connection made no progress in time.
+	FailureSilent FailureKind = "silent"
+	// FailureCancelled means that the request's task ended the attempt.
+	FailureCancelled FailureKind = "cancelled"
+)
+
+// StreamError says why a stream ended early.
+type StreamError struct {
+	Kind    FailureKind
+	Status  int
+	Message string
+}
+
+// Error implements error.
+func (e *StreamError) Error() string { return string(e.Kind) + ": " + e.Message }
+
+// OpenStream asks a server task to start a stream task.
+type OpenStream struct {
+	// Context ends when the request gives up the attempt; the engine then
+	// cancels the generation because its connection closes.
+	Context context.Context
+	Attempt Attempt
+	Path    string
+	Body    enginewire.Generation
+	// ResumeStream resumes the engine's stream of this id from ResumeFrom
+	// instead of starting a generation.
+	ResumeStream string
+	ResumeFrom   int
+	// Events receives the stream's events. The stream task waits for room, which
+	// passes backpressure on to the engine.
+	Events task.Mailbox[StreamEvent]
+}
+
+// ExchangeHead is the start of a plain server's answer. The receiver owns Body
+// and closes it.
+type ExchangeHead struct {
+	Status int
+	Header http.Header
+	Body   io.ReadCloser
+	Err    *StreamError
+}
+
+// OpenExchange asks a server task to pass one call on to a plain service.
+type OpenExchange struct {
+	Context context.Context
+	Method  string
+	// Path is the escaped path with its query.
+	Path   string
+	Header http.Header
+	// Body is owned by the exchange task until it has sent its head.
+	Body          io.Reader
+	ContentLength int64
+	// Repeatable allows a pooled connection. Other calls use a fresh one,
+	// because net/http may send a request again when a pooled connection fails.
+	Repeatable bool
+	Reply      task.Reply[ExchangeHead]
+}
+
+// ReportSilence tells a server task that an open connection made no progress,
+// so that its pooled connections are not used again.
+type ReportSilence struct {
+	Generation Generation
+}
+
+// Generation numbers the transports of one server. A silent connection raises it.
+type Generation uint64
+
+// Command is a message to a server task: OpenStream, OpenExchange, ReportSilence
+// or an order for the server.
+type Command interface{ command() }
+
+func (OpenStream) command()    {}
+func (OpenExchange) command()  {}
+func (ReportSilence) command() {}
+func (SendOrder) command()     {}
+func (hostUpdate) command()    {}
+func (pollResult) command()    {}
+
+// SendOrder passes an order on to the server.
+type SendOrder struct {
+	Context context.Context
+	Order   enginewire.Order
+	Reply   task.Reply[OrderOutcome]
+}
+
+// OrderOutcome is the result of an order. Err is set when the outcome is unknown.
+type OrderOutcome struct {
+	Result enginewire.OrderResult
+	Err    error
+}
+
+// ServerState is an immutable snapshot of what a server task knows. The
+// dispatcher of the server's service receives it after each change.
+type ServerState struct {
+	Host       model.Host
+	Load       enginewire.LoadReport
+	LoadAt     time.Time
+	Reachable  bool
+	Generation Generation
+	// Commands is the mailbox of the server task.
+	Commands task.Mailbox[Command]
+}
+
+// Event is a message from the pool to the admission side.
+type Event interface{ poolEvent() }
+
+// ServerChanged carries a new snapshot of a server.
+type ServerChanged struct{ State ServerState }
+
+// ServerRemoved tells that a server has left the host list.
+type ServerRemoved struct {
+	ID      model.ServerID
+	Service model.ServiceName
+}
+
+// CacheChanged carries cache events of a server. Reset drops what was known
+// before, after a gap or a restart.
+type CacheChanged struct {
+	ID      model.ServerID
+	Service model.ServiceName
+	Reset   bool
+	Stored  []uint64
+	Evicted []uint64
+}
+
+func (ServerChanged) poolEvent() {}
+func (ServerRemoved) poolEvent() {}
+func (CacheChanged) poolEvent()  {}
+
+// hostUpdate tells a server task about a new entry in the host list.
+type hostUpdate struct{ host model.Host }
+
+// pollResult is what the poll task of a server read.
+type pollResult struct {
+	load  enginewire.LoadReport
+	cache enginewire.CacheEvents
+	err   error
+}
--- /dev/null
+++ b/entryhost/backends/pool.go
@@ -0,0 +1,104 @@
+package backends
+
+import (
+	"context"
+	"log/slog"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/thejerf/suture/v4"
+
+	"github.com/lentilpoint/lentilpoint/entryhost/platform"
+	"github.com/lentilpoint/lentilpoint/eventcode"
+	"github.com/lentilpoint/lentilpoint/model"
+	"github.com/lentilpoint/lentilpoint/task"
+)
+
+// Pool is the task that keeps one server task for each backend server in the
+// host list. It owns the set of servers and supervises their tasks.
+type Pool struct {
+	hosts        task.Mailbox[platform.HostsRead]
+	events       task.Mailbox[Event]
+	clock        clockwork.Clock
+	pollInterval time.Duration
+	logger       *slog.Logger
+	servers      map[model.ServerID]*pooledServer
+}
+
+type pooledServer struct {
+	task  *serverTask
+	token suture.ServiceToken
+	host  model.Host
+}
+
+// NewPool returns a pool that reads host lists and sends server events.
+func NewPool(hosts task.Mailbox[platform.HostsRead], events task.Mailbox[Event], clock clockwork.Clock, pollInterval time.Duration, logger *slog.Logger) *Pool {
+	return &Pool{
+		hosts:        hosts,
+		events:       events,
+		clock:        clock,
+		pollInterval: pollInterval,
+		logger:       logger,
+		servers:      make(map[model.ServerID]*pooledServer),
+	}
+}
+
+// String names the task in the logs.
+func (p *Pool) String() string { return "backends" }
+
+// Serve runs the pool and its server tasks until the context ends.
+func (p *Pool) Serve(ctx context.Context) error {
+	supervisor := task.NewSupervisor("servers", task.DefaultRestartPolicy, p.logger)
+	done := supervisor.ServeBackground(ctx)
+	for id, server := range p.servers {
+		p.servers[id].token = supervisor.Add(server.task)
+	}
+	for {
+		select {
+		case <-ctx.Done():
+			<-done
+			return nil
+		case read := <-p.hosts.C():
+			p.apply(ctx, supervisor, read.Hosts)
+		}
+	}
+}
+
+func (p *Pool) apply(ctx context.Context, supervisor *suture.Supervisor, hosts []model.Host) {
+	listed := make(map[model.ServerID]bool, len(hosts))
+	for _, host := range hosts {
+		if host.Role != model.RoleBackend {
+			continue
+		}
+		id := model.ServerID(host.ID)
+		listed[id] = true
+		p.keep(ctx, supervisor, id, host)
+	}
+	for id, server := range p.servers {
+		if listed[id] {
+			continue
+		}
+		delete(p.servers, id)
+		_ = supervisor.Remove(server.token)
+		_ = p.events.Send(ctx, ServerRemoved{ID: id, Service: server.host.Service})
+	}
+}
+
+// keep starts a task for a new server or tells a running one about its entry.
+func (p *Pool) keep(ctx context.Context, supervisor *suture.Supervisor, id model.ServerID, host model.Host) {
+	server, running := p.servers[id]
+	if !running {
+		server = &pooledServer{task: newServerTask(host, p.events, p.clock, p.pollInterval, p.logger), host: host}
+		server.token = supervisor.Add(server.task)
+		p.servers[id] = server
+		return
+	}
+	if server.host == host {
+		return
+	}
+	if err := server.task.commands.TrySend(hostUpdate{host: host}); err != nil {
+		p.logger.Warn("server task is busy; its host entry is sent again with the next list", eventcode.ServerTaskBusy.Attr(), "server", id)
+		return
+	}
+	server.host = host
+}
--- /dev/null
+++ b/entryhost/backends/server.go
@@ -0,0 +1,267 @@
+package backends
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"github.com/lentilpoint/lentilpoint/enginewire"
+	"github.com/lentilpoint/lentilpoint/eventcode"
+	"github.com/lentilpoint/lentilpoint/model"
+	"github.com/lentilpoint/lentilpoint/task"
+)
+
+const (
+	// serverMailboxSize bounds the commands that wait for a server task. A full
+	// mailbox makes the sender wait until its deadline.
+	serverMailboxSize = 256
+	// connectTimeout bounds a new connection to a backend server.
+	connectTimeout = 500 * time.Millisecond
+	// idleTimeout closes pooled connections before common server-side limits do.
+	idleTimeout = 20 * time.Second
+	// maxIdleConnections bounds the pooled connections to one server.
+	maxIdleConnections = 64
+	// pollTimeout bounds one read of load and cache events.
+	pollTimeout = time.Second
+	// maxPollBytes bounds one answer to a poll.
+	maxPollBytes = 4 << 20
+)
+
+// serverTask owns the transport, load report and cache position of one server.
+type serverTask struct {
+	commands     task.Mailbox[Command]
+	events       task.Mailbox[Event]
+	clock        clockwork.Clock
+	pollInterval time.Duration
+	logger       *slog.Logger
+
+	state  ServerState
+	cache  cachePosition
+	pooled *http.Transport
+	fresh  *http.Transport
+}
+
+func newServerTask(host model.Host, events task.Mailbox[Event], clock clockwork.Clock, pollInterval time.Duration, logger *slog.Logger) *serverTask {
+	commands := task.NewMailbox[Command](serverMailboxSize)
+	return &serverTask{
+		commands:     commands,
+		events:       events,
+		clock:        clock,
+		pollInterval: pollInterval,
+		logger:       logger,
+		state:        ServerState{Host: host, Reachable: true, Commands: commands, Generation: 1},
+	}
+}
+
+// String names the task in the logs.
+func (s *serverTask) String() string { return "server/" + s.state.Host.ID }
+
+// Serve runs the task until the context ends. After a panic the supervisor
+// calls it again with the last snapshot and a new transport.
+func (s *serverTask) Serve(ctx context.Context) error {
+	s.openTransports()
+	defer s.closeTransports()
+	s.publish(ctx)
+	pollContext, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go s.poll(pollContext, s.state.Host, s.cache.sequence)
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case command := <-s.commands.C():
+			s.handle(ctx, pollContext, command)
+		}
+	}
+}
+
+func (s *serverTask) handle(ctx, pollContext context.Context, command Command) {
+	switch command := command.(type) {
+	case OpenStream:
+		stream := &streamTask{client: &http.Client{Transport: s.pooled}, address: s.state.Host.Address, open: command}
+		go stream.run()
+	case OpenExchange:
+		exchange := &exchangeTask{client: s.exchangeClient(command.Repeatable), address: s.state.Host.Address, open: command}
+		go exchange.run()
+	case SendOrder:
+		go s.order(command, s.state.Host.Address, &http.Client{Transport: s.pooled})
+	case ReportSilence:
+		s.replaceTransport(ctx, command)
+	case hostUpdate:
+		s.updateHost(ctx, command.host)
+	case pollResult:
+		s.applyPoll(ctx, command)
+		go s.poll(pollContext, s.state.Host, s.cache.sequence)
+	}
+}
+
+func (s *serverTask) openTransports() {
+	dialer := &net.Dialer{Timeout: connectTimeout}
+	s.pooled = &http.Transport{
+		DialContext:         dialer.DialContext,
+		MaxIdleConnsPerHost: maxIdleConnections,
+		IdleConnTimeout:     idleTimeout,
+		DisableCompression:  true,
+	}
+	s.fresh = &http.Transport{
+		DialContext:        dialer.DialContext,
+		DisableKeepAlives:  true,
+		DisableCompression: true,
+	}
+}
+
+func (s *serverTask) closeTransports() {
+	s.pooled.CloseIdleConnections()
+	s.fresh.CloseIdleConnections()
+}
+
+func (s *serverTask) exchangeClient(repeatable bool) *http.Client {
+	client := &http.Client{Transport: s.fresh, CheckRedirect: keepRedirect}
+	if repeatable {
+		client.Transport = s.pooled
+	}
+	return client
+}
+
+// keepRedirect passes redirects on to the caller instead of following them.
+func keepRedirect(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
+
+func (s *serverTask) replaceTransport(ctx context.Context, report ReportSilence) {
+	if report.Generation != s.state.Generation {
+		return
+	}
+	s.closeTransports()
+	s.state.Generation++
+	s.openTransports()
+	s.logger.Warn("transport replaced after a silent connection", eventcode.TransportReplaced.Attr(), "server", s.state.Host.ID, "generation", s.state.Generation)
+	s.publish(ctx)
+}
+
+func (s *serverTask) updateHost(ctx context.Context, host model.Host) {
+	if host == s.state.Host {
+		return
+	}
+	s.state.Host = host
+	s.publish(ctx)
+}
+
+// publish sends the snapshot to the admission side. It waits for room, because
+// a lost change could send work to a leaving server; the receiver never waits
+// for a server task.
+func (s *serverTask) publish(ctx context.Context) {
+	_ = s.events.Send(ctx, ServerChanged{State: s.state})
+}
+
+func (s *serverTask) applyPoll(ctx context.Context, result pollResult) {
+	reachable := result.err == nil
+	if reachable != s.state.Reachable {
+		s.logger.Warn("server reachability changed", eventcode.ServerReachability.Attr(), "server", s.state.Host.ID, "reachable", reachable, "error", result.err)
+	}
+	s.state.Reachable = reachable
+	if reachable {
+		s.state.Load = result.load
+		s.state.LoadAt = s.clock.Now()
+		s.applyCache(ctx, result.cache)
+	}
+	s.publish(ctx)
+}
+
+func (s *serverTask) applyCache(ctx context.Context, page enginewire.CacheEvents) {
+	next, stored, evicted, reset := s.cache.advance(page)
+	s.cache = next
+	if len(stored)+len(evicted) == 0 && !reset {
+		return
+	}
+	_ = s.events.Send(ctx, CacheChanged{
+		ID: model.ServerID(s.state.Host.ID), Service: s.state.Host.Service,
+		Reset: reset, Stored: stored, Evicted: evicted,
+	})
+}
+
+// poll waits for the interval, reads load and cache events once and sends the
+// result to the server task, which starts the next poll.
+func (s *serverTask) poll(ctx context.Context, host model.Host, after uint64) {
+	wait := s.pollInterval/2 + rand.N(s.pollInterval)
+	select {
+	case <-ctx.Done():
+		return
+	case <-s.clock.After(wait):
+	}
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	result := readServer(ctx, client, host.Address, after)
+	_ = s.commands.Send(ctx, result)
+}
+
+func readServer(ctx context.Context, client *http.Client, address string, after uint64) pollResult {
+	ctx, cancel := context.WithTimeout(ctx, pollTimeout)
+	defer cancel()
+	var result pollResult
+	result.err = getJSON(ctx, client, "http://"+address+enginewire.PathLoad, &result.load)
+	if result.err != nil {
+		return result
+	}
+	path := enginewire.PathCacheEvents + "?after=" + strconv.FormatUint(after, 10)
+	if err := getJSON(ctx, client, "http://"+address+path, &result.cache); err != nil {
+		// Plain services have no cache; the load report alone is enough.
+		result.cache = enginewire.CacheEvents{}
+	}
+	return result
+}
+
+func getJSON(ctx context.Context, client *http.Client, address string, target any) error {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, address, nil)
+	if err != nil {
+		return Error.Wrap(err)
+	}
+	response, err := client.Do(request)
+	if err != nil {
+		return Error.Wrap(err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	content, err := io.ReadAll(io.LimitReader(response.Body, maxPollBytes))
+	if err != nil {
+		return Error.Wrap(err)
+	}
+	if response.StatusCode != http.StatusOK {
+		return Error.New("status %d", response.StatusCode)
+	}
+	return Error.Wrap(json.Unmarshal(content, target))
+}
+
+// order sends one order and answers the caller.
+func (s *serverTask) order(command SendOrder, address string, client *http.Client) {
+	var outcome OrderOutcome
+	outcome.Result, outcome.Err = postOrder(command.Context, client, address, command.Order)
+	command.Reply.Send(outcome)
+}
+
+func postOrder(ctx context.Context, client *http.Client, address string, order enginewire.Order) (enginewire.OrderResult, error) {
+	var result enginewire.OrderResult
+	body, err := json.Marshal(order)
+	if err != nil {
+		return result, Error.Wrap(err)
+	}
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+enginewire.PathOrders, strings.NewReader(string(body)))
+	if err != nil {
+		return result, Error.Wrap(err)
+	}
+	request.Header.Set("Content-Type", "application/json")
+	response, err := client.Do(request)
+	if err != nil {
+		return result, Error.Wrap(err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	if err := json.NewDecoder(io.LimitReader(response.Body, maxErrorBytes)).Decode(&result); err != nil {
+		return result, Error.Wrap(err)
+	}
+	return result, nil
+}
--- /dev/null
+++ b/entryhost/backends/stream.go
@@ -0,0 +1,170 @@
+package backends
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+
+	"github.com/tmaxmax/go-sse"
+
+	"github.com/lentilpoint/lentilpoint/enginewire"
+)
+
+// maxEventBytes bounds one server-sent event of an engine.
+const maxEventBytes = 1 << 20
+
+// maxErrorBytes bounds what is kept of an engine's error body.
+const maxErrorBytes = 4 << 10
+
+// streamTask owns one connection to an engine for one attempt of a request.
+type streamTask struct {
+	client  *http.Client
+	address string
+	open    OpenStream
+}
+
+// run sends the request and passes on its events until the stream ends.
+func (s *streamTask) run() {
+	err := s.exchange()
+	if err == nil {
+		return
+	}
+	_ = s.send(StreamEvent{Err: err})
+}
+
+func (s *streamTask) send(event StreamEvent) error {
+	event.Attempt = s.open.Attempt
+	return s.open.Events.Send(s.open.Context, event)
+}
+
+func (s *streamTask) exchange() *StreamError {
+	request, err := s.request()
+	if err != nil {
+		return &StreamError{Kind: FailureInvalid, Message: err.Error()}
+	}
+	tracked, sent := trackSent(request)
+	response, err := s.client.Do(tracked)
+	if err != nil {
+		return s.transportError(err, sent())
+	}
+	defer func() { _ = response.Body.Close() }()
+	if response.StatusCode != http.StatusOK {
+		return statusError(response)
+	}
+	return s.relay(response)
+}
+
+func (s *streamTask) request() (*http.Request, error) {
+	if s.open.ResumeStream != "" {
+		address := "http://" + s.address + enginewire.PathStreams + s.open.ResumeStream + "?from=" + strconv.Itoa(s.open.ResumeFrom)
+		return http.NewRequestWithContext(s.open.Context, http.MethodGet, address, nil)
+	}
+	body, err := json.Marshal(s.open.Body)
+	if err != nil {
+		return nil, Error.Wrap(err)
+	}
+	request, err := http.NewRequestWithContext(s.open.Context, http.MethodPost, "http://"+s.address+s.open.Path, bytes.NewReader(body))
+	if err != nil {
+		return nil, Error.Wrap(err)
+	}
+	request.Header.Set("Content-Type", "application/json")
+	return request, nil
+}
+
+// relay reads server-sent events until the end mark. A stream that ends
+// without it is broken, however cleanly the connection closed.
+func (s *streamTask) relay(response *http.Response) *StreamError {
+	engineStream := response.Header.Get(enginewire.HeaderStreamID)
+	for event, err := range sse.Read(response.Body, &sse.ReadConfig{MaxEventSize: maxEventBytes}) {
+		if err != nil {
+			return s.transportError(err, true)
+		}
+		if event.Data == enginewire.StreamEnd {
+			return nil
+		}
+		update, failure := decodeChunk(event.Data)
+		if failure != nil {
+			return failure
+		}
+		update.EngineStream = engineStream
+		if err := s.send(update); err != nil {
+			return &StreamError{Kind: FailureCancelled, Message: err.Error()}
+		}
+	}
+	return &StreamError{Kind: FailureBroken, Message: "the stream ended without its end mark"}
+}
+
+// decodeChunk turns one chunk into a stream event.
+func decodeChunk(data string) (StreamEvent, *StreamError) {
+	var chunk enginewire.Chunk
+	if err := json.Unmarshal([]byte(data), &chunk); err != nil {
+		return StreamEvent{}, &StreamError{Kind: FailureBroken, Message: "undecodable chunk: " + err.Error()}
+	}
+	if chunk.Error != nil {
+		return StreamEvent{}, &StreamError{Kind: FailureBroken, Message: chunk.Error.Message}
+	}
+	if len(chunk.Choices) == 0 {
+		return StreamEvent{}, nil
+	}
+	choice := chunk.Choices[0]
+	return StreamEvent{
+		PromptIDs: choice.PromptTokenIDs,
+		Tokens:    chunkTokens(choice),
+		Finish:    choice.FinishReason,
+	}, nil
+}
+
+// chunkTokens pairs the token ids of a chunk with its text. The text of a
+// chunk with several ids belongs to its last token.
+func chunkTokens(choice enginewire.Choice) []Token {
+	if len(choice.TokenIDs) == 0 {
+		return nil
+	}
+	tokens := make([]Token, len(choice.TokenIDs))
+	for i, id := range choice.TokenIDs {
+		tokens[i].ID = id
+	}
+	tokens[len(tokens)-1].Text = choice.Content()
+	return tokens
+}
+
+func (s *streamTask) transportError(err error, sent bool) *StreamError {
+	if s.open.Context.Err() != nil {
+		return &StreamError{Kind: FailureCancelled, Message: context.Cause(s.open.Context).Error()}
+	}
+	return transportFailure(err, sent)
+}
+
+func transportFailure(err error, sent bool) *StreamError {
+	if !sent {
+		return &StreamError{Kind: FailureConnect, Message: err.Error()}
+	}
+	if errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) {
+		return &StreamError{Kind: FailureBroken, Message: "connection closed early"}
+	}
+	return &StreamError{Kind: FailureBroken, Message: err.Error()}
+}
+
+// statusError classifies an answer with an error status. Statuses 429 and 503
+// mean that the engine did not run the request.
+func statusError(response *http.Response) *StreamError {
+	text, _ := io.ReadAll(io.LimitReader(response.Body, maxErrorBytes))
+	failure := &StreamError{
+		Kind:    FailureStatus,
+		Status:  response.StatusCode,
+		Message: fmt.Sprintf("status %d: %s", response.StatusCode, strings.TrimSpace(string(text))),
+	}
+	switch {
+	case response.StatusCode == http.StatusTooManyRequests, response.StatusCode == http.StatusServiceUnavailable:
+		failure.Kind = FailureRefused
+	case response.StatusCode >= 400 && response.StatusCode < 500:
+		failure.Kind = FailureInvalid
+	}
+	return failure
+}
--- /dev/null
+++ b/entryhost/callers/server.go
@@ -0,0 +1,297 @@
+package callers
+
+import (
+	"context"
+	"crypto/rand"
+	"crypto/sha256"
+	"encoding/hex"
+	"errors"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/gin-gonic/gin"
+	"github.com/jonboulle/clockwork"
+	"github.com/thejerf/suture/v4"
+	"github.com/zeebo/errs"
+
+	"github.com/lentilpoint/lentilpoint/entryhost/config"
+	"github.com/lentilpoint/lentilpoint/entryhost/requests"
+	"github.com/lentilpoint/lentilpoint/model"
+	"github.com/lentilpoint/lentilpoint/task"
+)
+
+// Error is the class of errors of this package.
+var Error = errs.Class("callers")
+
+const (
+	// defaultDeadline applies when neither the caller nor the service sets one.
+	defaultDeadline = 10 * time.Minute
+	// maxDeadline bounds a caller's deadline.
+	maxDeadline = time.Hour
+	// lookupTimeout bounds the wait for the configuration task.
+	lookupTimeout = 2 * time.Second
+	// readHeaderTimeout bounds the time a caller may take to send its headers.
+	readHeaderTimeout = 5 * time.Second
+	// maxHeaderBytes bounds a caller's headers.
+	maxHeaderBytes = 64 << 10
+	// heartbeatInterval is the longest silence on a stream to a caller.
+	heartbeatInterval = 5 * time.Second
+)
+
+// gin prints its routes on standard output unless it is in release mode. The
+// mode is global, so it is set before any server is built.
+func init() { gin.SetMode(gin.ReleaseMode) }
+
+// Server is the task that owns the listening socket for callers.
+type Server struct {
+	Parameters
+
+	// listener is the bound socket of the next Serve; nil after it was closed.
+	listener net.Listener
+	address  string
+	commands task.Mailbox[command]
+	// draining is closed by the task when a graceful shutdown begins. Caller
+	// tasks only read it.
+	draining chan struct{}
+}
+
+// Parameters are what the server is built from.
+type Parameters struct {
+	Requests task.Mailbox[requests.Command]
+	Config   task.Mailbox[config.Message]
+	Metrics  *metrics.Set
+	Clock    clockwork.Clock
+	Logger   *slog.Logger
+}
+
+// NewServer returns the caller API on a bound socket.
+func NewServer(listener net.Listener, parameters Parameters) *Server {
+	return &Server{
+		Parameters: parameters,
+		listener:   listener,
+		address:    listener.Addr().String(),
+		commands:   task.NewMailbox[command](commandsSize),
+		draining:   make(chan struct{}),
+	}
+}
+
+// Address returns the address that callers reach.
+func (s *Server) Address() string { return s.address }
+
+// String names the task in the logs.
+func (s *Server) String() string { return "callers" }
+
+// Drain makes /readyz fail, so that the balancer sends no new callers.
+func (s *Server) Drain(ctx context.Context) error {
+	_, err := task.Call(ctx, s.commands, func(reply task.Reply[error]) command {
+		return command{kind: commandDrain, reply: reply}
+	})
+	return err
+}
+
+// Shutdown closes the socket and waits until all open answers are written.
+func (s *Server) Shutdown(ctx context.Context) error {
+	result, err := task.Call(ctx, s.commands, func(reply task.Reply[error]) command {
+		return command{kind: commandShutdown, context: ctx, reply: reply}
+	})
+	return errors.Join(result, err)
+}
+
+// Serve accepts callers until the context ends or a shutdown is done. After a
+// failure the supervisor calls it again and it binds the same address.
+func (s *Server) Serve(ctx context.Context) error {
+	if err := s.bind(); err != nil {
+		return err
+	}
+	server := &http.Server{
+		Handler:           s.handler(),
+		ReadHeaderTimeout: readHeaderTimeout,
+		MaxHeaderBytes:    maxHeaderBytes,
+		ErrorLog:          slog.NewLogLogger(s.Logger.Handler(), slog.LevelDebug),
+	}
+	failed := make(chan error, 1)
+	go func(listener net.Listener) { failed <- server.Serve(listener) }(s.listener)
+	s.listener = nil
+	for {
+		select {
+		case <-ctx.Done():
+			return Error.Wrap(server.Close())
+		case err := <-failed:
+			return Error.Wrap(err)
+		case command := <-s.commands.C():
+			if command.kind == commandDrain {
+				s.startDrain()
+				command.reply.Send(nil)
+				continue
+			}
+			command.reply.Send(server.Shutdown(command.context))
+			return suture.ErrDoNotRestart
+		}
+	}
+}
+
+func (s *Server) bind() error {
+	if s.listener != nil {
+		return nil
+	}
+	listener, err := net.Listen("tcp", s.address)
+	s.listener = listener
+	return Error.Wrap(err)
+}
+
+func (s *Server) startDrain() {
+	select {
+	case <-s.draining:
+	default:
+		close(s.draining)
+	}
+}
+
+func (s *Server) handler() http.Handler {
+	router := gin.New()
+	router.UseRawPath = true
+	router.GET("/healthz", func(c *gin.Context) { c.String(http.StatusOK, "ok\n") })
+	router.GET("/readyz", s.readyz)
+	router.GET("/metrics", s.writeMetrics)
+	router.GET("/v1/models", s.listModels)
+	router.POST("/v1/completions", func(c *gin.Context) { s.generate(c, false) })
+	router.POST("/v1/chat/completions", func(c *gin.Context) { s.generate(c, true) })
+	router.Any("/services/:service/*path", s.call)
+	router.NoRoute(func(c *gin.Context) {
+		s.fail(c, "", model.NotRun(model.KindNotFound, model.ReasonBadField, "there is no such path", "see the API page for the paths"))
+	})
+	return router
+}
+
+func (s *Server) readyz(c *gin.Context) {
+	select {
+	case <-s.draining:
+		c.String(http.StatusServiceUnavailable, "draining\n")
+		return
+	default:
+	}
+	configuration, err := s.configuration(c.Request.Context())
+	if err != nil || configuration.Revision == 0 {
+		c.String(http.StatusServiceUnavailable, "no configuration yet\n")
+		return
+	}
+	c.String(http.StatusOK, "ready\n")
+}
+
+// configuration asks the store for the configuration in force.
+func (s *Server) configuration(ctx context.Context) (*model.Configuration, error) {
+	ctx, cancel := context.WithTimeout(ctx, lookupTimeout)
+	defer cancel()
+	return task.Call(ctx, s.Config, func(reply task.Reply[*model.Configuration]) config.Message {
+		return config.Current{Reply: reply}
+	})
+}
+
+func (s *Server) writeMetrics(c *gin.Context) {
+	c.Header("Content-Type", "text/plain; version=0.0.4")
+	s.Metrics.WritePrometheus(c.Writer)
+	metrics.WriteProcessMetrics(c.Writer)
+}
+
+// identity is what the entry host knows of an authenticated request.
+type identity struct {
+	id            model.RequestID
+	organisation  model.Organisation
+	configuration *model.Configuration
+}
+
+// identify assigns the request id and authenticates the organisation.
+func (s *Server) identify(c *gin.Context) (identity, *model.Fault) {
+	who := identity{id: requestID(c.GetHeader("X-Request-Id"))}
+	c.Header("X-Request-Id", string(who.id))
+	configuration, err := s.configuration(c.Request.Context())
+	if err != nil {
+		return who, model.NotRun(model.KindUnavailable, model.ReasonNotReady, "the configuration is not available", "retry after a pause")
+	}
+	who.configuration = configuration
+	key, found := strings.CutPrefix(c.GetHeader("Authorization"), "Bearer ")
+	if !found {
+		return who, model.NotRun(model.KindUnauthorised, model.ReasonNoCredentials,
+			"the Authorization header has no bearer token", "send the organisation's API key as a bearer token")
+	}
+	organisation, found := configuration.OrganisationByKey(keyDigest(key))
+	if !found {
+		return who, model.NotRun(model.KindUnauthorised, model.ReasonUnknownKey,
+			"the API key belongs to no organisation", "check the key or ask an operator to register it")
+	}
+	who.organisation = organisation
+	return who, nil
+}
+
+func keyDigest(key string) string {
+	digest := sha256.Sum256([]byte(key))
+	return hex.EncodeToString(digest[:])
+}
+
+// requestID takes the caller's id if it is usable, or makes one.
+func requestID(given string) model.RequestID {
+	if given != "" && len(given) <= maxRequestID && !strings.ContainsFunc(given, notPrintable) {
+		return model.RequestID(given)
+	}
+	return model.RequestID(rand.Text())
+}
+
+func notPrintable(r rune) bool { return r <= ' ' || r > '~' }
+
+// deadline returns the time by which the request must be answered.
+func (s *Server) deadline(c *gin.Context, service model.Service) (time.Time, *model.Fault) {
+	limit := service.DefaultDeadline
+	if limit <= 0 {
+		limit = defaultDeadline
+	}
+	if given := c.GetHeader("X-Deadline-Ms"); given != "" {
+		milliseconds, err := strconv.ParseInt(given, 10, 64)
+		if err != nil || milliseconds < 1 || milliseconds > maxDeadline.Milliseconds() {
+			return time.Time{}, model.BadField("X-Deadline-Ms", "X-Deadline-Ms must be a whole number of milliseconds, at most one hour")
+		}
+		limit = time.Duration(milliseconds) * time.Millisecond
+	}
+	return s.Clock.Now().Add(limit), nil
+}
+
+// readBody reads a bounded body.
+func readBody(c *gin.Context) ([]byte, *model.Fault) {
+	content, err := io.ReadAll(http.MaxBytesReader(c.Writer, c.Request.Body, maxBodyBytes))
+	if err == nil {
+		return content, nil
+	}
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return nil, model.NotRun(model.KindInvalid, model.ReasonBodyTooLarge, "the body is too large", "send at most 4 MiB")
+	}
+	return nil, model.BadField("body", "the body could not be read: "+err.Error())
+}
+
+// fail answers with a fault and counts its reason.
+func (s *Server) fail(c *gin.Context, id model.RequestID, fault *model.Fault) {
+	s.countRefusal(fault)
+	if fault.RetryAfter > 0 {
+		c.Header("Retry-After", retryAfterSeconds(fault))
+	}
+	c.JSON(statusOf(fault.Kind), errorBody(fault, id))
+}
+
+func (s *Server) countRefusal(fault *model.Fault) {
+	name := `lentilpoint_refusals_total{reason="` + string(fault.Reason) + `"}`
+	s.Metrics.GetOrCreateCounter(name).Inc()
+}
+
+func (s *Server) listModels(c *gin.Context) {
+	who, fault := s.identify(c)
+	if fault != nil {
+		s.fail(c, who.id, fault)
+		return
+	}
+	c.JSON(http.StatusOK, modelList(who.configuration))
+}
--- /dev/null
+++ b/entryhost/fx.go
@@ -0,0 +1,36 @@
+package entryhost
+
+import (
+	"log/slog"
+
+	"github.com/thejerf/suture/v4"
+	"go.uber.org/fx"
+
+	"github.com/lentilpoint/lentilpoint/entryhost/admission"
+	"github.com/lentilpoint/lentilpoint/entryhost/backends"
+	"github.com/lentilpoint/lentilpoint/entryhost/callers"
+	"github.com/lentilpoint/lentilpoint/entryhost/config"
+	"github.com/lentilpoint/lentilpoint/entryhost/platform"
+	"github.com/lentilpoint/lentilpoint/entryhost/requests"
+	"github.com/lentilpoint/lentilpoint/task"
+)
+
+// Module provides the whole tree of an entry host. It needs settings, a clock,
+// a metrics set and a logger.
+var Module = fx.Module("entryhost",
+	platform.Module,
+	config.Module,
+	backends.Module,
+	admission.Module,
+	requests.Module,
+	callers.Module,
+	fx.Provide(provideRoot),
+)
+
+func provideRoot(children task.Children, logger *slog.Logger) *suture.Supervisor {
+	root := task.NewSupervisor("entryhost", task.DefaultRestartPolicy, logger)
+	for _, child := range children.Services {
+		root.Add(child)
+	}
+	return root
+}
--- /dev/null
+++ b/entryhost/host.go
@@ -0,0 +1,143 @@
+package entryhost
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"math/rand/v2"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/jonboulle/clockwork"
+	"github.com/thejerf/suture/v4"
+	"github.com/zeebo/errs"
+	"go.uber.org/fx"
+	"go.uber.org/fx/fxevent"
+
+	"github.com/lentilpoint/lentilpoint/entryhost/callers"
+	"github.com/lentilpoint/lentilpoint/entryhost/requests"
+	"github.com/lentilpoint/lentilpoint/eventcode"
+	"github.com/lentilpoint/lentilpoint/settings"
+	"github.com/lentilpoint/lentilpoint/task"
+)
+
+// Error is the class of errors of this package.
+var Error = errs.Class("entryhost")
+
+// startTimeout bounds the construction and start of the tree.
+const startTimeout = 10 * time.Second
+
+// Host is one entry host: the root supervisor and the entrances to its tasks.
+type Host struct {
+	settings settings.Settings
+	logger   *slog.Logger
+	app      *fx.App
+	parts    parts
+
+	stop context.CancelFunc
+	// done is closed when the root supervisor has ended; failure is set before.
+	done    chan struct{}
+	failure error
+}
+
+// parts are the tasks that the host itself talks to.
+type parts struct {
+	fx.In
+
+	Root     *suture.Supervisor
+	Requests task.Mailbox[requests.Command]
+	Callers  *callers.Server
+}
+
+// Environment is what an entry host needs besides its settings.
+type Environment struct {
+	Clock   clockwork.Clock
+	Metrics *metrics.Set
+	Logger  *slog.Logger
+	// Options replace or decorate parts of the tree, for tests.
+	Options []fx.Option
+}
+
+// New builds the tasks of an entry host and binds its sockets.
+func New(values settings.Settings, environment Environment) (*Host, error) {
+	if values.RandomSeed == 0 {
+		values.RandomSeed = rand.Uint64()
+	}
+	host := &Host{settings: values, logger: environment.Logger}
+	host.app = fx.New(
+		Module,
+		fx.Supply(values, environment.Metrics, environment.Logger),
+		fx.Provide(func() clockwork.Clock { return environment.Clock }),
+		fx.Options(environment.Options...),
+		fx.Invoke(func(in parts) { host.parts = in }),
+		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
+	)
+	return host, Error.Wrap(host.app.Err())
+}
+
+// CallerAddress returns the address that callers reach.
+func (h *Host) CallerAddress() string { return h.parts.Callers.Address() }
+
+// Start runs the tree in the background.
+func (h *Host) Start() error {
+	ctx, cancel := context.WithTimeout(context.Background(), startTimeout)
+	defer cancel()
+	if err := h.app.Start(ctx); err != nil {
+		return Error.Wrap(err)
+	}
+	treeContext, stop := context.WithCancel(context.Background())
+	h.stop = stop
+	h.done = make(chan struct{})
+	go func() {
+		defer close(h.done)
+		h.failure = h.parts.Root.Serve(treeContext)
+	}()
+	h.logger.Info("entry host started", eventcode.HostStarted.Attr(), "host", h.settings.HostID,
+		"data_centre", h.settings.DataCentre, "callers", h.CallerAddress())
+	return nil
+}
+
+// Done is closed when the root supervisor has ended, by Kill or because it gave up.
+func (h *Host) Done() <-chan struct{} { return h.done }
+
+// Err returns why the root supervisor ended. It is valid once Done is closed.
+func (h *Host) Err() error { return h.failure }
+
+// Stop shuts the entry host down gracefully: it refuses new work as not run,
+// waits for open requests until the context or the drain timeout ends, and
+// stops the tasks.
+func (h *Host) Stop(ctx context.Context) error {
+	h.logger.Info("entry host drains", eventcode.HostDrains.Attr(), "host", h.settings.HostID)
+	ctx, cancel := context.WithTimeout(ctx, h.settings.DrainTimeout)
+	defer cancel()
+	err := errors.Join(h.drain(ctx), h.Kill())
+	h.logger.Info("entry host stopped", eventcode.HostStopped.Attr(), "host", h.settings.HostID, "error", err)
+	return err
+}
+
+// drain refuses new work and waits until open requests ended and their answers
+// were written.
+func (h *Host) drain(ctx context.Context) error {
+	if err := h.parts.Callers.Drain(ctx); err != nil {
+		return Error.Wrap(err)
+	}
+	idle := make(chan struct{})
+	if err := h.parts.Requests.Send(ctx, requests.Drain{Idle: idle}); err != nil {
+		return Error.Wrap(err)
+	}
+	select {
+	case <-idle:
+		return Error.Wrap(h.parts.Callers.Shutdown(ctx))
+	case <-ctx.Done():
+		return Error.New("requests are still open after the drain timeout; raise --drain-timeout")
+	}
+}
+
+// Kill stops the tasks at once, as a crash would. A second call does nothing.
+func (h *Host) Kill() error {
+	h.stop()
+	<-h.done
+	ctx, cancel := context.WithTimeout(context.Background(), startTimeout)
+	defer cancel()
+	return Error.Wrap(h.app.Stop(ctx))
+}
--- /dev/null
+++ b/entryhost/requests/policy.go
@@ -0,0 +1,108 @@
+package requests
+
+import (
+	"time"
+
+	"github.com/lentilpoint/lentilpoint/entryhost/admission"
+	"github.com/lentilpoint/lentilpoint/entryhost/backends"
+	"github.com/lentilpoint/lentilpoint/model"
+)
+
+// maxAttempts bounds the attempts of one request, so that a request that
+// breaks servers ends.
+const maxAttempts = 6
+
+// Recovery says how a generation goes on after the loss of an attempt. All but
+// RecoveryContinue are baselines of the experiments.
+type Recovery string
+
+// The ways of recovery.
+const (
+	// RecoveryContinue continues from the prompt and the accepted tokens.
+	RecoveryContinue Recovery = "continue"
+	// RecoveryRestart generates again from the prompt and repeats what was delivered.
+	RecoveryRestart Recovery = "restart"
+	// RecoveryNone ends the request with its first attempt.
+	RecoveryNone Recovery = "none"
+)
+
+// RetryDecision says what follows a failed attempt.
+type RetryDecision struct {
+	Retry bool
+	// Exclude tells whether the next attempt should avoid the failed server.
+	Exclude bool
+	Outcome admission.Outcome
+	Fault   *model.Fault
+}
+
+// decideRetry decides after a failed attempt of a generation. A generation may
+// run again, because only one attempt's tokens reach the ledger.
+func decideRetry(attempt backends.Attempt, failure *backends.StreamError) RetryDecision {
+	outcome := outcomeOf(failure.Kind)
+	if failure.Kind == backends.FailureInvalid {
+		return RetryDecision{Outcome: outcome, Fault: &model.Fault{
+			Kind: model.KindInvalid, Reason: model.ReasonBadField, Executed: model.ExecutedNo,
+			Message: "the engine refused the request: " + failure.Message, Remedy: "correct the request",
+		}}
+	}
+	if failure.Kind == backends.FailureCancelled {
+		return RetryDecision{Outcome: outcome, Fault: attemptsSpent(attempt, failure)}
+	}
+	if attempt >= maxAttempts {
+		return RetryDecision{Outcome: outcome, Fault: attemptsSpent(attempt, failure)}
+	}
+	return RetryDecision{Retry: true, Exclude: true, Outcome: outcome}
+}
+
+func attemptsSpent(attempt backends.Attempt, failure *backends.StreamError) *model.Fault {
+	return &model.Fault{
+		Kind: model.KindUnavailable, Reason: model.ReasonRetriesSpent, Executed: model.ExecutedUnknown,
+		Message: "no attempt finished; the last one failed with " + failure.Error(),
+		Remedy:  "send the request again after a pause", RetryAfter: time.Second,
+	}
+}
+
+func outcomeOf(kind backends.FailureKind) admission.Outcome {
+	switch kind {
+	case backends.FailureConnect:
+		return admission.OutcomeConnect
+	case backends.FailureRefused:
+		return admission.OutcomeRefused
+	case backends.FailureInvalid:
+		return admission.OutcomeInvalid
+	case backends.FailureCancelled:
+		return admission.OutcomeCancelled
+	case backends.FailureStatus:
+		return admission.OutcomeError
+	case backends.FailureSilent:
+		return admission.OutcomeSilent
+	default:
+		return admission.OutcomeBroken
+	}
+}
+
+// mayCallAgain decides whether a failed call to a plain service may be sent to
+// another server. A call that may have reached a server is only repeated when
+// its method is idempotent and its body can be sent again.
+func mayCallAgain(call Call, failure *backends.StreamError, bodyUntouched bool) bool {
+	if !bodyUntouched {
+		return false
+	}
+	if failure.Kind == backends.FailureConnect {
+		return true
+	}
+	return call.Repeatable && failure.Kind == backends.FailureBroken
+}
+
+// callFault is the typed error of a call that ended without an answer.
+func callFault(failure *backends.StreamError) *model.Fault {
+	if failure.Kind == backends.FailureConnect {
+		return model.NotRun(model.KindUnavailable, model.ReasonBackendFailed,
+			"no backend server accepted a connection: "+failure.Message, "send the request again").After(time.Second)
+	}
+	return &model.Fault{
+		Kind: model.KindUnknown, Reason: model.ReasonOutcomeUnknown, Executed: model.ExecutedUnknown,
+		Message: "the connection to the backend server was lost after the request may have reached it: " + failure.Message,
+		Remedy:  "ask the service whether the request took effect before sending it again",
+	}
+}
--- /dev/null
+++ b/entryhost/requests/task.go
@@ -0,0 +1,127 @@
+package requests
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+
+	"github.com/jonboulle/clockwork"
+
+	"github.com/lentilpoint/lentilpoint/entryhost/admission"
+	"github.com/lentilpoint/lentilpoint/eventcode"
+	"github.com/lentilpoint/lentilpoint/model"
+	"github.com/lentilpoint/lentilpoint/task"
+)
+
+// managerMailboxSize bounds the commands that wait for the manager. A full
+// mailbox makes the caller task wait until its deadline.
+const managerMailboxSize = 1024
+
+// Manager is the task that starts request tasks. It owns the number of open
+// requests and refuses new ones while the entry host drains.
+type Manager struct {
+	commands   task.Mailbox[Command]
+	dispatches task.Mailbox[admission.Dispatch]
+	recovery   Recovery
+	clock      clockwork.Clock
+	logger     *slog.Logger
+
+	open     int
+	draining bool
+	idle     []chan<- struct{}
+}
+
+// NewManager returns the manager task.
+func NewManager(dispatches task.Mailbox[admission.Dispatch], recovery Recovery, clock clockwork.Clock, logger *slog.Logger) *Manager {
+	return &Manager{
+		commands:   task.NewMailbox[Command](managerMailboxSize),
+		dispatches: dispatches,
+		recovery:   recovery,
+		clock:      clock,
+		logger:     logger,
+	}
+}
+
+// Commands is where caller tasks send their requests.
+func (m *Manager) Commands() task.Mailbox[Command] { return m.commands }
+
+// String names the task in the logs.
+func (m *Manager) String() string { return "requests" }
+
+// Serve starts request tasks until the context ends.
+func (m *Manager) Serve(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case command := <-m.commands.C():
+			m.handle(ctx, command)
+		}
+	}
+}
+
+func (m *Manager) handle(ctx context.Context, command Command) {
+	switch command := command.(type) {
+	case StartGeneration:
+		m.startGeneration(ctx, command)
+	case StartCall:
+		m.startCall(ctx, command)
+	case requestEnded:
+		m.open--
+		m.reportIdle()
+	case Drain:
+		m.draining = true
+		m.idle = append(m.idle, command.Idle)
+		m.reportIdle()
+	}
+}
+
+func (m *Manager) reportIdle() {
+	if m.open > 0 || !m.draining {
+		return
+	}
+	for _, idle := range m.idle {
+		close(idle)
+	}
+	m.idle = nil
+}
+
+func drainingFault() *model.Fault {
+	return model.NotRun(model.KindUnavailable, model.ReasonDraining,
+		"this entry host is stopping", "send the request again; the balancer picks another entry host")
+}
+
+func (m *Manager) startGeneration(ctx context.Context, start StartGeneration) {
+	if m.draining {
+		start.Updates <- Update{Fault: drainingFault()}
+		return
+	}
+	generation := &generationTask{
+		start: start, dispatches: m.dispatches, recovery: m.recovery, clock: m.clock, logger: m.logger,
+	}
+	m.spawn(ctx, generation.run, func(fault *model.Fault) { generation.sendLast(Update{Fault: fault}) })
+}
+
+func (m *Manager) startCall(ctx context.Context, start StartCall) {
+	if m.draining {
+		start.Reply.Send(Answer{Fault: drainingFault()})
+		return
+	}
+	call := &callTask{start: start, dispatches: m.dispatches, clock: m.clock, logger: m.logger}
+	m.spawn(ctx, call.run, func(fault *model.Fault) { start.Reply.Send(Answer{Fault: fault}) })
+}
+
+// spawn runs a request task. A panic ends only that request, with a typed fault.
+func (m *Manager) spawn(ctx context.Context, run func(), fail func(*model.Fault)) {
+	m.open++
+	go func() {
+		defer func() {
+			if cause := recover(); cause != nil {
+				m.logger.Error("request task failed", eventcode.RequestTaskFailed.Attr(), "cause", cause)
+				fail(model.AsFault(Error.New("request task failed: %s", fmt.Sprint(cause))))
+			}
+			_ = m.commands.Send(ctx, requestEnded{})
+		}()
+		run()
+	}()
+}
--- /dev/null
+++ b/model/errors.go
@@ -0,0 +1,117 @@
+package model
+
+import (
+	"errors"
+	"fmt"
+	"time"
+)
+
+// Kind groups errors by what the receiver should do about them.
+type Kind string
+
+// The kinds of error that callers and operators receive.
+const (
+	KindInvalid      Kind = "invalid_request"
+	KindUnauthorised Kind = "unauthorised"
+	KindNotFound     Kind = "not_found"
+	KindConflict     Kind = "conflict"
+	KindOverloaded   Kind = "overloaded"
+	KindUnavailable  Kind = "unavailable"
+	KindDeadline     Kind = "deadline_exceeded"
+	KindUnknown      Kind = "outcome_unknown"
+	KindInternal     Kind = "internal"
+)
+
+// Executed says whether the request may have had an effect.
+type Executed string
+
+// The values of Executed.
+const (
+	ExecutedNo      Executed = "no"
+	ExecutedUnknown Executed = "unknown"
+	ExecutedYes     Executed = "yes"
+)
+
+// Reason is a stable code for the cause of an error; there is one counter for each.
+type Reason string
+
+// Reasons on the request path.
+const (
+	ReasonBadField            Reason = "bad_field"
+	ReasonBodyTooLarge        Reason = "body_too_large"
+	ReasonNoCredentials       Reason = "no_credentials"
+	ReasonUnknownKey          Reason = "unknown_key"
+	ReasonUnknownService      Reason = "unknown_service"
+	ReasonUnknownVersion      Reason = "unknown_version"
+	ReasonQueueFull           Reason = "queue_full"
+	ReasonQuota               Reason = "organisation_quota"
+	ReasonDeadlineUnreachable Reason = "deadline_unreachable"
+	ReasonDeadlinePassed      Reason = "deadline_passed"
+	ReasonNoServer            Reason = "no_server"
+	ReasonVersionGone         Reason = "version_gone"
+	ReasonRetryBudget         Reason = "retry_budget_spent"
+	ReasonRetriesSpent        Reason = "retries_spent"
+	ReasonSuspectRequest      Reason = "suspect_request"
+	ReasonDraining            Reason = "draining"
+	ReasonPlatformUnavailable Reason = "platform_unavailable"
+	ReasonKeyReused           Reason = "key_reused"
+	ReasonKeyInProgress       Reason = "key_in_progress"
+	ReasonOutcomeUnknown      Reason = "outcome_unknown"
+	ReasonCursorInvalid       Reason = "cursor_invalid"
+	ReasonCursorMismatch      Reason = "cursor_mismatch"
+	ReasonResumeDiverged      Reason = "resume_diverged"
+	ReasonTicketInvalid       Reason = "ticket_invalid"
+	ReasonTicketHostGone      Reason = "ticket_host_gone"
+	ReasonBackendFailed       Reason = "backend_failed"
+	ReasonTaskFailed          Reason = "task_failed"
+	ReasonNotReady            Reason = "not_ready"
+)
+
+// Fault is the typed error that crosses package borders and reaches callers
+// and operators. Its message names the cause and Remedy says what to do.
+type Fault struct {
+	Kind       Kind
+	Reason     Reason
+	Executed   Executed
+	Message    string
+	Remedy     string
+	Field      string
+	RetryAfter time.Duration
+}
+
+// Error implements error.
+func (f *Fault) Error() string {
+	return fmt.Sprintf("%s (%s): %s; %s", f.Kind, f.Reason, f.Message, f.Remedy)
+}
+
+// AsFault returns the Fault in the chain of err, or an internal one with an
+// unknown outcome.
+func AsFault(err error) *Fault {
+	var fault *Fault
+	if errors.As(err, &fault) {
+		return fault
+	}
+	return &Fault{
+		Kind: KindInternal, Reason: ReasonTaskFailed, Executed: ExecutedUnknown,
+		Message: err.Error(), Remedy: "read the logs of this entry host for the request id",
+	}
+}
+
+// NotRun returns a fault for a request that certainly did not run.
+func NotRun(kind Kind, reason Reason, message, remedy string) *Fault {
+	return &Fault{Kind: kind, Reason: reason, Executed: ExecutedNo, Message: message, Remedy: remedy}
+}
+
+// BadField returns a fault that names the offending field of a request.
+func BadField(field, message string) *Fault {
+	fault := NotRun(KindInvalid, ReasonBadField, message, "correct the field "+field+" and send the request again")
+	fault.Field = field
+	return fault
+}
+
+// After returns a copy of the fault that asks the caller to wait before a retry.
+func (f *Fault) After(wait time.Duration) *Fault {
+	later := *f
+	later.RetryAfter = wait
+	return &later
+}
--- /dev/null
+++ b/settings/settings_test.go
@@ -0,0 +1,42 @@
+package settings_test
+
+import (
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/spf13/pflag"
+
+	"github.com/lentilpoint/lentilpoint/settings"
+)
+
+func TestSettings(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "settings")
+}
+
+var _ = Describe("settings", func() {
+	It("names every bad setting in one error, so that an operator needs one try", func() {
+		err := settings.Settings{LogFormat: "xml", LogLevel: "info"}.Check()
+		for _, flag := range []string{"--host-id", "--data-centre", "--caller-address", "--platform-url", "--log-format", "--drain-timeout"} {
+			Expect(err).To(MatchError(ContainSubstring(flag)))
+		}
+		Expect(err).NotTo(MatchError(ContainSubstring("--log-level")))
+	})
+
+	It("prefers a flag to its environment variable", func() {
+		var values settings.Settings
+		flags := pflag.NewFlagSet("test", pflag.ContinueOnError)
+		settings.Register(flags, &values)
+		Expect(flags.Parse([]string{"--host-id", "from-flag"})).To(Succeed())
+		environment := map[string]string{"LENTILPOINT_HOST_ID": "from-environment", "LENTILPOINT_DATA_CENTRE": "jkt"}
+		lookup := func(name string) (string, bool) { value, found := environment[name]; return value, found }
+		Expect(settings.ApplyEnvironment(flags, settings.EnvironmentPrefix, lookup)).To(Succeed())
+		Expect(values.HostID).To(Equal("from-flag"))
+		Expect(values.DataCentre).To(Equal("jkt"))
+	})
+
+	It("never shows a secret in a log or error", func() {
+		Expect(settings.Secret("hunter2").String()).NotTo(ContainSubstring("hunter2"))
+	})
+})
--- /dev/null
+++ b/task/fx.go
@@ -0,0 +1,22 @@
+package task
+
+import (
+	"github.com/thejerf/suture/v4"
+	"go.uber.org/fx"
+)
+
+// childrenGroup collects the tasks that the root supervisor runs. They start in
+// any order: a mailbox exists before its task runs.
+const childrenGroup = `group:"children"`
+
+// Children receives the tasks of the root supervisor.
+type Children struct {
+	fx.In
+
+	Services []suture.Service `group:"children"`
+}
+
+// AsChild makes the task of type T a child of the root supervisor.
+func AsChild[T suture.Service]() fx.Option {
+	return fx.Provide(fx.Annotate(func(child T) suture.Service { return child }, fx.ResultTags(childrenGroup)))
+}
--- /dev/null
+++ b/task/mailbox.go
@@ -0,0 +1,81 @@
+package task
+
+import (
+	"context"
+
+	"github.com/zeebo/errs"
+)
+
+// Error is the class of errors of this package.
+var Error = errs.Class("task")
+
+// ErrMailboxFull reports that a bounded mailbox had no room for a message.
+var ErrMailboxFull = Error.New("mailbox is full; retry after a pause or reduce the load on this entry host")
+
+// Mailbox is a bounded queue of messages that exactly one task reads.
+type Mailbox[M any] struct {
+	messages chan M
+}
+
+// NewMailbox returns a mailbox that holds at most size messages.
+func NewMailbox[M any](size int) Mailbox[M] {
+	return Mailbox[M]{messages: make(chan M, size)}
+}
+
+// TrySend delivers the message without waiting, or returns ErrMailboxFull.
+func (m Mailbox[M]) TrySend(message M) error {
+	select {
+	case m.messages <- message:
+		return nil
+	default:
+		return ErrMailboxFull
+	}
+}
+
+// Send waits for room until the context ends.
+func (m Mailbox[M]) Send(ctx context.Context, message M) error {
+	select {
+	case m.messages <- message:
+		return nil
+	case <-ctx.Done():
+		return Error.Wrap(context.Cause(ctx))
+	}
+}
+
+// C returns the channel that the owning task receives from.
+func (m Mailbox[M]) C() <-chan M {
+	return m.messages
+}
+
+// Len returns the number of messages that wait.
+func (m Mailbox[M]) Len() int {
+	return len(m.messages)
+}
+
+// Reply is where a task answers one call. Its capacity is 1, so answering
+// never blocks, also when the caller has given up.
+type Reply[R any] chan<- R
+
+// Send answers the call. A second answer is dropped.
+func (r Reply[R]) Send(result R) {
+	select {
+	case r <- result:
+	default:
+	}
+}
+
+// Call sends the message made by build and waits for its reply until the
+// context ends. Callers pass a context with a deadline.
+func Call[M, R any](ctx context.Context, mailbox Mailbox[M], build func(Reply[R]) M) (R, error) {
+	var zero R
+	reply := make(chan R, 1)
+	if err := mailbox.Send(ctx, build(reply)); err != nil {
+		return zero, err
+	}
+	select {
+	case result := <-reply:
+		return result, nil
+	case <-ctx.Done():
+		return zero, Error.Wrap(context.Cause(ctx))
+	}
+}
--- /dev/null
+++ b/version/version.go
@@ -0,0 +1,13 @@
+// Package version names the build.
+package version
+
+import "runtime/debug"
+
+// String returns the module version of the build, or "devel".
+func String() string {
+	info, ok := debug.ReadBuildInfo()
+	if !ok || info.Main.Version == "" || info.Main.Version == "(devel)" {
+		return "devel"
+	}
+	return info.Main.Version
+}
