--- a/entryhost/fx.go
+++ b/entryhost/fx.go
@@ -10,6 +10,8 @@
 	"github.com/lentilpoint/lentilpoint/entryhost/backends"
 	"github.com/lentilpoint/lentilpoint/entryhost/callers"
 	"github.com/lentilpoint/lentilpoint/entryhost/config"
+	"github.com/lentilpoint/lentilpoint/entryhost/events"
+	"github.com/lentilpoint/lentilpoint/entryhost/peers"
 	"github.com/lentilpoint/lentilpoint/entryhost/platform"
 	"github.com/lentilpoint/lentilpoint/entryhost/requests"
 	"github.com/lentilpoint/lentilpoint/task"
@@ -19,6 +21,8 @@
 // a metrics set and a logger.
 var Module = fx.Module("entryhost",
 	platform.Module,
+	events.Module,
+	peers.Module,
 	config.Module,
 	backends.Module,
 	admission.Module,
--- a/eventcode/journal.go
+++ b/eventcode/journal.go
@@ -1,4 +1,10 @@
 package eventcode
 
 // Events of the event journal, 2000 to 2099.
-var journalEvents []Entry
+const (
+	EventsNotWritten Code = 2001
+)
+
+var journalEvents = []Entry{
+	{EventsNotWritten, "events not written", "The object store did not accept a batch of events; it is tried again.", "Check the platform if it repeats."},
+}
