Link entry hosts: membership, facts and calls over net/rpc

Cause: suspects, usage, withdrawals and tickets need entry hosts that know each other at a flat cost. Change: membership joins the platform's list with ages from gossip; facts are spread within a budget of bytes for each digest, urgent ones at once; links carry net/rpc calls and replace silent connections. A call with a short deadline closed the connection of other calls; only 500 ms without any answer do so now.

--- a/cmd/lentilpoint-bench/cluster/cluster.go
+++ b/cmd/lentilpoint-bench/cluster/cluster.go
@@ -224,6 +224,8 @@
 		HostID:         fmt.Sprintf("entry-%d", i),
 		DataCentre:     string(c.dataCentre(i)),
 		CallerAddress:  "127.0.0.1:0",
+		PeerAddress:    "127.0.0.1:0",
+		PeerSecret:     "bench",
 		PlatformURL:    c.Platform.URL(),
 		LogFormat:      "text",
 		LogLevel:       "info",
@@ -246,6 +248,11 @@
 	}
 	c.Hosts = append(c.Hosts, host)
 	c.Metrics = append(c.Metrics, set)
+	c.list = append(c.list, model.Host{
+		ID: values.HostID, Role: model.RoleEntry, DataCentre: c.dataCentre(i),
+		Address: host.CallerAddress(), PeerAddress: host.PeerAddress(), Incarnation: 1,
+	})
+	c.Platform.SetHosts(c.list)
 	return host.Start()
 }
 
--- /dev/null
+++ b/cmd/lentilpoint-bench/slope/slope.go
@@ -0,0 +1,114 @@
+// Package slope measures what each role of an entry host costs as its driver
+// grows, and fits a line through the sizes.
+package slope
+
+import (
+	"context"
+	"math"
+	"runtime"
+	"syscall"
+	"time"
+
+	"github.com/zeebo/errs"
+)
+
+// Error is the class of errors of this package.
+var Error = errs.Class("slope")
+
+// Point is the cost at one size of the driver.
+type Point struct {
+	Driver  float64            `json:"driver"`
+	Figures map[string]float64 `json:"figures"`
+}
+
+// Fit is the line through the points of one figure.
+type Fit struct {
+	// Slope is the cost for each unit of the driver, Base the cost at 0.
+	Slope float64 `json:"slope"`
+	Base  float64 `json:"base"`
+	// Spread is the root mean square distance of the points from the line.
+	Spread float64 `json:"spread"`
+}
+
+// Report is the result of one measurement.
+type Report struct {
+	Name     string         `json:"name"`
+	Seed     uint64         `json:"seed"`
+	Driver   string         `json:"driver"`
+	LeftOut  string         `json:"left_out"`
+	Points   []Point        `json:"points"`
+	Fits     map[string]Fit `json:"fits"`
+	Duration float64        `json:"duration_s"`
+}
+
+// Measurement measures one role at several sizes.
+type Measurement struct {
+	Name    string
+	About   string
+	Driver  string
+	LeftOut string
+	Sizes   []int
+	Measure func(ctx context.Context, size int, seed uint64) (map[string]float64, error)
+}
+
+// Run measures all sizes and fits a line for each figure.
+func Run(ctx context.Context, measurement Measurement, seed uint64) (Report, error) {
+	started := time.Now()
+	report := Report{
+		Name: measurement.Name, Seed: seed, Driver: measurement.Driver, LeftOut: measurement.LeftOut, Fits: map[string]Fit{},
+	}
+	for _, size := range measurement.Sizes {
+		figures, err := measurement.Measure(ctx, size, seed)
+		if err != nil {
+			return report, err
+		}
+		report.Points = append(report.Points, Point{Driver: float64(size), Figures: figures})
+	}
+	for name := range report.Points[0].Figures {
+		report.Fits[name] = fit(report.Points, name)
+	}
+	report.Duration = time.Since(started).Seconds()
+	return report, nil
+}
+
+// fit returns the least squares line of one figure.
+func fit(points []Point, name string) Fit {
+	var n, sumX, sumY, sumXX, sumXY float64
+	for _, point := range points {
+		x, y := point.Driver, point.Figures[name]
+		n++
+		sumX += x
+		sumY += y
+		sumXX += x * x
+		sumXY += x * y
+	}
+	var line Fit
+	if determinant := n*sumXX - sumX*sumX; determinant != 0 {
+		line.Slope = (n*sumXY - sumX*sumY) / determinant
+	}
+	line.Base = (sumY - line.Slope*sumX) / n
+	var squares float64
+	for _, point := range points {
+		distance := point.Figures[name] - line.Base - line.Slope*point.Driver
+		squares += distance * distance
+	}
+	line.Spread = math.Sqrt(squares / n)
+	return line
+}
+
+// processorTime returns the processor time that this process has used.
+func processorTime() time.Duration {
+	var usage syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &usage); err != nil {
+		return 0
+	}
+	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
+}
+
+// heapBytes returns the live heap after a collection.
+func heapBytes() float64 {
+	runtime.GC()
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return float64(stats.HeapAlloc)
+}
--- a/entryhost/host.go
+++ b/entryhost/host.go
@@ -15,6 +15,7 @@
 	"go.uber.org/fx/fxevent"
 
 	"github.com/lentilpoint/lentilpoint/entryhost/callers"
+	"github.com/lentilpoint/lentilpoint/entryhost/peers"
 	"github.com/lentilpoint/lentilpoint/entryhost/requests"
 	"github.com/lentilpoint/lentilpoint/eventcode"
 	"github.com/lentilpoint/lentilpoint/settings"
@@ -47,6 +48,8 @@
 	Root     *suture.Supervisor
 	Requests task.Mailbox[requests.Command]
 	Callers  *callers.Server
+	Peers    *peers.Membership
+	Listener *peers.Listener
 }
 
 // Environment is what an entry host needs besides its settings.
@@ -78,6 +81,9 @@
 // CallerAddress returns the address that callers reach.
 func (h *Host) CallerAddress() string { return h.parts.Callers.Address() }
 
+// PeerAddress returns the address that other entry hosts reach, or "".
+func (h *Host) PeerAddress() string { return h.parts.Listener.Address() }
+
 // Start runs the tree in the background.
 func (h *Host) Start() error {
 	ctx, cancel := context.WithTimeout(context.Background(), startTimeout)
@@ -121,6 +127,9 @@
 	if err := h.parts.Callers.Drain(ctx); err != nil {
 		return Error.Wrap(err)
 	}
+	if err := h.parts.Peers.Leave(); err != nil {
+		return Error.Wrap(err)
+	}
 	idle := make(chan struct{})
 	if err := h.parts.Requests.Send(ctx, requests.Drain{Idle: idle}); err != nil {
 		return Error.Wrap(err)
--- /dev/null
+++ b/entryhost/peers/links_test.go
@@ -0,0 +1,218 @@
+package peers
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/jonboulle/clockwork"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/lentilpoint/lentilpoint/entryhost/platform"
+	"github.com/lentilpoint/lentilpoint/model"
+	"github.com/lentilpoint/lentilpoint/settings"
+	"github.com/lentilpoint/lentilpoint/task"
+)
+
+// echo is a receiver of the tests.
+type echo struct{ pause chan struct{} }
+
+// Say answers with its argument.
+func (e *echo) Say(text *string, answer *string) error {
+	*answer = *text
+	return nil
+}
+
+// Wait answers when the pause ends.
+func (e *echo) Wait(text *string, answer *string) error {
+	<-e.pause
+	*answer = *text
+	return nil
+}
+
+type testHost struct {
+	membership *Membership
+	hosts      task.Mailbox[platform.HostsRead]
+	facts      task.Mailbox[Fact]
+	host       model.Host
+	echo       *echo
+	kill       context.CancelFunc
+}
+
+var quiet = slog.New(slog.NewTextHandler(io.Discard, nil))
+
+func startHost(id string, dataCentre model.DataCentre, secret string) *testHost {
+	GinkgoHelper()
+	mailboxes := provideMailboxes()
+	set := metrics.NewSet()
+	values := settings.Settings{
+		HostID: id, DataCentre: string(dataCentre), PeerAddress: "127.0.0.1:0", PeerSecret: settings.Secret(secret), RandomSeed: 1,
+	}
+	h := &testHost{hosts: mailboxes.Hosts, facts: task.NewMailbox[Fact](64), echo: &echo{pause: make(chan struct{})}}
+	h.membership = provideMembership(membershipIn{
+		Messages: mailboxes.Messages, Hosts: mailboxes.Hosts, Settings: values, Metrics: set,
+		Clock: clockwork.NewRealClock(), Logger: quiet,
+		Subscribers: []Subscriber{{Kinds: []FactKind{FactWithdrawal, FactUsage}, Mailbox: h.facts}},
+	})
+	receivers := []Receiver{provideExchange(mailboxes.Messages).Receiver, {Name: "Echo", Object: h.echo}}
+	listener, err := provideListener(listenerIn{Receivers: receivers, Settings: values, Metrics: set, Logger: quiet})
+	Expect(err).NotTo(HaveOccurred())
+	h.host = entry(id, dataCentre)
+	h.host.PeerAddress = listener.Address()
+	ctx, cancel := context.WithCancel(context.Background())
+	h.kill = cancel
+	DeferCleanup(cancel)
+	go func() { _ = h.membership.Serve(ctx) }()
+	go func() { _ = listener.Serve(ctx) }()
+	return h
+}
+
+func listAll(hosts ...*testHost) {
+	var list []model.Host
+	for _, h := range hosts {
+		list = append(list, h.host)
+	}
+	for _, h := range hosts {
+		Expect(h.hosts.TrySend(platform.HostsRead{Hosts: list})).To(Succeed())
+	}
+}
+
+func (h *testHost) members() map[model.HostID]bool {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	members, err := task.Call(ctx, h.membership.Messages(), func(reply task.Reply[[]Member]) Message { return Members{Reply: reply} })
+	Expect(err).NotTo(HaveOccurred())
+	alive := map[model.HostID]bool{}
+	for _, member := range members {
+		alive[member.ID] = member.Alive
+	}
+	return alive
+}
+
+func (h *testHost) invoke(host model.HostID, method string, timeout time.Duration) (string, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
+	defer cancel()
+	text, result := "hello", new(string)
+	reply := make(chan error, 1)
+	Expect(h.membership.Messages().TrySend(Invoke{
+		Context: ctx, Host: host, Method: method, Arguments: &text, Result: result, Reply: reply,
+	})).To(Succeed())
+	if err := <-reply; err != nil {
+		return "", err
+	}
+	return *result, nil
+}
+
+var _ = Describe("entry hosts", func() {
+	It("share facts within their data centre and across, and notice a death within three seconds and a half", func() {
+		var hosts []*testHost
+		for i := range 4 {
+			hosts = append(hosts, startHost(fmt.Sprintf("h%d", i), model.DataCentre([]string{"jkt", "jkt", "jkt", "bdg"}[i]), "s"))
+		}
+		listAll(hosts...)
+		Eventually(hosts[0].members, 5*time.Second).Should(Equal(map[model.HostID]bool{"h1": true, "h2": true, "h3": true}))
+		fact := Fact{Kind: FactWithdrawal, Key: "move-1", Value: []byte("bad"), Everywhere: true}
+		Expect(hosts[1].membership.Messages().TrySend(Publish{Fact: fact})).To(Succeed())
+		for _, i := range []int{0, 2, 3} {
+			Eventually(hosts[i].facts.C(), 2*time.Second).Should(Receive(HaveField("Key", "move-1")))
+		}
+		hosts[2].kill()
+		Eventually(func() bool { return hosts[0].members()["h2"] }, 3500*time.Millisecond).Should(BeFalse())
+		Expect(hosts[0].members()["h1"]).To(BeTrue())
+	})
+
+	It("refuse a host with another secret", func() {
+		a, b := startHost("a", "jkt", "right"), startHost("b", "jkt", "wrong")
+		listAll(a, b)
+		_, err := a.invoke("b", "Echo.Say", time.Second)
+		Expect(ErrUnreachable.Has(err)).To(BeTrue())
+		Consistently(a.members, time.Second).Should(Equal(map[model.HostID]bool{"b": false}))
+	})
+
+	It("answer calls, also while another call on the same link waits", func() {
+		a, b := startHost("a", "jkt", "s"), startHost("b", "jkt", "s")
+		listAll(a, b)
+		Eventually(a.members, 3*time.Second).Should(Equal(map[model.HostID]bool{"b": true}))
+		slow := make(chan error, 1)
+		go func() {
+			defer GinkgoRecover()
+			_, err := a.invoke("b", "Echo.Wait", 5*time.Second)
+			slow <- err
+		}()
+		Expect(a.invoke("b", "Echo.Say", time.Second)).To(Equal("hello"))
+		_, err := a.invoke("b", "Echo.Wait", 50*time.Millisecond)
+		Expect(ErrUnreachable.Has(err)).To(BeTrue())
+		close(b.echo.pause)
+		Expect(<-slow).To(Succeed())
+		_, err = a.invoke("nobody", "Echo.Say", time.Second)
+		Expect(ErrUnreachable.Has(err)).To(BeTrue())
+	})
+
+	It("replace a link whose connection went silent", func() {
+		a, b := startHost("a", "jkt", "s"), startHost("b", "jkt", "s")
+		proxy, silence := silentProxy(b.host.PeerAddress)
+		b.host.PeerAddress = proxy
+		listAll(a, b)
+		Eventually(a.members, 3*time.Second).Should(Equal(map[model.HostID]bool{"b": true}))
+		silence()
+		Eventually(func() error {
+			_, err := a.invoke("b", "Echo.Say", 300*time.Millisecond)
+			return err
+		}, 5*time.Second).Should(Succeed())
+	})
+})
+
+// silentProxy forwards connections to an address until silence is called,
+// after which the open ones drop all bytes and new ones work.
+func silentProxy(address string) (string, func()) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(func() { _ = listener.Close() })
+	silent := make(chan struct{})
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			upstream, err := net.Dial("tcp", address)
+			if err != nil {
+				_ = conn.Close()
+				continue
+			}
+			mute := silent
+			select {
+			case <-silent:
+				mute = nil
+			default:
+			}
+			go copyUntil(conn, upstream, mute)
+			go copyUntil(upstream, conn, mute)
+		}
+	}()
+	return listener.Addr().String(), func() { close(silent) }
+}
+
+func copyUntil(to, from net.Conn, mute <-chan struct{}) {
+	buffer := make([]byte, 4096)
+	for {
+		n, err := from.Read(buffer)
+		if err != nil {
+			_ = to.Close()
+			return
+		}
+		select {
+		case <-mute:
+			continue
+		default:
+		}
+		if _, err := to.Write(buffer[:n]); err != nil {
+			return
+		}
+	}
+}
--- /dev/null
+++ b/entryhost/peers/listener.go
@@ -0,0 +1,125 @@
+package peers
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"net"
+	"net/rpc"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/lentilpoint/lentilpoint/eventcode"
+	"github.com/lentilpoint/lentilpoint/task"
+)
+
+// Listener is the task that owns the socket for other entry hosts. Each
+// connection has a goroutine of its own that serves net/rpc.
+type Listener struct {
+	listener net.Listener
+	address  string
+	secret   []byte
+	server   *rpc.Server
+	sent     *metrics.Counter
+	received *metrics.Counter
+	logger   *slog.Logger
+}
+
+// newListener binds the address and registers the receivers. Without an
+// address it returns a task that does nothing.
+func newListener(address string, secret []byte, receivers []Receiver, set *metrics.Set, logger *slog.Logger) (*Listener, error) {
+	l := &Listener{
+		secret:   secret,
+		server:   rpc.NewServer(),
+		sent:     set.GetOrCreateCounter(metricSent),
+		received: set.GetOrCreateCounter(metricReceived),
+		logger:   logger,
+	}
+	for _, receiver := range receivers {
+		if err := l.server.RegisterName(receiver.Name, receiver.Object); err != nil {
+			return nil, Error.Wrap(err)
+		}
+	}
+	if address == "" {
+		return l, nil
+	}
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, Error.New("cannot bind --peer-address: %w; choose a free address of this host", err)
+	}
+	l.listener = listener
+	l.address = listener.Addr().String()
+	return l, nil
+}
+
+// Address returns the address that peers reach, or "".
+func (l *Listener) Address() string { return l.address }
+
+// String names the task in the logs.
+func (l *Listener) String() string { return "peer-listener" }
+
+// Serve accepts connections until the context ends.
+func (l *Listener) Serve(ctx context.Context) error {
+	if l.address == "" {
+		<-ctx.Done()
+		return nil
+	}
+	if err := l.bind(); err != nil {
+		return err
+	}
+	listener := l.listener
+	l.listener = nil
+	stop := context.AfterFunc(ctx, func() { _ = listener.Close() })
+	defer stop()
+	for {
+		conn, err := listener.Accept()
+		if errors.Is(err, net.ErrClosed) {
+			return nil
+		}
+		if err != nil {
+			return Error.Wrap(err)
+		}
+		go l.serve(ctx, conn)
+	}
+}
+
+func (l *Listener) bind() error {
+	if l.listener != nil {
+		return nil
+	}
+	listener, err := net.Listen("tcp", l.address)
+	l.listener = listener
+	return Error.Wrap(err)
+}
+
+func (l *Listener) serve(ctx context.Context, conn net.Conn) {
+	counted := countedConn{Conn: conn, sent: l.sent, received: l.received}
+	if err := authenticate(counted, l.secret, false); err != nil {
+		l.logger.Warn("peer refused", eventcode.PeerRefused.Attr(), "address", conn.RemoteAddr().String(), "error", err)
+		_ = conn.Close()
+		return
+	}
+	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
+	defer stop()
+	l.server.ServeConn(counted)
+}
+
+// exchangeTimeout bounds one exchange of digests.
+const exchangeTimeout = time.Second
+
+// exchangeReceiver answers the digests of peers.
+type exchangeReceiver struct {
+	membership task.Mailbox[Message]
+}
+
+// Exchange is the net/rpc method of a gossip round.
+func (r *exchangeReceiver) Exchange(digest *Digest, answer *Digest) error {
+	ctx, cancel := context.WithTimeout(context.Background(), exchangeTimeout)
+	defer cancel()
+	result, err := task.Call(ctx, r.membership, func(reply task.Reply[Digest]) Message {
+		return received{digest: *digest, reply: reply}
+	})
+	*answer = result
+	return err
+}
--- a/entryhost/peers/messages.go
+++ b/entryhost/peers/messages.go
@@ -76,7 +76,8 @@
 type Members struct{ Reply task.Reply[[]Member] }
 
 // Invoke calls a net/rpc method of a peer. Result is a pointer that belongs to
-// the link task until the reply arrives.
+// the link task; the sender reads it only after a reply without an error, as a
+// late answer may still be written to it otherwise.
 type Invoke struct {
 	Context   context.Context
 	Host      model.HostID
