Measure an entry host's cost by its open streams in its own process

Change: lentilpoint-bench slope streams starts the entry host as a process and reads its own metrics.

--- /dev/null
+++ b/cmd/lentilpoint-bench/host.go
@@ -0,0 +1,47 @@
+package main
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/jonboulle/clockwork"
+	"github.com/spf13/cobra"
+
+	"github.com/lentilpoint/lentilpoint/entryhost"
+	"github.com/lentilpoint/lentilpoint/settings"
+)
+
+// hostCommand runs one entry host in a process of its own, so that the
+// measurements tell its processor time and memory from those of the stand-ins.
+func hostCommand() *cobra.Command {
+	var values settings.Settings
+	host := &cobra.Command{
+		Use:    "entry-host",
+		Short:  "Run one entry host for a measurement",
+		Args:   cobra.NoArgs,
+		Hidden: true,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			if err := values.Check(); err != nil {
+				return err
+			}
+			ctx, stop := signal.NotifyContext(cmd.Context(), syscall.SIGTERM, syscall.SIGINT)
+			defer stop()
+			running, err := entryhost.New(values, entryhost.Environment{
+				Clock: clockwork.NewRealClock(), Metrics: metrics.NewSet(), Logger: values.NewLogger(os.Stderr),
+			})
+			if err != nil {
+				return err
+			}
+			if err := running.Start(); err != nil {
+				return err
+			}
+			<-ctx.Done()
+			return running.Stop(context.WithoutCancel(ctx))
+		},
+	}
+	settings.Register(host.Flags(), &values)
+	return host
+}
--- a/cmd/lentilpoint-bench/main.go
+++ b/cmd/lentilpoint-bench/main.go
@@ -46,7 +46,7 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
-	root.AddCommand(demoCommand(), runCommand(), listCommand(), slopeCommand(), eventsCommand())
+	root.AddCommand(demoCommand(), runCommand(), listCommand(), slopeCommand(), hostCommand(), eventsCommand())
 	return root
 }
 
--- a/cmd/lentilpoint-bench/slope/all.go
+++ b/cmd/lentilpoint-bench/slope/all.go
@@ -2,7 +2,7 @@
 
 // All returns the measurements.
 func All() []Measurement {
-	return []Measurement{Peers}
+	return []Measurement{Peers, Streams}
 }
 
 // Find returns the measurement of this name.
--- a/entryhost/peers/task.go
+++ b/entryhost/peers/task.go
@@ -68,10 +68,7 @@
 }
 
 // answered is a peer's answer to a digest of this host.
-type answered struct {
-	digest Digest
-	err    error
-}
+type answered struct{ digest Digest }
 
 // leave marks this host as leaving in its heartbeats.
 type leave struct{}
