--- a/cmd/lentilpoint-bench/main.go
+++ b/cmd/lentilpoint-bench/main.go
@@ -13,6 +13,8 @@
 
 	"github.com/lentilpoint/lentilpoint/cmd/lentilpoint-bench/scenario"
 	"github.com/lentilpoint/lentilpoint/eventcode"
+	"github.com/lentilpoint/lentilpoint/model"
+	"github.com/lentilpoint/lentilpoint/settings"
 	"github.com/lentilpoint/lentilpoint/version"
 )
 
@@ -46,7 +48,7 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
-	root.AddCommand(demoCommand(), runCommand(), listCommand(), slopeCommand(), hostCommand(), eventsCommand())
+	root.AddCommand(demoCommand(), runCommand(), listCommand(), slopeCommand(), hostCommand(), pagesCommand(), eventsCommand())
 	return root
 }
 
@@ -105,6 +107,30 @@
 	}
 }
 
+// generatedPages maps each generated page to its text.
+var generatedPages = map[string]func() string{
+	"docs/events.md":              eventcode.Markdown,
+	"docs/operators/incidents.md": model.IncidentsPage,
+	"docs/operators/settings.md":  settings.Page,
+}
+
+func pagesCommand() *cobra.Command {
+	return &cobra.Command{
+		Use:   "pages",
+		Short: "Write the pages under docs that are generated from the code",
+		Args:  cobra.NoArgs,
+		RunE: func(*cobra.Command, []string) error {
+			for path, text := range generatedPages {
+				if err := os.WriteFile(path, []byte(text()), 0o644); err != nil {
+					return err
+				}
+			}
+			return nil
+		},
+	}
+}
+
+// eventsCommand prints one page; pages writes all of them.
 func eventsCommand() *cobra.Command {
 	return &cobra.Command{
 		Use:   "events-page",
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -1,6 +1,7 @@
 package settings_test
 
 import (
+	"os"
 	"testing"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -40,3 +41,11 @@
 		Expect(settings.Secret("hunter2").String()).NotTo(ContainSubstring("hunter2"))
 	})
 })
+
+var _ = Describe("the settings page", func() {
+	It("equals docs/operators/settings.md, which would otherwise mislead operators", func() {
+		page, err := os.ReadFile("../docs/operators/settings.md")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(string(page)).To(Equal(settings.Page()), "run: go run ./cmd/lentilpoint-bench pages")
+	})
+})
