--- a/cmd/lentilpoint-bench/standin/plain.go
+++ b/cmd/lentilpoint-bench/standin/plain.go
@@ -50,6 +50,8 @@
 	p := &Plain{id: id, version: version, messages: task.NewMailbox[func(*Plain)](1024)}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+enginewire.PathLoad, p.serveLoad)
+	// A plain service has no cache; a poll for it must not count as a call.
+	mux.HandleFunc("GET "+enginewire.PathCacheEvents, http.NotFound)
 	mux.HandleFunc("/", p.serveCall)
 	endpoint, err := newEndpoint(mux)
 	if err != nil {
