Commit revisions conditionally and spread them by readers and peers

Change: config.Committer validates a proposal and commits head and revision rows in one conditional transaction; it finds a lost outcome by the record's id and names the winner's author and change to the loser. API key digests are indexed in 256 parts that a revision copies only where it changes. A map is copied once for a batch of revisions, and only if one of them changes it.

--- a/cmd/lentilpoint-bench/cluster/cluster.go
+++ b/cmd/lentilpoint-bench/cluster/cluster.go
@@ -6,7 +6,6 @@
 	"context"
 	"crypto/sha256"
 	"encoding/hex"
-	"encoding/json"
 	"fmt"
 	"io"
 	"log/slog"
@@ -198,24 +197,18 @@
 		organisation.KeySHA256 = []string{hex.EncodeToString(digest[:])}
 		changes = append(changes, config.Change{PutOrganisation: &organisation})
 	}
-	return c.commit(ctx, config.RevisionRecord{Revision: 1, ID: "initial", Author: "bench", At: time.Now(), Changes: changes})
+	return c.Commit(ctx, 0, changes)
 }
 
-func (c *Cluster) commit(ctx context.Context, record config.RevisionRecord) error {
+// Commit commits the changes as the revision after the expected one, the way
+// the operator API does.
+func (c *Cluster) Commit(ctx context.Context, expected model.Revision, changes []config.Change) error {
 	client := platform.NewClient(c.Platform.URL(), "")
 	defer client.Close()
-	value, err := json.Marshal(record)
-	if err != nil {
-		return Error.Wrap(err)
-	}
-	head, err := json.Marshal(record.Revision)
-	if err != nil {
-		return Error.Wrap(err)
-	}
-	_, err = client.Transact(ctx, platform.Transaction{Writes: []platform.Write{
-		{Key: config.KeyHead, Value: head},
-		{Key: config.RevisionKey(record.Revision), Value: value},
-	}})
+	committer := config.Committer{Table: client, Clock: clockwork.NewRealClock()}
+	_, err := committer.Commit(ctx, config.Empty(), config.Proposal{
+		Expected: expected, ID: fmt.Sprintf("bench-%d", expected+1), Author: "bench", Changes: changes,
+	})
 	return err
 }
 
--- /dev/null
+++ b/entryhost/config/config_test.go
@@ -0,0 +1,333 @@
+package config_test
+
+import (
+	"context"
+	"crypto/sha256"
+	"fmt"
+	"io"
+	"log/slog"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/jonboulle/clockwork"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"github.com/lentilpoint/lentilpoint/cmd/lentilpoint-bench/standin"
+	"github.com/lentilpoint/lentilpoint/entryhost/config"
+	"github.com/lentilpoint/lentilpoint/entryhost/peers"
+	"github.com/lentilpoint/lentilpoint/entryhost/platform"
+	"github.com/lentilpoint/lentilpoint/model"
+	"github.com/lentilpoint/lentilpoint/task"
+)
+
+func TestConfig(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "config")
+}
+
+func digest(n int) string { return fmt.Sprintf("%x", sha256.Sum256([]byte(fmt.Sprint(n)))) }
+
+func organisation(n int) *model.Organisation {
+	return &model.Organisation{ID: model.OrganisationID(fmt.Sprintf("org-%d", n)), Weight: 1, KeySHA256: []string{digest(n + 1)}}
+}
+
+func record(revision int) config.RevisionRecord {
+	return config.RevisionRecord{
+		Revision: model.Revision(revision), ID: fmt.Sprint("id-", revision), Author: "maria",
+		Changes: []config.Change{{PutOrganisation: organisation(revision)}},
+	}
+}
+
+func advisor() *model.Service {
+	return &model.Service{Name: "advisor", Kind: model.ServiceEngine, DefaultDeadline: time.Minute,
+		Shares: []model.VersionShare{{Version: "v1", Share: model.ShareWhole}}}
+}
+
+func advisorMove(state model.MoveState) *model.Move {
+	start := time.Date(2026, 12, 4, 8, 0, 0, 0, time.UTC)
+	return &model.Move{ID: "m1", Service: "advisor", From: "v1", To: "v2", Started: start, Deadline: start.Add(time.Hour), State: state}
+}
+
+var _ = Describe("validation", func() {
+	current, _ := config.ApplyAll(config.Empty(), []config.RevisionRecord{
+		{Revision: 1, Changes: []config.Change{{PutService: advisor()}, {PutOrganisation: organisation(0)}}},
+	})
+	change := func(edit func(*model.Service)) config.Change {
+		service := advisor()
+		edit(service)
+		return config.Change{PutService: service}
+	}
+	moved := change(func(s *model.Service) {
+		s.Shares = []model.VersionShare{{Version: "v1", Share: 9950}, {Version: "v2", Share: 50}}
+	})
+
+	DescribeTable("refuses what would break serving",
+		func(message string, changes ...config.Change) {
+			problems := config.Validate(current, changes)
+			Expect(problems).NotTo(BeEmpty())
+			Expect(fmt.Sprint(problems)).To(ContainSubstring(message))
+			for _, problem := range problems {
+				Expect(problem.Remedy).NotTo(BeEmpty())
+			}
+		},
+		Entry("no change", "there is no change"),
+		Entry("two fields", "sets 2 fields", config.Change{DeleteService: "advisor", DeleteOrganisation: "org-0"}),
+		Entry("shares that do not add up", "add up to 9000", change(func(s *model.Service) { s.Shares[0].Share = 9000 })),
+		Entry("a deadline out of bounds", "out of bounds", change(func(s *model.Service) { s.DefaultDeadline = 2 * time.Hour })),
+		Entry("another kind", "cannot change", change(func(s *model.Service) { s.Kind = model.ServicePlain })),
+		Entry("a version without a move", "only by a move", change(func(s *model.Service) { s.Shares[0].Version = "v2" })),
+		Entry("weight 0", "the weight 0", config.Change{PutOrganisation: &model.Organisation{ID: "x", KeySHA256: []string{digest(9)}}}),
+		Entry("a key in plain text", "not a lower-case hex", config.Change{PutOrganisation: &model.Organisation{ID: "x", Weight: 1, KeySHA256: []string{"key"}}}),
+		Entry("a key of another organisation", "also by organisation org-0", config.Change{PutOrganisation: &model.Organisation{ID: "x", Weight: 1, KeySHA256: []string{digest(1)}}}),
+		Entry("one object twice", "changed twice", config.Change{DeleteOrganisation: "org-0"}, config.Change{DeleteOrganisation: "org-0"}),
+		Entry("an unknown service of a move", "no service", config.Change{PutMove: &model.Move{ID: "m", Service: "none"}}),
+	)
+
+	It("lets a service change versions together with its move, and the key of a deleted organisation be used again", func() {
+		Expect(config.Validate(current, []config.Change{moved, {PutMove: advisorMove(model.MoveRunning)}})).To(BeEmpty())
+		Expect(config.Validate(current, []config.Change{{DeleteOrganisation: "org-0"},
+			{PutOrganisation: &model.Organisation{ID: "x", Weight: 1, KeySHA256: []string{digest(1)}}}})).To(BeEmpty())
+	})
+
+	It("refuses a second running move of a service and a revived one", func() {
+		running, _ := config.Apply(current, config.RevisionRecord{Revision: 2, Changes: []config.Change{{PutMove: advisorMove(model.MoveRunning)}}})
+		second := advisorMove(model.MoveRunning)
+		second.ID = "m2"
+		Expect(fmt.Sprint(config.Validate(running, []config.Change{{PutMove: second}}))).To(ContainSubstring("move m1 is running"))
+		ended, _ := config.Apply(running, config.RevisionRecord{Revision: 3, Changes: []config.Change{{PutMove: advisorMove(model.MoveWithdrawn)}}})
+		Expect(fmt.Sprint(config.Validate(ended, []config.Change{{PutMove: advisorMove(model.MoveRunning)}}))).To(ContainSubstring("ended as withdrawn"))
+	})
+})
+
+var _ = Describe("accepting revisions", func() {
+	It("never goes back and equals the application of all revisions in order, whatever arrives", func() {
+		rapid.Check(GinkgoT(), func(t *rapid.T) {
+			const last = 30
+			all := make([]config.RevisionRecord, last)
+			for i := range all {
+				all[i] = record(i + 1)
+				if i%3 == 2 {
+					all[i].Changes = []config.Change{{DeleteOrganisation: organisation(i).ID}}
+				}
+			}
+			current := config.Empty()
+			for range rapid.IntRange(1, 40).Draw(t, "updates") {
+				from := rapid.IntRange(0, last-1).Draw(t, "from")
+				to := rapid.IntRange(from, last).Draw(t, "to")
+				next, applied := config.AcceptInOrder.Accept(current, config.Update{Records: all[from:to]})
+				if next.Revision < current.Revision || len(applied) != int(next.Revision-current.Revision) {
+					t.Fatalf("revision %d after %d with %d applied", next.Revision, current.Revision, len(applied))
+				}
+				current = next
+			}
+			expected, _ := config.ApplyAll(config.Empty(), all[:current.Revision])
+			if fmt.Sprint(expected.Organisations) != fmt.Sprint(current.Organisations) {
+				t.Fatalf("%v differs from %v", current.Organisations, expected.Organisations)
+			}
+			for n := range last {
+				_, indexed := current.OrganisationByKey(digest(n + 1))
+				if _, exists := current.Organisations[organisation(n).ID]; exists != indexed {
+					t.Fatalf("key of organisation %d: indexed %t, exists %t", n, indexed, exists)
+				}
+			}
+		})
+	})
+})
+
+var _ = Describe("readers", func() {
+	It("are two for each data centre, and a host that leaves changes at most one of them", func() {
+		var hosts []model.Host
+		for i := range 22 {
+			hosts = append(hosts, model.Host{ID: fmt.Sprint("entry-", i), Role: model.RoleEntry, DataCentre: "jkt", PeerAddress: "10.0.0.1:1"})
+		}
+		before := config.Readers("jkt", hosts)
+		Expect(before).To(HaveLen(config.ReadersPerDataCentre))
+		for i := range hosts {
+			changed := append([]model.Host(nil), hosts...)
+			changed[i].Leaving = true
+			after := config.Readers("jkt", changed)
+			Expect(after).NotTo(ContainElement(model.HostID(hosts[i].ID)))
+			Expect(after).To(ContainElement(BeElementOf(before)))
+		}
+		Expect(config.ReaderRank("unlisted", "jkt", hosts)).To(Equal(0))
+	})
+})
+
+// site is a stand-in platform with stores that are linked by an exchange.
+type site struct {
+	ctx      context.Context
+	platform *standin.Platform
+	client   *platform.Client
+	exchange *standin.Exchange
+}
+
+func newSite() *site {
+	GinkgoHelper()
+	ctx, cancel := context.WithCancel(context.Background())
+	DeferCleanup(cancel)
+	stand, err := standin.StartPlatform(ctx, 1)
+	Expect(err).NotTo(HaveOccurred())
+	client := platform.NewClient(stand.URL(), "")
+	DeferCleanup(client.Close)
+	return &site{ctx: ctx, platform: stand, client: client, exchange: standin.StartExchange(ctx, 1)}
+}
+
+// store starts a store; a reader interval of an hour leaves everything to pushes.
+func (s *site) store(id string, interval time.Duration) *config.Store {
+	GinkgoHelper()
+	mailbox := task.NewMailbox[peers.Message](64)
+	store := config.NewStore(config.Parameters{
+		Self: model.HostID(id), Home: "jkt", Table: s.client, Objects: platform.ObjectStore{Client: s.client},
+		Peers: mailbox, PeersOn: true, Intervals: config.Intervals{Reader: interval},
+		Clock: clockwork.NewRealClock(), Metrics: metrics.NewSet(), Logger: slog.New(slog.NewTextHandler(io.Discard, nil)),
+	})
+	Expect(s.exchange.Join(s.ctx, peers.Member{ID: model.HostID(id), DataCentre: "jkt"}, mailbox, config.NewPeer(store.Messages()).Receiver())).To(Succeed())
+	go func() { _ = store.Serve(s.ctx) }()
+	return store
+}
+
+func (s *site) commit(revision int) (config.RevisionRecord, error) {
+	ctx, cancel := context.WithTimeout(s.ctx, 5*time.Second)
+	defer cancel()
+	r := record(revision)
+	return config.Committer{Table: s.client, Clock: clockwork.NewRealClock()}.Commit(ctx, config.Empty(), config.Proposal{
+		Expected: r.Revision - 1, ID: r.ID, Author: r.Author, Changes: r.Changes,
+	})
+}
+
+func revisionOf(store *config.Store) model.Revision {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	current, err := task.Call(ctx, store.Messages(), func(reply task.Reply[*model.Configuration]) config.Message {
+		return config.Current{Reply: reply}
+	})
+	if err != nil {
+		return 0
+	}
+	return current.Revision
+}
+
+var _ = Describe("a commit", func() {
+	It("names the winner's author and change to the operator that lost", func() {
+		s := newSite()
+		_, err := s.commit(1)
+		Expect(err).NotTo(HaveOccurred())
+		_, err = config.Committer{Table: s.client, Clock: clockwork.NewRealClock()}.Commit(s.ctx, config.Empty(), config.Proposal{
+			ID: "late", Author: "budi", Changes: record(7).Changes,
+		})
+		var conflict *config.Conflict
+		Expect(err).To(BeAssignableToTypeOf(conflict))
+		Expect(err).To(MatchError(ContainSubstring("committed first by maria: put organisation org-1")))
+		Expect(model.AsFault(err).Kind).To(Equal(model.KindConflict))
+	})
+
+	It("takes effect once when every answer may be lost, and finds its own outcome", func() {
+		s := newSite()
+		s.platform.SetFaults(standin.PlatformFaults{LoseAnswers: 0.5, LoseRequests: 0.2})
+		for revision := 1; revision <= 10; revision++ {
+			committed, err := s.commit(revision)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(committed.Revision).To(Equal(model.Revision(revision)))
+		}
+		Expect(s.platform.Rows(config.PrefixRevision)).To(HaveLen(10))
+		again, err := s.commit(3)
+		Expect(err).NotTo(HaveOccurred(), "a repeated commit is the same commit")
+		Expect(again.Revision).To(Equal(model.Revision(3)))
+	})
+})
+
+var _ = Describe("the store", func() {
+	It("starts from a peer while the platform is down", func() {
+		s := newSite()
+		for revision := 1; revision <= 3; revision++ {
+			_, err := s.commit(revision)
+			Expect(err).NotTo(HaveOccurred())
+		}
+		first := s.store("entry-0", 50*time.Millisecond)
+		Eventually(func() model.Revision { return revisionOf(first) }, "2s").Should(Equal(model.Revision(3)))
+		s.platform.SetFaults(standin.PlatformFaults{Down: true})
+		second := s.store("entry-1", time.Hour)
+		Eventually(func() model.Revision { return revisionOf(second) }, "2s").Should(Equal(model.Revision(3)))
+	})
+
+	It("reads what is missing when a push leaves a gap, and ignores an old push", func() {
+		s := newSite()
+		store := s.store("entry-0", time.Hour)
+		for revision := 1; revision <= 5; revision++ {
+			_, err := s.commit(revision)
+			Expect(err).NotTo(HaveOccurred())
+		}
+		Expect(store.Messages().TrySend(config.Accepted{Records: []config.RevisionRecord{record(5)}})).To(Succeed())
+		Eventually(func() model.Revision { return revisionOf(store) }, "2s").Should(Equal(model.Revision(5)))
+		Expect(store.Messages().TrySend(config.Accepted{Records: []config.RevisionRecord{record(2)}})).To(Succeed())
+		Consistently(func() model.Revision { return revisionOf(store) }, "100ms").Should(Equal(model.Revision(5)))
+	})
+
+	It("starts cold from the snapshot and reads only what follows it", func() {
+		s := newSite()
+		writer := s.store("entry-0", 20*time.Millisecond)
+		for revision := 1; revision <= config.SnapshotEvery+4; revision++ {
+			_, err := s.commit(revision)
+			Expect(err).NotTo(HaveOccurred())
+		}
+		Eventually(func() model.Revision { return revisionOf(writer) }, "5s").Should(Equal(model.Revision(config.SnapshotEvery + 4)))
+		Eventually(s.platform.Objects, "5s").Should(ContainElement(config.ObjectSnapshot))
+		alone := &site{ctx: s.ctx, platform: s.platform, client: s.client, exchange: standin.StartExchange(s.ctx, 2)}
+		cold := alone.store("entry-9", time.Hour)
+		Eventually(func() model.Revision { return revisionOf(cold) }, "5s").Should(Equal(model.Revision(config.SnapshotEvery + 4)))
+	})
+
+	It("keeps the configuration and the key index through a snapshot", func() {
+		current, _ := config.ApplyAll(config.Empty(), []config.RevisionRecord{record(1), record(2)})
+		content, err := config.EncodeSnapshot(current)
+		Expect(err).NotTo(HaveOccurred())
+		decoded, err := config.DecodeSnapshot(content)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(decoded).To(Equal(current))
+		_, err = config.DecodeSnapshot([]byte(strings.Repeat("x", 40)))
+		Expect(err).To(HaveOccurred())
+	})
+})
+
+func atTargetSize() *model.Configuration {
+	changes := make([]config.Change, 9100)
+	for i := range changes {
+		changes[i] = config.Change{PutOrganisation: organisation(i)}
+	}
+	current, _ := config.Apply(config.Empty(), config.RevisionRecord{Revision: 1, Changes: append(changes, config.Change{PutService: advisor()})})
+	return current
+}
+
+// BenchmarkApply measures one small revision at 9,100 organisations.
+func BenchmarkApply(b *testing.B) {
+	current := atTargetSize()
+	for name, change := range map[string]config.Change{
+		"service":      {PutService: advisor()},
+		"organisation": {PutOrganisation: organisation(77)},
+	} {
+		b.Run(name, func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				config.Apply(current, config.RevisionRecord{Revision: 2, Changes: []config.Change{change}})
+			}
+		})
+	}
+}
+
+// BenchmarkOrganisationByKey measures a lookup with the index and by a scan.
+func BenchmarkOrganisationByKey(b *testing.B) {
+	current := atTargetSize()
+	scan := *current
+	scan.Keys = nil
+	for name, configuration := range map[string]*model.Configuration{"index": current, "scan": &scan} {
+		b.Run(name, func(b *testing.B) {
+			for b.Loop() {
+				configuration.OrganisationByKey(digest(5000))
+			}
+		})
+	}
+}
--- /dev/null
+++ b/entryhost/config/reader.go
@@ -0,0 +1,238 @@
+package config
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"strconv"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/jonboulle/clockwork"
+
+	"github.com/lentilpoint/lentilpoint/entryhost/peers"
+	"github.com/lentilpoint/lentilpoint/entryhost/platform"
+	"github.com/lentilpoint/lentilpoint/eventcode"
+	"github.com/lentilpoint/lentilpoint/model"
+	"github.com/lentilpoint/lentilpoint/task"
+)
+
+const (
+	// readTimeout bounds one read of the table. With peerTimeout it keeps a
+	// start during a silent outage within 2 s.
+	readTimeout = time.Second
+	// snapshotTimeout bounds the transfer of a snapshot.
+	snapshotTimeout = 5 * time.Second
+	// peerTimeout bounds one question to peers.
+	peerTimeout = 800 * time.Millisecond
+	// askedPeers is the number of peers that are asked at once. Several are
+	// asked because one of them may be behind.
+	askedPeers = 3
+	// scanLimit bounds the revisions of one read.
+	scanLimit = 256
+	// factLifetime outlives two fallback reads, each of which publishes again.
+	factLifetime = 15 * time.Second
+)
+
+// Methods that peers call.
+const (
+	receiverName = "Config"
+	MethodAccept = receiverName + ".Accept"
+	MethodSince  = receiverName + ".Since"
+)
+
+// reader reads revisions from the table, the object store and peers. It is a
+// stateless value that background reads share.
+type reader struct {
+	home    model.DataCentre
+	table   platform.Table
+	objects platform.Objects
+	peers   task.Mailbox[peers.Message]
+	peersOn bool
+	clock   clockwork.Clock
+	pushed  *metrics.Counter
+	unsent  *metrics.Counter
+	logger  *slog.Logger
+}
+
+func newReader(p Parameters) reader {
+	return reader{
+		home: p.Home, table: p.Table, objects: p.Objects, peers: p.Peers, peersOn: p.PeersOn, clock: p.Clock, logger: p.Logger,
+		pushed: p.Metrics.NewCounter(`lentilpoint_config_pushes_total{outcome="accepted"}`),
+		unsent: p.Metrics.NewCounter(`lentilpoint_config_pushes_total{outcome="failed"}`),
+	}
+}
+
+// read returns what follows the revision. A cold start asks peers first, which
+// works during an outage and saves the platform a read of everything. Later
+// reads ask peers only when the table does not answer.
+func (r reader) read(ctx context.Context, revision model.Revision, draw func(int) int) readDone {
+	if revision == 0 {
+		if update, found := r.askPeers(ctx, revision, draw); found {
+			return readDone{update: update, incomplete: true}
+		}
+		if snapshot := r.readSnapshot(ctx); snapshot != nil {
+			return readDone{update: Update{Snapshot: snapshot}, incomplete: true}
+		}
+	}
+	result := r.readTable(ctx, revision)
+	if result.err == nil || revision == 0 {
+		return result
+	}
+	if update, found := r.askPeers(ctx, revision, draw); found {
+		return readDone{update: update}
+	}
+	return result
+}
+
+// readTable reads the head row, and the revisions only if it is newer.
+func (r reader) readTable(ctx context.Context, revision model.Revision) readDone {
+	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	head, err := readHead(ctx, r.table)
+	if err != nil || head.revision <= revision {
+		return readDone{err: err}
+	}
+	rows, err := r.table.Scan(ctx, PrefixRevision, RevisionKey(revision+1), scanLimit)
+	if err != nil {
+		return readDone{err: err}
+	}
+	records, err := decodeRecords(rows)
+	return readDone{update: Update{Records: records}, incomplete: len(rows) == scanLimit && err == nil, err: err}
+}
+
+// readSnapshot returns the snapshot of the object store, or nil.
+func (r reader) readSnapshot(ctx context.Context) *model.Configuration {
+	ctx, cancel := context.WithTimeout(ctx, snapshotTimeout)
+	defer cancel()
+	content, err := r.objects.Get(ctx, ObjectSnapshot)
+	if err != nil {
+		return nil
+	}
+	snapshot, err := DecodeSnapshot(content)
+	if err != nil {
+		r.logger.Warn("configuration snapshot is not usable", eventcode.ConfigSnapshotUnusable.Attr(), "error", err)
+		return nil
+	}
+	return snapshot
+}
+
+func (r reader) writeSnapshot(ctx context.Context, configuration *model.Configuration) {
+	ctx, cancel := context.WithTimeout(ctx, snapshotTimeout)
+	defer cancel()
+	content, err := EncodeSnapshot(configuration)
+	if err == nil {
+		err = r.objects.Put(ctx, ObjectSnapshot, content)
+	}
+	if err != nil {
+		r.logger.Warn("configuration snapshot not written", eventcode.ConfigSnapshotNotWritten.Attr(), "revision", configuration.Revision, "error", err)
+	}
+}
+
+// askPeers asks some peers for what follows the revision and returns the
+// newest answer. It reports false if none is newer.
+func (r reader) askPeers(ctx context.Context, revision model.Revision, draw func(int) int) (Update, bool) {
+	if !r.peersOn {
+		return Update{}, false
+	}
+	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
+	defer cancel()
+	members, err := task.Call(ctx, r.peers, func(reply task.Reply[[]peers.Member]) peers.Message {
+		return peers.Members{Reply: reply}
+	})
+	if err != nil {
+		return Update{}, false
+	}
+	asked := ChoosePeers(r.home, members, askedPeers, draw)
+	answers := make(chan Update, len(asked))
+	for _, host := range asked {
+		go func() { answers <- r.askPeer(ctx, host, revision) }()
+	}
+	var best Update
+	for range asked {
+		if answer := <-answers; answer.Revision() > best.Revision() {
+			best = answer
+		}
+	}
+	return best, best.Revision() > revision
+}
+
+// askPeer returns an empty update if the peer does not answer.
+func (r reader) askPeer(ctx context.Context, host model.HostID, revision model.Revision) Update {
+	answer := &SinceAnswer{}
+	if err := r.invoke(ctx, host, MethodSince, &SinceArguments{Revision: revision}, answer); err != nil {
+		return Update{}
+	}
+	update := Update{Records: answer.Records}
+	if len(answer.Snapshot) > 0 {
+		update.Snapshot, _ = DecodeSnapshot(answer.Snapshot)
+	}
+	return update
+}
+
+func (r reader) invoke(ctx context.Context, host model.HostID, method string, arguments, result any) error {
+	err, failed := task.Call(ctx, r.peers, func(reply task.Reply[error]) peers.Message {
+		return peers.Invoke{Context: ctx, Host: host, Method: method, Arguments: arguments, Result: result, Reply: reply}
+	})
+	return errors.Join(err, failed)
+}
+
+// push sends new revisions to peers in the background. A peer that misses them
+// reads them with its own fallback poll.
+func (r reader) push(ctx context.Context, targets []model.HostID, records []RevisionRecord) {
+	for _, host := range targets {
+		go func() {
+			ctx, cancel := context.WithTimeout(ctx, peerTimeout)
+			defer cancel()
+			if err := r.invoke(ctx, host, MethodAccept, &AcceptArguments{Records: records}, &AcceptAnswer{}); err != nil {
+				r.unsent.Inc()
+				return
+			}
+			r.pushed.Inc()
+		}()
+	}
+}
+
+// ChoosePeers returns up to limit live members in random order, those of the
+// own data centre first.
+func ChoosePeers(home model.DataCentre, members []peers.Member, limit int, draw func(int) int) []model.HostID {
+	var near, far []model.HostID
+	for _, member := range members {
+		switch {
+		case !member.Alive:
+		case member.DataCentre == home:
+			near = append(near, member.ID)
+		default:
+			far = append(far, member.ID)
+		}
+	}
+	chosen := append(shuffled(near, draw), shuffled(far, draw)...)
+	return chosen[:min(limit, len(chosen))]
+}
+
+func shuffled(hosts []model.HostID, draw func(int) int) []model.HostID {
+	for i := len(hosts) - 1; i > 0; i-- {
+		j := draw(i + 1)
+		hosts[i], hosts[j] = hosts[j], hosts[i]
+	}
+	return hosts
+}
+
+// Revision returns the highest revision that the update leads to.
+func (u Update) Revision() model.Revision {
+	var revision model.Revision
+	if u.Snapshot != nil {
+		revision = u.Snapshot.Revision
+	}
+	if n := len(u.Records); n > 0 {
+		revision = max(revision, u.Records[n-1].Revision)
+	}
+	return revision
+}
+
+func revisionFact(self model.HostID, revision model.Revision) peers.Fact {
+	return peers.Fact{
+		Kind: peers.FactRevision, Key: string(self), Value: strconv.AppendUint(nil, uint64(revision), 10),
+		Lifetime: factLifetime, Everywhere: true,
+	}
+}
--- /dev/null
+++ b/entryhost/config/readers.go
@@ -0,0 +1,169 @@
+package config
+
+import (
+	"cmp"
+	"crypto/sha256"
+	"encoding/binary"
+	"slices"
+	"time"
+
+	"github.com/lentilpoint/lentilpoint/model"
+)
+
+// ReadersPerDataCentre is the number of hosts that poll the head row for their
+// data centre. The second one covers the time until the host list shows that
+// the first one died.
+const ReadersPerDataCentre = 2
+
+// NotReader is the rank of a host that is not a reader.
+const NotReader = -1
+
+// ReaderRank returns the place of a host among the readers of its data centre,
+// or NotReader. A host that is alone, or that the host list does not show, is
+// its own reader: nobody would push revisions to it.
+func ReaderRank(self model.HostID, home model.DataCentre, hosts []model.Host) int {
+	readers := Readers(home, hosts)
+	if !slices.ContainsFunc(hosts, func(host model.Host) bool { return host.ID == string(self) && reachable(home, host) }) {
+		return 0
+	}
+	return slices.Index(readers, self)
+}
+
+// Readers returns the readers of a data centre by rendezvous hashing over its
+// live entry hosts, so that a host that leaves changes at most one reader.
+func Readers(home model.DataCentre, hosts []model.Host) []model.HostID {
+	var candidates []model.HostID
+	for _, host := range hosts {
+		if reachable(home, host) {
+			candidates = append(candidates, model.HostID(host.ID))
+		}
+	}
+	slices.SortFunc(candidates, func(a, b model.HostID) int {
+		return cmp.Or(-cmp.Compare(weightOf(home, a), weightOf(home, b)), cmp.Compare(a, b))
+	})
+	candidates = slices.Compact(candidates)
+	return candidates[:min(ReadersPerDataCentre, len(candidates))]
+}
+
+// reachable reports whether a host can take part: it runs in the data centre,
+// is not leaving and has an address for peers.
+func reachable(home model.DataCentre, host model.Host) bool {
+	return host.Role == model.RoleEntry && host.DataCentre == home && !host.Leaving && host.PeerAddress != ""
+}
+
+func weightOf(home model.DataCentre, host model.HostID) uint64 {
+	sum := sha256.Sum256([]byte(string(home) + "\x00" + string(host)))
+	return binary.BigEndian.Uint64(sum[:8])
+}
+
+// PushTargets returns the hosts that a reader pushes new revisions to.
+func PushTargets(self model.HostID, home model.DataCentre, hosts []model.Host) []model.HostID {
+	var targets []model.HostID
+	for _, host := range hosts {
+		if host.ID != string(self) && reachable(home, host) {
+			targets = append(targets, model.HostID(host.ID))
+		}
+	}
+	return targets
+}
+
+// Intervals are the times between reads of the head row.
+type Intervals struct {
+	// Reader is the time between reads of a reader.
+	Reader time.Duration
+	// Fallback is the time between reads of the other hosts.
+	Fallback time.Duration
+}
+
+// fallbackFactor gives 5 s at the default reader interval of 500 ms.
+const fallbackFactor = 10
+
+// For returns the interval of a host with this rank.
+func (i Intervals) For(rank int) time.Duration {
+	if rank != NotReader {
+		return i.Reader
+	}
+	if i.Fallback == 0 {
+		return fallbackFactor * i.Reader
+	}
+	return i.Fallback
+}
+
+// SnapshotDue reports whether a step from one revision to another passes a
+// multiple of SnapshotEvery.
+func SnapshotDue(before, after model.Revision) bool {
+	return before/SnapshotEvery != after/SnapshotEvery
+}
+
+// SnapshotEvery is the number of revisions between snapshots. A cold start
+// reads at most about this many revisions after the snapshot.
+const SnapshotEvery = 256
+
+// Acceptance decides which revisions a store puts in force.
+type Acceptance int
+
+const (
+	// AcceptInOrder applies a revision only after all before it.
+	AcceptInOrder Acceptance = iota
+	// AcceptAny applies whatever arrives last. It is a baseline for experiments.
+	AcceptAny
+)
+
+// Accept returns the configuration after an update and the records that were applied.
+func (a Acceptance) Accept(current *model.Configuration, update Update) (*model.Configuration, []RevisionRecord) {
+	if snapshot := update.Snapshot; snapshot != nil && (a == AcceptAny || snapshot.Revision > current.Revision) {
+		current = snapshot
+	}
+	if a == AcceptAny {
+		return acceptAny(current, update.Records)
+	}
+	before := current.Revision
+	next, applied := ApplyAll(current, update.Records)
+	start := slices.IndexFunc(update.Records, func(record RevisionRecord) bool { return record.Revision == before+1 })
+	if applied == 0 || start < 0 {
+		return next, nil
+	}
+	return next, update.Records[start:min(start+applied, len(update.Records))]
+}
+
+func acceptAny(current *model.Configuration, records []RevisionRecord) (*model.Configuration, []RevisionRecord) {
+	for _, record := range records {
+		stale := *current
+		stale.Revision = record.Revision - 1
+		current, _ = Apply(&stale, record)
+	}
+	return current, records
+}
+
+// recordLog holds the newest records, to answer peers that are a little behind.
+type recordLog struct{ records []RevisionRecord }
+
+// recordLogSize covers about two hours of the changes of the target size.
+const recordLogSize = 512
+
+// extend adds records that were applied. A gap, as after a snapshot, empties
+// the log first.
+func (l *recordLog) extend(records []RevisionRecord) {
+	if len(records) == 0 {
+		return
+	}
+	if n := len(l.records); n > 0 && l.records[n-1].Revision+1 != records[0].Revision {
+		l.records = nil
+	}
+	l.records = append(l.records, records...)
+	if excess := len(l.records) - recordLogSize; excess > 0 {
+		l.records = slices.Clone(l.records[excess:])
+	}
+}
+
+// since returns the records after the revision, or false if the log does not
+// hold all of them.
+func (l *recordLog) since(revision, current model.Revision) ([]RevisionRecord, bool) {
+	if revision >= current {
+		return nil, true
+	}
+	if len(l.records) == 0 || l.records[0].Revision > revision+1 || l.records[len(l.records)-1].Revision != current {
+		return nil, false
+	}
+	return l.records[revision+1-l.records[0].Revision:], true
+}
--- a/entryhost/config/task.go
+++ b/entryhost/config/task.go
@@ -2,12 +2,13 @@
 
 import (
 	"context"
-	"encoding/json"
 	"log/slog"
-	"time"
+	"math/rand/v2"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/jonboulle/clockwork"
 
+	"github.com/lentilpoint/lentilpoint/entryhost/peers"
 	"github.com/lentilpoint/lentilpoint/entryhost/platform"
 	"github.com/lentilpoint/lentilpoint/eventcode"
 	"github.com/lentilpoint/lentilpoint/model"
@@ -18,51 +19,92 @@
 	// storeMailboxSize bounds the messages that wait for the store. A full
 	// mailbox makes the sender wait until its deadline.
 	storeMailboxSize = 256
-	// readTimeout bounds one read of the table.
-	readTimeout = 2 * time.Second
-	// scanLimit bounds the revisions of one read.
-	scanLimit = 256
+	// hostsMailboxSize bounds the host lists that wait; a full mailbox drops a
+	// list, as the next one is newer.
+	hostsMailboxSize = 2
 )
 
+// Parameters are what the store is built from.
+type Parameters struct {
+	Self    model.HostID
+	Home    model.DataCentre
+	Table   platform.Table
+	Objects platform.Objects
+	// Peers is the mailbox of the membership task.
+	Peers task.Mailbox[peers.Message]
+	// PeersOn tells that this host has links to peers. Without them it reads the
+	// table by itself.
+	PeersOn    bool
+	Intervals  Intervals
+	Acceptance Acceptance
+	// Seed makes the choice of peers repeatable.
+	Seed    uint64
+	Clock   clockwork.Clock
+	Metrics *metrics.Set
+	Logger  *slog.Logger
+	// Subscribers receive each new configuration. The store waits for room in
+	// their mailboxes, and they never wait for the store.
+	Subscribers []task.Mailbox[*model.Configuration]
+}
+
 // Store is the task that owns the configuration in force.
 type Store struct {
-	messages    task.Mailbox[Message]
-	table       platform.Table
-	clock       clockwork.Clock
-	interval    time.Duration
-	subscribers []task.Mailbox[*model.Configuration]
-	logger      *slog.Logger
+	Parameters
+
+	messages task.Mailbox[Message]
+	lists    task.Mailbox[platform.HostsRead]
+	reader   reader
 
 	current *model.Configuration
+	log     recordLog
+	hosts   []model.Host
+	rank    int
+	// reading tells that a read is under way; again that another is needed after it.
+	reading bool
+	again   bool
+	// failing tells that the last read reached neither the table nor a peer.
+	failing bool
+	// reads counts reads, to draw other peers in each.
+	reads uint64
 }
 
-// NewStore returns the store task. Subscribers receive each new configuration;
-// the store waits for room in their mailboxes, and they never wait for it.
-func NewStore(table platform.Table, clock clockwork.Clock, interval time.Duration, logger *slog.Logger, subscribers ...task.Mailbox[*model.Configuration]) *Store {
+// NewStore returns the store task.
+func NewStore(parameters Parameters) *Store {
 	return &Store{
-		messages:    task.NewMailbox[Message](storeMailboxSize),
-		table:       table,
-		clock:       clock,
-		interval:    interval,
-		subscribers: subscribers,
-		logger:      logger,
-		current:     Empty(),
+		Parameters: parameters,
+		messages:   task.NewMailbox[Message](storeMailboxSize),
+		lists:      task.NewMailbox[platform.HostsRead](hostsMailboxSize),
+		reader:     newReader(parameters),
+		current:    Empty(),
 	}
 }
 
 // Messages is the store's mailbox.
 func (s *Store) Messages() task.Mailbox[Message] { return s.messages }
 
+// HostLists is where the host list task sends each list.
+func (s *Store) HostLists() task.Mailbox[platform.HostsRead] { return s.lists }
+
 // String names the task in the logs.
 func (s *Store) String() string { return "config" }
 
 // Serve keeps the configuration up to date until the context ends.
 func (s *Store) Serve(ctx context.Context) error {
-	go s.poll(ctx, s.current.Revision+1, 0)
+	s.reading, s.again = false, false
+	timer := s.Clock.NewTimer(s.Intervals.For(s.rank))
+	defer timer.Stop()
+	s.read(ctx)
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
+		case <-timer.Chan():
+			s.read(ctx)
+			timer.Reset(s.Intervals.For(s.rank))
+		case list := <-s.lists.C():
+			if s.setHosts(list.Hosts) {
+				timer.Reset(s.Intervals.For(s.rank))
+			}
 		case message := <-s.messages.C():
 			s.handle(ctx, message)
 		}
@@ -73,63 +115,104 @@
 	switch message := message.(type) {
 	case Current:
 		message.Reply.Send(s.current)
+	case Since:
+		message.Reply.Send(s.since(message.Revision))
 	case Accepted:
-		s.accept(ctx, message.Records)
-	case polled:
-		s.accept(ctx, message.records)
-		wait := s.interval
-		if len(message.records) == scanLimit {
-			wait = 0
+		s.accept(ctx, Update{Records: message.Records}, message.Share)
+		if n := len(message.Records); n > 0 && message.Records[n-1].Revision > s.current.Revision {
+			s.read(ctx)
 		}
-		go s.poll(ctx, s.current.Revision+1, wait)
+		message.Reply.Send(s.current.Revision)
+	case readDone:
+		s.finishRead(ctx, message)
 	}
 }
 
-// polled is the result of one read of the table.
-type polled struct{ records []RevisionRecord }
+func (s *Store) since(revision model.Revision) Update {
+	if records, whole := s.log.since(revision, s.current.Revision); whole {
+		return Update{Records: records}
+	}
+	return Update{Snapshot: s.current}
+}
 
-func (polled) storeMessage() {}
+// setHosts keeps the host list and reports whether the rank of this host changed.
+func (s *Store) setHosts(hosts []model.Host) bool {
+	s.hosts = hosts
+	before := s.rank
+	s.rank = 0
+	if s.PeersOn {
+		s.rank = ReaderRank(s.Self, s.Home, hosts)
+	}
+	return s.rank != before
+}
 
-// poll waits, reads the revisions after the one in force once and sends them to
-// the store, which starts the next poll.
-func (s *Store) poll(ctx context.Context, from model.Revision, wait time.Duration) {
-	select {
-	case <-ctx.Done():
+// read starts a read of the table in the background. While one is under way,
+// it asks for another one afterwards.
+func (s *Store) read(ctx context.Context) {
+	if s.reading {
+		s.again = true
 		return
-	case <-s.clock.After(wait):
 	}
-	readContext, cancel := context.WithTimeout(ctx, readTimeout)
-	defer cancel()
-	rows, err := s.table.Scan(readContext, PrefixRevision, RevisionKey(from), scanLimit)
-	if err != nil {
-		s.logger.Debug("configuration not read", eventcode.ConfigNotRead.Attr(), "error", err)
+	s.reading, s.again = true, false
+	s.reads++
+	revision := s.current.Revision
+	random := rand.New(rand.NewPCG(s.Seed, s.reads))
+	go func() {
+		_ = s.messages.Send(ctx, s.reader.read(ctx, revision, random.IntN))
+	}()
+}
+
+func (s *Store) finishRead(ctx context.Context, result readDone) {
+	s.reading = false
+	s.logFailure(result.err)
+	before := s.current.Revision
+	s.accept(ctx, result.update, false)
+	s.publish()
+	if s.again || result.incomplete && s.current.Revision > before {
+		s.read(ctx)
 	}
-	_ = s.messages.Send(ctx, polled{records: decodeRecords(rows, s.logger)})
 }
 
-func decodeRecords(rows []platform.Row, logger *slog.Logger) []RevisionRecord {
-	records := make([]RevisionRecord, 0, len(rows))
-	for _, row := range rows {
-		var record RevisionRecord
-		if err := json.Unmarshal(row.Value, &record); err != nil {
-			logger.Error("configuration revision is undecodable", eventcode.ConfigUndecodable.Attr(), "key", row.Key, "error", err)
-			break
+// logFailure logs the first failure of a series, so that an outage does not
+// fill the log.
+func (s *Store) logFailure(err error) {
+	failed := err != nil
+	if failed && !s.failing {
+		code := eventcode.ConfigNotRead
+		if ErrUndecodable.Has(err) {
+			code = eventcode.ConfigUndecodable
 		}
-		records = append(records, record)
+		s.Logger.Warn("configuration not read", code.Attr(), "revision", s.current.Revision, "error", err)
 	}
-	return records
+	s.failing = failed
 }
 
-func (s *Store) accept(ctx context.Context, records []RevisionRecord) {
+// accept puts an update in force, passes it on and tells the subscribers.
+func (s *Store) accept(ctx context.Context, update Update, share bool) {
 	before := s.current.Revision
-	for _, record := range records {
-		s.current, _ = Apply(s.current, record)
-	}
-	if s.current.Revision == before {
+	next, applied := s.Acceptance.Accept(s.current, update)
+	if next == s.current {
 		return
 	}
-	s.logger.Info("configuration in force", eventcode.ConfigInForce.Attr(), "revision", s.current.Revision, "before", before)
-	for _, subscriber := range s.subscribers {
-		_ = subscriber.Send(ctx, s.current)
+	s.current = next
+	s.log.extend(applied)
+	s.Logger.Info("configuration in force", eventcode.ConfigInForce.Attr(), "revision", next.Revision, "before", before)
+	if s.PeersOn && len(applied) > 0 && (share || s.rank != NotReader) {
+		s.reader.push(ctx, PushTargets(s.Self, s.Home, s.hosts), applied)
+	}
+	if s.rank == 0 && len(applied) > 0 && SnapshotDue(before, next.Revision) {
+		go s.reader.writeSnapshot(ctx, next)
+	}
+	s.publish()
+	for _, subscriber := range s.Subscribers {
+		_ = subscriber.Send(ctx, next)
+	}
+}
+
+// publish shares the revision in force with all entry hosts. A full mailbox is
+// ignored: the next read publishes it again.
+func (s *Store) publish() {
+	if s.PeersOn {
+		_ = s.Peers.TrySend(peers.Publish{Fact: revisionFact(s.Self, s.current.Revision)})
 	}
 }
--- a/model/config.go
+++ b/model/config.go
@@ -71,6 +71,9 @@
 	Services      map[ServiceName]Service
 	Organisations map[OrganisationID]Organisation
 	Moves         map[MoveID]Move
+	// Keys finds organisations by the digest of an API key. Without it,
+	// OrganisationByKey looks at each organisation.
+	Keys *KeyIndex
 }
 
 // MoveState is the state of a version move.
@@ -101,6 +104,10 @@
 // OrganisationByKey returns the organisation with an API key of this hex
 // SHA-256 digest.
 func (c *Configuration) OrganisationByKey(digest string) (Organisation, bool) {
+	if c.Keys != nil {
+		id, found := c.Keys.Find(digest)
+		return c.Organisations[id], found
+	}
 	for _, organisation := range c.Organisations {
 		if slices.Contains(organisation.KeySHA256, digest) {
 			return organisation, true
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -54,10 +54,16 @@
 	LogFormat      string
 	LogLevel       string
 	DrainTimeout   time.Duration
-	ConfigInterval time.Duration
-	HostsInterval  time.Duration
-	LoadInterval   time.Duration
-	RandomSeed     uint64
+	// OperatorTLSCertificate and OperatorTLSKey are files; empty ones turn TLS off.
+	OperatorTLSCertificate string
+	OperatorTLSKey         string
+	ConfigInterval         time.Duration
+	// ConfigFallbackInterval is the time between reads of the configuration on
+	// hosts that peers push revisions to; 0 means 10 times ConfigInterval.
+	ConfigFallbackInterval time.Duration
+	HostsInterval          time.Duration
+	LoadInterval           time.Duration
+	RandomSeed             uint64
 }
 
 // Register adds the flags with their defaults to the set.
@@ -71,11 +77,14 @@
 	flags.StringVar((*string)(&target.PlatformToken), "platform-token", "", "bearer token for the platform (secret)")
 	flags.StringSliceVar(&target.CursorKeys, "cursor-keys", nil, "keys that authenticate resume cursors as id=hex, newest first (secret)")
 	flags.StringVar((*string)(&target.PeerSecret), "peer-secret", "", "secret shared by all entry hosts (secret)")
-	flags.StringSliceVar(&target.OperatorTokens, "operator-tokens", nil, "bearer tokens of operators (secret)")
+	flags.StringSliceVar(&target.OperatorTokens, "operator-tokens", nil, "bearer tokens of operators, as token or name=token; the name is recorded as the author of changes (secret)")
 	flags.StringVar(&target.LogFormat, "log-format", "json", "log format: json or text")
 	flags.StringVar(&target.LogLevel, "log-level", "info", "log level: debug, info, warn or error")
 	flags.DurationVar(&target.DrainTimeout, "drain-timeout", 10*time.Minute, "longest wait for open requests during a graceful shutdown")
-	flags.DurationVar(&target.ConfigInterval, "config-interval", 500*time.Millisecond, "time between reads of the configuration")
+	flags.DurationVar(&target.ConfigInterval, "config-interval", 500*time.Millisecond, "time between reads of the configuration on the readers of a data centre")
+	flags.DurationVar(&target.ConfigFallbackInterval, "config-fallback-interval", 5*time.Second, "time between reads of the configuration on other hosts; 0 means 10 times --config-interval")
+	flags.StringVar(&target.OperatorTLSCertificate, "operator-tls-certificate", "", "PEM file with the certificate of the operator API; empty turns TLS off")
+	flags.StringVar(&target.OperatorTLSKey, "operator-tls-key", "", "PEM file with the key of that certificate")
 	flags.DurationVar(&target.HostsInterval, "hosts-interval", time.Second, "time between reads of the host list")
 	flags.DurationVar(&target.LoadInterval, "load-interval", time.Second, "mean time between reads of a backend server's load")
 	flags.Uint64Var(&target.RandomSeed, "random-seed", 0, "seed of random choices; 0 draws one at start")
@@ -141,6 +150,9 @@
 	if s.OperatorAddress != "" && len(s.OperatorTokens) == 0 {
 		report("operator-tokens", "is missing; set at least one token, or leave --operator-address empty")
 	}
+	if (s.OperatorTLSCertificate == "") != (s.OperatorTLSKey == "") {
+		report("operator-tls-key", "and --operator-tls-certificate belong together; set both or neither")
+	}
 	if s.LogFormat != "json" && s.LogFormat != "text" {
 		report("log-format", "must be json or text")
 	}
@@ -179,6 +191,7 @@
 	}{
 		{"drain-timeout", s.DrainTimeout, time.Second, 24 * time.Hour},
 		{"config-interval", s.ConfigInterval, 10 * time.Millisecond, time.Minute},
+		{"config-fallback-interval", s.ConfigFallbackInterval, 0, time.Minute},
 		{"hosts-interval", s.HostsInterval, 10 * time.Millisecond, time.Minute},
 		{"load-interval", s.LoadInterval, 10 * time.Millisecond, time.Minute},
 	}
