--- /dev/null
+++ b/cmd/lentilpoint-bench/scenario/config_test.go
@@ -0,0 +1,31 @@
+package scenario_test
+
+import (
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/lentilpoint/lentilpoint/cmd/lentilpoint-bench/scenario"
+)
+
+var _ = Describe("the configuration", func() {
+	DescribeTable("keeps its guarantees",
+		func(name string, seed uint64) {
+			Expect(run(name, scenario.PolicyDefault, seed).Violations).To(BeEmpty())
+		},
+		Entry("while hosts restart and the platform is down", "config-churn", uint64(1)),
+		Entry("when operators race", "operators-race", uint64(1)),
+		Entry("when hosts start while the platform refuses", "cold-start-in-outage", uint64(1)),
+		Entry("when hosts start while the platform is silent", "cold-start-in-outage", uint64(2)),
+	)
+
+	DescribeTable("is checked by rules that a baseline breaks",
+		func(name, baseline, violation string) {
+			Expect(run(name, baseline, 1).Violations).To(HaveKeyWithValue(violation, BeNumerically(">", 0)))
+		},
+		Entry("going back", "config-churn", scenario.BaselineAcceptAny, "reverted_revisions"),
+		Entry("being late", "config-churn", scenario.BaselineNoPush, "late_revisions"),
+		Entry("two winners", "operators-race", scenario.BaselineBlindWrite, "revisions_with_several_winners"),
+		Entry("a history that no register has", "operators-race", scenario.BaselineBlindWrite, "histories_not_linearizable"),
+		Entry("no configuration in an outage", "cold-start-in-outage", scenario.BaselineNoPeers, "hosts_without_configuration"),
+	)
+})
--- a/entryhost/config/readers.go
+++ b/entryhost/config/readers.go
@@ -167,3 +167,8 @@
 	}
 	return l.records[revision+1-l.records[0].Revision:], true
 }
+
+// tail returns the newest records, at most n.
+func (l *recordLog) tail(n int) []RevisionRecord {
+	return l.records[max(0, len(l.records)-n):]
+}
--- a/entryhost/config/task.go
+++ b/entryhost/config/task.go
@@ -22,6 +22,9 @@
 	// hostsMailboxSize bounds the host lists that wait; a full mailbox drops a
 	// list, as the next one is newer.
 	hostsMailboxSize = 2
+	// pushOverlap is the number of earlier revisions that a push repeats, so
+	// that a peer that missed or has yet to receive a push needs no read.
+	pushOverlap = 8
 )
 
 // Parameters are what the store is built from.
@@ -198,7 +201,7 @@
 	s.log.extend(applied)
 	s.Logger.Info("configuration in force", eventcode.ConfigInForce.Attr(), "revision", next.Revision, "before", before)
 	if s.PeersOn && len(applied) > 0 && (share || s.rank != NotReader) {
-		s.reader.push(ctx, PushTargets(s.Self, s.Home, s.hosts), applied)
+		s.reader.push(ctx, PushTargets(s.Self, s.Home, s.hosts), s.log.tail(len(applied)+pushOverlap))
 	}
 	if s.rank == 0 && len(applied) > 0 && SnapshotDue(before, next.Revision) {
 		go s.reader.writeSnapshot(ctx, next)
