Add the questionnaire with examples of both users

Cause: a new team has to write services and organisations by hand.

Change: package questionnaire checks answers, names every bad one with its remedy, generates services and organisations with the reason for each setting, and compares them with the configuration in force.

--- /dev/null
+++ b/questionnaire/policy.go
@@ -0,0 +1,125 @@
+package questionnaire
+
+import (
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/lentilpoint/lentilpoint/model"
+)
+
+// Setting is one generated setting and why it has its value.
+type Setting struct {
+	Target string `json:"target"`
+	Name   string `json:"name"`
+	Value  string `json:"value"`
+	Reason string `json:"reason"`
+}
+
+// Plan is what the answers lead to. Its organisations have no API keys yet.
+type Plan struct {
+	Services      []model.Service
+	Organisations []model.Organisation
+	Settings      []Setting
+}
+
+// Generate returns the plan of the answers, or every problem and no plan.
+func Generate(answers Answers) (Plan, []Problem) {
+	if problems := Check(answers); len(problems) > 0 {
+		return Plan{}, problems
+	}
+	var plan Plan
+	for _, service := range answers.Services {
+		plan.addService(answers, service)
+	}
+	for _, organisation := range answers.Organisations {
+		plan.addOrganisation(answers.Callers.Sites, organisation)
+	}
+	return plan, nil
+}
+
+func (p *Plan) set(target, name string, value any, reason string) {
+	p.Settings = append(p.Settings, Setting{Target: target, Name: name, Value: fmt.Sprint(value), Reason: reason})
+}
+
+func (p *Plan) addService(answers Answers, answer Service) {
+	target := "service " + answer.Name
+	service := model.Service{Name: model.ServiceName(answer.Name), Kind: model.ServicePlain}
+	if answer.Kind == KindModel {
+		service.Kind = model.ServiceEngine
+	}
+	if answer.Version != "" {
+		service.Shares = []model.VersionShare{{Version: model.Version(answer.Version), Share: model.ShareWhole}}
+		p.set(target, "shares", answer.Version+" 100%", "the first version gets all traffic; later ones come by moves")
+	}
+	p.deadline(target, answers.Callers, answer, &service)
+	if answer.Kind == KindModel {
+		p.engine(target, answers, answer, &service)
+	} else {
+		p.plain(target, answer, &service)
+	}
+	p.Services = append(p.Services, service)
+}
+
+func (p *Plan) deadline(target string, callers Callers, answer Service, service *model.Service) {
+	text, reason := callers.Deadline, "callers wait this long for a whole answer"
+	if answer.Deadline != "" {
+		text, reason = answer.Deadline, "the service has a deadline of its own"
+	}
+	// Check has refused durations that cannot be parsed.
+	service.DefaultDeadline, _ = time.ParseDuration(text)
+	p.set(target, "default_deadline", service.DefaultDeadline, reason)
+}
+
+func (p *Plan) engine(target string, answers Answers, answer Service, service *model.Service) {
+	tolerance := answers.Callers.DelayTolerance
+	service.ResumeEager = answers.Prefer == PreferLowDelay
+	reason := fmt.Sprintf("callers accept a silence of %s and extra servers cost more than that wait", tolerance)
+	if service.ResumeEager {
+		reason = fmt.Sprintf("callers accept a silence of %s and low delay is worth extra prefill", tolerance)
+	}
+	p.set(target, "resume_eager", service.ResumeEager, reason)
+	service.ChecksFencing = answer.ChecksFencing
+	reason = "servers do not check fencing numbers, so a new lease holder waits and reads their state back"
+	if answer.ChecksFencing {
+		reason = "servers refuse orders with an old fencing number, so a new lease holder may start at once"
+	}
+	p.set(target, "checks_fencing", service.ChecksFencing, reason)
+}
+
+func (p *Plan) plain(target string, answer Service, service *model.Service) {
+	service.RepeatableMethods = answer.RepeatableMethods
+	service.ChecksFencing = answer.ChecksFencing
+	if len(answer.RepeatableMethods) == 0 {
+		p.set(target, "repeatable_methods", "none", "no call may run twice, so none is repeated after it may have reached a server")
+		return
+	}
+	p.set(target, "repeatable_methods", strings.Join(answer.RepeatableMethods, " "), "these calls may run twice; all others run at most once")
+}
+
+func (p *Plan) addOrganisation(sites []Site, answer Organisation) {
+	target := "organisation " + answer.Name
+	organisation := model.Organisation{ID: model.OrganisationID(answer.Name), Weight: answer.Weight}
+	p.set(target, "weight", answer.Weight, "its part of the servers while several organisations wait")
+	if answer.PeakOpen > 0 {
+		hosts := hostsAfterLoss(sites)
+		organisation.MaxOpen = (answer.PeakOpen + hosts - 1) / hosts
+		p.set(target, "max_open", organisation.MaxOpen,
+			fmt.Sprintf("the peak of %d open requests spread over the %d entry hosts that are left when the largest site is lost", answer.PeakOpen, hosts))
+	}
+	p.Organisations = append(p.Organisations, organisation)
+}
+
+// hostsAfterLoss returns the number of entry hosts without the largest site, or
+// of the only site.
+func hostsAfterLoss(sites []Site) int {
+	total, largest := 0, 0
+	for _, site := range sites {
+		total += site.EntryHosts
+		largest = max(largest, site.EntryHosts)
+	}
+	if len(sites) == 1 {
+		return total
+	}
+	return total - largest
+}
