Claim idempotency keys in the table and add tickets

Cause: calls to plain services were dispatched without regard to their Idempotency-Key, and a fault after an earlier attempt could say 'not run' although that attempt may have reached a server. Change: a claim writer task batches claims and outcomes of an entry host; a lost answer is read back by the claim id; recorded answers are repeated; tickets run without the platform on the incarnation that issued them. Faults say 'not run' only if no attempt may have reached a server.

--- a/entryhost/callers/call.go
+++ b/entryhost/callers/call.go
@@ -4,17 +4,22 @@
 	"hash/fnv"
 	"io"
 	"net/http"
+	"strconv"
 	"strings"
 
 	"github.com/gin-gonic/gin"
 
 	"github.com/lentilpoint/lentilpoint/entryhost/backends"
 	"github.com/lentilpoint/lentilpoint/entryhost/requests"
+	"github.com/lentilpoint/lentilpoint/entryhost/requests/tickets"
 	"github.com/lentilpoint/lentilpoint/eventcode"
 	"github.com/lentilpoint/lentilpoint/model"
 	"github.com/lentilpoint/lentilpoint/task"
 )
 
+// maxTicketBytes bounds a ticket, which is longer than a key of a caller's own.
+const maxTicketBytes = 1024
+
 // callerHeaders lists the headers of a caller that stay with the entry host.
 var callerHeaders = []string{"Authorization", "X-Deadline-Ms", "Host"}
 
@@ -55,9 +60,9 @@
 	if fault != nil {
 		return requests.Call{}, fault
 	}
-	key := c.GetHeader("Idempotency-Key")
-	if len(key) > maxKeyBytes {
-		return requests.Call{}, model.BadField("Idempotency-Key", "the key is longer than 256 bytes")
+	key, fault := idempotencyKey(c)
+	if fault != nil {
+		return requests.Call{}, fault
 	}
 	header := backends.EndToEndHeaders(c.Request.Header)
 	for _, name := range callerHeaders {
@@ -68,7 +73,7 @@
 	if query := c.Request.URL.RawQuery; query != "" {
 		path += "?" + query
 	}
-	return requests.Call{
+	call := requests.Call{
 		ID:            who.id,
 		Service:       name,
 		Organisation:  who.organisation,
@@ -81,7 +86,35 @@
 		ContentLength: c.Request.ContentLength,
 		Repeatable:    service.Repeatable(c.Request.Method),
 		Key:           key,
-	}, nil
+	}
+	if !call.Keyed() {
+		return call, nil
+	}
+	fault = keepBody(c, &call)
+	return call, fault
+}
+
+// keepBody reads the whole body of a keyed call, because its hash is claimed
+// before the call is dispatched.
+func keepBody(c *gin.Context, call *requests.Call) *model.Fault {
+	content, fault := readBody(c)
+	call.Body = nil
+	call.Content = content
+	call.ContentLength = int64(len(content))
+	return fault
+}
+
+// idempotencyKey returns the caller's key or ticket, or "".
+func idempotencyKey(c *gin.Context) (string, *model.Fault) {
+	key := c.GetHeader("Idempotency-Key")
+	limit := maxKeyBytes
+	if tickets.IsTicket(key) {
+		limit = maxTicketBytes
+	}
+	if len(key) > limit {
+		return "", model.BadField("Idempotency-Key", "the key is longer than "+strconv.Itoa(limit)+" bytes")
+	}
+	return key, nil
 }
 
 // servicePath cuts the prefix that names the service off the escaped path.
--- a/entryhost/callers/fx.go
+++ b/entryhost/callers/fx.go
@@ -10,6 +10,7 @@
 
 	"github.com/lentilpoint/lentilpoint/entryhost/config"
 	"github.com/lentilpoint/lentilpoint/entryhost/requests"
+	"github.com/lentilpoint/lentilpoint/entryhost/requests/tickets"
 	"github.com/lentilpoint/lentilpoint/settings"
 	"github.com/lentilpoint/lentilpoint/task"
 )
@@ -26,6 +27,7 @@
 	Settings settings.Settings
 	Requests task.Mailbox[requests.Command]
 	Config   task.Mailbox[config.Message]
+	Tickets  tickets.Issuer
 	Metrics  *metrics.Set
 	Clock    clockwork.Clock
 	Logger   *slog.Logger
@@ -39,6 +41,7 @@
 	return NewServer(listener, Parameters{
 		Requests: in.Requests,
 		Config:   in.Config,
+		Tickets:  in.Tickets,
 		Metrics:  in.Metrics,
 		Clock:    in.Clock,
 		Logger:   in.Logger,
--- a/entryhost/callers/server.go
+++ b/entryhost/callers/server.go
@@ -22,6 +22,7 @@
 
 	"github.com/lentilpoint/lentilpoint/entryhost/config"
 	"github.com/lentilpoint/lentilpoint/entryhost/requests"
+	"github.com/lentilpoint/lentilpoint/entryhost/requests/tickets"
 	"github.com/lentilpoint/lentilpoint/model"
 	"github.com/lentilpoint/lentilpoint/task"
 )
@@ -65,6 +66,7 @@
 type Parameters struct {
 	Requests task.Mailbox[requests.Command]
 	Config   task.Mailbox[config.Message]
+	Tickets  tickets.Issuer
 	Metrics  *metrics.Set
 	Clock    clockwork.Clock
 	Logger   *slog.Logger
@@ -162,6 +164,7 @@
 	router.GET("/v1/models", s.listModels)
 	router.POST("/v1/completions", func(c *gin.Context) { s.generate(c, false) })
 	router.POST("/v1/chat/completions", func(c *gin.Context) { s.generate(c, true) })
+	router.POST("/v1/tickets", s.issueTicket)
 	router.Any("/services/:service/*path", s.call)
 	router.NoRoute(func(c *gin.Context) {
 		s.fail(c, "", model.NotRun(model.KindNotFound, model.ReasonBadField, "there is no such path", "see the API page for the paths"))
--- /dev/null
+++ b/entryhost/requests/claims/doc.go
@@ -0,0 +1,8 @@
+// Package claims reserves idempotency keys in the platform's table before a
+// call is dispatched. The writer task owns the claims and outcomes that wait
+// and commits those of one entry host in batches.
+//
+// A claimed call costs two row writes, its claim and its outcome. Batches share
+// one transaction, so that an entry host sends at most one transaction for each
+// launchInterval, whatever its rate of calls.
+package claims
--- /dev/null
+++ b/entryhost/requests/claims/messages.go
@@ -0,0 +1,111 @@
+package claims
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/zeebo/errs"
+
+	"github.com/lentilpoint/lentilpoint/entryhost/platform"
+	"github.com/lentilpoint/lentilpoint/model"
+	"github.com/lentilpoint/lentilpoint/task"
+)
+
+// Error is the class of errors of this package.
+var Error = errs.Class("claims")
+
+// MaxAnswerBytes bounds the body of a recorded answer. Larger answers are
+// recorded as done without their body, because a batch holds up to maxBatch rows.
+const MaxAnswerBytes = 64 << 10
+
+// State is the state of a key.
+type State string
+
+// The states of a key.
+const (
+	// StateClaimed means that a call with the key may be in progress.
+	StateClaimed State = "claimed"
+	// StateDone means that a server answered; the answer is recorded.
+	StateDone State = "done"
+	// StateUnknown means that the call may have reached a server that did not answer.
+	StateUnknown State = "unknown"
+	// StateReleased means that the call certainly reached no server. The row
+	// stays, so that its version never returns to an earlier value and a delayed
+	// transaction cannot match it.
+	StateReleased State = "released"
+)
+
+// Answer is the recorded answer of a server.
+type Answer struct {
+	Status int         `json:"status"`
+	Header http.Header `json:"header,omitempty"`
+	Body   []byte      `json:"body,omitempty"`
+	// BodyOmitted tells that the body was longer than MaxAnswerBytes.
+	BodyOmitted bool `json:"body_omitted,omitempty"`
+}
+
+// Record is the value of a key's row.
+type Record struct {
+	// ID is the claim id, which is different for each request.
+	ID          string            `json:"id"`
+	BodyHash    string            `json:"body_hash"`
+	Host        model.HostID      `json:"host"`
+	Incarnation model.Incarnation `json:"incarnation"`
+	State       State             `json:"state"`
+	// Until is the time by which the call ends. A claim that is older belongs to
+	// an entry host that died, so that its outcome stays unknown.
+	Until  time.Time `json:"until"`
+	Answer *Answer   `json:"answer,omitempty"`
+}
+
+// Identity names one incarnation of an entry host.
+type Identity struct {
+	Host        model.HostID
+	Incarnation model.Incarnation
+}
+
+// Verdict says what may be done with a key. Exactly one of Held, Answer and
+// Fault is set.
+type Verdict struct {
+	// Held allows the one dispatch of the call. Its outcome must be reported.
+	Held bool
+	// Version is the version of the held row.
+	Version platform.RowVersion
+	// Answer is what a server answered to an earlier request with the key.
+	Answer *Answer
+	Fault  *model.Fault
+}
+
+// Claim asks for a key. The writer answers by the deadline or after
+// claimBudget, plus the time of the transaction in flight.
+type Claim struct {
+	Row      string
+	Record   Record
+	Deadline time.Time
+	Reply    task.Reply[Verdict]
+}
+
+// Finish records the outcome of a held key: StateDone, StateUnknown or
+// StateReleased. The reply tells whether the outcome is in the table.
+type Finish struct {
+	Row     string
+	Version platform.RowVersion
+	Record  Record
+	Reply   task.Reply[bool]
+}
+
+// Message is a message to the writer.
+type Message interface{ claimsMessage() }
+
+func (Claim) claimsMessage()  {}
+func (Finish) claimsMessage() {}
+
+// landed is the result of one transaction.
+type landed struct {
+	batch  []operation
+	result platform.TransactResult
+	err    error
+}
+
+// probed is the result of a read while the table is out of reach.
+type probed struct{ err error }
--- /dev/null
+++ b/entryhost/requests/claims/task.go
@@ -0,0 +1,345 @@
+package claims
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/jonboulle/clockwork"
+
+	"github.com/lentilpoint/lentilpoint/entryhost/platform"
+	"github.com/lentilpoint/lentilpoint/eventcode"
+	"github.com/lentilpoint/lentilpoint/task"
+)
+
+// mailboxSize bounds the messages that wait for the writer. A full mailbox
+// makes the call task wait; it answers "not run" if that takes too long.
+const mailboxSize = 1024
+
+// Writer is the task that commits claims and outcomes. It owns the operations
+// that wait, the transaction in flight and the view whether the table answers.
+type Writer struct {
+	messages task.Mailbox[Message]
+	table    platform.Table
+	readBack ReadBack
+	clock    clockwork.Clock
+	metrics  *metrics.Set
+	logger   *slog.Logger
+
+	pending      []operation
+	pendingBytes int
+	flying       bool
+	landings     chan landed
+	probes       chan probed
+	probing      bool
+	unreachable  bool
+	failures     int
+	nextLaunch   time.Time
+	// wake ends the wait for nextLaunch; nil when there is nothing to wait for.
+	wake <-chan time.Time
+}
+
+// NewWriter returns the writer task.
+func NewWriter(table platform.Table, readBack ReadBack, clock clockwork.Clock, set *metrics.Set, logger *slog.Logger) *Writer {
+	return &Writer{
+		messages: task.NewMailbox[Message](mailboxSize),
+		table:    table,
+		readBack: readBack,
+		clock:    clock,
+		metrics:  set,
+		logger:   logger,
+		landings: make(chan landed, 1),
+		probes:   make(chan probed, 1),
+	}
+}
+
+// Messages is where call tasks send claims and outcomes.
+func (w *Writer) Messages() task.Mailbox[Message] { return w.messages }
+
+// String names the task in the logs.
+func (w *Writer) String() string { return "claims" }
+
+// Serve commits claims and outcomes until the context ends.
+func (w *Writer) Serve(ctx context.Context) error {
+	for {
+		w.launch(ctx)
+		select {
+		case <-ctx.Done():
+			return nil
+		case message := <-w.messages.C():
+			w.accept(message)
+		case landing := <-w.landings:
+			w.flying = false
+			w.land(landing)
+		case probe := <-w.probes:
+			w.probing = false
+			w.applyProbe(probe)
+		case <-w.wake:
+			w.wake = nil
+		}
+	}
+}
+
+func (w *Writer) accept(message Message) {
+	switch message := message.(type) {
+	case Claim:
+		w.acceptClaim(message)
+	case Finish:
+		w.acceptFinish(message)
+	}
+}
+
+func (w *Writer) acceptClaim(claim Claim) {
+	if w.unreachable {
+		w.answer(claim.Reply, Verdict{Fault: outOfReach()}, "out_of_reach")
+		return
+	}
+	message := operation{row: claim.Row, record: claim.Record, verdict: claim.Reply}
+	message.deadline = w.clock.Now().Add(claimBudget)
+	if claim.Deadline.Before(message.deadline) {
+		message.deadline = claim.Deadline
+	}
+	if !w.add(message) {
+		w.answer(claim.Reply, Verdict{Fault: tooManyClaims()}, "queue_full")
+	}
+}
+
+func (w *Writer) acceptFinish(finish Finish) {
+	outcome := operation{row: finish.Row, expect: finish.Version, record: finish.Record, recorded: finish.Reply}
+	if !w.add(outcome) {
+		w.count("lentilpoint_claim_outcomes_total", "dropped")
+		outcome.recorded.Send(false)
+	}
+}
+
+// add encodes an operation and appends it if there is room.
+func (w *Writer) add(next operation) bool {
+	value, err := Encode(next.record)
+	if err != nil || len(w.pending) >= maxPending || w.pendingBytes+len(value) > maxPendingBytes {
+		return false
+	}
+	next.value = value
+	w.pending = append(w.pending, next)
+	w.pendingBytes += len(value)
+	return true
+}
+
+// prepend puts operations back in front of those that wait.
+func (w *Writer) prepend(operations []operation) {
+	for _, next := range operations {
+		w.pendingBytes += len(next.value)
+	}
+	w.pending = append(operations, w.pending...)
+}
+
+// launch starts a transaction or a probe if one is due, or sets the wake-up.
+func (w *Writer) launch(ctx context.Context) {
+	if w.flying || w.probing || (len(w.pending) == 0 && !w.unreachable) {
+		return
+	}
+	if wait := w.nextLaunch.Sub(w.clock.Now()); wait > 0 {
+		if w.wake == nil {
+			w.wake = w.clock.After(wait)
+		}
+		return
+	}
+	if w.unreachable {
+		w.probing = true
+		go w.probe(ctx)
+		return
+	}
+	batch, rest := nextBatch(w.pending)
+	w.pending = rest
+	for i := range batch {
+		w.pendingBytes -= len(batch[i].value)
+		batch[i].sent = true
+	}
+	w.flying = true
+	w.nextLaunch = w.clock.Now().Add(launchInterval)
+	w.metrics.GetOrCreateHistogram("lentilpoint_claim_batch_rows").Update(float64(len(batch)))
+	go w.fly(ctx, batch)
+}
+
+// fly runs one transaction outside the task, which goes on to accept messages.
+func (w *Writer) fly(ctx context.Context, batch []operation) {
+	ctx, cancel := context.WithTimeout(ctx, tryTimeout)
+	defer cancel()
+	result, err := w.table.Transact(ctx, transactionOf(batch))
+	if err == nil && !result.Committed && len(result.Conflicts) == 0 {
+		err = Error.New("the table refused a transaction without naming a conflict")
+	}
+	w.landings <- landed{batch: batch, result: result, err: err}
+}
+
+// probe reads a row that does not exist, which costs the table no write.
+func (w *Writer) probe(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, tryTimeout)
+	defer cancel()
+	_, err := w.table.Read(ctx, RowPrefix)
+	if platform.ErrNotFound.Has(err) {
+		err = nil
+	}
+	w.probes <- probed{err: err}
+}
+
+func (w *Writer) applyProbe(probe probed) {
+	if probe.err != nil {
+		w.nextLaunch = w.clock.Now().Add(probeInterval)
+		return
+	}
+	w.failures = 0
+	w.setUnreachable(false, nil)
+}
+
+func (w *Writer) setUnreachable(unreachable bool, err error) {
+	if w.unreachable == unreachable {
+		return
+	}
+	w.unreachable = unreachable
+	w.logger.Warn("claims table reachability changed", eventcode.ClaimsReachability.Attr(), "reachable", !unreachable, "error", err)
+}
+
+func (w *Writer) land(landing landed) {
+	switch {
+	case landing.err != nil:
+		w.fail(landing)
+	case landing.result.Committed:
+		w.failures = 0
+		for i, next := range landing.batch {
+			w.settle(next, resolution{verdict: Verdict{Held: true, Version: versionOf(landing, i)}, recorded: true})
+		}
+	default:
+		w.failures = 0
+		w.settleConflicts(landing)
+	}
+}
+
+func versionOf(landing landed, i int) platform.RowVersion {
+	if i < len(landing.result.Versions) {
+		return landing.result.Versions[i]
+	}
+	return landing.batch[i].expect + 1
+}
+
+// settleConflicts answers the operations whose conditions failed. The others
+// did not take effect either; they go into the next transaction at once.
+func (w *Writer) settleConflicts(landing landed) {
+	rows := make(map[string]platform.Row, len(landing.result.Conflicts))
+	for _, row := range landing.result.Conflicts {
+		rows[row.Key] = row
+	}
+	now := w.clock.Now()
+	var again []operation
+	for _, next := range landing.batch {
+		row, conflicts := rows[next.row]
+		if !conflicts {
+			again = append(again, next)
+			continue
+		}
+		resolved := resolve(next, row, now)
+		if resolved.again {
+			next.expect = resolved.expect
+			again = append(again, next)
+			continue
+		}
+		w.settle(next, resolved)
+	}
+	w.prepend(w.expire(again, now))
+	w.nextLaunch = now
+}
+
+// settle answers whoever waits for the operation.
+func (w *Writer) settle(settled operation, resolved resolution) {
+	if settled.isClaim() {
+		w.answer(settled.verdict, resolved.verdict, verdictName(resolved.verdict))
+		return
+	}
+	result := "lost"
+	if resolved.recorded {
+		result = string(settled.record.State)
+	}
+	w.count("lentilpoint_claim_outcomes_total", result)
+	settled.recorded.Send(resolved.recorded)
+}
+
+// fail keeps the operations of a transaction without an answer for the next
+// one. Claims whose time is over are given up.
+func (w *Writer) fail(landing landed) {
+	w.failures++
+	w.count("lentilpoint_claim_transactions_failed_total", "no_answer")
+	now := w.clock.Now()
+	w.nextLaunch = now.Add(backoff(w.failures))
+	if w.readBack == ReadBackNever {
+		w.assumeHeld(landing.batch)
+		return
+	}
+	kept := w.expire(landing.batch, now)
+	if len(kept) < len(landing.batch) && !errors.Is(landing.err, context.Canceled) {
+		w.setUnreachable(true, landing.err)
+	}
+	w.prepend(kept)
+	if w.unreachable {
+		w.refusePending()
+	}
+}
+
+// expire gives up the claims whose time is over and returns the other
+// operations. A claim that was sent may still take effect. It is never treated
+// as held, and its release is queued, which also blocks a delayed transaction.
+func (w *Writer) expire(operations []operation, now time.Time) []operation {
+	kept := make([]operation, 0, len(operations))
+	for _, next := range operations {
+		if !next.isClaim() || now.Before(next.deadline) {
+			kept = append(kept, next)
+			continue
+		}
+		w.answer(next.verdict, Verdict{Fault: outOfReach()}, "no_answer")
+		if !next.sent {
+			continue
+		}
+		release := operation{row: next.row, expect: next.expect, record: next.record}
+		release.record.State = StateReleased
+		if value, err := Encode(release.record); err == nil {
+			release.value = value
+			kept = append(kept, release)
+		}
+	}
+	return kept
+}
+
+// refusePending refuses the claims that were not sent while the table is out
+// of reach, and those that were sent give up as if their time were over.
+func (w *Writer) refusePending() {
+	pending := w.pending
+	w.pending, w.pendingBytes = nil, 0
+	w.prepend(w.expire(pending, w.clock.Now().Add(claimBudget)))
+}
+
+// assumeHeld is the baseline that does not read claims back.
+func (w *Writer) assumeHeld(batch []operation) {
+	for _, next := range batch {
+		w.settle(next, resolution{verdict: Verdict{Held: true, Version: next.expect + 1}, recorded: true})
+	}
+}
+
+func (w *Writer) answer(reply task.Reply[Verdict], verdict Verdict, result string) {
+	w.count("lentilpoint_claims_total", result)
+	reply.Send(verdict)
+}
+
+func verdictName(verdict Verdict) string {
+	switch {
+	case verdict.Held:
+		return "held"
+	case verdict.Answer != nil:
+		return "recorded"
+	default:
+		return string(verdict.Fault.Reason)
+	}
+}
+
+func (w *Writer) count(name, result string) {
+	w.metrics.GetOrCreateCounter(name + `{result="` + result + `"}`).Inc()
+}
--- a/entryhost/requests/messages.go
+++ b/entryhost/requests/messages.go
@@ -75,8 +75,14 @@
 	Repeatable    bool
 	// Key is the caller's idempotency key, or "".
 	Key string
+	// Content is the whole body of a keyed call; Body is nil then.
+	Content []byte
 }
 
+// Keyed reports whether the call is claimed before its dispatch. An idempotent
+// call needs no claim, as it may run more than once.
+func (c Call) Keyed() bool { return c.Key != "" && !c.Repeatable }
+
 // Answer is the result of a call: a head whose body the receiver closes, or a fault.
 type Answer struct {
 	Head  backends.ExchangeHead
--- a/entryhost/requests/policy.go
+++ b/entryhost/requests/policy.go
@@ -80,29 +80,3 @@
 		return admission.OutcomeBroken
 	}
 }
-
-// mayCallAgain decides whether a failed call to a plain service may be sent to
-// another server. A call that may have reached a server is only repeated when
-// its method is idempotent and its body can be sent again.
-func mayCallAgain(call Call, failure *backends.StreamError, bodyUntouched bool) bool {
-	if !bodyUntouched {
-		return false
-	}
-	if failure.Kind == backends.FailureConnect {
-		return true
-	}
-	return call.Repeatable && failure.Kind == backends.FailureBroken
-}
-
-// callFault is the typed error of a call that ended without an answer.
-func callFault(failure *backends.StreamError) *model.Fault {
-	if failure.Kind == backends.FailureConnect {
-		return model.NotRun(model.KindUnavailable, model.ReasonBackendFailed,
-			"no backend server accepted a connection: "+failure.Message, "send the request again").After(time.Second)
-	}
-	return &model.Fault{
-		Kind: model.KindUnknown, Reason: model.ReasonOutcomeUnknown, Executed: model.ExecutedUnknown,
-		Message: "the connection to the backend server was lost after the request may have reached it: " + failure.Message,
-		Remedy:  "ask the service whether the request took effect before sending it again",
-	}
-}
--- a/entryhost/requests/task.go
+++ b/entryhost/requests/task.go
@@ -23,6 +23,7 @@
 	commands   task.Mailbox[Command]
 	dispatches task.Mailbox[admission.Dispatch]
 	recovery   Recovery
+	calls      CallParts
 	clock      clockwork.Clock
 	logger     *slog.Logger
 
@@ -32,11 +33,12 @@
 }
 
 // NewManager returns the manager task.
-func NewManager(dispatches task.Mailbox[admission.Dispatch], recovery Recovery, clock clockwork.Clock, logger *slog.Logger) *Manager {
+func NewManager(dispatches task.Mailbox[admission.Dispatch], recovery Recovery, calls CallParts, clock clockwork.Clock, logger *slog.Logger) *Manager {
 	return &Manager{
 		commands:   task.NewMailbox[Command](managerMailboxSize),
 		dispatches: dispatches,
 		recovery:   recovery,
+		calls:      calls,
 		clock:      clock,
 		logger:     logger,
 	}
@@ -107,8 +109,8 @@
 		start.Reply.Send(Answer{Fault: drainingFault()})
 		return
 	}
-	call := &callTask{start: start, dispatches: m.dispatches, clock: m.clock, logger: m.logger}
-	m.spawn(ctx, call.run, func(fault *model.Fault) { start.Reply.Send(Answer{Fault: fault}) })
+	call := &callTask{start: start, dispatches: m.dispatches, parts: m.calls, clock: m.clock, logger: m.logger}
+	m.spawn(ctx, func() { call.run(ctx) }, func(fault *model.Fault) { start.Reply.Send(Answer{Fault: fault}) })
 }
 
 // spawn runs a request task. A panic ends only that request, with a typed fault.
--- /dev/null
+++ b/entryhost/requests/tickets/messages.go
@@ -0,0 +1,78 @@
+package tickets
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/zeebo/errs"
+
+	"github.com/lentilpoint/lentilpoint/entryhost/requests/claims"
+	"github.com/lentilpoint/lentilpoint/model"
+	"github.com/lentilpoint/lentilpoint/task"
+)
+
+// Error is the class of errors of this package.
+var Error = errs.Class("tickets")
+
+// Ticket is the signed content of a ticket.
+type Ticket struct {
+	ID           string               `json:"i"`
+	Host         model.HostID         `json:"h"`
+	Incarnation  model.Incarnation    `json:"n"`
+	Organisation model.OrganisationID `json:"o"`
+	// Expires is in milliseconds since 1970.
+	Expires int64 `json:"e"`
+}
+
+// Redeem asks the book for the one dispatch of a ticket's call.
+type Redeem struct {
+	Ticket   Ticket
+	BodyHash string
+	// Until is the time by which the call ends.
+	Until time.Time
+	Reply task.Reply[claims.Verdict]
+}
+
+// Finish tells the book the outcome of a ticket's call.
+type Finish struct {
+	ID     string
+	State  claims.State
+	Answer *claims.Answer
+	Reply  task.Reply[bool]
+}
+
+// Message is a message to the book.
+type Message interface{ ticketsMessage() }
+
+func (Redeem) ticketsMessage() {}
+func (Finish) ticketsMessage() {}
+
+// ReceiverName and MethodRedeem name the net/rpc method by which an entry host
+// passes a call with a ticket on to the one that issued it.
+const (
+	ReceiverName = "Tickets"
+	MethodRedeem = "Tickets.Redeem"
+)
+
+// ForwardedCall is the argument of MethodRedeem.
+type ForwardedCall struct {
+	ID           model.RequestID
+	Service      model.ServiceName
+	Organisation model.Organisation
+	// Remaining is the time until the deadline; clocks of hosts may differ.
+	Remaining   time.Duration
+	Fingerprint model.Fingerprint
+	Method      string
+	Path        string
+	Header      http.Header
+	Body        []byte
+	Key         string
+}
+
+// ForwardedAnswer is the result of MethodRedeem. Fault is nil for an answer.
+type ForwardedAnswer struct {
+	Status int
+	Header http.Header
+	Body   []byte
+	Fault  *model.Fault
+}
