--- /dev/null
+++ b/cmd/lentilpoint-bench/scenario/atmostonce.go
@@ -0,0 +1,211 @@
+package scenario
+
+import (
+	"context"
+	"math/rand/v2"
+	"strings"
+	"time"
+
+	"go.uber.org/fx"
+
+	"github.com/lentilpoint/lentilpoint/cmd/lentilpoint-bench/check"
+	"github.com/lentilpoint/lentilpoint/cmd/lentilpoint-bench/cluster"
+	"github.com/lentilpoint/lentilpoint/cmd/lentilpoint-bench/standin"
+	"github.com/lentilpoint/lentilpoint/entryhost/requests"
+	"github.com/lentilpoint/lentilpoint/entryhost/requests/claims"
+	"github.com/lentilpoint/lentilpoint/model"
+	"github.com/lentilpoint/lentilpoint/settings"
+)
+
+// The baselines of calls that run at most once.
+const (
+	// BaselineBlindRetry sends a failed call to another server, whatever happened.
+	BaselineBlindRetry = "blind-retry"
+	// BaselineNoReadBack treats a claim without an answer as held.
+	BaselineNoReadBack = "no-read-back"
+	// BaselineNoBatch commits each claim and outcome in a transaction of its own.
+	BaselineNoBatch = "no-batch"
+)
+
+// atMostOnceScenarios are the experiments on calls that run at most once.
+var atMostOnceScenarios = []Scenario{
+	{
+		Name: "order-retries", About: "callers repeat orders with keys while plain servers die before and after execution",
+		Baselines: []string{BaselineBlindRetry}, Run: runOrderRetries,
+	},
+	{
+		Name: "platform-outage", About: "the platform is down while orders are repeated; callers go on with tickets",
+		Baselines: []string{BaselineBlindRetry, BaselineNoReadBack}, Run: runPlatformOutage,
+	},
+	{
+		Name: "platform-lost-answers", About: "the table loses requests and answers while orders are repeated",
+		Baselines: []string{BaselineBlindRetry, BaselineNoReadBack}, Run: runLostAnswers,
+	},
+	{
+		Name: "partition", About: "one entry host is cut off from the platform while orders are repeated",
+		Baselines: []string{BaselineBlindRetry, BaselineNoReadBack}, Run: runPartition,
+	},
+	{
+		Name: "claim-latency", About: "what claims add to orders at today's size with a healthy platform",
+		Baselines: []string{BaselineNoBatch}, Run: runClaimLatency,
+	},
+}
+
+// callOptions returns the options that put a baseline of calls in place.
+func callOptions(policy string) []fx.Option {
+	switch policy {
+	case BaselineBlindRetry:
+		return []fx.Option{fx.Decorate(func() requests.CallPolicy { return requests.CallBlindRetry })}
+	case BaselineNoReadBack:
+		return []fx.Option{fx.Decorate(func() claims.ReadBack { return claims.ReadBackNever })}
+	case BaselineNoBatch:
+		return []fx.Option{fx.Decorate(func() claims.BatchLimit { return 1 })}
+	default:
+		return nil
+	}
+}
+
+// repeatRun is a running cluster with the history of its claims.
+type repeatRun struct {
+	cluster *cluster.Cluster
+	history *claimHistory
+	random  *rand.Rand
+}
+
+// startRepeats starts today's number of entry hosts and plain servers.
+func startRepeats(ctx context.Context, parameters Parameters, number uint64, change func(*settings.Settings)) (*repeatRun, error) {
+	history := newClaimHistory(ctx)
+	c, err := cluster.Start(ctx, cluster.Options{
+		Seed: parameters.Seed, EntryHosts: 6, Plains: 4, Settings: change,
+		HostOptions: append(callOptions(parameters.Policy), history.option()),
+	})
+	if err != nil {
+		return nil, err
+	}
+	return &repeatRun{cluster: c, history: history, random: rand.New(rand.NewPCG(parameters.Seed, number))}, nil
+}
+
+// report applies all rules to the tries of a run.
+func (r *repeatRun) report(tries []tryResult) Report {
+	plain := make([]check.OrderTry, len(tries))
+	figures := map[string]float64{"tries": float64(len(tries))}
+	var refusals []time.Duration
+	for i, try := range tries {
+		plain[i] = try.OrderTry
+		switch {
+		case try.AnsweredTry == try.Try:
+			figures["answers_first"]++
+		case try.AnsweredTry != "":
+			figures["answers_repeated"]++
+		case try.refused:
+			figures["refused_"+string(try.reason)]++
+		default:
+			figures["connection_errors"]++
+		}
+		if try.reason == model.ReasonPlatformUnavailable {
+			refusals = append(refusals, try.took)
+		}
+	}
+	operations := r.history.operations()
+	figures["claim_operations"] = float64(len(operations))
+	figures["table_writes"] = float64(r.cluster.Platform.Counts().Writes)
+	figures["platform_refusal_p50_ms"] = milliseconds(Quantile(refusals, 0.5))
+	figures["platform_refusal_max_ms"] = milliseconds(Quantile(refusals, 1))
+	executions := r.cluster.Executions()
+	figures["executions"] = float64(len(executions))
+	violations := check.Repeats(plain, executions)
+	violations.Add(check.Claims(operations))
+	return Report{Violations: violations, Figures: figures}
+}
+
+// killPlains kills plain servers before or after an execution and starts them
+// again, until the context ends.
+func killPlains(ctx context.Context, c *cluster.Cluster, random *rand.Rand) {
+	for ctx.Err() == nil {
+		plain := c.Plains[random.IntN(len(c.Plains))]
+		before := random.IntN(2) == 0
+		plain.SetFaults(standin.PlainFaults{Delay: 2 * time.Millisecond, DieBefore: before, DieAfter: !before})
+		wait(ctx, 40*time.Millisecond)
+		plain.Revive()
+	}
+}
+
+// withFaults runs the callers of a load while a fault is in effect.
+func (r *repeatRun) withFaults(ctx context.Context, load repeatLoad, faults ...func(context.Context, *rand.Rand)) []tryResult {
+	faultContext, cancel := context.WithCancel(ctx)
+	defer cancel()
+	plans := load.plan(r.random)
+	for _, fault := range faults {
+		random := rand.New(rand.NewPCG(r.random.Uint64(), 0))
+		go fault(faultContext, random)
+	}
+	return runRepeats(ctx, r.cluster, load, plans)
+}
+
+func (r *repeatRun) kills(ctx context.Context, random *rand.Rand) { killPlains(ctx, r.cluster, random) }
+
+func runOrderRetries(ctx context.Context, parameters Parameters) (Report, error) {
+	run, err := startRepeats(ctx, parameters, 30, nil)
+	if err != nil {
+		return Report{}, err
+	}
+	defer run.cluster.Stop()
+	tries := run.withFaults(ctx, repeatLoad{count: 120, spread: 1500 * time.Millisecond, twins: 0.3}, run.kills)
+	return run.report(tries), nil
+}
+
+func runPlatformOutage(ctx context.Context, parameters Parameters) (Report, error) {
+	run, err := startRepeats(ctx, parameters, 31, nil)
+	if err != nil {
+		return Report{}, err
+	}
+	defer run.cluster.Stop()
+	outage := func(ctx context.Context, random *rand.Rand) {
+		wait(ctx, time.Duration(200+random.IntN(300))*time.Millisecond)
+		run.cluster.Platform.SetFaults(standin.PlatformFaults{Down: true})
+		wait(ctx, 800*time.Millisecond)
+		run.cluster.Platform.SetFaults(standin.PlatformFaults{})
+	}
+	load := repeatLoad{count: 120, spread: 1500 * time.Millisecond, twins: 0.2, tickets: true}
+	return run.report(run.withFaults(ctx, load, outage, run.kills)), nil
+}
+
+func runLostAnswers(ctx context.Context, parameters Parameters) (Report, error) {
+	run, err := startRepeats(ctx, parameters, 32, nil)
+	if err != nil {
+		return Report{}, err
+	}
+	defer run.cluster.Stop()
+	run.cluster.Platform.SetFaults(standin.PlatformFaults{LoseAnswers: 0.3, LoseRequests: 0.15})
+	load := repeatLoad{count: 120, spread: 1500 * time.Millisecond, twins: 0.3}
+	return run.report(run.withFaults(ctx, load, run.kills)), nil
+}
+
+func runPartition(ctx context.Context, parameters Parameters) (Report, error) {
+	var relay *standin.Relay
+	run, err := startRepeats(ctx, parameters, 33, func(values *settings.Settings) {
+		if values.HostID != "entry-0" {
+			return
+		}
+		if started, err := standin.StartRelay(strings.TrimPrefix(values.PlatformURL, "http://")); err == nil {
+			relay = started
+			values.PlatformURL = "http://" + relay.Address()
+		}
+	})
+	if err != nil {
+		return Report{}, err
+	}
+	defer run.cluster.Stop()
+	if relay == nil {
+		return Report{}, Error.New("the relay did not start")
+	}
+	defer relay.Close()
+	partition := func(ctx context.Context, random *rand.Rand) {
+		wait(ctx, time.Duration(100+random.IntN(200))*time.Millisecond)
+		relay.Partition(true)
+		wait(ctx, 1500*time.Millisecond)
+		relay.Partition(false)
+	}
+	load := repeatLoad{count: 120, spread: 1500 * time.Millisecond, twins: 0.3, tickets: true}
+	return run.report(run.withFaults(ctx, load, partition, run.kills)), nil
+}
--- /dev/null
+++ b/cmd/lentilpoint-bench/scenario/claimlatency.go
@@ -0,0 +1,96 @@
+package scenario
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/lentilpoint/lentilpoint/cmd/lentilpoint-bench/check"
+	"github.com/lentilpoint/lentilpoint/cmd/lentilpoint-bench/cluster"
+	"github.com/lentilpoint/lentilpoint/cmd/lentilpoint-bench/standin"
+)
+
+const (
+	// SlowClaims is broken when claims add more than claimLatencyBound.
+	SlowClaims = "slow_claims"
+	// claimLatencyBound is the design page's bound on what batching adds.
+	claimLatencyBound = 50 * time.Millisecond
+	// tableDelay is the time of one transaction on the healthy platform: a round
+	// trip between data centres of a user and the table's own work.
+	tableDelay = 5 * time.Millisecond
+)
+
+// runClaimLatency sends orders with and without keys in turn, at 40 orders/s on
+// each of 7 entry hosts, and compares their latency.
+func runClaimLatency(ctx context.Context, parameters Parameters) (Report, error) {
+	c, err := cluster.Start(ctx, cluster.Options{
+		Seed: parameters.Seed, EntryHosts: 7, Plains: 4, HostOptions: callOptions(parameters.Policy),
+	})
+	if err != nil {
+		return Report{}, err
+	}
+	defer c.Stop()
+	c.Platform.SetFaults(standin.PlatformFaults{Delay: tableDelay})
+	for _, plain := range c.Plains {
+		plain.SetFaults(standin.PlainFaults{Delay: 5 * time.Millisecond})
+	}
+	const count = 1120
+	const spread = 4 * time.Second
+	writesBefore := c.Platform.Counts().Writes
+	keyed, unkeyed := timeOrders(ctx, c, rand.New(rand.NewPCG(parameters.Seed, 34)), count, spread)
+	added := Quantile(keyed, 0.95) - Quantile(unkeyed, 0.95)
+	violations := check.Violations{}
+	if added > claimLatencyBound || len(keyed) < count/2 {
+		violations[SlowClaims]++
+	}
+	return Report{Violations: violations, Figures: map[string]float64{
+		"keyed_orders":       float64(len(keyed)),
+		"keyed_p50_ms":       milliseconds(Quantile(keyed, 0.5)),
+		"keyed_p95_ms":       milliseconds(Quantile(keyed, 0.95)),
+		"unkeyed_p50_ms":     milliseconds(Quantile(unkeyed, 0.5)),
+		"unkeyed_p95_ms":     milliseconds(Quantile(unkeyed, 0.95)),
+		"added_p50_ms":       milliseconds(Quantile(keyed, 0.5) - Quantile(unkeyed, 0.5)),
+		"added_p95_ms":       milliseconds(added),
+		"table_writes_per_s": float64(c.Platform.Counts().Writes-writesBefore) / spread.Seconds(),
+	}}, nil
+}
+
+// timedOrder is the latency of an answered order.
+type timedOrder struct {
+	keyed    bool
+	answered bool
+	took     time.Duration
+}
+
+// timeOrders returns the latency of answered orders with and without keys.
+func timeOrders(ctx context.Context, c *cluster.Cluster, random *rand.Rand, count int, spread time.Duration) (keyed, unkeyed []time.Duration) {
+	client := cluster.NewClient("bubbles")
+	defer client.Close()
+	results := make(chan timedOrder, count)
+	for i := range count {
+		delay := time.Duration(random.Int64N(int64(spread)))
+		host := random.IntN(1 << 16)
+		go func() {
+			wait(ctx, delay)
+			key := ""
+			if i%2 == 0 {
+				key = fmt.Sprintf("key-%d", i)
+			}
+			started := time.Now()
+			status, _, err := postOrder(ctx, client, c.URL(host), fmt.Sprintf("order-%d", i), key)
+			results <- timedOrder{keyed: key != "", answered: err == nil && status == 200, took: time.Since(started)}
+		}()
+	}
+	for range count {
+		result := <-results
+		switch {
+		case !result.answered:
+		case result.keyed:
+			keyed = append(keyed, result.took)
+		default:
+			unkeyed = append(unkeyed, result.took)
+		}
+	}
+	return keyed, unkeyed
+}
--- /dev/null
+++ b/cmd/lentilpoint-bench/scenario/repeats.go
@@ -0,0 +1,206 @@
+package scenario
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"time"
+
+	"github.com/lentilpoint/lentilpoint/cmd/lentilpoint-bench/check"
+	"github.com/lentilpoint/lentilpoint/cmd/lentilpoint-bench/cluster"
+	"github.com/lentilpoint/lentilpoint/cmd/lentilpoint-bench/standin"
+	"github.com/lentilpoint/lentilpoint/entryhost/callers"
+	"github.com/lentilpoint/lentilpoint/model"
+)
+
+const (
+	// maxTries bounds the requests of one caller for one order.
+	maxTries = 8
+	// orderDeadlineMs is the X-Deadline-Ms of each try.
+	orderDeadlineMs = "1500"
+)
+
+// repeatLoad describes callers that repeat orders through random entry hosts.
+type repeatLoad struct {
+	count  int
+	spread time.Duration
+	// twins is the share of orders that are sent through two hosts at once.
+	twins float64
+	// tickets makes callers continue with a ticket when the platform is out of
+	// reach and no earlier try may have run.
+	tickets bool
+}
+
+// repeatPlan is what one caller does, drawn before the run starts.
+type repeatPlan struct {
+	order  string
+	twin   bool
+	hosts  []int
+	pauses []time.Duration
+	delay  time.Duration
+}
+
+func (l repeatLoad) plan(random *rand.Rand) []repeatPlan {
+	plans := make([]repeatPlan, l.count)
+	for i := range plans {
+		plan := repeatPlan{
+			order: fmt.Sprintf("order-%d", i),
+			twin:  random.Float64() < l.twins,
+			delay: time.Duration(random.Int64N(int64(l.spread))),
+		}
+		for range maxTries + 2 {
+			plan.hosts = append(plan.hosts, random.IntN(1<<16))
+			plan.pauses = append(plan.pauses, time.Duration(30+random.IntN(200))*time.Millisecond)
+		}
+		plans[i] = plan
+	}
+	return plans
+}
+
+// tryResult is one try with what the figures need.
+type tryResult struct {
+	check.OrderTry
+	reason  model.Reason
+	took    time.Duration
+	refused bool
+}
+
+// runRepeats runs all callers and returns their tries.
+func runRepeats(ctx context.Context, c *cluster.Cluster, load repeatLoad, plans []repeatPlan) []tryResult {
+	results := make(chan []tryResult, len(plans))
+	client := cluster.NewClient("bubbles")
+	defer client.Close()
+	for _, plan := range plans {
+		go func() {
+			wait(ctx, plan.delay)
+			caller := &repeatCaller{cluster: c, client: client, plan: plan, tickets: load.tickets, key: "key-" + plan.order}
+			results <- caller.run(ctx)
+		}()
+	}
+	var tries []tryResult
+	for range plans {
+		tries = append(tries, <-results...)
+	}
+	return tries
+}
+
+func wait(ctx context.Context, pause time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(pause):
+	}
+}
+
+// repeatCaller sends one order until it is answered.
+type repeatCaller struct {
+	cluster *cluster.Cluster
+	client  *cluster.Client
+	plan    repeatPlan
+	tickets bool
+
+	key     string
+	mayRun  bool
+	results []tryResult
+}
+
+func (r *repeatCaller) run(ctx context.Context) []tryResult {
+	twin := make(chan tryResult, 1)
+	if r.plan.twin {
+		go func() { twin <- r.send(ctx, r.plan.hosts[maxTries], "twin", r.key) }()
+	}
+	for i := range maxTries {
+		result := r.send(ctx, r.plan.hosts[i], fmt.Sprint(i), r.key)
+		r.results = append(r.results, result)
+		if result.AnsweredTry != "" {
+			break
+		}
+		r.mayRun = r.mayRun || result.Executed != model.ExecutedNo || r.plan.twin
+		if r.tickets && !r.mayRun && result.reason == model.ReasonPlatformUnavailable {
+			r.takeTicket(ctx, r.plan.hosts[i])
+		}
+		wait(ctx, r.plan.pauses[i])
+	}
+	// A repeat through another host must get the same answer.
+	r.results = append(r.results, r.send(ctx, r.plan.hosts[maxTries+1], "after", r.key))
+	if r.plan.twin {
+		r.results = append(r.results, <-twin)
+	}
+	return r.results
+}
+
+// takeTicket replaces the key and sends the next tries to the issuing host.
+func (r *repeatCaller) takeTicket(ctx context.Context, host int) {
+	ticket, err := requestTicket(ctx, r.client, r.cluster.URL(host))
+	if err != nil {
+		return
+	}
+	r.key = ticket
+	for i := range r.plan.hosts {
+		r.plan.hosts[i] = host
+	}
+}
+
+func requestTicket(ctx context.Context, client *cluster.Client, base string) (string, error) {
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, base+"/v1/tickets", nil)
+	if err != nil {
+		return "", Error.Wrap(err)
+	}
+	request.Header.Set("Authorization", "Bearer "+cluster.Key(client.Organisation))
+	response, err := client.HTTP.Do(request)
+	if err != nil {
+		return "", Error.Wrap(err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	var body struct{ Ticket string }
+	err = json.NewDecoder(response.Body).Decode(&body)
+	return body.Ticket, Error.Wrap(err)
+}
+
+// send sends one try and notes what its caller learned.
+func (r *repeatCaller) send(ctx context.Context, host int, number, key string) tryResult {
+	try := r.plan.order + "/" + number
+	result := tryResult{OrderTry: check.OrderTry{Order: r.plan.order, Try: try, Executed: model.ExecutedUnknown}}
+	started := time.Now()
+	status, content, err := postOrder(ctx, r.client, r.cluster.URL(host), try, key)
+	result.took = time.Since(started)
+	if err != nil {
+		return result
+	}
+	if status != http.StatusOK {
+		var fault callers.ErrorBody
+		_ = json.Unmarshal(content, &fault)
+		result.Executed, result.reason, result.refused = fault.Error.Executed, fault.Error.Reason, true
+		return result
+	}
+	var answer struct{ Order string }
+	if json.Unmarshal(content, &answer) == nil {
+		result.AnsweredTry, result.Body = answer.Order, string(content)
+	}
+	return result
+}
+
+// postOrder sends an order with a key, or without one if key is empty.
+func postOrder(ctx context.Context, client *cluster.Client, base, try, key string) (int, []byte, error) {
+	address := base + "/services/" + string(cluster.ServiceOrders) + "/orders"
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, address, bytes.NewReader([]byte(`{"wands":12}`)))
+	if err != nil {
+		return 0, nil, Error.Wrap(err)
+	}
+	request.Header.Set("Authorization", "Bearer "+cluster.Key(client.Organisation))
+	request.Header.Set(standin.HeaderOrder, try)
+	request.Header.Set("X-Deadline-Ms", orderDeadlineMs)
+	if key != "" {
+		request.Header.Set("Idempotency-Key", key)
+	}
+	response, err := client.HTTP.Do(request)
+	if err != nil {
+		return 0, nil, Error.Wrap(err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	content, err := io.ReadAll(response.Body)
+	return response.StatusCode, content, Error.Wrap(err)
+}
--- a/cmd/lentilpoint-bench/standin/plain.go
+++ b/cmd/lentilpoint-bench/standin/plain.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"strings"
 	"time"
 
 	"github.com/lentilpoint/lentilpoint/enginewire"
@@ -32,6 +33,12 @@
 	DieBefore bool
 	// DieAfter kills the server after a call took effect, before its answer.
 	DieAfter bool
+	// Hang keeps each call without an answer until its connection ends.
+	Hang bool
+	// CutAnswer closes the connection in the middle of each answer.
+	CutAnswer bool
+	// Padding is added to the answer, in bytes.
+	Padding int
 }
 
 // Plain is the task of a stand-in plain service.
@@ -125,6 +132,9 @@
 	Server string `json:"server"`
 	Order  string `json:"order,omitempty"`
 	Bytes  int    `json:"bytes"`
+	// Number counts the executions of the server, so that no two answers are equal.
+	Number  int    `json:"number"`
+	Padding string `json:"padding,omitempty"`
 }
 
 func (p *Plain) serveCall(w http.ResponseWriter, r *http.Request) {
@@ -140,15 +150,26 @@
 		p.dieOnce()
 		return
 	}
+	if faults.Hang {
+		<-r.Context().Done()
+		return
+	}
 	time.Sleep(faults.Delay)
 	execution := Execution{Server: p.id, Method: r.Method, Path: r.URL.Path, Order: r.Header.Get(HeaderOrder), At: time.Now()}
-	controlPlain(p, func(p *Plain) bool { p.executions = append(p.executions, execution); return true })
+	number := controlPlain(p, func(p *Plain) int { p.executions = append(p.executions, execution); return len(p.executions) })
 	if faults.DieAfter {
 		p.dieOnce()
 		return
 	}
 	w.Header().Set("X-Served-By", p.id)
-	writeAnswer(w, plainAnswer{Server: p.id, Order: execution.Order, Bytes: len(content)}, nil)
+	if faults.CutAnswer {
+		w.Header().Set("Content-Length", "1000")
+		_, _ = w.Write([]byte(`{"server":"`))
+		panic(http.ErrAbortHandler)
+	}
+	writeAnswer(w, plainAnswer{
+		Server: p.id, Order: execution.Order, Bytes: len(content), Number: number, Padding: strings.Repeat("x", faults.Padding),
+	}, nil)
 }
 
 // dieOnce cuts all connections and clears the fault, so that a restart works.
--- a/entryhost/requests/call.go
+++ b/entryhost/requests/call.go
@@ -173,9 +173,11 @@
 	if head.Err != nil {
 		outcome = outcomeOf(head.Err.Kind)
 	}
+	call := c.start.Call
 	sendDone(assignment, admission.Done{
 		ID: assignment.ID, Server: assignment.Server, Version: assignment.Version,
 		Outcome: outcome, Duration: c.clock.Since(started),
+		Request: admission.Request{Organisation: call.Organisation.ID, Fingerprint: call.Fingerprint, Route: call.Method},
 	})
 	return head
 }
--- a/entryhost/requests/claims/fx.go
+++ b/entryhost/requests/claims/fx.go
@@ -11,7 +11,11 @@
 
 // Module provides the claim writer and the identity of this entry host.
 var Module = fx.Module("claims",
-	fx.Provide(NewWriter, (*Writer).Messages, provideIdentity, func() ReadBack { return ReadBackByID }),
+	fx.Provide(
+		NewWriter, (*Writer).Messages, provideIdentity,
+		func() ReadBack { return ReadBackByID },
+		func() BatchLimit { return DefaultBatchLimit },
+	),
 	task.AsChild[*Writer](),
 )
 
--- a/entryhost/requests/claims/messages.go
+++ b/entryhost/requests/claims/messages.go
@@ -15,7 +15,7 @@
 var Error = errs.Class("claims")
 
 // MaxAnswerBytes bounds the body of a recorded answer. Larger answers are
-// recorded as done without their body, because a batch holds up to maxBatch rows.
+// recorded as done without their body, because rows of that size fill a transaction.
 const MaxAnswerBytes = 64 << 10
 
 // State is the state of a key.
--- a/entryhost/requests/claims/policy.go
+++ b/entryhost/requests/claims/policy.go
@@ -20,9 +20,16 @@
 	ReadBackNever ReadBack = "never"
 )
 
+// BatchLimit bounds the rows of one transaction. A limit of 1 is a baseline of
+// the experiments.
+type BatchLimit int
+
+// DefaultBatchLimit is above what an entry host claims and records within
+// launchInterval at 70 requests/s, also after a pause of a second.
+const DefaultBatchLimit BatchLimit = 64
+
 const (
-	// maxBatch and maxBatchBytes bound one transaction.
-	maxBatch      = 64
+	// maxBatchBytes bounds the values of one transaction.
 	maxBatchBytes = 512 << 10
 	// launchInterval is the least time between two transactions of one entry
 	// host: 7 hosts send at most 350 a second, of the several hundred that the
@@ -62,11 +69,11 @@
 
 // nextBatch takes operations in order, at most one for each row, because two
 // writes of one row in a transaction would replace each other.
-func nextBatch(pending []operation) (batch, rest []operation) {
+func nextBatch(pending []operation, limit BatchLimit) (batch, rest []operation) {
 	rows := make(map[string]bool)
 	size := 0
 	for _, next := range pending {
-		fits := len(batch) < maxBatch && (len(batch) == 0 || size+len(next.value) <= maxBatchBytes)
+		fits := len(batch) < int(limit) && (len(batch) == 0 || size+len(next.value) <= maxBatchBytes)
 		if !fits || rows[next.row] {
 			rows[next.row] = true
 			rest = append(rest, next)
--- a/entryhost/requests/claims/task.go
+++ b/entryhost/requests/claims/task.go
@@ -24,6 +24,7 @@
 	messages task.Mailbox[Message]
 	table    platform.Table
 	readBack ReadBack
+	limit    BatchLimit
 	clock    clockwork.Clock
 	metrics  *metrics.Set
 	logger   *slog.Logger
@@ -42,11 +43,12 @@
 }
 
 // NewWriter returns the writer task.
-func NewWriter(table platform.Table, readBack ReadBack, clock clockwork.Clock, set *metrics.Set, logger *slog.Logger) *Writer {
+func NewWriter(table platform.Table, readBack ReadBack, limit BatchLimit, clock clockwork.Clock, set *metrics.Set, logger *slog.Logger) *Writer {
 	return &Writer{
 		messages: task.NewMailbox[Message](mailboxSize),
 		table:    table,
 		readBack: readBack,
+		limit:    limit,
 		clock:    clock,
 		metrics:  set,
 		logger:   logger,
@@ -150,7 +152,7 @@
 		go w.probe(ctx)
 		return
 	}
-	batch, rest := nextBatch(w.pending)
+	batch, rest := nextBatch(w.pending, w.limit)
 	w.pending = rest
 	for i := range batch {
 		w.pendingBytes -= len(batch[i].value)
