--- a/cmd/lentilpoint-bench/scenario/scenario.go
+++ b/cmd/lentilpoint-bench/scenario/scenario.go
@@ -56,7 +56,13 @@
 
 // All returns the scenarios in order of their names.
 func All() []Scenario {
-	all := slices.Concat(requestScenarios, controlScenarios, configScenarios, doubleFaultScenarios)
+	all := slices.Concat(
+		requestScenarios,
+		controlScenarios,
+		configScenarios,
+		doubleFaultScenarios,
+		atMostOnceScenarios,
+	)
 	slices.SortFunc(all, func(a, b Scenario) int { return cmp.Compare(a.Name, b.Name) })
 	return all
 }
