Add adaptive limits, fair lanes, retry budget and suspect isolation to admission

Cause: limits were fixed, the fair queue scanned all organisations, and a request that crashes servers could be sent to one server after another.

Change: each server has an AIMD limit with slow start; the queue uses heaps by lane; dispatches are refused when the observed rate shows that their deadline cannot be met; resumed attempts spend a budget; requests with two server deaths run alone on a server set apart and are refused after three. Suspicion and usage are published as facts. In-flight assignments survive a restart of the dispatcher.

--- a/entryhost/admission/dispatcher.go
+++ b/entryhost/admission/dispatcher.go
@@ -2,13 +2,16 @@
 
 import (
 	"context"
+	"fmt"
 	"log/slog"
 	"math/rand/v2"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/jonboulle/clockwork"
 
-	"github.com/lentilpoint/lentilpoint/entryhost/backends"
+	"github.com/lentilpoint/lentilpoint/entryhost/peers"
+	"github.com/lentilpoint/lentilpoint/eventcode"
 	"github.com/lentilpoint/lentilpoint/model"
 	"github.com/lentilpoint/lentilpoint/task"
 )
@@ -20,70 +23,112 @@
 	// queueLimit bounds the dispatches that wait for a server of one service;
 	// more are refused with reason queue_full.
 	queueLimit = 2048
-	// sweepInterval is how often expired dispatches are refused.
+	// sweepInterval is how often waiting dispatches are judged again. It is a
+	// quarter of the 100 ms within which a refusal follows its cause.
 	sweepInterval = 25 * time.Millisecond
-	// defaultServerLimit is the concurrency limit of a server that has not
-	// reported its capacity.
-	defaultServerLimit = 32
+	// upkeepInterval is how often state with a lifetime is looked through.
+	upkeepInterval = time.Second
 	// defaultFirstTokenTimeout and defaultTokenTimeout are the progress limits
 	// before gaps have been observed.
 	defaultFirstTokenTimeout = 2 * time.Second
 	defaultTokenTimeout      = time.Second
 )
 
+// Environment is what the tasks of this package share: values that no task
+// changes, and the entrance to the membership task.
+type Environment struct {
+	Host     model.HostID
+	Home     model.DataCentre
+	Policies Policies
+	Facts    task.Mailbox[peers.Message]
+	Clock    clockwork.Clock
+	Logger   *slog.Logger
+	Metrics  *metrics.Set
+}
+
 // Dispatcher is the task that assigns the requests of one service to servers.
 type Dispatcher struct {
 	service  model.ServiceName
 	home     model.DataCentre
 	messages task.Mailbox[Message]
-	router   Router
+	facts    task.Mailbox[peers.Message]
+	policies Policies
 	random   *rand.Rand
 	clock    clockwork.Clock
 	logger   *slog.Logger
+	metrics  *metrics.Set
 
 	configuration *model.Configuration
-	queue         *FairQueue
 	servers       map[model.ServerID]*serverSlots
-	nextID        DispatchID
-}
+	// flights holds the assignments in progress. It is what a restart keeps; the
+	// counts by server and organisation are derived from it.
+	flights map[DispatchID]*flight
+	open    map[model.OrganisationID]int
+	nextID  DispatchID
+	// handling is the dispatch in work, to be refused if the task fails on it.
+	handling *Dispatch
+
+	queue *FairQueue
+	// deferred holds resumed dispatches that wait for the retry budget.
+	deferred []Waiting
+	// isolated holds suspect dispatches that wait to run alone.
+	isolated []Waiting
 
-// serverSlots is the dispatcher's view of one server.
-type serverSlots struct {
-	state    backends.ServerState
-	inFlight map[DispatchID]Request
-	cached   map[uint64]bool
+	rate       ServiceRate
+	work       WorkTime
+	budget     *RetryBudget
+	suspects   *SuspectTable
+	usage      *UsageTable
+	nextDeath  DeathID
+	upkeepAt   time.Time
+	usageSent  bool
+	candidates []Candidate
+	scored     []Scored
 }
 
-func (s *serverSlots) limit() int {
-	if s.state.Load.Capacity > 0 {
-		return s.state.Load.Capacity
-	}
-	return defaultServerLimit
+// flight is an assignment in progress.
+type flight struct {
+	request Request
+	server  model.ServerID
+	started time.Time
+	// cancelled is closed when the request ended; its Done follows shortly.
+	cancelled <-chan struct{}
+	endedAt   time.Time
+	// alone marks a suspect on the server set apart.
+	alone bool
 }
 
 // NewDispatcher returns the dispatcher task of one service.
-func NewDispatcher(service model.ServiceName, home model.DataCentre, router Router, random *rand.Rand, clock clockwork.Clock, logger *slog.Logger) *Dispatcher {
+func NewDispatcher(service model.ServiceName, environment Environment, random *rand.Rand) *Dispatcher {
 	return &Dispatcher{
 		service:  service,
-		home:     home,
+		home:     environment.Home,
 		messages: task.NewMailbox[Message](dispatcherMailboxSize),
-		router:   router,
+		facts:    environment.Facts,
+		policies: environment.Policies,
 		random:   random,
-		clock:    clock,
-		logger:   logger,
-		queue:    NewFairQueue(),
+		clock:    environment.Clock,
+		logger:   environment.Logger,
+		metrics:  environment.Metrics,
 		servers:  make(map[model.ServerID]*serverSlots),
+		flights:  make(map[DispatchID]*flight),
+		open:     make(map[model.OrganisationID]int),
+		queue:    environment.Policies.newQueue(),
+		budget:   NewRetryBudget(environment.Clock.Now()),
+		suspects: NewSuspectTable(environment.Host),
+		usage:    NewUsageTable(),
 	}
 }
 
 // String names the task in the logs.
 func (d *Dispatcher) String() string { return "dispatcher/" + string(d.service) }
 
-// Serve handles messages until the context ends. After a panic the waiting
-// dispatches are refused as not run, and in-flight counts are kept, because
-// their requests still report Done.
+// Serve handles messages until the context ends. After a panic it refuses the
+// waiting dispatches as not run, keeps the assignments in progress, whose
+// requests still report Done, and derives the counts from them again.
 func (d *Dispatcher) Serve(ctx context.Context) error {
 	d.refuseAll()
+	d.recount()
 	ticker := d.clock.NewTicker(sweepInterval)
 	defer ticker.Stop()
 	for {
@@ -103,43 +148,101 @@
 func (d *Dispatcher) handle(message Message) {
 	switch message := message.(type) {
 	case Dispatch:
+		d.handling = &message
 		d.enqueue(message)
+		d.handling = nil
 	case Done:
 		d.finish(message)
 	case ServerEvent:
 		d.applyServerEvent(message.Event)
 	case ConfigurationChange:
 		d.configuration = message.Configuration
+	case FactReceived:
+		d.learn(message.Fact)
 	}
 }
 
+// enqueue decides whether a request may wait, and where.
 func (d *Dispatcher) enqueue(dispatch Dispatch) {
-	if fault := d.admit(dispatch.Request); fault != nil {
-		dispatch.Reply.Send(DispatchResult{Fault: fault})
+	now := d.clock.Now()
+	request := &dispatch.Request
+	if fault := d.admit(now, request); fault != nil {
+		d.refuse(dispatch, fault)
 		return
 	}
-	if dispatch.Request.Version == "" {
-		dispatch.Request.Version = d.chooseVersion()
+	if request.Version == "" {
+		request.Version = d.chooseVersion()
+	}
+	waiting := Waiting{Dispatch: dispatch, Since: now}
+	switch {
+	case d.verdict(request) == VerdictSuspect:
+		d.isolate(waiting)
+	case request.Resume && !d.mayRetry(now, request):
+		d.deferred = append(d.deferred, waiting)
+	default:
+		if !request.Resume {
+			d.budget.Earn()
+		}
+		d.queue.Push(waiting)
 	}
-	d.queue.Push(Waiting{Dispatch: dispatch, Since: d.clock.Now()})
 }
 
 // admit decides whether a request may wait at all.
-func (d *Dispatcher) admit(request Request) *model.Fault {
-	if !d.clock.Now().Before(request.Deadline) {
+func (d *Dispatcher) admit(now time.Time, request *Request) *model.Fault {
+	if !now.Before(request.Deadline) {
 		return deadlinePassed()
 	}
-	if d.queue.Len() >= queueLimit && !request.Resume {
-		return model.NotRun(model.KindOverloaded, model.ReasonQueueFull,
-			"too many requests wait for service "+string(d.service),
-			"retry after the stated pause, or add backend servers").After(time.Second)
+	if d.verdict(request) == VerdictRefuse {
+		return suspectRefused()
+	}
+	if request.Resume {
+		return nil
+	}
+	owned := d.queue.Owned(request.Organisation)
+	open := owned + d.open[request.Organisation] + d.usage.Elsewhere(request.Organisation)
+	if request.MaxOpen > 0 && open >= request.MaxOpen {
+		return quotaReached(request.MaxOpen)
+	}
+	if d.queue.Len() >= queueLimit {
+		return queueFull(d.service)
+	}
+	if d.policies.FirstComeFirstServed {
+		return nil
+	}
+	if owned >= queueRoom(d.queue.Len()) {
+		return queueFull(d.service)
+	}
+	return d.reachable(now, request, owned)
+}
+
+// reachable refuses a request whose deadline cannot be met in the present queue.
+func (d *Dispatcher) reachable(now time.Time, request *Request, owned int) *model.Fault {
+	if d.queue.Len() == 0 {
+		return nil
+	}
+	wait := d.rate.Wait(fairPosition(d.queue.Len(), owned, d.queue.Active()))
+	needed := wait + d.work.Expect(request.Cost)
+	if now.Add(needed).After(request.Deadline) {
+		return deadlineUnreachable(needed)
 	}
 	return nil
 }
 
-func deadlinePassed() *model.Fault {
-	return model.NotRun(model.KindDeadline, model.ReasonDeadlinePassed,
-		"the deadline passed before a server was free", "send the request again with a later deadline")
+// verdict judges the request's history. Calls to plain services are left out:
+// their fingerprint does not cover the body, so different calls share one.
+func (d *Dispatcher) verdict(request *Request) Verdict {
+	if d.policies.BlindRetry || !d.isEngine() {
+		return VerdictClear
+	}
+	return d.suspects.Verdict(request.Fingerprint)
+}
+
+func (d *Dispatcher) isEngine() bool {
+	return d.configuration != nil && d.configuration.Services[d.service].Kind == model.ServiceEngine
+}
+
+func (d *Dispatcher) mayRetry(now time.Time, request *Request) bool {
+	return d.policies.BlindRetry || d.budget.Spend(now, request.Organisation)
 }
 
 // chooseVersion draws a version by the shares in force.
@@ -158,121 +261,28 @@
 	return ""
 }
 
-// assignWaiting hands out servers in fair order while there is room.
-func (d *Dispatcher) assignWaiting() {
-	for d.queue.Len() > 0 && d.queue.Next(d.assign) {
-		continue
-	}
-}
-
-func (d *Dispatcher) assign(waiting Waiting) bool {
-	request := waiting.Dispatch.Request
-	candidate, found := d.router.Route(d.random, request, d.candidates(request))
-	if !found {
-		return false
-	}
-	d.nextID++
-	slots := d.servers[candidate.ID()]
-	slots.inFlight[d.nextID] = request
-	waiting.Dispatch.Reply.Send(DispatchResult{Assignment: Assignment{
-		ID:                d.nextID,
-		Server:            candidate.ID(),
-		DataCentre:        candidate.Server.Host.DataCentre,
-		Version:           request.Version,
-		Generation:        candidate.Server.Generation,
-		Commands:          candidate.Server.Commands,
-		Finished:          d.messages,
-		FirstTokenTimeout: defaultFirstTokenTimeout,
-		TokenTimeout:      defaultTokenTimeout,
-	}})
-	return true
-}
-
-func (d *Dispatcher) candidates(request Request) []Candidate {
-	candidates := make([]Candidate, 0, len(d.servers))
-	for _, slots := range d.servers {
-		candidates = append(candidates, Candidate{
-			Server:       slots.state,
-			InFlight:     len(slots.inFlight),
-			Limit:        slots.limit(),
-			CachedBlocks: slots.cachedBlocks(request.PrefixHashes),
-			Remote:       slots.state.Host.DataCentre != d.home,
-		})
-	}
-	return candidates
-}
-
-func (s *serverSlots) cachedBlocks(hashes []uint64) int {
-	for i, hash := range hashes {
-		if !s.cached[hash] {
-			return i
-		}
-	}
-	return len(hashes)
-}
-
-func (d *Dispatcher) finish(done Done) {
-	if slots := d.servers[done.Server]; slots != nil {
-		delete(slots.inFlight, done.ID)
-	}
-}
-
-func (d *Dispatcher) applyServerEvent(event backends.Event) {
-	switch event := event.(type) {
-	case backends.ServerChanged:
-		d.updateServer(event.State)
-	case backends.ServerRemoved:
-		delete(d.servers, event.ID)
-	case backends.CacheChanged:
-		if slots := d.servers[event.ID]; slots != nil {
-			slots.applyCache(event)
-		}
-	}
+func (d *Dispatcher) refuse(dispatch Dispatch, fault *model.Fault) {
+	d.count("refusals", string(fault.Reason))
+	dispatch.Reply.Send(DispatchResult{Fault: fault})
 }
 
-func (d *Dispatcher) updateServer(state backends.ServerState) {
-	id := model.ServerID(state.Host.ID)
-	slots := d.servers[id]
-	if slots == nil {
-		slots = &serverSlots{inFlight: make(map[DispatchID]Request), cached: make(map[uint64]bool)}
-		d.servers[id] = slots
-	}
-	slots.state = state
+func (d *Dispatcher) count(name, reason string) {
+	d.metrics.GetOrCreateCounter(fmt.Sprintf("lentilpoint_admission_%s_total{service=%q,reason=%q}", name, d.service, reason)).Inc()
 }
 
-func (s *serverSlots) applyCache(event backends.CacheChanged) {
-	if event.Reset {
-		clear(s.cached)
-	}
-	for _, hash := range event.Stored {
-		s.cached[hash] = true
+// refuseAll refuses what waits, including the dispatch on which the task failed.
+func (d *Dispatcher) refuseAll() {
+	if d.handling != nil {
+		d.logger.Error("dispatcher failed on a request", eventcode.DispatcherFailed.Attr(),
+			"service", d.service, "request", d.handling.Request.ID)
+		d.refuse(*d.handling, taskFailed(d.service))
+		d.handling = nil
 	}
-	for _, hash := range event.Evicted {
-		delete(s.cached, hash)
+	for _, waiting := range append(d.deferred, d.isolated...) {
+		d.refuse(waiting.Dispatch, taskFailed(d.service))
 	}
-}
-
-// sweep refuses dispatches whose deadline passed and drops cancelled ones.
-func (d *Dispatcher) sweep() {
-	now := d.clock.Now()
-	d.queue.RemoveIf(func(waiting Waiting) bool {
-		select {
-		case <-waiting.Dispatch.Cancelled:
-			return true
-		default:
-		}
-		if now.Before(waiting.Dispatch.Request.Deadline) {
-			return false
-		}
-		waiting.Dispatch.Reply.Send(DispatchResult{Fault: deadlinePassed()})
-		return true
-	})
-}
-
-func (d *Dispatcher) refuseAll() {
-	d.queue.RemoveIf(func(waiting Waiting) bool {
-		waiting.Dispatch.Reply.Send(DispatchResult{Fault: model.NotRun(model.KindUnavailable, model.ReasonTaskFailed,
-			"the dispatcher of service "+string(d.service)+" restarted", "send the request again")})
-		return true
-	})
+	d.deferred, d.isolated = nil, nil
+	waitingWork := d.queue
+	d.queue = d.policies.newQueue()
+	waitingWork.Each(func(waiting Waiting) { d.refuse(waiting.Dispatch, taskFailed(d.service)) })
 }
--- a/entryhost/admission/front.go
+++ b/entryhost/admission/front.go
@@ -2,13 +2,12 @@
 
 import (
 	"context"
-	"log/slog"
 	"math/rand/v2"
 
-	"github.com/jonboulle/clockwork"
 	"github.com/thejerf/suture/v4"
 
 	"github.com/lentilpoint/lentilpoint/entryhost/backends"
+	"github.com/lentilpoint/lentilpoint/entryhost/peers"
 	"github.com/lentilpoint/lentilpoint/model"
 	"github.com/lentilpoint/lentilpoint/task"
 )
@@ -22,38 +21,35 @@
 	serverEventsSize = 1024
 	// configurationsSize is 4, as only the newest configuration matters.
 	configurationsSize = 4
+	// factsSize bounds the facts of peers that wait to be forwarded; a full
+	// mailbox drops the fact, and its next change brings it again.
+	factsSize = 256
 )
 
 // Front is the task that owns the set of dispatchers and forwards messages to
 // the one of the right service.
 type Front struct {
-	home           model.DataCentre
 	dispatches     task.Mailbox[Dispatch]
 	serverEvents   task.Mailbox[backends.Event]
 	configurations task.Mailbox[*model.Configuration]
-	router         Router
+	facts          task.Mailbox[peers.Fact]
+	environment    Environment
 	seed           uint64
-	clock          clockwork.Clock
-	logger         *slog.Logger
 
 	configuration *model.Configuration
 	dispatchers   map[model.ServiceName]*Dispatcher
-	services      map[model.ServerID]model.ServiceName
 }
 
-// NewFront returns the front task of an entry host in the home data centre.
-func NewFront(home model.DataCentre, router Router, seed uint64, clock clockwork.Clock, logger *slog.Logger) *Front {
+// NewFront returns the front task of an entry host.
+func NewFront(environment Environment, seed uint64) *Front {
 	return &Front{
-		home:           home,
 		dispatches:     task.NewMailbox[Dispatch](frontMailboxSize),
 		serverEvents:   task.NewMailbox[backends.Event](serverEventsSize),
 		configurations: task.NewMailbox[*model.Configuration](configurationsSize),
-		router:         router,
+		facts:          task.NewMailbox[peers.Fact](factsSize),
+		environment:    environment,
 		seed:           seed,
-		clock:          clock,
-		logger:         logger,
 		dispatchers:    make(map[model.ServiceName]*Dispatcher),
-		services:       make(map[model.ServerID]model.ServiceName),
 	}
 }
 
@@ -66,12 +62,15 @@
 // Configurations is where the configuration task sends each revision.
 func (f *Front) Configurations() task.Mailbox[*model.Configuration] { return f.configurations }
 
+// Facts is where the facts of other entry hosts arrive.
+func (f *Front) Facts() task.Mailbox[peers.Fact] { return f.facts }
+
 // String names the task in the logs.
 func (f *Front) String() string { return "admission" }
 
 // Serve forwards messages until the context ends.
 func (f *Front) Serve(ctx context.Context) error {
-	supervisor := task.NewSupervisor("dispatchers", task.DefaultRestartPolicy, f.logger)
+	supervisor := task.NewSupervisor("dispatchers", task.DefaultRestartPolicy, f.environment.Logger)
 	done := supervisor.ServeBackground(ctx)
 	for _, dispatcher := range f.dispatchers {
 		supervisor.Add(dispatcher)
@@ -87,6 +86,8 @@
 			f.forwardServerEvent(ctx, supervisor, event)
 		case configuration := <-f.configurations.C():
 			f.applyConfiguration(ctx, supervisor, configuration)
+		case fact := <-f.facts.C():
+			f.forwardFact(fact)
 		}
 	}
 }
@@ -105,6 +106,13 @@
 	}
 }
 
+// forwardFact drops a fact when its dispatcher is unknown or overloaded.
+func (f *Front) forwardFact(fact peers.Fact) {
+	if dispatcher := f.dispatchers[factService(fact)]; dispatcher != nil {
+		_ = dispatcher.messages.TrySend(FactReceived{Fact: fact})
+	}
+}
+
 // forwardServerEvent waits for room in the dispatcher's mailbox, because a lost
 // event could send work to a leaving server. Dispatchers never wait for the front.
 func (f *Front) forwardServerEvent(ctx context.Context, supervisor *suture.Supervisor, event backends.Event) {
@@ -129,7 +137,7 @@
 	}
 	stream := uint64(len(f.dispatchers) + 1)
 	random := rand.New(rand.NewPCG(f.seed, stream))
-	dispatcher = NewDispatcher(service, f.home, f.router, random, f.clock, f.logger)
+	dispatcher = NewDispatcher(service, f.environment, random)
 	dispatcher.configuration = f.configuration
 	f.dispatchers[service] = dispatcher
 	supervisor.Add(dispatcher)
--- a/entryhost/admission/fx.go
+++ b/entryhost/admission/fx.go
@@ -3,23 +3,45 @@
 import (
 	"log/slog"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/jonboulle/clockwork"
 	"go.uber.org/fx"
 
 	"github.com/lentilpoint/lentilpoint/entryhost/backends"
+	"github.com/lentilpoint/lentilpoint/entryhost/peers"
 	"github.com/lentilpoint/lentilpoint/model"
 	"github.com/lentilpoint/lentilpoint/settings"
 	"github.com/lentilpoint/lentilpoint/task"
 )
 
-// Module provides the front task and its mailboxes.
+// Module provides the front task and its mailboxes. Experiments decorate
+// Policies.
 var Module = fx.Module("admission",
-	fx.Provide(provideFront, provideMailboxes),
+	fx.Provide(DefaultPolicies, provideFront, provideMailboxes),
 	task.AsChild[*Front](),
 )
 
-func provideFront(values settings.Settings, clock clockwork.Clock, logger *slog.Logger) *Front {
-	return NewFront(model.DataCentre(values.DataCentre), DefaultRouter(), values.RandomSeed, clock, logger)
+type frontIn struct {
+	fx.In
+
+	Settings settings.Settings
+	Policies Policies
+	Facts    task.Mailbox[peers.Message]
+	Clock    clockwork.Clock
+	Logger   *slog.Logger
+	Metrics  *metrics.Set
+}
+
+func provideFront(in frontIn) *Front {
+	return NewFront(Environment{
+		Host:     model.HostID(in.Settings.HostID),
+		Home:     model.DataCentre(in.Settings.DataCentre),
+		Policies: in.Policies,
+		Facts:    in.Facts,
+		Clock:    in.Clock,
+		Logger:   in.Logger,
+		Metrics:  in.Metrics,
+	}, in.Settings.RandomSeed)
 }
 
 type mailboxesOut struct {
@@ -28,6 +50,7 @@
 	Dispatches     task.Mailbox[Dispatch]
 	ServerEvents   task.Mailbox[backends.Event]
 	Configurations task.Mailbox[*model.Configuration] `group:"configuration_subscribers"`
+	Facts          peers.Subscriber                   `group:"fact_subscribers"`
 }
 
 func provideMailboxes(front *Front) mailboxesOut {
@@ -35,5 +58,9 @@
 		Dispatches:     front.Dispatches(),
 		ServerEvents:   front.ServerEvents(),
 		Configurations: front.Configurations(),
+		Facts: peers.Subscriber{
+			Kinds:   []peers.FactKind{peers.FactSuspect, peers.FactUsage},
+			Mailbox: front.Facts(),
+		},
 	}
 }
--- a/entryhost/admission/messages.go
+++ b/entryhost/admission/messages.go
@@ -6,6 +6,7 @@
 	"github.com/zeebo/errs"
 
 	"github.com/lentilpoint/lentilpoint/entryhost/backends"
+	"github.com/lentilpoint/lentilpoint/entryhost/peers"
 	"github.com/lentilpoint/lentilpoint/model"
 	"github.com/lentilpoint/lentilpoint/task"
 )
@@ -110,9 +111,13 @@
 func (Done) admissionMessage()                {}
 func (ServerEvent) admissionMessage()         {}
 func (ConfigurationChange) admissionMessage() {}
+func (FactReceived) admissionMessage()        {}
 
 // ServerEvent passes an event of the backend pool to the dispatcher.
 type ServerEvent struct{ Event backends.Event }
 
 // ConfigurationChange gives a dispatcher the configuration in force.
 type ConfigurationChange struct{ Configuration *model.Configuration }
+
+// FactReceived passes a fact of another entry host to the dispatcher.
+type FactReceived struct{ Fact peers.Fact }
--- a/entryhost/admission/queue.go
+++ b/entryhost/admission/queue.go
@@ -1,131 +1,290 @@
 package admission
 
 import (
+	"container/heap"
 	"time"
 
 	"github.com/lentilpoint/lentilpoint/model"
 )
 
+// Waiting is a dispatch in the queue.
+type Waiting struct {
+	Dispatch Dispatch
+	Since    time.Time
+}
+
+// Lane separates waiting work that needs different servers, so that a version
+// without free servers does not block the others. Resumed requests have lanes
+// of their own, which go first among the work of their organisation.
+type Lane struct {
+	Version model.Version
+	Resume  bool
+}
+
+// laneTries bounds the organisations that are offered in one lane before the
+// lane counts as blocked. More than one is offered because a resumed request
+// may exclude the only servers with room.
+const laneTries = 4
+
 // FairQueue orders waiting dispatches by weighted virtual time of their
-// organisations; resumed requests of an organisation go first.
+// organisations (start-time fair queueing). Each operation costs O(log n) in
+// the number of active organisations.
 type FairQueue struct {
+	shared        bool
 	organisations map[model.OrganisationID]*organisationQueue
+	lanes         map[Lane]*laneHeap
+	idle          idleHeap
 	virtual       float64
 	length        int
+	active        int
 }
 
+// organisationQueue is the waiting work of one organisation.
 type organisationQueue struct {
-	waiting []Waiting
+	id model.OrganisationID
 	// finish is the virtual time up to which the organisation was served.
-	finish float64
+	finish  float64
+	entries map[Lane]*laneEntry
+	length  int
+	// idleIndex is the place in the idle heap, or -1.
+	idleIndex int
 }
 
-// Waiting is a dispatch in the queue.
-type Waiting struct {
-	Dispatch Dispatch
-	Since    time.Time
+// laneEntry is the waiting work of one organisation in one lane, oldest first.
+type laneEntry struct {
+	owner   *organisationQueue
+	waiting []Waiting
+	index   int
 }
 
 // NewFairQueue returns an empty queue.
 func NewFairQueue() *FairQueue {
-	return &FairQueue{organisations: make(map[model.OrganisationID]*organisationQueue)}
+	return &FairQueue{
+		organisations: make(map[model.OrganisationID]*organisationQueue),
+		lanes:         make(map[Lane]*laneHeap),
+	}
+}
+
+// NewSharedQueue returns a queue that treats all work as that of one
+// organisation: first come, first served within a lane.
+func NewSharedQueue() *FairQueue {
+	queue := NewFairQueue()
+	queue.shared = true
+	return queue
 }
 
 // Len returns the number of waiting dispatches.
 func (q *FairQueue) Len() int { return q.length }
 
+// Active returns the number of organisations with waiting work.
+func (q *FairQueue) Active() int { return q.active }
+
+// Owned returns the number of waiting dispatches of an organisation.
+func (q *FairQueue) Owned(id model.OrganisationID) int {
+	if owner := q.organisations[q.owner(id)]; owner != nil {
+		return owner.length
+	}
+	return 0
+}
+
+func (q *FairQueue) owner(id model.OrganisationID) model.OrganisationID {
+	if q.shared {
+		return ""
+	}
+	return id
+}
+
 // Push adds a dispatch.
 func (q *FairQueue) Push(waiting Waiting) {
-	id := waiting.Dispatch.Request.Organisation
-	queue := q.organisations[id]
-	if queue == nil {
-		queue = &organisationQueue{finish: q.virtual}
-		q.organisations[id] = queue
+	request := waiting.Dispatch.Request
+	owner := q.activate(q.owner(request.Organisation))
+	lane := Lane{Version: request.Version, Resume: request.Resume}
+	entry := owner.entries[lane]
+	if entry == nil {
+		entry = &laneEntry{owner: owner}
+		owner.entries[lane] = entry
+		q.enterLane(lane, entry)
 	}
-	queue.push(waiting)
+	entry.waiting = append(entry.waiting, waiting)
+	owner.length++
 	q.length++
 }
 
-func (o *organisationQueue) push(waiting Waiting) {
-	if !waiting.Dispatch.Request.Resume {
-		o.waiting = append(o.waiting, waiting)
-		return
+// activate returns the organisation with a virtual time that gives it no credit
+// for the time it was idle.
+func (q *FairQueue) activate(id model.OrganisationID) *organisationQueue {
+	owner := q.organisations[id]
+	if owner == nil {
+		owner = &organisationQueue{id: id, entries: make(map[Lane]*laneEntry), idleIndex: -1}
+		q.organisations[id] = owner
+	}
+	if owner.length == 0 {
+		owner.finish = max(owner.finish, q.virtual)
+		q.active++
 	}
-	at := 0
-	for at < len(o.waiting) && o.waiting[at].Dispatch.Request.Resume {
-		at++
+	if owner.idleIndex >= 0 {
+		heap.Remove(&q.idle, owner.idleIndex)
 	}
-	o.waiting = append(o.waiting, Waiting{})
-	copy(o.waiting[at+1:], o.waiting[at:])
-	o.waiting[at] = waiting
+	return owner
 }
 
-// Next visits the queue in fair order. It removes and charges the first
-// dispatch that take accepts, at most one for each organisation being offered,
-// and reports whether one was taken.
-func (q *FairQueue) Next(take func(Waiting) bool) bool {
-	tried := make(map[model.OrganisationID]bool)
-	for len(tried) < len(q.organisations) {
-		id, queue := q.earliest(tried)
-		if queue == nil {
-			return false
-		}
-		tried[id] = true
-		if !take(queue.waiting[0]) {
-			continue
+func (q *FairQueue) enterLane(lane Lane, entry *laneEntry) {
+	entries := q.lanes[lane]
+	if entries == nil {
+		entries = &laneHeap{}
+		q.lanes[lane] = entries
+	}
+	heap.Push(entries, entry)
+}
+
+// Next offers waiting dispatches in fair order. It removes the first one that
+// take accepts, charges its organisation the returned cost, and reports whether
+// one was taken.
+func (q *FairQueue) Next(take func(Waiting) (cost float64, taken bool)) bool {
+	for _, lane := range q.laneOrder() {
+		if q.nextInLane(lane, take) {
+			return true
 		}
-		q.charge(id, queue)
-		return true
 	}
 	return false
 }
 
-func (q *FairQueue) earliest(tried map[model.OrganisationID]bool) (model.OrganisationID, *organisationQueue) {
-	var bestID model.OrganisationID
-	var best *organisationQueue
-	for id, queue := range q.organisations {
-		if tried[id] || len(queue.waiting) == 0 {
+// laneOrder sorts the lanes by their earliest organisation; resumed work goes
+// first on equal terms. The number of lanes is twice the versions in use.
+func (q *FairQueue) laneOrder() []Lane {
+	order := make([]Lane, 0, len(q.lanes))
+	for lane := range q.lanes {
+		at := len(order)
+		order = append(order, lane)
+		for at > 0 && q.laneBefore(lane, order[at-1]) {
+			order[at] = order[at-1]
+			at--
+		}
+		order[at] = lane
+	}
+	return order
+}
+
+func (q *FairQueue) laneBefore(a, b Lane) bool {
+	first, second := (*q.lanes[a])[0].owner, (*q.lanes[b])[0].owner
+	if first != second {
+		return first.before(second)
+	}
+	if a.Resume != b.Resume {
+		return a.Resume
+	}
+	return a.Version < b.Version
+}
+
+func (q *FairQueue) nextInLane(lane Lane, take func(Waiting) (float64, bool)) bool {
+	entries := q.lanes[lane]
+	var refused []*laneEntry
+	taken := false
+	for len(refused) < laneTries && entries.Len() > 0 && !taken {
+		entry := (*entries)[0]
+		cost, accepted := take(entry.waiting[0])
+		if !accepted {
+			refused = append(refused, heap.Pop(entries).(*laneEntry))
 			continue
 		}
-		if best == nil || queue.finish < best.finish || (queue.finish == best.finish && id < bestID) {
-			bestID, best = id, queue
+		taken = true
+		q.remove(lane, entry)
+		q.charge(entry.owner, cost)
+	}
+	for _, entry := range refused {
+		q.enterLane(lane, entry)
+	}
+	if entries.Len() == 0 && len(refused) == 0 {
+		delete(q.lanes, lane)
+	}
+	return taken
+}
+
+// remove drops the oldest dispatch of an entry.
+func (q *FairQueue) remove(lane Lane, entry *laneEntry) {
+	entry.waiting[0] = Waiting{}
+	entry.waiting = entry.waiting[1:]
+	q.shrink(lane, entry, 1)
+}
+
+// shrink accounts for dispatches that were taken out of an entry.
+func (q *FairQueue) shrink(lane Lane, entry *laneEntry, count int) {
+	q.length -= count
+	entry.owner.length -= count
+	if len(entry.waiting) == 0 {
+		heap.Remove(q.lanes[lane], entry.index)
+		delete(entry.owner.entries, lane)
+		if q.lanes[lane].Len() == 0 {
+			delete(q.lanes, lane)
 		}
 	}
-	return bestID, best
+	if entry.owner.length == 0 {
+		q.active--
+		heap.Push(&q.idle, entry.owner)
+	}
 }
 
-func (q *FairQueue) charge(id model.OrganisationID, queue *organisationQueue) {
-	request := queue.waiting[0].Dispatch.Request
-	start := max(queue.finish, q.virtual)
-	q.virtual = start
-	queue.finish = start + float64(max(request.Cost, 1))/float64(max(request.Weight, 1))
-	queue.waiting = queue.waiting[1:]
-	q.length--
-	q.forgetIdle(id)
+// charge advances the virtual time of an organisation and of the queue.
+func (q *FairQueue) charge(owner *organisationQueue, cost float64) {
+	q.virtual = max(q.virtual, owner.finish)
+	owner.finish += cost
+	for lane, entry := range owner.entries {
+		heap.Fix(q.lanes[lane], entry.index)
+	}
+	if owner.idleIndex >= 0 {
+		heap.Fix(&q.idle, owner.idleIndex)
+	}
+	q.forgetIdle()
+}
+
+// forgetIdle drops idle organisations whose virtual time has passed, so that
+// the state is bounded by the active organisations.
+func (q *FairQueue) forgetIdle() {
+	for q.idle.Len() > 0 && q.idle[0].finish <= q.virtual {
+		owner := heap.Pop(&q.idle).(*organisationQueue)
+		delete(q.organisations, owner.id)
+	}
 }
 
-// forgetIdle drops organisations without waiting work whose virtual time has
-// passed, so that the state is bounded by the active organisations.
-func (q *FairQueue) forgetIdle(last model.OrganisationID) {
-	for id, queue := range q.organisations {
-		if id != last && len(queue.waiting) == 0 && queue.finish <= q.virtual {
-			delete(q.organisations, id)
+// Each visits all waiting dispatches. It reads only the lists and not the
+// heaps, so it is safe on a queue whose owner failed in the middle of a change.
+func (q *FairQueue) Each(visit func(Waiting)) {
+	for _, owner := range q.organisations {
+		for _, entry := range owner.entries {
+			for _, waiting := range entry.waiting {
+				visit(waiting)
+			}
 		}
 	}
 }
 
 // RemoveIf removes the dispatches for which drop returns true.
 func (q *FairQueue) RemoveIf(drop func(Waiting) bool) {
-	for _, queue := range q.organisations {
-		kept := queue.waiting[:0]
-		for _, waiting := range queue.waiting {
-			if drop(waiting) {
-				q.length--
-				continue
-			}
+	for _, owner := range q.organisations {
+		for lane, entry := range owner.entries {
+			q.removeFrom(lane, entry, drop)
+		}
+	}
+}
+
+func (q *FairQueue) removeFrom(lane Lane, entry *laneEntry, drop func(Waiting) bool) {
+	kept := entry.waiting[:0]
+	for _, waiting := range entry.waiting {
+		if !drop(waiting) {
 			kept = append(kept, waiting)
 		}
-		clear(queue.waiting[len(kept):])
-		queue.waiting = kept
 	}
+	dropped := len(entry.waiting) - len(kept)
+	clear(entry.waiting[len(kept):])
+	entry.waiting = kept
+	if dropped > 0 {
+		q.shrink(lane, entry, dropped)
+	}
+}
+
+func (o *organisationQueue) before(other *organisationQueue) bool {
+	if o.finish != other.finish {
+		return o.finish < other.finish
+	}
+	return o.id < other.id
 }
--- a/entryhost/admission/routing.go
+++ b/entryhost/admission/routing.go
@@ -2,7 +2,7 @@
 
 import (
 	"math/rand/v2"
-	"slices"
+	"time"
 
 	"github.com/lentilpoint/lentilpoint/entryhost/backends"
 	"github.com/lentilpoint/lentilpoint/model"
@@ -11,38 +11,54 @@
 // Candidate is what the routing plugins read of a server. It is a value; a
 // plugin never changes it.
 type Candidate struct {
-	Server   backends.ServerState
+	// Server is an immutable snapshot.
+	Server *backends.ServerState
+	// InFlight is the number of attempts of this entry host on the server, and
+	// Limit how many there may be.
 	InFlight int
 	Limit    int
+	// Load estimates the work on the server from all entry hosts.
+	Load float64
+	// Assigned counts the attempts sent to the server so far.
+	Assigned uint64
 	// CachedBlocks is the number of leading prompt blocks the server holds.
 	CachedBlocks int
+	// SlotWait is the expected time until a slot is free in this data centre.
+	SlotWait time.Duration
+	Health   HealthState
 	// Remote tells that the server is in another data centre.
 	Remote bool
+	// SetApart tells that the server is reserved for suspect requests.
+	SetApart bool
 }
 
 // ID returns the server's id.
-func (c Candidate) ID() model.ServerID { return model.ServerID(c.Server.Host.ID) }
+func (c *Candidate) ID() model.ServerID { return model.ServerID(c.Server.Host.ID) }
+
+// HasRoom reports whether the server may take one more attempt.
+func (c *Candidate) HasRoom() bool { return c.InFlight < c.Limit }
 
 // Filter removes candidates that must not run the request. It returns a subset
-// in the same order and has no side effects.
+// in the same order, which may reuse the array of its argument, and has no
+// other effect.
 type Filter interface {
-	Filter(request Request, candidates []Candidate) []Candidate
+	Filter(request *Request, candidates []Candidate) []Candidate
 }
 
 // Scorer rates a candidate from 0 (worst) to 1 (best) without side effects.
 type Scorer interface {
-	Score(request Request, candidate Candidate) float64
+	Score(request *Request, candidate *Candidate) float64
 }
 
 // Scored is a candidate with the weighted sum of its scores.
 type Scored struct {
-	Candidate Candidate
+	Candidate *Candidate
 	Score     float64
 }
 
 // Picker chooses one of at least one scored candidates.
 type Picker interface {
-	Pick(random *rand.Rand, scored []Scored) Candidate
+	Pick(random *rand.Rand, scored []Scored) *Candidate
 }
 
 // WeightedScorer is a scorer with its weight in the sum.
@@ -58,22 +74,24 @@
 	Picker  Picker
 }
 
-// Route returns the chosen candidate, or false when no server may run the request.
-func (r Router) Route(random *rand.Rand, request Request, candidates []Candidate) (Candidate, bool) {
+// Route returns the chosen candidate, or false when no server may run the
+// request. Filters may reorder the contents of candidates; scratch is used for
+// the scores, so that a dispatcher allocates nothing for each dispatch.
+func (r Router) Route(random *rand.Rand, request *Request, candidates []Candidate, scratch []Scored) (*Candidate, bool) {
 	for _, filter := range r.Filters {
 		candidates = filter.Filter(request, candidates)
+		if len(candidates) == 0 {
+			return nil, false
+		}
 	}
-	if len(candidates) == 0 {
-		return Candidate{}, false
-	}
-	scored := make([]Scored, len(candidates))
-	for i, candidate := range candidates {
-		scored[i] = Scored{Candidate: candidate, Score: r.score(request, candidate)}
+	scored := scratch[:0]
+	for i := range candidates {
+		scored = append(scored, Scored{Candidate: &candidates[i], Score: r.score(request, &candidates[i])})
 	}
 	return r.Picker.Pick(random, scored), true
 }
 
-func (r Router) score(request Request, candidate Candidate) float64 {
+func (r Router) score(request *Request, candidate *Candidate) float64 {
 	var sum float64
 	for _, weighted := range r.Scorers {
 		sum += weighted.Weight * weighted.Scorer.Score(request, candidate)
@@ -84,64 +102,25 @@
 // DefaultRouter returns the routing policy of the daemon.
 func DefaultRouter() Router {
 	return Router{
-		Filters: []Filter{LiveFilter{}, VersionFilter{}, CapacityFilter{}, ExcludeFilter{}},
+		Filters: []Filter{
+			LiveFilter{}, LeavingFilter{}, HealthFilter{}, SetApartFilter{}, VersionFilter{},
+			ExcludeFilter{}, DataCentreFilter{}, CapacityFilter{}, AffinityFilter{},
+		},
 		Scorers: []WeightedScorer{{Scorer: LoadScorer{}, Weight: 1}},
 		Picker:  TwoChoicesPicker{},
 	}
 }
 
-// LiveFilter removes servers that are leaving or unreachable.
-type LiveFilter struct{}
-
-// Filter implements Filter.
-func (LiveFilter) Filter(_ Request, candidates []Candidate) []Candidate {
-	return keep(candidates, func(c Candidate) bool {
-		return !c.Server.Host.Leaving && c.Server.Reachable
-	})
-}
-
-// VersionFilter removes servers that do not hold the request's version.
-type VersionFilter struct{}
-
-// Filter implements Filter.
-func (VersionFilter) Filter(request Request, candidates []Candidate) []Candidate {
-	if request.Version == "" {
-		return candidates
-	}
-	return keep(candidates, func(c Candidate) bool {
-		return slices.Contains(c.Server.Load.Versions, string(request.Version))
-	})
-}
-
-// CapacityFilter removes servers that are at their limit.
-type CapacityFilter struct{}
-
-// Filter implements Filter.
-func (CapacityFilter) Filter(_ Request, candidates []Candidate) []Candidate {
-	return keep(candidates, func(c Candidate) bool { return c.InFlight < c.Limit })
-}
-
-// ExcludeFilter removes the servers a request should avoid, unless no other is left.
-type ExcludeFilter struct{}
-
-// Filter implements Filter.
-func (ExcludeFilter) Filter(request Request, candidates []Candidate) []Candidate {
-	kept := keep(candidates, func(c Candidate) bool {
-		return !slices.Contains(request.Exclude, c.ID())
-	})
-	if len(kept) == 0 {
-		return candidates
-	}
-	return kept
-}
-
-// LoadScorer prefers servers with the smaller share of their limit in use.
+// LoadScorer prefers servers with the smaller share of their capacity in use.
 type LoadScorer struct{}
 
 // Score implements Scorer.
-func (LoadScorer) Score(_ Request, candidate Candidate) float64 {
-	used := float64(candidate.InFlight) / float64(max(candidate.Limit, 1))
-	return 1 - min(used, 1)
+func (LoadScorer) Score(_ *Request, candidate *Candidate) float64 {
+	capacity := candidate.Server.Load.Capacity
+	if capacity <= 0 {
+		capacity = defaultServerLimit
+	}
+	return 1 - min(candidate.Load/float64(2*capacity), 1)
 }
 
 // TwoChoicesPicker draws two candidates at random and takes the better one,
@@ -149,7 +128,7 @@
 type TwoChoicesPicker struct{}
 
 // Pick implements Picker.
-func (TwoChoicesPicker) Pick(random *rand.Rand, scored []Scored) Candidate {
+func (TwoChoicesPicker) Pick(random *rand.Rand, scored []Scored) *Candidate {
 	first := scored[random.IntN(len(scored))]
 	second := scored[random.IntN(len(scored))]
 	if second.Score > first.Score {
@@ -158,12 +137,25 @@
 	return first.Candidate
 }
 
-func keep(candidates []Candidate, wanted func(Candidate) bool) []Candidate {
-	kept := make([]Candidate, 0, len(candidates))
-	for _, candidate := range candidates {
-		if wanted(candidate) {
-			kept = append(kept, candidate)
+// RandomPicker is a baseline that ignores the scores.
+type RandomPicker struct{}
+
+// Pick implements Picker.
+func (RandomPicker) Pick(random *rand.Rand, scored []Scored) *Candidate {
+	return scored[random.IntN(len(scored))].Candidate
+}
+
+// RoundRobinPicker is a baseline that takes the server with the fewest
+// assignments so far.
+type RoundRobinPicker struct{}
+
+// Pick implements Picker.
+func (RoundRobinPicker) Pick(_ *rand.Rand, scored []Scored) *Candidate {
+	best := scored[0].Candidate
+	for _, other := range scored[1:] {
+		if other.Candidate.Assigned < best.Assigned {
+			best = other.Candidate
 		}
 	}
-	return kept
+	return best
 }
--- /dev/null
+++ b/entryhost/admission/suspects.go
@@ -0,0 +1,289 @@
+package admission
+
+import (
+	"hash/fnv"
+	"time"
+
+	"github.com/lentilpoint/lentilpoint/model"
+)
+
+const (
+	// suspectDeaths is the number of server deaths from which a request runs
+	// alone; with refuseDeaths it is refused.
+	suspectDeaths = 2
+	refuseDeaths  = 3
+	// suspectLifetime is how long a suspicion holds after the last death.
+	suspectLifetime = 10 * time.Minute
+	// suspectHold is the wait before a suspect runs alone. It is longer than a
+	// few rounds of gossip (1 s each), so that the other entry hosts know of the
+	// suspicion before the third death can happen.
+	suspectHold = 2500 * time.Millisecond
+	// turnValid is how long another host's turn holds without a repetition, and
+	// turnRefresh how often this host repeats its own.
+	turnValid   = 30 * time.Second
+	turnRefresh = 10 * time.Second
+	// maxSuspicions bounds the fingerprints remembered; the oldest go first.
+	maxSuspicions = 4096
+)
+
+// Verdict says how a request with a history of server deaths is treated.
+type Verdict int
+
+// The verdicts.
+const (
+	VerdictClear Verdict = iota
+	// VerdictSuspect runs only alone, on the server set apart.
+	VerdictSuspect
+	// VerdictRefuse is refused.
+	VerdictRefuse
+)
+
+// Turn is what an entry host does with a suspect; hosts take turns on the
+// server set apart.
+type Turn byte
+
+// The turns.
+const (
+	TurnNone Turn = iota
+	// TurnWaiting means that the suspect waits to run alone.
+	TurnWaiting
+	// TurnRunning means that the suspect runs.
+	TurnRunning
+	// TurnCleared means that the request finished; older deaths no longer count.
+	TurnCleared
+)
+
+// DeathID numbers the deaths of servers that this entry host saw.
+type DeathID uint64
+
+// Suspicion is what one entry host shares about a fingerprint.
+type Suspicion struct {
+	Deaths int
+	Turn   Turn
+}
+
+type remoteSuspicion struct {
+	Suspicion
+	at time.Time
+}
+
+type suspectRecord struct {
+	deaths map[DeathID]bool
+	remote map[model.HostID]remoteSuspicion
+	last   time.Time
+	turn   Turn
+	shared time.Time
+}
+
+func (r *suspectRecord) total() int {
+	total := len(r.deaths)
+	for _, remote := range r.remote {
+		total += remote.Deaths
+	}
+	return total
+}
+
+// SuspectTable counts the server deaths of request fingerprints. Entry hosts
+// share it by facts; each counts the deaths that its own attempts saw.
+type SuspectTable struct {
+	host    model.HostID
+	records map[model.Fingerprint]*suspectRecord
+	changed map[model.Fingerprint]bool
+}
+
+// NewSuspectTable returns the empty table of an entry host.
+func NewSuspectTable(host model.HostID) *SuspectTable {
+	return &SuspectTable{
+		host:    host,
+		records: make(map[model.Fingerprint]*suspectRecord),
+		changed: make(map[model.Fingerprint]bool),
+	}
+}
+
+// Death records that a request was on a server that died. The deaths of a
+// refused request are explained by it, so they no longer count against the
+// requests that were on the same servers.
+func (t *SuspectTable) Death(now time.Time, fingerprint model.Fingerprint, death DeathID) {
+	record := t.record(fingerprint)
+	record.deaths[death] = true
+	record.last = now
+	if record.turn == TurnCleared {
+		record.turn = TurnNone
+	}
+	t.changed[fingerprint] = true
+	if record.total() < refuseDeaths {
+		return
+	}
+	for other, neighbour := range t.records {
+		if other == fingerprint {
+			continue
+		}
+		for explained := range record.deaths {
+			t.remove(other, neighbour, explained)
+		}
+	}
+}
+
+// Retract removes a presumed death: the server answered again without a restart.
+func (t *SuspectTable) Retract(death DeathID) {
+	for fingerprint, record := range t.records {
+		t.remove(fingerprint, record, death)
+	}
+}
+
+func (t *SuspectTable) remove(fingerprint model.Fingerprint, record *suspectRecord, death DeathID) {
+	if record.deaths[death] {
+		delete(record.deaths, death)
+		t.changed[fingerprint] = true
+	}
+}
+
+// Finished clears a request that ran to its end.
+func (t *SuspectTable) Finished(now time.Time, fingerprint model.Fingerprint) {
+	record := t.records[fingerprint]
+	if record == nil || record.turn == TurnCleared {
+		return
+	}
+	clear(record.deaths)
+	clear(record.remote)
+	record.turn = TurnCleared
+	record.last = now
+	t.changed[fingerprint] = true
+}
+
+// SetTurn states what this host does with a suspect.
+func (t *SuspectTable) SetTurn(fingerprint model.Fingerprint, turn Turn) {
+	record := t.record(fingerprint)
+	if record.turn != turn {
+		record.turn = turn
+		t.changed[fingerprint] = true
+	}
+}
+
+// Learn applies the suspicion of another host.
+func (t *SuspectTable) Learn(now time.Time, fingerprint model.Fingerprint, origin model.HostID, suspicion Suspicion) {
+	record := t.record(fingerprint)
+	if suspicion.Turn == TurnCleared {
+		clear(record.deaths)
+		clear(record.remote)
+	}
+	record.remote[origin] = remoteSuspicion{Suspicion: suspicion, at: now}
+	record.last = now
+}
+
+// Verdict judges a fingerprint.
+func (t *SuspectTable) Verdict(fingerprint model.Fingerprint) Verdict {
+	record := t.records[fingerprint]
+	if record == nil {
+		return VerdictClear
+	}
+	switch total := record.total(); {
+	case total >= refuseDeaths:
+		return VerdictRefuse
+	case total >= suspectDeaths:
+		return VerdictSuspect
+	default:
+		return VerdictClear
+	}
+}
+
+// MyTurn reports whether this host may run a suspect: no other host runs one
+// and none with a smaller id waits. The hold before a run gives the turns of
+// the others time to arrive.
+func (t *SuspectTable) MyTurn(now time.Time) bool {
+	for _, record := range t.records {
+		for origin, remote := range record.remote {
+			if now.Sub(remote.at) > turnValid {
+				continue
+			}
+			if remote.Turn == TurnRunning || remote.Turn == TurnWaiting && origin < t.host {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+// Active reports whether any host has a suspect that waits or runs, during
+// which one server is set apart.
+func (t *SuspectTable) Active(now time.Time) bool {
+	for _, record := range t.records {
+		if record.turn == TurnWaiting || record.turn == TurnRunning {
+			return true
+		}
+		for _, remote := range record.remote {
+			inUse := remote.Turn == TurnWaiting || remote.Turn == TurnRunning
+			if inUse && now.Sub(remote.at) <= turnValid {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// Changes returns what has to be shared since the last call, with the turns
+// that are due for a repetition. An entry that was not sent is marked again by
+// Unsent.
+func (t *SuspectTable) Changes(now time.Time) map[model.Fingerprint]Suspicion {
+	for fingerprint, record := range t.records {
+		inUse := record.turn == TurnWaiting || record.turn == TurnRunning
+		if inUse && now.Sub(record.shared) >= turnRefresh {
+			t.changed[fingerprint] = true
+		}
+	}
+	if len(t.changed) == 0 {
+		return nil
+	}
+	changes := make(map[model.Fingerprint]Suspicion, len(t.changed))
+	for fingerprint := range t.changed {
+		if record := t.records[fingerprint]; record != nil {
+			record.shared = now
+			changes[fingerprint] = Suspicion{Deaths: len(record.deaths), Turn: record.turn}
+		}
+	}
+	clear(t.changed)
+	return changes
+}
+
+// Unsent marks a change that could not be shared, so that it is sent again.
+func (t *SuspectTable) Unsent(fingerprint model.Fingerprint) { t.changed[fingerprint] = true }
+
+// Expire forgets suspicions after their lifetime, and the oldest beyond the bound.
+func (t *SuspectTable) Expire(now time.Time) {
+	for fingerprint, record := range t.records {
+		if now.Sub(record.last) > suspectLifetime {
+			delete(t.records, fingerprint)
+		}
+	}
+	for len(t.records) > maxSuspicions {
+		t.forgetOldest()
+	}
+}
+
+func (t *SuspectTable) forgetOldest() {
+	var oldest model.Fingerprint
+	var at time.Time
+	for fingerprint, record := range t.records {
+		if at.IsZero() || record.last.Before(at) {
+			oldest, at = fingerprint, record.last
+		}
+	}
+	delete(t.records, oldest)
+}
+
+func (t *SuspectTable) record(fingerprint model.Fingerprint) *suspectRecord {
+	record := t.records[fingerprint]
+	if record == nil {
+		record = &suspectRecord{deaths: make(map[DeathID]bool), remote: make(map[model.HostID]remoteSuspicion)}
+		t.records[fingerprint] = record
+	}
+	return record
+}
+
+// isolationRank orders servers for the choice of the one set apart. All entry
+// hosts choose the same one (rendezvous hashing) while they see the same servers.
+func isolationRank(server model.ServerID) uint64 {
+	hash := fnv.New64a()
+	_, _ = hash.Write([]byte(server))
+	return hash.Sum64()
+}
--- a/entryhost/requests/call.go
+++ b/entryhost/requests/call.go
@@ -86,7 +86,7 @@
 				Cost:         1,
 			},
 			Reply:     reply,
-			Cancelled: waitContext.Done(),
+			Cancelled: ctx.Done(),
 		}
 	})
 	if err != nil {
