Add leases, orders, version moves and evidence

Cause: version moves had records in the configuration but nothing carried them out.

Change: package control takes a lease for each service, sends orders to engines and moves traffic by stages. The dispatchers compare the new version with the old one by a sequential test for each route and take traffic from a bad version at once. Engine errors inside a stream now count as status failures and not as lost connections.

--- a/entryhost/admission/dispatcher.go
+++ b/entryhost/admission/dispatcher.go
@@ -43,6 +43,7 @@
 
 	configuration *model.Configuration
 	queue         *FairQueue
+	evidence      *moveEvidence
 	servers       map[model.ServerID]*serverSlots
 	nextID        DispatchID
 }
@@ -93,6 +94,7 @@
 			return nil
 		case <-ticker.Chan():
 			d.sweep()
+			d.evidence.share(d.clock.Now())
 		case message := <-d.messages.C():
 			d.handle(message)
 		}
@@ -106,10 +108,14 @@
 		d.enqueue(message)
 	case Done:
 		d.finish(message)
+		d.evidence.observe(d.clock.Now(), message)
 	case ServerEvent:
 		d.applyServerEvent(message.Event)
 	case ConfigurationChange:
 		d.configuration = message.Configuration
+		d.evidence.configure(message.Configuration)
+	case PeerFact:
+		d.evidence.receive(d.clock.Now(), message.Fact)
 	}
 }
 
@@ -147,7 +153,7 @@
 	if d.configuration == nil {
 		return ""
 	}
-	shares := d.configuration.Services[d.service].Shares
+	shares := d.evidence.shares(d.configuration.Services[d.service].Shares)
 	draw := d.random.IntN(model.ShareWhole)
 	for _, share := range shares {
 		if draw < share.Share {
--- a/entryhost/admission/front.go
+++ b/entryhost/admission/front.go
@@ -9,6 +9,7 @@
 	"github.com/thejerf/suture/v4"
 
 	"github.com/lentilpoint/lentilpoint/entryhost/backends"
+	"github.com/lentilpoint/lentilpoint/entryhost/peers"
 	"github.com/lentilpoint/lentilpoint/model"
 	"github.com/lentilpoint/lentilpoint/task"
 )
@@ -31,6 +32,8 @@
 	dispatches     task.Mailbox[Dispatch]
 	serverEvents   task.Mailbox[backends.Event]
 	configurations task.Mailbox[*model.Configuration]
+	facts          task.Mailbox[peers.Fact]
+	evidence       EvidenceLinks
 	router         Router
 	seed           uint64
 	clock          clockwork.Clock
@@ -48,6 +51,7 @@
 		dispatches:     task.NewMailbox[Dispatch](frontMailboxSize),
 		serverEvents:   task.NewMailbox[backends.Event](serverEventsSize),
 		configurations: task.NewMailbox[*model.Configuration](configurationsSize),
+		facts:          task.NewMailbox[peers.Fact](peerFactsSize),
 		router:         router,
 		seed:           seed,
 		clock:          clock,
@@ -87,6 +91,8 @@
 			f.forwardServerEvent(ctx, supervisor, event)
 		case configuration := <-f.configurations.C():
 			f.applyConfiguration(ctx, supervisor, configuration)
+		case fact := <-f.facts.C():
+			f.forwardFact(fact)
 		}
 	}
 }
@@ -131,6 +137,7 @@
 	random := rand.New(rand.NewPCG(f.seed, stream))
 	dispatcher = NewDispatcher(service, f.home, f.router, random, f.clock, f.logger)
 	dispatcher.configuration = f.configuration
+	dispatcher.evidence = newMoveEvidence(service, f.evidence)
 	f.dispatchers[service] = dispatcher
 	supervisor.Add(dispatcher)
 	return dispatcher
--- a/entryhost/admission/fx.go
+++ b/entryhost/admission/fx.go
@@ -16,10 +16,13 @@
 var Module = fx.Module("admission",
 	fx.Provide(provideFront, provideMailboxes),
 	task.AsChild[*Front](),
+	evidenceModule,
 )
 
-func provideFront(values settings.Settings, clock clockwork.Clock, logger *slog.Logger) *Front {
-	return NewFront(model.DataCentre(values.DataCentre), DefaultRouter(), values.RandomSeed, clock, logger)
+func provideFront(values settings.Settings, links EvidenceLinks, clock clockwork.Clock, logger *slog.Logger) *Front {
+	front := NewFront(model.DataCentre(values.DataCentre), DefaultRouter(), values.RandomSeed, clock, logger)
+	front.UseEvidence(links)
+	return front
 }
 
 type mailboxesOut struct {
--- a/entryhost/backends/fx.go
+++ b/entryhost/backends/fx.go
@@ -41,8 +41,10 @@
 	Clock    clockwork.Clock
 	Settings settings.Settings
 	Logger   *slog.Logger
+	// Observers receive the changes of servers besides the admission side.
+	Observers []task.Mailbox[Event] `group:"pool_observers"`
 }
 
 func providePool(in poolIn) *Pool {
-	return NewPool(in.Hosts, in.Events, in.Clock, in.Settings.LoadInterval, in.Logger)
+	return NewPool(in.Hosts, in.Events, in.Clock, in.Settings.LoadInterval, in.Logger, in.Observers...)
 }
--- a/entryhost/backends/messages.go
+++ b/entryhost/backends/messages.go
@@ -51,7 +51,8 @@
 	FailureBroken FailureKind = "broken"
 	// FailureRefused means that the server answered that it did not run the request.
 	FailureRefused FailureKind = "refused"
-	// FailureStatus means that the server answered with an error status.
+	// FailureStatus means that the server answered with an error status or
+	// reported an error in the stream.
 	FailureStatus FailureKind = "status"
 	// FailureInvalid means that the server rejected the request as invalid.
 	FailureInvalid FailureKind = "invalid"
--- a/entryhost/backends/pool.go
+++ b/entryhost/backends/pool.go
@@ -19,6 +19,7 @@
 type Pool struct {
 	hosts        task.Mailbox[platform.HostsRead]
 	events       task.Mailbox[Event]
+	observers    []task.Mailbox[Event]
 	clock        clockwork.Clock
 	pollInterval time.Duration
 	logger       *slog.Logger
@@ -32,10 +33,13 @@
 }
 
 // NewPool returns a pool that reads host lists and sends server events.
-func NewPool(hosts task.Mailbox[platform.HostsRead], events task.Mailbox[Event], clock clockwork.Clock, pollInterval time.Duration, logger *slog.Logger) *Pool {
+// Observers receive the changes of servers too; a full mailbox drops a change,
+// as the next read of the server's load repeats its state.
+func NewPool(hosts task.Mailbox[platform.HostsRead], events task.Mailbox[Event], clock clockwork.Clock, pollInterval time.Duration, logger *slog.Logger, observers ...task.Mailbox[Event]) *Pool {
 	return &Pool{
 		hosts:        hosts,
 		events:       events,
+		observers:    observers,
 		clock:        clock,
 		pollInterval: pollInterval,
 		logger:       logger,
@@ -80,7 +84,9 @@
 		}
 		delete(p.servers, id)
 		_ = supervisor.Remove(server.token)
-		_ = p.events.Send(ctx, ServerRemoved{ID: id, Service: server.host.Service})
+		removed := ServerRemoved{ID: id, Service: server.host.Service}
+		_ = p.events.Send(ctx, removed)
+		notify(p.observers, removed)
 	}
 }
 
@@ -88,7 +94,7 @@
 func (p *Pool) keep(ctx context.Context, supervisor *suture.Supervisor, id model.ServerID, host model.Host) {
 	server, running := p.servers[id]
 	if !running {
-		server = &pooledServer{task: newServerTask(host, p.events, p.clock, p.pollInterval, p.logger), host: host}
+		server = &pooledServer{task: newServerTask(host, p.events, p.observers, p.clock, p.pollInterval, p.logger), host: host}
 		server.token = supervisor.Add(server.task)
 		p.servers[id] = server
 		return
@@ -102,3 +108,10 @@
 	}
 	server.host = host
 }
+
+// notify passes an event on to observers without waiting.
+func notify(observers []task.Mailbox[Event], event Event) {
+	for _, observer := range observers {
+		_ = observer.TrySend(event)
+	}
+}
--- a/entryhost/backends/server.go
+++ b/entryhost/backends/server.go
@@ -40,6 +40,7 @@
 type serverTask struct {
 	commands     task.Mailbox[Command]
 	events       task.Mailbox[Event]
+	observers    []task.Mailbox[Event]
 	clock        clockwork.Clock
 	pollInterval time.Duration
 	logger       *slog.Logger
@@ -50,11 +51,12 @@
 	fresh  *http.Transport
 }
 
-func newServerTask(host model.Host, events task.Mailbox[Event], clock clockwork.Clock, pollInterval time.Duration, logger *slog.Logger) *serverTask {
+func newServerTask(host model.Host, events task.Mailbox[Event], observers []task.Mailbox[Event], clock clockwork.Clock, pollInterval time.Duration, logger *slog.Logger) *serverTask {
 	commands := task.NewMailbox[Command](serverMailboxSize)
 	return &serverTask{
 		commands:     commands,
 		events:       events,
+		observers:    observers,
 		clock:        clock,
 		pollInterval: pollInterval,
 		logger:       logger,
@@ -158,7 +160,9 @@
 // a lost change could send work to a leaving server; the receiver never waits
 // for a server task.
 func (s *serverTask) publish(ctx context.Context) {
-	_ = s.events.Send(ctx, ServerChanged{State: s.state})
+	changed := ServerChanged{State: s.state}
+	_ = s.events.Send(ctx, changed)
+	notify(s.observers, changed)
 }
 
 func (s *serverTask) applyPoll(ctx context.Context, result pollResult) {
--- a/entryhost/backends/stream.go
+++ b/entryhost/backends/stream.go
@@ -107,7 +107,7 @@
 		return StreamEvent{}, &StreamError{Kind: FailureBroken, Message: "undecodable chunk: " + err.Error()}
 	}
 	if chunk.Error != nil {
-		return StreamEvent{}, &StreamError{Kind: FailureBroken, Message: chunk.Error.Message}
+		return StreamEvent{}, &StreamError{Kind: FailureStatus, Message: chunk.Error.Message}
 	}
 	if len(chunk.Choices) == 0 {
 		return StreamEvent{}, nil
--- /dev/null
+++ b/entryhost/control/control_test.go
@@ -0,0 +1,233 @@
+package control
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"github.com/anishathalye/porcupine"
+
+	"github.com/lentilpoint/lentilpoint/enginewire"
+	"github.com/lentilpoint/lentilpoint/entryhost/admission"
+	"github.com/lentilpoint/lentilpoint/entryhost/platform"
+	"github.com/lentilpoint/lentilpoint/model"
+)
+
+func TestControl(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "control")
+}
+
+var testLease = LeasePolicy{Duration: 10 * time.Second, Margin: 2 * time.Second, Stagger: time.Second}
+
+// simulatedHost follows the lease policy against a row, with its own clock.
+type simulatedHost struct {
+	owner  Owner
+	offset time.Duration
+	view   LeaseView
+	term   Term
+	nonce  uint64
+}
+
+// leaseTrace is a run of several hosts with pauses and lost answers.
+type leaseTrace struct {
+	policy LeasePolicy
+	start  time.Time
+	row    LeaseRecord
+	rowNo  platform.RowVersion
+	acts   []porcupine.Operation
+}
+
+// turn lets a host read the row and write it if the policy allows. The pause
+// falls between the decision and the write; a lost answer leaves the host
+// without knowledge of its write.
+func (l *leaseTrace) turn(host *simulatedHost, now time.Time, pause time.Duration, lost bool) time.Time {
+	local := now.Add(host.offset)
+	held := host.term.Holds(local)
+	if !held {
+		host.term = Term{}
+		host.view = host.view.Observe(local, l.row, l.rowNo)
+		if !l.policy.MayTake(local, host.owner, host.view, 0) {
+			return now
+		}
+	}
+	host.nonce++
+	record := l.policy.Next(host.owner, host.view, held, host.nonce)
+	sent := local
+	now = now.Add(pause)
+	if host.view.Version != l.rowNo {
+		host.view = host.view.Observe(now.Add(host.offset), l.row, l.rowNo)
+		host.term = Term{}
+		return now
+	}
+	l.row, l.rowNo = record, l.rowNo+1
+	if !lost {
+		host.view = LeaseView{Record: record, Version: l.rowNo, FirstSeen: sent}
+		host.term = Term{Fencing: record.Fencing, Until: l.policy.Until(sent)}
+	}
+	return now
+}
+
+// act records an action of the host if its term covers it.
+func (l *leaseTrace) act(client int, host *simulatedHost, now time.Time) {
+	if !host.term.Holds(now.Add(host.offset)) {
+		return
+	}
+	at := now.Sub(l.start).Nanoseconds()
+	l.acts = append(l.acts, porcupine.Operation{ClientId: client, Input: host.term.Fencing, Call: at, Output: true, Return: at})
+}
+
+// fencingModel accepts a history in which no action carries an older fencing
+// number than an earlier action.
+var fencingModel = porcupine.Model{
+	Init: func() any { return uint64(0) },
+	Step: func(state, input, _ any) (bool, any) {
+		return input.(uint64) >= state.(uint64), input
+	},
+}
+
+func runTrace(t *rapid.T, policy LeasePolicy) bool {
+	trace := &leaseTrace{policy: policy, start: time.Unix(1_000_000, 0)}
+	hosts := make([]*simulatedHost, 3)
+	for i := range hosts {
+		offset := time.Duration(rapid.IntRange(-3600, 3600).Draw(t, "offset")) * time.Second
+		hosts[i] = &simulatedHost{owner: Owner{Host: model.HostID(rune('a' + i)), Incarnation: 1}, offset: offset}
+	}
+	now := trace.start
+	for range rapid.IntRange(20, 80).Draw(t, "turns") {
+		now = now.Add(time.Duration(rapid.IntRange(0, 6000).Draw(t, "gap")) * time.Millisecond)
+		client := rapid.IntRange(0, 2).Draw(t, "host")
+		pause := time.Duration(0)
+		if rapid.IntRange(0, 4).Draw(t, "paused") == 0 {
+			pause = time.Duration(rapid.IntRange(0, 30_000).Draw(t, "pause")) * time.Millisecond
+		}
+		now = trace.turn(hosts[client], now, pause, rapid.IntRange(0, 4).Draw(t, "lost") == 0)
+		for i, host := range hosts {
+			trace.act(i, host, now)
+		}
+	}
+	return porcupine.CheckOperations(fencingModel, trace.acts)
+}
+
+// TestLeaseHistory guards against two holders that act at once, with clocks
+// that differ, paused hosts and lost answers.
+func TestLeaseHistory(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		if !runTrace(t, testLease) {
+			t.Fatal("an order with an old fencing number followed one with a newer number")
+		}
+	})
+}
+
+// TestLeaseHistoryRule shows that the check fails when a new holder does not
+// wait for the end of the old lease.
+func TestLeaseHistoryRule(t *testing.T) {
+	unsafe := testLease
+	unsafe.Unsafe = true
+	broken := false
+	rapid.Check(t, func(t *rapid.T) { broken = !runTrace(t, unsafe) || broken })
+	if !broken {
+		t.Fatal("the check accepted every history of the unsafe policy")
+	}
+}
+
+var _ = Describe("the order of lease candidates", func() {
+	It("spreads services over hosts, so that no host holds all leases", func() {
+		hosts := []model.HostID{"entry-0", "entry-1", "entry-2", "entry-3"}
+		first := map[model.HostID]int{}
+		for i := range 100 {
+			for _, host := range hosts {
+				if Rank(model.ServiceName(rune('A'+i)), host, hosts) == 0 {
+					first[host]++
+				}
+			}
+		}
+		for _, host := range hosts {
+			Expect(first[host]).To(BeNumerically(">", 10))
+		}
+	})
+})
+
+var testOrders = OrderPolicy{MaxLoading: 2, RepeatAfter: time.Second, MinServers: 2, Headroom: 1.25}
+
+func servers(versions ...string) []ServerView {
+	views := make([]ServerView, 6)
+	for i := range views {
+		views[i] = ServerView{ID: model.ServerID(rune('a' + i)), Usable: true, Versions: versions}
+	}
+	return views
+}
+
+var _ = Describe("orders", func() {
+	now := time.Unix(1000, 0)
+
+	It("load a version on a few servers at once, for the weight store's limit", func() {
+		input := OrderInput{Now: now, Keep: []model.Version{"v1"}, Spread: "v2", SpreadOn: 6, Servers: servers("v1")}
+		Expect(PlanOrders(testOrders, input)).To(HaveLen(2))
+	})
+
+	It("count loads that an earlier holder started", func() {
+		last := Outstanding{Order: enginewire.Order{Kind: enginewire.OrderLoad, Version: "v2"}, Sent: now}
+		input := OrderInput{Now: now, Keep: []model.Version{"v1"}, Spread: "v2", SpreadOn: 6, Servers: servers("v1"),
+			Outstanding: map[model.ServerID]Outstanding{"a": last, "b": last}}
+		Expect(PlanOrders(testOrders, input)).To(BeEmpty())
+	})
+
+	It("send nothing to a server whose order has no outcome yet, which could overtake it", func() {
+		last := Outstanding{Order: enginewire.Order{Kind: enginewire.OrderUnload, Version: "v1"}, InFlight: true}
+		input := OrderInput{Now: now, Obsolete: []model.Version{"v1"}, Servers: servers("v1", "v2")[:1],
+			Outstanding: map[model.ServerID]Outstanding{"a": last}}
+		Expect(PlanOrders(testOrders, input)).To(BeEmpty())
+	})
+
+	It("are repeated when a late order of an earlier holder undid the wanted state", func() {
+		last := Outstanding{Order: enginewire.Order{Kind: enginewire.OrderUnload, Version: "v2"}, Sent: now.Add(-time.Minute)}
+		input := OrderInput{Now: now, Keep: []model.Version{"v1"}, Obsolete: []model.Version{"v2"}, Servers: servers("v1", "v2")[:1],
+			Outstanding: map[model.ServerID]Outstanding{"a": last}}
+		Expect(PlanOrders(testOrders, input)).To(Equal([]WantedOrder{{Server: "a", Kind: enginewire.OrderUnload, Version: "v2"}}))
+	})
+})
+
+var _ = Describe("a version move", func() {
+	now := time.Unix(1000, 0)
+	plan := DefaultMovePlan()
+	service := model.Service{Name: "s", Shares: []model.VersionShare{{Version: "v1", Share: 9950}, {Version: "v2", Share: 50}}}
+	move := model.Move{ID: "m", Service: "s", From: "v1", To: "v2", State: model.MoveRunning, Deadline: now.Add(24 * time.Hour)}
+	input := StepInput{Now: now, Move: move, Service: service, Since: now.Add(-time.Hour), Ready: 3, Needed: 3, Samples: 100}
+
+	It("is withdrawn on evidence at any stage", func() {
+		bad := input
+		bad.Verdict = admission.Verdict{Reason: "it fails"}
+		Expect(DecideStep(plan, bad).Kind).To(Equal(StepWithdraw))
+	})
+
+	It("waits for servers that hold the version, which would otherwise be overloaded", func() {
+		unready := input
+		unready.Ready = 2
+		Expect(DecideStep(plan, unready).Kind).To(Equal(StepStay))
+		Expect(DecideStep(plan, input)).To(Equal(Step{Kind: StepAdvance, Stage: 1}))
+	})
+
+	It("is withdrawn when it cannot finish by its deadline", func() {
+		late := input
+		late.Move.Deadline = now.Add(time.Minute)
+		Expect(DecideStep(plan, late).Kind).To(Equal(StepWithdraw))
+	})
+
+	It("shortens its stages when an outage took time", func() {
+		short := input
+		short.Move.Deadline = now.Add(10 * time.Minute)
+		short.Since = now.Add(-80 * time.Second)
+		Expect(DecideStep(plan, short).Kind).To(Equal(StepAdvance))
+	})
+
+	It("keeps the sum of the shares and the share of other versions", func() {
+		three := model.Service{Shares: []model.VersionShare{{Version: "v0", Share: 1000}, {Version: "v1", Share: 9000}}}
+		Expect(MoveShares(three, move, 5000)).To(Equal([]model.VersionShare{
+			{Version: "v0", Share: 1000}, {Version: "v1", Share: 4500}, {Version: "v2", Share: 4500},
+		}))
+	})
+})
--- /dev/null
+++ b/entryhost/control/leasetask.go
@@ -0,0 +1,170 @@
+package control
+
+import (
+	"context"
+	"log/slog"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"github.com/lentilpoint/lentilpoint/entryhost/events"
+	"github.com/lentilpoint/lentilpoint/entryhost/platform"
+	"github.com/lentilpoint/lentilpoint/eventcode"
+	"github.com/lentilpoint/lentilpoint/model"
+	"github.com/lentilpoint/lentilpoint/task"
+)
+
+// leaseTask owns this host's view of the lease of one service.
+type leaseTask struct {
+	service model.ServiceName
+	owner   Owner
+	policy  LeasePolicy
+	table   platform.Table
+	// hosts receives the live entry hosts; only the newest list matters, so a
+	// full mailbox drops the list.
+	hosts    task.Mailbox[[]model.HostID]
+	mover    task.Mailbox[moverMessage]
+	recorder events.Recorder
+	clock    clockwork.Clock
+	logger   *slog.Logger
+
+	live  []model.HostID
+	view  LeaseView
+	term  Term
+	nonce uint64
+}
+
+// String names the task in the logs.
+func (l *leaseTask) String() string { return "lease/" + string(l.service) }
+
+// Serve takes and renews the lease until the context ends.
+func (l *leaseTask) Serve(ctx context.Context) error {
+	l.term = Term{}
+	for {
+		l.turn(ctx)
+		pause := l.policy.Pause(l.term.Holds(l.clock.Now()), l.rank())
+		select {
+		case <-ctx.Done():
+			return nil
+		case l.live = <-l.hosts.C():
+		case <-l.clock.After(pause):
+		}
+	}
+}
+
+func (l *leaseTask) rank() int { return Rank(l.service, l.owner.Host, l.live) }
+
+// turn reads the row if needed and writes it if this host may hold the lease.
+func (l *leaseTask) turn(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, l.policy.Duration/3)
+	defer cancel()
+	held := l.term.Holds(l.clock.Now())
+	if !held {
+		l.lose()
+		if !l.read(ctx) {
+			return
+		}
+	}
+	if held || l.policy.MayTake(l.clock.Now(), l.owner, l.view, l.rank()) {
+		l.write(ctx, held)
+	}
+}
+
+// read refreshes the view and reports whether the table answered.
+func (l *leaseTask) read(ctx context.Context) bool {
+	row, err := l.table.Read(ctx, LeaseKey(l.service))
+	if err != nil && !platform.ErrNotFound.Has(err) {
+		return false
+	}
+	return l.observe(row)
+}
+
+func (l *leaseTask) observe(row platform.Row) bool {
+	var record LeaseRecord
+	if row.Version != 0 {
+		if err := decode(row.Value, &record); err != nil {
+			l.logger.Error("lease row is undecodable", eventcode.LeaseUndecodable.Attr(), "service", l.service, "error", err)
+			return false
+		}
+	}
+	l.view = l.view.Observe(l.clock.Now(), record, row.Version)
+	return true
+}
+
+// write takes or renews the lease by a conditional write.
+func (l *leaseTask) write(ctx context.Context, renew bool) {
+	l.nonce++
+	record := l.policy.Next(l.owner, l.view, renew, l.nonce)
+	value, err := encode(record)
+	if err != nil {
+		return
+	}
+	transaction := platform.Transaction{
+		Conditions: []platform.Condition{{Key: LeaseKey(l.service), Version: l.view.Version}},
+		Writes:     []platform.Write{{Key: LeaseKey(l.service), Value: value}},
+	}
+	if !renew {
+		transaction.Writes = append(transaction.Writes, platform.Write{Key: HolderKey(l.service), Value: value})
+	}
+	sent := l.clock.Now()
+	result, err := l.table.Transact(ctx, transaction)
+	switch {
+	case err != nil:
+		l.readBack(ctx, record, renew, sent)
+	case result.Committed:
+		holder := l.term.Holder
+		if !renew {
+			holder = result.Versions[1]
+		}
+		l.hold(record, result.Versions[0], holder, renew, sent)
+	case len(result.Conflicts) > 0:
+		l.observe(result.Conflicts[0])
+		// An own renewal whose answer was lost also raises the version; the next
+		// turn renews on top of it.
+		if !l.owner.Owns(l.view.Record) || l.view.Record.Fencing != l.term.Fencing {
+			l.lose()
+		}
+	}
+}
+
+// readBack learns whether a write whose answer was lost took effect. Until it
+// knows, the host keeps the end of its earlier term.
+func (l *leaseTask) readBack(ctx context.Context, record LeaseRecord, renew bool, sent time.Time) {
+	row, err := l.table.Read(ctx, LeaseKey(l.service))
+	if err != nil || !l.observe(row) || l.view.Record != record {
+		return
+	}
+	holder := platform.Row{Version: l.term.Holder}
+	if !renew {
+		if holder, err = l.table.Read(ctx, HolderKey(l.service)); err != nil {
+			return
+		}
+	}
+	l.hold(record, row.Version, holder.Version, renew, sent)
+}
+
+// hold starts or extends the term.
+func (l *leaseTask) hold(record LeaseRecord, version, holder platform.RowVersion, renew bool, sent time.Time) {
+	l.view = LeaseView{Record: record, Version: version, FirstSeen: sent}
+	since := l.term.Since
+	if !renew {
+		since = l.clock.Now()
+		l.recorder.Record(events.Event{Code: eventcode.LeaseTaken, Service: l.service,
+			Cause: "This entry host now controls the service, because no other entry host held its lease."})
+		l.logger.Info("lease taken", eventcode.LeaseTaken.Attr(), "service", l.service, "fencing", record.Fencing)
+	}
+	l.term = Term{Fencing: record.Fencing, Since: since, Until: l.policy.Until(sent), Holder: holder}
+	_ = l.mover.TrySend(termChanged{term: l.term})
+}
+
+// lose ends the term. The mover stops by its clock even if it misses the message.
+func (l *leaseTask) lose() {
+	if l.term.Fencing == 0 {
+		return
+	}
+	l.logger.Warn("lease lost", eventcode.LeaseLost.Attr(), "service", l.service, "fencing", l.term.Fencing)
+	l.recorder.Record(events.Event{Code: eventcode.LeaseLost, Service: l.service,
+		Cause: "This entry host stopped controlling the service, because it could not renew its lease in time."})
+	l.term = Term{}
+	_ = l.mover.TrySend(termChanged{})
+}
--- /dev/null
+++ b/entryhost/control/messages.go
@@ -0,0 +1,99 @@
+package control
+
+import (
+	"context"
+	"time"
+
+	"github.com/zeebo/errs"
+
+	"github.com/lentilpoint/lentilpoint/enginewire"
+	"github.com/lentilpoint/lentilpoint/entryhost/admission"
+	"github.com/lentilpoint/lentilpoint/entryhost/backends"
+	"github.com/lentilpoint/lentilpoint/entryhost/config"
+	"github.com/lentilpoint/lentilpoint/entryhost/platform"
+	"github.com/lentilpoint/lentilpoint/model"
+	"github.com/lentilpoint/lentilpoint/task"
+)
+
+// Error is the class of errors of this package.
+var Error = errs.Class("control")
+
+// ErrConflict reports that another commit or another holder came first.
+var ErrConflict = errs.Class("control conflict")
+
+// Term is a period in which this host holds a lease. The zero value means that
+// it does not.
+type Term struct {
+	Fencing uint64
+	// Since is when the host became the holder.
+	Since time.Time
+	// Until is when the host stops to act, by its monotonic clock.
+	Until time.Time
+	// Holder is the version of the holder row, a condition of each write.
+	Holder platform.RowVersion
+}
+
+// Holds reports whether the term covers the time.
+func (t Term) Holds(now time.Time) bool { return t.Fencing != 0 && now.Before(t.Until) }
+
+// Commit is one configuration revision to be committed.
+type Commit struct {
+	// Base is the revision that the changes were decided on.
+	Base    model.Revision
+	ID      string
+	Author  string
+	Note    string
+	Changes []config.Change
+	// Conditions must hold besides the one on the head row.
+	Conditions []platform.Condition
+}
+
+// Committer commits configuration revisions. It returns ErrConflict when the
+// base is no longer the newest revision or a condition does not hold. After any
+// other error the outcome is unknown; the configuration in force shows it.
+type Committer interface {
+	Commit(ctx context.Context, commit Commit) error
+}
+
+// OrderSender sends an order to a backend server. Nothing is sent once the
+// context has ended.
+type OrderSender interface {
+	Send(ctx context.Context, server backends.ServerState, order enginewire.Order) backends.OrderOutcome
+}
+
+// moverMessage is what a mover task receives.
+type moverMessage interface{ moverMessage() }
+
+// orderFinished reports the outcome of an order.
+type orderFinished struct {
+	server  model.ServerID
+	order   enginewire.Order
+	outcome backends.OrderOutcome
+}
+
+type (
+	termChanged          struct{ term Term }
+	serverChanged        struct{ event backends.Event }
+	configurationChanged struct{ configuration *model.Configuration }
+	evidenceChanged      struct{ report admission.EvidenceReport }
+)
+
+func (termChanged) moverMessage()          {}
+func (serverChanged) moverMessage()        {}
+func (configurationChanged) moverMessage() {}
+func (evidenceChanged) moverMessage()      {}
+func (orderFinished) moverMessage()        {}
+
+// SendByMailbox sends orders through the mailbox of the server task.
+type SendByMailbox struct{}
+
+// Send implements OrderSender.
+func (SendByMailbox) Send(ctx context.Context, server backends.ServerState, order enginewire.Order) backends.OrderOutcome {
+	outcome, err := task.Call(ctx, server.Commands, func(reply task.Reply[backends.OrderOutcome]) backends.Command {
+		return backends.SendOrder{Context: ctx, Order: order, Reply: reply}
+	})
+	if err != nil {
+		return backends.OrderOutcome{Err: err}
+	}
+	return outcome
+}
--- /dev/null
+++ b/entryhost/control/moverorders.go
@@ -0,0 +1,111 @@
+package control
+
+import (
+	"context"
+	"fmt"
+
+	"github.com/lentilpoint/lentilpoint/enginewire"
+	"github.com/lentilpoint/lentilpoint/entryhost/backends"
+	"github.com/lentilpoint/lentilpoint/entryhost/events"
+	"github.com/lentilpoint/lentilpoint/entryhost/platform"
+	"github.com/lentilpoint/lentilpoint/eventcode"
+	"github.com/lentilpoint/lentilpoint/model"
+)
+
+// order sends the orders that are due. New orders are written to the table
+// first, so that a later holder knows of them.
+func (m *moverTask) order(ctx context.Context, service model.Service, views []ServerView) {
+	input := Wanted(m.policy.Orders, m.policy.Plan, m.configuration, service, views)
+	input.Now = m.clock.Now()
+	input.Outstanding = m.outstanding
+	orders := make(map[model.ServerID]enginewire.Order)
+	var writes []platform.Write
+	for _, wanted := range PlanOrders(m.policy.Orders, input) {
+		order, repeated := m.prepare(wanted)
+		orders[wanted.Server] = order
+		if repeated {
+			continue
+		}
+		value, err := encode(OrderRecord{Server: wanted.Server, Order: order})
+		if err != nil {
+			continue
+		}
+		writes = append(writes, platform.Write{Key: orderKey(m.service, wanted.Server), Value: value})
+	}
+	if len(writes) > 0 && !m.writeOrders(ctx, writes) {
+		return
+	}
+	for server, order := range orders {
+		m.send(ctx, server, order)
+	}
+}
+
+// prepare returns the order to send, which is the last one if that asked for
+// the same in this term.
+func (m *moverTask) prepare(wanted WantedOrder) (order enginewire.Order, repeated bool) {
+	last := m.outstanding[wanted.Server].Order
+	if last.Kind == wanted.Kind && last.Version == string(wanted.Version) && last.Fencing == m.term.Fencing {
+		return last, true
+	}
+	m.orderNo++
+	return enginewire.Order{
+		ID:      fmt.Sprintf("%s/%s/%d-%d", m.service, wanted.Server, m.term.Fencing, m.orderNo),
+		Kind:    wanted.Kind,
+		Version: string(wanted.Version),
+		Fencing: m.term.Fencing,
+	}, false
+}
+
+func (m *moverTask) writeOrders(ctx context.Context, writes []platform.Write) bool {
+	ctx, cancel := m.writeContext(ctx)
+	defer cancel()
+	// Without an answer nothing is sent; the orders are planned and written again.
+	result, err := m.table.Transact(ctx, platform.Transaction{Conditions: m.conditions(), Writes: writes})
+	return err == nil && result.Committed
+}
+
+// send starts one order. Its context ends with the term, after which nothing
+// more is sent.
+func (m *moverTask) send(ctx context.Context, server model.ServerID, order enginewire.Order) {
+	known, found := m.servers[server]
+	if !found || !m.holds() {
+		return
+	}
+	m.outstanding[server] = Outstanding{Order: order, Sent: m.clock.Now(), InFlight: true}
+	m.logger.Info("order sent", eventcode.OrderSent.Attr(), "server", server, "order", order.ID, "kind", order.Kind, "version", order.Version)
+	m.recorder.Record(events.Event{Code: eventcode.OrderSent, Service: m.service, Server: server, Version: model.Version(order.Version),
+		Cause: fmt.Sprintf("Server %s was told to %s version %s.", server, order.Kind, order.Version)})
+	remaining := min(m.policy.OrderTimeout, m.term.Until.Sub(m.clock.Now()))
+	go func() {
+		orderContext, cancel := context.WithTimeout(ctx, remaining)
+		defer cancel()
+		outcome := m.sender.Send(orderContext, known.state, order)
+		_ = m.messages.Send(ctx, orderFinished{server: server, order: order, outcome: outcome})
+	}()
+}
+
+// finishOrder notes that the server may receive another order. Whether the
+// order took effect is read from the server's load report.
+func (m *moverTask) finishOrder(finished orderFinished) {
+	last, found := m.outstanding[finished.server]
+	if !found || last.Order.ID != finished.order.ID {
+		return
+	}
+	last.InFlight = false
+	m.outstanding[finished.server] = last
+	if refusal := refusalOf(finished.outcome); refusal != "" {
+		m.logger.Warn("order refused", eventcode.OrderRefused.Attr(), "server", finished.server, "order", finished.order.ID, "cause", refusal)
+		m.recorder.Record(events.Event{Code: eventcode.OrderRefused, Service: m.service, Server: finished.server,
+			Cause: fmt.Sprintf("Server %s did not carry out an order: %s.", finished.server, refusal)})
+	}
+}
+
+func refusalOf(outcome backends.OrderOutcome) string {
+	switch {
+	case outcome.Err != nil:
+		return outcome.Err.Error()
+	case !outcome.Result.Accepted:
+		return outcome.Result.Message
+	}
+	return ""
+}
--- /dev/null
+++ b/entryhost/control/moversteps.go
@@ -0,0 +1,101 @@
+package control
+
+import (
+	"context"
+	"fmt"
+
+	"github.com/lentilpoint/lentilpoint/entryhost/admission"
+	"github.com/lentilpoint/lentilpoint/entryhost/config"
+	"github.com/lentilpoint/lentilpoint/entryhost/events"
+	"github.com/lentilpoint/lentilpoint/eventcode"
+	"github.com/lentilpoint/lentilpoint/model"
+)
+
+// step decides about the running move and commits the decision.
+func (m *moverTask) step(ctx context.Context, service model.Service, move model.Move, views []ServerView) {
+	evidence := m.evidenceOf(move)
+	m.markStage(service, move, evidence)
+	current := m.policy.Plan.Current(service, move)
+	input := StepInput{
+		Now: m.clock.Now(), Move: move, Service: service, Since: m.stage.since,
+		Needed:  ServersFor(m.policy.Orders, m.policy.Plan.Share(current+1), usable(views)),
+		Samples: evidence.Samples - m.stage.samples,
+		Verdict: evidence.Verdict,
+	}
+	for _, view := range views {
+		if view.Usable && view.Has(move.To) {
+			input.Ready++
+		}
+	}
+	if input.Needed == 0 {
+		// Without a usable server nothing can be said about readiness.
+		input.Needed = 1
+	}
+	decision := DecideStep(m.policy.Plan, input)
+	if decision.Kind == StepStay || !m.holds() {
+		return
+	}
+	m.commit(ctx, service, move, evidence, decision)
+}
+
+func (m *moverTask) evidenceOf(move model.Move) admission.EvidenceReport {
+	if m.evidence.Move != move.ID {
+		return admission.EvidenceReport{Service: m.service, Move: move.ID}
+	}
+	return m.evidence
+}
+
+// markStage notes when a stage was first seen in force. A new holder starts the
+// time of the stage anew.
+func (m *moverTask) markStage(service model.Service, move model.Move, evidence admission.EvidenceReport) {
+	current := m.policy.Plan.Current(service, move)
+	if m.stage.move == move.ID && m.stage.stage == current {
+		return
+	}
+	m.stage = stageMark{move: move.ID, stage: current, since: m.clock.Now(), samples: evidence.Samples}
+}
+
+// commit puts a decision into the configuration.
+func (m *moverTask) commit(ctx context.Context, service model.Service, move model.Move, evidence admission.EvidenceReport, decision Step) {
+	ctx, cancel := m.writeContext(ctx)
+	defer cancel()
+	event := m.apply(&service, &move, evidence, decision)
+	base := m.configuration.Revision
+	err := m.committer.Commit(ctx, Commit{
+		Base: base, ID: m.commitID(base), Author: "control on " + string(m.owner.Host), Note: event.Cause,
+		Changes:    []config.Change{{PutService: &service}, {PutMove: &move}},
+		Conditions: m.conditions(),
+	})
+	if err != nil {
+		m.logger.Warn("move not committed", eventcode.MoveNotCommitted.Attr(), "move", move.ID, "error", err)
+		return
+	}
+	m.awaiting = base + 1
+	m.awaitingUntil = m.clock.Now().Add(m.policy.SettleTimeout)
+	m.logger.Info("move step committed", event.Code.Attr(), "move", move.ID, "stage", move.Stage, "state", move.State, "cause", event.Cause)
+	m.recorder.Record(event)
+}
+
+// apply changes the service and the move as decided and returns the event.
+func (m *moverTask) apply(service *model.Service, move *model.Move, evidence admission.EvidenceReport, decision Step) events.Event {
+	event := events.Event{Move: move.ID, Service: service.Name, Version: move.To}
+	switch decision.Kind {
+	case StepAdvance:
+		share := m.policy.Plan.Share(decision.Stage)
+		service.Shares = MoveShares(*service, *move, share)
+		move.Stage = decision.Stage
+		event.Code = eventcode.MoveAdvanced
+		event.Cause = fmt.Sprintf("Version %s now receives %.1f%% of the traffic, because no fault showed in %d requests so far.",
+			move.To, float64(share)*100/model.ShareWhole, evidence.Samples)
+	case StepWithdraw:
+		service.Shares = MoveShares(*service, *move, 0)
+		move.State, move.Reason, move.Evidence = model.MoveWithdrawn, decision.Reason, evidence.Routes
+		event.Code = eventcode.MoveWithdrawn
+		event.Cause = fmt.Sprintf("All traffic went back to version %s, because %s.", move.From, decision.Reason)
+	case StepFinish:
+		move.State, move.Reason, move.Evidence = model.MoveDone, decision.Reason, evidence.Routes
+		event.Code = eventcode.MoveDone
+		event.Cause = fmt.Sprintf("The move to version %s is done, because %s.", move.To, decision.Reason)
+	}
+	return event
+}
--- a/entryhost/fx.go
+++ b/entryhost/fx.go
@@ -10,6 +10,7 @@
 	"github.com/lentilpoint/lentilpoint/entryhost/backends"
 	"github.com/lentilpoint/lentilpoint/entryhost/callers"
 	"github.com/lentilpoint/lentilpoint/entryhost/config"
+	"github.com/lentilpoint/lentilpoint/entryhost/control"
 	"github.com/lentilpoint/lentilpoint/entryhost/events"
 	"github.com/lentilpoint/lentilpoint/entryhost/peers"
 	"github.com/lentilpoint/lentilpoint/entryhost/platform"
@@ -28,6 +29,7 @@
 	admission.Module,
 	requests.Module,
 	callers.Module,
+	control.Module,
 	fx.Provide(provideRoot),
 )
 
--- a/model/config.go
+++ b/model/config.go
@@ -96,6 +96,32 @@
 	Stage int `json:"stage" yaml:"stage"`
 	// Reason says why the move ended.
 	Reason string `json:"reason,omitempty" yaml:"reason,omitempty"`
+	// Evidence holds the outcomes of the new version when the move ended.
+	Evidence []RouteEvidence `json:"evidence,omitempty" yaml:"evidence,omitempty"`
+}
+
+// RouteEvidence counts the finished attempts of a version on one route.
+type RouteEvidence struct {
+	Route  string `json:"route" yaml:"route"`
+	OK     int    `json:"ok" yaml:"ok"`
+	Failed int    `json:"failed" yaml:"failed"`
+	Slow   int    `json:"slow" yaml:"slow"`
+}
+
+// RunningMove returns the running move of a service; of several, which the
+// commit path refuses, the one that started first.
+func (c *Configuration) RunningMove(service ServiceName) (Move, bool) {
+	var first Move
+	found := false
+	for _, move := range c.Moves {
+		if move.Service != service || move.State != MoveRunning {
+			continue
+		}
+		if !found || move.Started.Before(first.Started) || (move.Started.Equal(first.Started) && move.ID < first.ID) {
+			first, found = move, true
+		}
+	}
+	return first, found
 }
 
 // OrganisationByKey returns the organisation with an API key of this hex
