--- a/entryhost/admission/dispatcher.go
+++ b/entryhost/admission/dispatcher.go
@@ -40,6 +40,7 @@
 	Host     model.HostID
 	Home     model.DataCentre
 	Policies Policies
+	Evidence EvidenceLinks
 	Facts    task.Mailbox[peers.Message]
 	Clock    clockwork.Clock
 	Logger   *slog.Logger
@@ -59,6 +60,7 @@
 	metrics  *metrics.Set
 
 	configuration *model.Configuration
+	evidence      *moveEvidence
 	servers       map[model.ServerID]*serverSlots
 	// flights holds the assignments in progress. It is what a restart keeps; the
 	// counts by server and organisation are derived from it.
@@ -138,6 +140,7 @@
 			return nil
 		case <-ticker.Chan():
 			d.sweep()
+			d.evidence.share(d.clock.Now())
 		case message := <-d.messages.C():
 			d.handle(message)
 		}
@@ -153,10 +156,12 @@
 		d.handling = nil
 	case Done:
 		d.finish(message)
+		d.evidence.observe(d.clock.Now(), message)
 	case ServerEvent:
 		d.applyServerEvent(message.Event)
 	case ConfigurationChange:
 		d.configuration = message.Configuration
+		d.evidence.configure(message.Configuration)
 	case FactReceived:
 		d.learn(message.Fact)
 	}
@@ -230,7 +235,7 @@
 
 // verdict judges the request's history. Calls to plain services are left out:
 // their fingerprint does not cover the body, so different calls share one.
-func (d *Dispatcher) verdict(request *Request) Verdict {
+func (d *Dispatcher) verdict(request *Request) SuspectLevel {
 	if d.policies.BlindRetry || !d.isEngine() {
 		return VerdictClear
 	}
@@ -250,7 +255,7 @@
 	if d.configuration == nil {
 		return ""
 	}
-	shares := d.configuration.Services[d.service].Shares
+	shares := d.evidence.shares(d.configuration.Services[d.service].Shares)
 	draw := d.random.IntN(model.ShareWhole)
 	for _, share := range shares {
 		if draw < share.Share {
--- a/entryhost/admission/front.go
+++ b/entryhost/admission/front.go
@@ -106,8 +106,15 @@
 	}
 }
 
-// forwardFact drops a fact when its dispatcher is unknown or overloaded.
+// forwardFact drops a fact when its dispatcher is unknown or overloaded. Facts on
+// moves go to all dispatchers; each ignores the moves of other services.
 func (f *Front) forwardFact(fact peers.Fact) {
+	if fact.Kind == peers.FactEvidence || fact.Kind == peers.FactWithdrawal {
+		for _, dispatcher := range f.dispatchers {
+			_ = dispatcher.messages.TrySend(FactReceived{Fact: fact})
+		}
+		return
+	}
 	if dispatcher := f.dispatchers[factService(fact)]; dispatcher != nil {
 		_ = dispatcher.messages.TrySend(FactReceived{Fact: fact})
 	}
@@ -139,6 +146,7 @@
 	random := rand.New(rand.NewPCG(f.seed, stream))
 	dispatcher = NewDispatcher(service, f.environment, random)
 	dispatcher.configuration = f.configuration
+	dispatcher.evidence = newMoveEvidence(service, f.environment.Evidence)
 	f.dispatchers[service] = dispatcher
 	supervisor.Add(dispatcher)
 	return dispatcher
--- a/entryhost/admission/fx.go
+++ b/entryhost/admission/fx.go
@@ -19,6 +19,7 @@
 var Module = fx.Module("admission",
 	fx.Provide(DefaultPolicies, provideFront, provideMailboxes),
 	task.AsChild[*Front](),
+	evidenceModule,
 )
 
 type frontIn struct {
@@ -26,6 +27,7 @@
 
 	Settings settings.Settings
 	Policies Policies
+	Evidence EvidenceLinks
 	Facts    task.Mailbox[peers.Message]
 	Clock    clockwork.Clock
 	Logger   *slog.Logger
@@ -37,6 +39,7 @@
 		Host:     model.HostID(in.Settings.HostID),
 		Home:     model.DataCentre(in.Settings.DataCentre),
 		Policies: in.Policies,
+		Evidence: in.Evidence,
 		Facts:    in.Facts,
 		Clock:    in.Clock,
 		Logger:   in.Logger,
@@ -59,7 +62,9 @@
 		ServerEvents:   front.ServerEvents(),
 		Configurations: front.Configurations(),
 		Facts: peers.Subscriber{
-			Kinds:   []peers.FactKind{peers.FactSuspect, peers.FactUsage},
+			Kinds: []peers.FactKind{
+				peers.FactSuspect, peers.FactUsage, peers.FactEvidence, peers.FactWithdrawal,
+			},
 			Mailbox: front.Facts(),
 		},
 	}
--- a/entryhost/admission/isolation.go
+++ b/entryhost/admission/isolation.go
@@ -141,6 +141,8 @@
 func (d *Dispatcher) learn(fact peers.Fact) {
 	now := d.clock.Now()
 	switch fact.Kind {
+	case peers.FactEvidence, peers.FactWithdrawal:
+		d.evidence.receive(now, fact)
 	case peers.FactSuspect:
 		fingerprint, suspicion, err := decodeSuspicion(fact)
 		if err != nil {
--- a/entryhost/admission/suspects.go
+++ b/entryhost/admission/suspects.go
@@ -26,12 +26,12 @@
 	maxSuspicions = 4096
 )
 
-// Verdict says how a request with a history of server deaths is treated.
-type Verdict int
+// SuspectLevel says how a request with a history of server deaths is treated.
+type SuspectLevel int
 
 // The verdicts.
 const (
-	VerdictClear Verdict = iota
+	VerdictClear SuspectLevel = iota
 	// VerdictSuspect runs only alone, on the server set apart.
 	VerdictSuspect
 	// VerdictRefuse is refused.
@@ -171,8 +171,8 @@
 	record.last = now
 }
 
-// Verdict judges a fingerprint.
-func (t *SuspectTable) Verdict(fingerprint model.Fingerprint) Verdict {
+// SuspectLevel judges a fingerprint.
+func (t *SuspectTable) Verdict(fingerprint model.Fingerprint) SuspectLevel {
 	record := t.records[fingerprint]
 	if record == nil {
 		return VerdictClear
