Recover generations in one message loop with limits from observed gaps

Cause: progress limits were constants, dispatches blocked the request task so that tokens waited during a recovery, a cancelled dispatch could leak its slot, and an engine alive behind a lost connection was not used again. A stream that ends without a finish reason counts as broken.

--- a/entryhost/backends/fx.go
+++ b/entryhost/backends/fx.go
@@ -17,7 +17,7 @@
 
 // Module provides the pool of backend servers.
 var Module = fx.Module("backends",
-	fx.Provide(provideHosts, providePool),
+	fx.Provide(provideHosts, providePool, (*Pool).Finds),
 	task.AsChild[*Pool](),
 )
 
--- a/entryhost/backends/messages.go
+++ b/entryhost/backends/messages.go
@@ -36,8 +36,11 @@
 	// Finish is the engine's reason for the regular end of the stream.
 	Finish string
 	Err    *StreamError
-	// EngineStream is the engine's id of the stream, sent with the first event.
+	// EngineStream is the engine's id of the stream.
 	EngineStream string
+	// Transport is the generation of the transport in use. It comes first, in an
+	// event of its own.
+	Transport Generation
 }
 
 // FailureKind says how a stream or exchange ended early.
@@ -57,6 +60,8 @@
 	FailureInvalid FailureKind = "invalid"
 	// FailureSilent means that an open connection made no progress in time.
 	FailureSilent FailureKind = "silent"
+	// FailureGone means that the engine no longer holds the stream to resume.
+	FailureGone FailureKind = "gone"
 	// FailureCancelled means that the request's task ended the attempt.
 	FailureCancelled FailureKind = "cancelled"
 )
@@ -193,3 +198,15 @@
 	cache enginewire.CacheEvents
 	err   error
 }
+
+// FindServer asks the pool for the server task of a server.
+type FindServer struct {
+	ID    model.ServerID
+	Reply task.Reply[FoundServer]
+}
+
+// FoundServer is the answer to FindServer.
+type FoundServer struct {
+	Found    bool
+	Commands task.Mailbox[Command]
+}
--- a/entryhost/backends/pool.go
+++ b/entryhost/backends/pool.go
@@ -18,6 +18,7 @@
 // host list. It owns the set of servers and supervises their tasks.
 type Pool struct {
 	hosts        task.Mailbox[platform.HostsRead]
+	finds        task.Mailbox[FindServer]
 	events       task.Mailbox[Event]
 	clock        clockwork.Clock
 	pollInterval time.Duration
@@ -35,6 +36,7 @@
 func NewPool(hosts task.Mailbox[platform.HostsRead], events task.Mailbox[Event], clock clockwork.Clock, pollInterval time.Duration, logger *slog.Logger) *Pool {
 	return &Pool{
 		hosts:        hosts,
+		finds:        task.NewMailbox[FindServer](findsSize),
 		events:       events,
 		clock:        clock,
 		pollInterval: pollInterval,
@@ -43,6 +45,13 @@
 	}
 }
 
+// findsSize bounds the searches that wait for the pool. A full mailbox makes
+// the sender wait until its deadline.
+const findsSize = 256
+
+// Finds is where request tasks ask for the server that a cursor names.
+func (p *Pool) Finds() task.Mailbox[FindServer] { return p.finds }
+
 // String names the task in the logs.
 func (p *Pool) String() string { return "backends" }
 
@@ -60,10 +69,20 @@
 			return nil
 		case read := <-p.hosts.C():
 			p.apply(ctx, supervisor, read.Hosts)
+		case find := <-p.finds.C():
+			find.Reply.Send(p.find(find.ID))
 		}
 	}
 }
 
+func (p *Pool) find(id model.ServerID) FoundServer {
+	server, found := p.servers[id]
+	if !found {
+		return FoundServer{}
+	}
+	return FoundServer{Found: true, Commands: server.task.commands}
+}
+
 func (p *Pool) apply(ctx context.Context, supervisor *suture.Supervisor, hosts []model.Host) {
 	listed := make(map[model.ServerID]bool, len(hosts))
 	for _, host := range hosts {
--- a/entryhost/backends/server.go
+++ b/entryhost/backends/server.go
@@ -87,7 +87,7 @@
 func (s *serverTask) handle(ctx, pollContext context.Context, command Command) {
 	switch command := command.(type) {
 	case OpenStream:
-		stream := &streamTask{client: &http.Client{Transport: s.pooled}, address: s.state.Host.Address, open: command}
+		stream := &streamTask{client: &http.Client{Transport: s.pooled}, address: s.state.Host.Address, generation: s.state.Generation, open: command}
 		go stream.run()
 	case OpenExchange:
 		exchange := &exchangeTask{client: s.exchangeClient(command.Repeatable), address: s.state.Host.Address, open: command}
--- a/entryhost/backends/stream.go
+++ b/entryhost/backends/stream.go
@@ -24,18 +24,20 @@
 
 // streamTask owns one connection to an engine for one attempt of a request.
 type streamTask struct {
-	client  *http.Client
-	address string
-	open    OpenStream
+	client     *http.Client
+	address    string
+	generation Generation
+	open       OpenStream
 }
 
 // run sends the request and passes on its events until the stream ends.
 func (s *streamTask) run() {
-	err := s.exchange()
-	if err == nil {
+	if err := s.send(StreamEvent{Transport: s.generation}); err != nil {
 		return
 	}
-	_ = s.send(StreamEvent{Err: err})
+	if failure := s.exchange(); failure != nil {
+		_ = s.send(StreamEvent{Err: failure})
+	}
 }
 
 func (s *streamTask) send(event StreamEvent) error {
@@ -55,7 +57,7 @@
 	}
 	defer func() { _ = response.Body.Close() }()
 	if response.StatusCode != http.StatusOK {
-		return statusError(response)
+		return s.statusError(response)
 	}
 	return s.relay(response)
 }
@@ -81,18 +83,23 @@
 // without it is broken, however cleanly the connection closed.
 func (s *streamTask) relay(response *http.Response) *StreamError {
 	engineStream := response.Header.Get(enginewire.HeaderStreamID)
+	finished := false
 	for event, err := range sse.Read(response.Body, &sse.ReadConfig{MaxEventSize: maxEventBytes}) {
 		if err != nil {
 			return s.transportError(err, true)
 		}
-		if event.Data == enginewire.StreamEnd {
+		if event.Data == enginewire.StreamEnd && finished {
 			return nil
 		}
+		if event.Data == enginewire.StreamEnd {
+			return &StreamError{Kind: FailureBroken, Message: "the stream ended without a finish reason"}
+		}
 		update, failure := decodeChunk(event.Data)
 		if failure != nil {
 			return failure
 		}
 		update.EngineStream = engineStream
+		finished = finished || update.Finish != ""
 		if err := s.send(update); err != nil {
 			return &StreamError{Kind: FailureCancelled, Message: err.Error()}
 		}
@@ -152,8 +159,9 @@
 }
 
 // statusError classifies an answer with an error status. Statuses 429 and 503
-// mean that the engine did not run the request.
-func statusError(response *http.Response) *StreamError {
+// mean that the engine did not run the request; a stream that cannot be resumed
+// is gone, which says nothing about the caller's request.
+func (s *streamTask) statusError(response *http.Response) *StreamError {
 	text, _ := io.ReadAll(io.LimitReader(response.Body, maxErrorBytes))
 	failure := &StreamError{
 		Kind:    FailureStatus,
@@ -161,6 +169,8 @@
 		Message: fmt.Sprintf("status %d: %s", response.StatusCode, strings.TrimSpace(string(text))),
 	}
 	switch {
+	case s.open.ResumeStream != "":
+		failure.Kind = FailureGone
 	case response.StatusCode == http.StatusTooManyRequests, response.StatusCode == http.StatusServiceUnavailable:
 		failure.Kind = FailureRefused
 	case response.StatusCode >= 400 && response.StatusCode < 500:
--- a/entryhost/requests/generation.go
+++ b/entryhost/requests/generation.go
@@ -2,15 +2,16 @@
 
 import (
 	"context"
-	"encoding/json"
 	"log/slog"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/jonboulle/clockwork"
 
 	"github.com/lentilpoint/lentilpoint/enginewire"
 	"github.com/lentilpoint/lentilpoint/entryhost/admission"
 	"github.com/lentilpoint/lentilpoint/entryhost/backends"
+	"github.com/lentilpoint/lentilpoint/entryhost/events"
 	"github.com/lentilpoint/lentilpoint/eventcode"
 	"github.com/lentilpoint/lentilpoint/model"
 	"github.com/lentilpoint/lentilpoint/task"
@@ -24,242 +25,237 @@
 // maxUpdateTokens bounds the tokens in one update to the caller.
 const maxUpdateTokens = 64
 
+// lateEventsWait is the pause before silence is judged again when events wait
+// in the mailbox: this task was late then, not the engine.
+const lateEventsWait = 10 * time.Millisecond
+
 // generationTask owns the ledger and the attempts of one generation.
 type generationTask struct {
 	start      StartGeneration
 	dispatches task.Mailbox[admission.Dispatch]
+	servers    task.Mailbox[backends.FindServer]
 	recovery   Recovery
 	clock      clockwork.Clock
+	recorder   events.Recorder
+	metrics    *metrics.Set
 	logger     *slog.Logger
+	// service is what was observed of the service before this request, and
+	// observed what this request adds.
+	service  Observed
+	observed Observed
 
-	ledger  Ledger
-	sent    int
-	hash    uint64
-	exclude []model.ServerID
-	attempt currentAttempt
-	events  task.Mailbox[backends.StreamEvent]
-}
-
-// currentAttempt is the state of the attempt in progress.
-type currentAttempt struct {
-	assignment admission.Assignment
-	cancel     context.CancelFunc
-	started    time.Time
-	firstToken time.Time
-	lastToken  time.Time
-	tokens     int
+	ledger   Ledger
+	sent     int
+	hash     uint64
+	source   *Source
+	exclude  []model.ServerID
+	failures int
+	// current delivers to the ledger; second is open beside it when the service
+	// is eager and current is silent.
+	current *attempt
+	second  *attempt
+	pending *pendingDispatch
+	// secondRefused stops further second attempts until the next token.
+	secondRefused bool
+	timer         clockwork.Timer
+	stream        task.Mailbox[backends.StreamEvent]
 }
 
 // run serves the generation and sends its last update.
 func (g *generationTask) run() {
 	ctx, cancel := context.WithDeadline(g.start.Context, g.start.Generation.Deadline)
 	defer cancel()
-	g.events = task.NewMailbox[backends.StreamEvent](streamEventsSize)
+	g.stream = task.NewMailbox[backends.StreamEvent](streamEventsSize)
 	if fault := g.serve(ctx); fault != nil {
 		g.sendLast(Update{Fault: fault})
 		return
 	}
 	g.flush()
 	g.sendLast(Update{
-		Position: g.ledger.Len(), Finish: g.ledger.Finished(), Version: g.ledger.Version(),
-		PromptTokens: len(g.ledger.promptIDs), Attempts: int(g.ledger.Attempt()),
+		Position: g.ledger.Len(), Hash: g.hash, Finish: g.ledger.Finished(), Version: g.ledger.Version(), Source: g.source,
+		PromptTokens: len(g.ledger.promptIDs), Attempts: int(g.ledger.Issued()),
 	})
 }
 
-// serve runs attempts until one finishes the generation.
+// serve runs attempts until the generation is finished or cannot go on.
 func (g *generationTask) serve(ctx context.Context) *model.Fault {
-	for {
-		if fault := g.open(ctx); fault != nil {
-			return fault
-		}
-		failure := g.follow(ctx)
-		if failure == nil {
-			g.close(admission.OutcomeDone)
-			return nil
-		}
-		if ctx.Err() != nil {
-			g.close(admission.OutcomeCancelled)
-			return g.endedFault(ctx)
-		}
-		decision := decideRetry(g.ledger.Attempt(), failure)
-		g.logger.Info("attempt failed", eventcode.AttemptFailed.Attr(), "request", g.start.Generation.ID,
-			"attempt", g.ledger.Attempt(), "server", g.attempt.assignment.Server, "cause", failure.Error(),
-			"tokens", g.ledger.Len(), "retry", decision.Retry)
-		g.close(decision.Outcome)
-		if !decision.Retry {
-			return decision.Fault
-		}
-		if g.recovery == RecoveryNone {
-			return attemptsSpent(g.ledger.Attempt(), failure)
-		}
-		if decision.Exclude {
-			g.exclude = append(g.exclude, g.attempt.assignment.Server)
+	g.timer = g.clock.NewTimer(versionWait)
+	defer g.timer.Stop()
+	defer g.closeAll()
+	fault := g.begin(ctx)
+	for fault == nil && g.ledger.Finished() == "" {
+		updates, update := g.nextUpdate()
+		select {
+		case <-ctx.Done():
+			return g.endedFault()
+		case updates <- update:
+			g.markSent(update)
+		case result := <-g.pending.results():
+			fault = g.assigned(ctx, result)
+		case event := <-g.stream.C():
+			fault = g.handle(ctx, event)
+		case <-g.timer.Chan():
+			fault = g.expired(ctx)
 		}
 	}
+	return fault
 }
 
-// open obtains an assignment and starts the stream of the next attempt.
-func (g *generationTask) open(ctx context.Context) *model.Fault {
-	body, path, fault := g.nextBody()
-	if fault != nil {
-		return fault
+// begin starts the first attempt; a cursor's engine stream comes first.
+func (g *generationTask) begin(ctx context.Context) *model.Fault {
+	resume := g.start.Generation.Resume
+	if resume == nil {
+		return g.dispatch(ctx)
 	}
-	assignment, fault := g.dispatch(ctx)
-	if fault != nil {
-		return fault
+	g.ledger = NewLedger(resume.Version, resume.Mark)
+	g.sent = resume.Mark.Position
+	g.hash = resume.Mark.Hash
+	if g.joinStream(ctx, resume) {
+		return nil
 	}
-	body.Model = string(assignment.Version)
-	streamContext, cancel := context.WithCancel(ctx)
-	g.attempt = currentAttempt{assignment: assignment, cancel: cancel, started: g.clock.Now()}
-	open := backends.OpenStream{
-		Context: streamContext,
-		Attempt: g.ledger.Begin(),
-		Path:    path,
-		Body:    body,
-		Events:  g.events,
+	g.note(eventcode.ResumedByCursor, nil, "the caller reconnected; the engine's stream is out of reach and the answer is generated again")
+	return g.dispatch(ctx)
+}
+
+// handle applies an event of an open attempt and drops all others.
+func (g *generationTask) handle(ctx context.Context, event backends.StreamEvent) *model.Fault {
+	from := g.attemptOf(event.Attempt)
+	if from == nil {
+		return nil
+	}
+	if event.Err != nil {
+		return g.lost(ctx, from, event.Err)
 	}
-	if err := assignment.Commands.Send(ctx, open); err != nil {
-		g.close(admission.OutcomeCancelled)
-		return g.endedFault(ctx)
+	now := g.clock.Now()
+	rearm := from.note(event, now, &g.observed)
+	delivers := len(event.Tokens) > 0 || event.Finish != ""
+	if from == g.second && !delivers {
+		return nil
+	}
+	if from == g.second {
+		g.promote()
+		event.PromptIDs = from.promptIDs
+	} else if delivers {
+		g.dropSecond()
+		g.secondRefused = false
+	}
+	g.ledger.Accept(from.assignment.Version, event)
+	g.source = from.source
+	if g.ledger.Diverged() {
+		g.note(eventcode.ResumeDiverged, from, "the repeated tokens differ from those delivered")
+		return divergedFault()
+	}
+	if rearm {
+		g.arm(now)
 	}
 	return nil
 }
 
-// nextBody builds the body of the next attempt: the caller's own request, or
-// prompt plus accepted tokens.
-func (g *generationTask) nextBody() (enginewire.Generation, string, *model.Fault) {
-	body := g.start.Generation.Body
-	body.Stream = true
-	body.ReturnTokenIDs = true
-	ids, exact := g.ledger.Continuation()
-	if !exact {
-		return body, "", &model.Fault{
-			Kind: model.KindUnavailable, Reason: model.ReasonBackendFailed, Executed: model.ExecutedUnknown,
-			Message: "the engine died and did not report the token ids of the prompt", Remedy: "send the request again",
-		}
-	}
-	if g.ledger.Len() == 0 || g.recovery == RecoveryRestart {
-		return body, g.start.Generation.Path, nil
-	}
-	prompt, err := enginewire.PromptTokens(ids)
-	if err != nil {
-		return body, "", model.AsFault(err)
+func (g *generationTask) attemptOf(number backends.Attempt) *attempt {
+	switch {
+	case g.current != nil && g.current.number == number:
+		return g.current
+	case g.second != nil && g.second.number == number:
+		return g.second
+	default:
+		return nil
 	}
-	body.Prompt = prompt
-	body.Messages = nil
-	body.MaxTokens -= g.ledger.Len()
-	return body, enginewire.PathCompletions, nil
 }
 
-func (g *generationTask) dispatch(ctx context.Context) (admission.Assignment, *model.Fault) {
-	generation := g.start.Generation
-	result, err := task.Call(ctx, g.dispatches, func(reply task.Reply[admission.DispatchResult]) admission.Dispatch {
-		return admission.Dispatch{
-			Request: admission.Request{
-				ID:           generation.ID,
-				Service:      generation.Service,
-				Organisation: generation.Organisation.ID,
-				Weight:       generation.Organisation.Weight,
-				MaxOpen:      generation.Organisation.MaxOpen,
-				Deadline:     generation.Deadline,
-				Fingerprint:  generation.Fingerprint,
-				PrefixHashes: g.prefixHashes(),
-				Version:      g.ledger.Version(),
-				Route:        generation.Route,
-				Resume:       g.ledger.Attempt() > 0,
-				Exclude:      g.exclude,
-				Cost:         generation.Body.MaxTokens,
-			},
-			Reply:     reply,
-			Cancelled: ctx.Done(),
-		}
-	})
-	if err != nil {
-		return admission.Assignment{}, g.endedFault(ctx)
+// expired looks at the silence of the open attempts.
+func (g *generationTask) expired(ctx context.Context) *model.Fault {
+	now := g.clock.Now()
+	if g.stream.Len() > 0 {
+		g.timer.Reset(lateEventsWait)
+		return nil
 	}
-	if result.Fault != nil {
-		return admission.Assignment{}, g.restate(result.Fault)
+	if g.current == nil && g.pending != nil && !g.pending.expires.IsZero() && !now.Before(g.pending.expires) {
+		g.note(eventcode.VersionGone, nil, "no server with the version was free in time")
+		return versionGone(g.ledger.Version())
 	}
-	return result.Assignment, nil
+	if second := g.second; second != nil && now.Sub(second.progress) >= g.limits(second).GiveUp {
+		if fault := g.lost(ctx, second, g.silent(second, now)); fault != nil {
+			return fault
+		}
+	}
+	fault := g.judgeCurrent(ctx, now)
+	g.arm(now)
+	return fault
 }
 
-// prefixHashes covers the token ids of the prompt if they are known.
-func (g *generationTask) prefixHashes() []uint64 {
-	if ids, exact := g.ledger.Continuation(); exact && ids != nil {
-		return enginewire.PrefixHashes(ids)
-	}
-	var ids []enginewire.TokenID
-	if err := json.Unmarshal(g.start.Generation.Body.Prompt, &ids); err != nil {
+func (g *generationTask) judgeCurrent(ctx context.Context, now time.Time) *model.Fault {
+	current := g.current
+	if current == nil {
 		return nil
 	}
-	return enginewire.PrefixHashes(ids)
+	switch decideSilence(now.Sub(current.progress), g.limits(current), g.eager(), g.secondOpen()) {
+	case SilenceGiveUp:
+		return g.lost(ctx, current, g.silent(current, now))
+	case SilenceStartSecond:
+		g.note(eventcode.SecondAttempt, current, "the attempt is silent")
+		g.countRetry("eager")
+		return g.dispatch(ctx)
+	}
+	return nil
 }
 
-// restate corrects a refusal: once an attempt may have run, the request as a
-// whole no longer counts as not run.
-func (g *generationTask) restate(fault *model.Fault) *model.Fault {
-	if g.ledger.Attempt() == 0 {
-		return fault
-	}
-	restated := *fault
-	restated.Executed = model.ExecutedUnknown
-	return &restated
+// eager reports whether a second attempt may be started. A joined stream lacks
+// the tokens that an exact continuation needs.
+func (g *generationTask) eager() bool {
+	return g.start.Generation.Eager && g.recovery == RecoveryContinue && !g.ledger.Joined()
 }
 
-// follow reads the events of the current attempt until the generation is
-// finished, the attempt fails or makes no progress, or the context ends.
-func (g *generationTask) follow(ctx context.Context) *backends.StreamError {
-	timer := g.clock.NewTimer(g.attempt.assignment.FirstTokenTimeout)
-	defer timer.Stop()
-	for {
-		updates, update := g.nextUpdate()
-		select {
-		case <-ctx.Done():
-			return &backends.StreamError{Kind: backends.FailureCancelled, Message: context.Cause(ctx).Error()}
-		case updates <- update:
-			g.markSent(update)
-		case event := <-g.events.C():
-			if event.Attempt != g.ledger.Attempt() {
-				continue
-			}
-			if event.Err != nil {
-				return event.Err
-			}
-			g.accept(event)
-			if g.ledger.Finished() != "" {
-				return nil
-			}
-			timer.Reset(g.attempt.assignment.TokenTimeout)
-		case <-timer.Chan():
-			return g.silent()
-		}
+func (g *generationTask) secondOpen() bool {
+	return g.second != nil || g.pending != nil || g.secondRefused || g.failures >= maxAttempts
+}
+
+// silent tells the server task about the silent connection, so that its
+// transport is not used again.
+func (g *generationTask) silent(a *attempt, now time.Time) *backends.StreamError {
+	generation := a.transport
+	if generation == 0 {
+		generation = a.assignment.Generation
+	}
+	if a.tokens == 0 && !a.resumed {
+		g.observed.addFirstToken(now.Sub(a.started), a.prompt)
+	}
+	_ = a.assignment.Commands.TrySend(backends.ReportSilence{Generation: generation})
+	return &backends.StreamError{
+		Kind: backends.FailureSilent, Message: "no token for " + now.Sub(a.progress).Round(time.Millisecond).String(),
 	}
 }
 
-func (g *generationTask) accept(event backends.StreamEvent) {
-	if !g.ledger.Accept(g.attempt.assignment.Version, event) || len(event.Tokens) == 0 {
-		return
+func (g *generationTask) limits(a *attempt) Limits { return a.limits(g.service, g.observed.Gaps) }
+
+// arm sets the timer to the next time at which something may have expired.
+func (g *generationTask) arm(now time.Time) {
+	next := now.Add(versionWait)
+	if g.current != nil {
+		next = nextCheck(g.current.progress, g.limits(g.current), g.eager(), g.secondOpen())
+	} else if g.pending != nil && !g.pending.expires.IsZero() {
+		next = g.pending.expires
 	}
-	now := g.clock.Now()
-	if g.attempt.tokens == 0 {
-		g.attempt.firstToken = now
+	if g.second != nil {
+		second := g.second.progress.Add(g.limits(g.second).GiveUp)
+		next = minTime(next, second)
 	}
-	g.attempt.tokens += len(event.Tokens)
-	g.attempt.lastToken = now
+	g.timer.Reset(max(next.Sub(now), time.Millisecond))
 }
 
-func (g *generationTask) silent() *backends.StreamError {
-	_ = g.attempt.assignment.Commands.TrySend(backends.ReportSilence{Generation: g.attempt.assignment.Generation})
-	return &backends.StreamError{Kind: backends.FailureSilent, Message: "no token within the progress timeout"}
+func minTime(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
 }
 
 // nextUpdate returns the channel and the update for tokens not yet sent; the
 // channel is nil when there are none, so that a select skips it.
 func (g *generationTask) nextUpdate() (chan<- Update, Update) {
-	if g.sent == g.ledger.Len() {
+	tokens := g.ledger.Since(g.sent)
+	if len(tokens) == 0 {
 		return nil, Update{}
 	}
-	tokens := g.ledger.Since(g.sent)
 	if len(tokens) > maxUpdateTokens {
 		tokens = tokens[:maxUpdateTokens]
 	}
@@ -267,7 +263,9 @@
 	for _, token := range tokens {
 		hash = enginewire.RollHash(hash, token.ID)
 	}
-	return g.start.Updates, Update{Position: g.sent, Tokens: tokens, Hash: hash, Version: g.ledger.Version()}
+	return g.start.Updates, Update{
+		Position: g.sent, Tokens: tokens, Hash: hash, Version: g.ledger.Version(), Source: g.source,
+	}
 }
 
 func (g *generationTask) markSent(update Update) {
@@ -298,45 +296,10 @@
 	}
 }
 
-// close ends the current attempt and reports it to the dispatcher.
-func (g *generationTask) close(outcome admission.Outcome) {
-	g.attempt.cancel()
-	attempt := g.attempt
-	done := admission.Done{
-		ID:       attempt.assignment.ID,
-		Server:   attempt.assignment.Server,
-		Version:  attempt.assignment.Version,
-		Outcome:  outcome,
-		Duration: g.clock.Since(attempt.started),
-		Tokens:   attempt.tokens,
-	}
-	done.Request.Organisation = g.start.Generation.Organisation.ID
-	done.Request.Fingerprint = g.start.Generation.Fingerprint
-	done.Request.Route = g.start.Generation.Route
-	if attempt.tokens > 0 {
-		done.FirstToken = attempt.firstToken.Sub(attempt.started)
-	}
-	if attempt.tokens > 1 {
-		done.MeanGap = attempt.lastToken.Sub(attempt.firstToken) / time.Duration(attempt.tokens-1)
-	}
-	sendDone(attempt.assignment, done)
-}
-
-// doneTimeout bounds the wait for room in a dispatcher's mailbox.
-const doneTimeout = 5 * time.Second
-
-// sendDone reports the end of an assignment. It waits for room even after the
-// request ended, because a lost report would occupy a slot for good.
-func sendDone(assignment admission.Assignment, done admission.Done) {
-	ctx, cancel := context.WithTimeout(context.Background(), doneTimeout)
-	defer cancel()
-	_ = assignment.Finished.Send(ctx, done)
-}
-
 // endedFault explains why the request's context ended.
-func (g *generationTask) endedFault(ctx context.Context) *model.Fault {
+func (g *generationTask) endedFault() *model.Fault {
 	executed := model.ExecutedNo
-	if g.ledger.Attempt() > 0 {
+	if g.ledger.Issued() > 0 || g.start.Generation.Resume != nil {
 		executed = model.ExecutedUnknown
 	}
 	fault := &model.Fault{
--- a/entryhost/requests/messages.go
+++ b/entryhost/requests/messages.go
@@ -32,6 +32,25 @@
 	Body enginewire.Generation
 	// Eager starts the next attempt at the first sign of silence.
 	Eager bool
+	// Resume continues the answer that a caller received in part; nil starts one.
+	Resume *ResumePoint
+}
+
+// ResumePoint is what a cursor says of an answer that was received in part.
+type ResumePoint struct {
+	Version model.Version
+	Mark    Mark
+	// Source is the engine's stream, or the zero value if it is not known.
+	Source Source
+}
+
+// Source names the engine's stream that tokens came from, by which another
+// entry host can resume it. It is immutable.
+type Source struct {
+	Server model.ServerID
+	Stream string
+	// Base is the position in the answer at which the stream begins.
+	Base int
 }
 
 // Update is what a caller task receives. Exactly one of Tokens, Finish and
@@ -43,8 +62,10 @@
 	// Hash covers all token ids up to the end of Tokens.
 	Hash    uint64
 	Version model.Version
-	Finish  string
-	Fault   *model.Fault
+	// Source is nil while the engine's stream is not known.
+	Source *Source
+	Finish string
+	Fault  *model.Fault
 	// Prompt and Attempts are set with Finish.
 	PromptTokens int
 	Attempts     int
@@ -103,5 +124,9 @@
 func (Drain) managerCommand()           {}
 func (requestEnded) managerCommand()    {}
 
-// requestEnded tells the manager that a request task has ended.
-type requestEnded struct{}
+// requestEnded tells the manager that a request task has ended and what a
+// generation observed of its service.
+type requestEnded struct {
+	service  model.ServiceName
+	observed Observed
+}
--- a/entryhost/requests/policy.go
+++ b/entryhost/requests/policy.go
@@ -8,8 +8,8 @@
 	"github.com/lentilpoint/lentilpoint/model"
 )
 
-// maxAttempts bounds the attempts of one request, so that a request that
-// breaks servers ends.
+// maxAttempts bounds the failed attempts of one request, so that a request that
+// breaks servers ends. Resuming an engine's own stream is not counted.
 const maxAttempts = 6
 
 // Recovery says how a generation goes on after the loss of an attempt. All but
@@ -28,16 +28,14 @@
 
 // RetryDecision says what follows a failed attempt.
 type RetryDecision struct {
-	Retry bool
-	// Exclude tells whether the next attempt should avoid the failed server.
-	Exclude bool
+	Retry   bool
 	Outcome admission.Outcome
 	Fault   *model.Fault
 }
 
 // decideRetry decides after a failed attempt of a generation. A generation may
 // run again, because only one attempt's tokens reach the ledger.
-func decideRetry(attempt backends.Attempt, failure *backends.StreamError) RetryDecision {
+func decideRetry(failures int, failure *backends.StreamError) RetryDecision {
 	outcome := outcomeOf(failure.Kind)
 	if failure.Kind == backends.FailureInvalid {
 		return RetryDecision{Outcome: outcome, Fault: &model.Fault{
@@ -46,15 +44,15 @@
 		}}
 	}
 	if failure.Kind == backends.FailureCancelled {
-		return RetryDecision{Outcome: outcome, Fault: attemptsSpent(attempt, failure)}
+		return RetryDecision{Outcome: outcome, Fault: attemptsSpent(failure)}
 	}
-	if attempt >= maxAttempts {
-		return RetryDecision{Outcome: outcome, Fault: attemptsSpent(attempt, failure)}
+	if failures >= maxAttempts {
+		return RetryDecision{Outcome: outcome, Fault: attemptsSpent(failure)}
 	}
-	return RetryDecision{Retry: true, Exclude: true, Outcome: outcome}
+	return RetryDecision{Retry: true, Outcome: outcome}
 }
 
-func attemptsSpent(attempt backends.Attempt, failure *backends.StreamError) *model.Fault {
+func attemptsSpent(failure *backends.StreamError) *model.Fault {
 	return &model.Fault{
 		Kind: model.KindUnavailable, Reason: model.ReasonRetriesSpent, Executed: model.ExecutedUnknown,
 		Message: "no attempt finished; the last one failed with " + failure.Error(),
--- a/entryhost/requests/task.go
+++ b/entryhost/requests/task.go
@@ -5,9 +5,12 @@
 	"fmt"
 	"log/slog"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/jonboulle/clockwork"
 
 	"github.com/lentilpoint/lentilpoint/entryhost/admission"
+	"github.com/lentilpoint/lentilpoint/entryhost/backends"
+	"github.com/lentilpoint/lentilpoint/entryhost/events"
 	"github.com/lentilpoint/lentilpoint/eventcode"
 	"github.com/lentilpoint/lentilpoint/model"
 	"github.com/lentilpoint/lentilpoint/task"
@@ -22,23 +25,32 @@
 type Manager struct {
 	commands   task.Mailbox[Command]
 	dispatches task.Mailbox[admission.Dispatch]
+	servers    task.Mailbox[backends.FindServer]
 	recovery   Recovery
+	recorder   events.Recorder
+	metrics    *metrics.Set
 	clock      clockwork.Clock
 	logger     *slog.Logger
 
 	open     int
 	draining bool
 	idle     []chan<- struct{}
+	// observed is the speed of each service, from which progress limits follow.
+	observed map[model.ServiceName]Observed
 }
 
 // NewManager returns the manager task.
-func NewManager(dispatches task.Mailbox[admission.Dispatch], recovery Recovery, clock clockwork.Clock, logger *slog.Logger) *Manager {
+func NewManager(parameters Parameters) *Manager {
 	return &Manager{
 		commands:   task.NewMailbox[Command](managerMailboxSize),
-		dispatches: dispatches,
-		recovery:   recovery,
-		clock:      clock,
-		logger:     logger,
+		dispatches: parameters.Dispatches,
+		servers:    parameters.Servers,
+		recovery:   parameters.Recovery,
+		recorder:   parameters.Recorder,
+		metrics:    parameters.Metrics,
+		clock:      parameters.Clock,
+		logger:     parameters.Logger,
+		observed:   make(map[model.ServiceName]Observed),
 	}
 }
 
@@ -68,6 +80,9 @@
 		m.startCall(ctx, command)
 	case requestEnded:
 		m.open--
+		if command.service != "" {
+			m.observed[command.service] = m.observed[command.service].Merge(command.observed)
+		}
 		m.reportIdle()
 	case Drain:
 		m.draining = true
@@ -97,9 +112,14 @@
 		return
 	}
 	generation := &generationTask{
-		start: start, dispatches: m.dispatches, recovery: m.recovery, clock: m.clock, logger: m.logger,
+		start: start, dispatches: m.dispatches, servers: m.servers, recovery: m.recovery, clock: m.clock,
+		recorder: m.recorder, metrics: m.metrics, logger: m.logger, service: m.observed[start.Generation.Service],
+	}
+	run := func() requestEnded {
+		generation.run()
+		return requestEnded{service: start.Generation.Service, observed: generation.observed}
 	}
-	m.spawn(ctx, generation.run, func(fault *model.Fault) { generation.sendLast(Update{Fault: fault}) })
+	m.spawn(ctx, run, func(fault *model.Fault) { generation.sendLast(Update{Fault: fault}) })
 }
 
 func (m *Manager) startCall(ctx context.Context, start StartCall) {
@@ -108,20 +128,25 @@
 		return
 	}
 	call := &callTask{start: start, dispatches: m.dispatches, clock: m.clock, logger: m.logger}
-	m.spawn(ctx, call.run, func(fault *model.Fault) { start.Reply.Send(Answer{Fault: fault}) })
+	run := func() requestEnded {
+		call.run()
+		return requestEnded{}
+	}
+	m.spawn(ctx, run, func(fault *model.Fault) { start.Reply.Send(Answer{Fault: fault}) })
 }
 
 // spawn runs a request task. A panic ends only that request, with a typed fault.
-func (m *Manager) spawn(ctx context.Context, run func(), fail func(*model.Fault)) {
+func (m *Manager) spawn(ctx context.Context, run func() requestEnded, fail func(*model.Fault)) {
 	m.open++
 	go func() {
+		var ended requestEnded
 		defer func() {
 			if cause := recover(); cause != nil {
 				m.logger.Error("request task failed", eventcode.RequestTaskFailed.Attr(), "cause", cause)
 				fail(model.AsFault(Error.New("request task failed: %s", fmt.Sprint(cause))))
 			}
-			_ = m.commands.Send(ctx, requestEnded{})
+			_ = m.commands.Send(ctx, ended)
 		}()
-		run()
+		ended = run()
 	}()
 }
--- /dev/null
+++ b/eventcode/recovery.go
@@ -0,0 +1,23 @@
+package eventcode
+
+// Events of the recovery of generations, 1350 to 1399, and of resume cursors,
+// 1550 to 1599.
+const (
+	ContinuationStarted Code = 1351
+	StreamResumed       Code = 1352
+	ResumedByCursor     Code = 1353
+	ResumeDiverged      Code = 1354
+	VersionGone         Code = 1355
+	SecondAttempt       Code = 1356
+	CursorKeyRandom     Code = 1551
+)
+
+var recoveryEvents = []Entry{
+	{ContinuationStarted, "continuation started", "A generation goes on at another server after the loss of an attempt.", "Nothing; the event before it names the cause."},
+	{StreamResumed, "stream resumed", "A lost connection to an engine was replaced and the engine's own stream goes on.", "Check the network between entry host and server if it repeats."},
+	{ResumedByCursor, "resumed by cursor", "A caller reconnected with Last-Event-ID and its answer goes on here.", "Nothing; look for the loss of an entry host if it repeats."},
+	{ResumeDiverged, "resume diverged", "A generation was repeated and differs from what its caller received; it ended with an error.", "Check that the engines are deterministic for a seed."},
+	{VersionGone, "version gone", "No server of a generation's version was free in time; it ended with an error.", "Keep servers of a version until its generations have finished."},
+	{SecondAttempt, "second attempt", "A silent attempt got a second one beside it; the first to deliver a token goes on.", "Nothing unless it is frequent; then turn resume_eager off."},
+	{CursorKeyRandom, "cursor key is random", "No cursor keys are set, so callers can only reconnect to this entry host.", "Set the same --cursor-keys on all entry hosts."},
+}
