Continue streams on another entry host by cursor; add recovery experiments

Cause: the loss of an entry host ended its streams for good, and only the death of engines was measured. Change: each event id is a cursor (HMAC-SHA256 under a key derived for the stream) that binds organisation, path, body, version, seed, position, rolling hash and engine stream; a caller that reconnects with Last-Event-ID goes on from the engine's stream, or from a repeated generation that is checked against the hash. Experiments for paused, silent and early-ending engines, for the death and drain of entry hosts and for resume_eager. The stand-in no longer starts requests whose client left during a pause: they counted as repeated decoding.

--- a/cmd/lentilpoint-bench/scenario/demo.go
+++ b/cmd/lentilpoint-bench/scenario/demo.go
@@ -9,6 +9,7 @@
 
 	"github.com/lentilpoint/lentilpoint/cmd/lentilpoint-bench/check"
 	"github.com/lentilpoint/lentilpoint/cmd/lentilpoint-bench/cluster"
+	"github.com/lentilpoint/lentilpoint/cmd/lentilpoint-bench/standin"
 )
 
 // Demo is the run behind the demo command.
@@ -35,7 +36,10 @@
 	faults := make(chan struct{})
 	go func() {
 		defer close(faults)
-		killEngines(ctx, c, random.IntN(6), 5, parameters)
+		eachFault(ctx, c, random, 5, func(engine *standin.Engine) {
+			parameters.progress("killing %s", engine.ID())
+			killFor(engine, 300*time.Millisecond)
+		})
 	}()
 	results := runGenerations(ctx, c, planned)
 	orderHistory := <-orderResults
--- /dev/null
+++ b/cmd/lentilpoint-bench/scenario/recovery.go
@@ -0,0 +1,206 @@
+package scenario
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"go.uber.org/fx"
+
+	"github.com/lentilpoint/lentilpoint/cmd/lentilpoint-bench/check"
+	"github.com/lentilpoint/lentilpoint/cmd/lentilpoint-bench/cluster"
+	"github.com/lentilpoint/lentilpoint/cmd/lentilpoint-bench/standin"
+	"github.com/lentilpoint/lentilpoint/entryhost/requests"
+	"github.com/lentilpoint/lentilpoint/model"
+)
+
+// The baselines of recovery.
+const (
+	// BaselineRestart forgets the ledger and starts the generation again.
+	BaselineRestart = "restart"
+	// BaselineNoResume ends the request with the first attempt.
+	BaselineNoResume = "no-resume"
+)
+
+var recoveryBaselines = []string{BaselineRestart, BaselineNoResume}
+
+// recoveryScenarios are the experiments on the loss of engines and entry hosts.
+var recoveryScenarios = []Scenario{
+	{
+		Name: "engine-death", About: "engines are killed in the middle of streams, some in pairs",
+		Baselines: recoveryBaselines, Run: engineScenario(deaths),
+	},
+	{
+		Name: "engine-pause", About: "engines stop for seconds with open connections and come back",
+		Baselines: recoveryBaselines, Run: engineScenario(pauses),
+	},
+	{
+		Name: "engine-silent", About: "open connections to engines go silent for good; new ones work",
+		Baselines: recoveryBaselines, Run: engineScenario(silences),
+	},
+	{
+		Name: "engine-early-end", About: "engines end open streams cleanly but early",
+		Baselines: recoveryBaselines, Run: engineScenario(earlyEnds),
+	},
+	{
+		Name: "resume-eager", About: "pauses and silences with resume_eager off and on, by latency and extra work",
+		Run: runResumeEager,
+	},
+	{
+		Name: "entry-host-death", About: "entry hosts are killed, one together with an engine; callers reconnect elsewhere",
+		Baselines: recoveryBaselines, Run: runEntryHostDeath,
+	},
+	{
+		Name: "entry-host-drain", About: "an entry host stops gracefully; the baselines kill it",
+		Baselines: recoveryBaselines, Run: runEntryHostDrain,
+	},
+}
+
+// hostOptions returns the options that put a recovery baseline in place.
+func hostOptions(policy string) []fx.Option {
+	switch policy {
+	case BaselineRestart:
+		return []fx.Option{fx.Decorate(func() requests.Recovery { return requests.RecoveryRestart })}
+	case BaselineNoResume:
+		return []fx.Option{fx.Decorate(func() requests.Recovery { return requests.RecoveryNone })}
+	default:
+		return nil
+	}
+}
+
+// recoveryLoad is the load of the experiments; it spans all their faults.
+func recoveryLoad() generationLoad {
+	return generationLoad{count: 40, tokens: 300, promptWords: 40, spread: time.Second, organisations: twoOrganisations}
+}
+
+// engineFault is one fault of one engine.
+type engineFault struct {
+	at     time.Time
+	engine string
+}
+
+// engineFaults injects faults into engines and returns them.
+type engineFaults func(ctx context.Context, c *cluster.Cluster, random *rand.Rand, parameters Parameters) []engineFault
+
+// engineScenario runs the load of generations while faults are injected.
+func engineScenario(inject engineFaults) func(context.Context, Parameters) (Report, error) {
+	return func(ctx context.Context, parameters Parameters) (Report, error) {
+		return runEngineFaults(ctx, parameters, inject, false)
+	}
+}
+
+func runEngineFaults(ctx context.Context, parameters Parameters, inject engineFaults, eager bool) (Report, error) {
+	random := rand.New(rand.NewPCG(parameters.Seed, 10))
+	c, err := cluster.Start(ctx, cluster.Options{
+		Seed: parameters.Seed, EntryHosts: 2, Engines: 6, HostOptions: hostOptions(parameters.Policy),
+		Service: func(service *model.Service) { service.ResumeEager = eager },
+	})
+	if err != nil {
+		return Report{}, err
+	}
+	defer c.Stop()
+	planned := recoveryLoad().plan(random)
+	injected := make(chan []engineFault, 1)
+	go func() { injected <- inject(ctx, c, random, parameters) }()
+	results := runGenerations(ctx, c, planned)
+	faults := <-injected
+	figures := recoveryFigures(c, results)
+	addResumeFigures(figures, resumeLatencies(c, results, faults))
+	return Report{Violations: tokenViolations(results, cluster.VersionOne, check.Whole), Figures: figures}, nil
+}
+
+// faultInterval is the time between the faults of one run.
+const faultInterval = 400 * time.Millisecond
+
+// eachFault applies a fault to count engines, one after another.
+func eachFault(ctx context.Context, c *cluster.Cluster, random *rand.Rand, count int, apply func(*standin.Engine)) []engineFault {
+	first := random.IntN(len(c.Engines))
+	var faults []engineFault
+	for i := range count {
+		select {
+		case <-ctx.Done():
+			return faults
+		case <-time.After(faultInterval):
+		}
+		engine := c.Engines[(first+i)%len(c.Engines)]
+		faults = append(faults, engineFault{at: time.Now(), engine: engine.ID()})
+		apply(engine)
+	}
+	return faults
+}
+
+// deaths kills engines and starts each again. Each second time the next engine
+// dies too, 15 ms later, which hits generations during their recovery.
+func deaths(ctx context.Context, c *cluster.Cluster, random *rand.Rand, parameters Parameters) []engineFault {
+	var pairs []engineFault
+	count := 0
+	faults := eachFault(ctx, c, random, 4, func(engine *standin.Engine) {
+		parameters.progress("killing %s", engine.ID())
+		killFor(engine, 300*time.Millisecond)
+		count++
+		if count%2 == 0 {
+			time.Sleep(15 * time.Millisecond)
+			other := c.Engines[random.IntN(len(c.Engines))]
+			parameters.progress("killing %s during the recovery", other.ID())
+			pairs = append(pairs, engineFault{at: time.Now(), engine: other.ID()})
+			killFor(other, 300*time.Millisecond)
+		}
+	})
+	return append(faults, pairs...)
+}
+
+func killFor(engine *standin.Engine, down time.Duration) {
+	engine.Die()
+	time.AfterFunc(down, engine.Revive)
+}
+
+// pauses stops engines for 2.5 s each, longer than any progress limit.
+func pauses(ctx context.Context, c *cluster.Cluster, random *rand.Rand, parameters Parameters) []engineFault {
+	return eachFault(ctx, c, random, 2, func(engine *standin.Engine) {
+		parameters.progress("pausing %s", engine.ID())
+		engine.Pause()
+		time.AfterFunc(2500*time.Millisecond, engine.Unpause)
+	})
+}
+
+func silences(ctx context.Context, c *cluster.Cluster, random *rand.Rand, parameters Parameters) []engineFault {
+	return eachFault(ctx, c, random, 3, func(engine *standin.Engine) {
+		parameters.progress("silencing the connections of %s", engine.ID())
+		engine.Silence()
+	})
+}
+
+func earlyEnds(ctx context.Context, c *cluster.Cluster, random *rand.Rand, parameters Parameters) []engineFault {
+	forget := false
+	return eachFault(ctx, c, random, 4, func(engine *standin.Engine) {
+		parameters.progress("ending the streams of %s", engine.ID())
+		engine.EndStreams(forget)
+		forget = !forget
+	})
+}
+
+// runResumeEager runs the same seed with both settings of resume_eager.
+func runResumeEager(ctx context.Context, parameters Parameters) (Report, error) {
+	report := Report{Violations: check.Violations{}, Figures: make(map[string]float64)}
+	settings := []struct {
+		prefix string
+		eager  bool
+	}{{"cautious_", false}, {"eager_", true}}
+	faults := []struct {
+		name   string
+		inject engineFaults
+	}{{"pause_", pauses}, {"silent_", silences}}
+	for _, setting := range settings {
+		for _, fault := range faults {
+			one, err := runEngineFaults(ctx, parameters, fault.inject, setting.eager)
+			if err != nil {
+				return report, err
+			}
+			report.Violations.Add(one.Violations)
+			for _, name := range []string{"resume_p50_ms", "resume_p95_ms", "resume_max_ms", "prefill_extra_tokens", "decode_extra_tokens"} {
+				report.Figures[setting.prefix+fault.name+name] = one.Figures[name]
+			}
+		}
+	}
+	return report, nil
+}
--- /dev/null
+++ b/cmd/lentilpoint-bench/scenario/recovery_figures.go
@@ -0,0 +1,133 @@
+package scenario
+
+import (
+	"time"
+
+	"github.com/lentilpoint/lentilpoint/cmd/lentilpoint-bench/cluster"
+	"github.com/lentilpoint/lentilpoint/cmd/lentilpoint-bench/standin"
+)
+
+// inFlight is how long tokens that were sent before a fault may still arrive.
+const inFlight = 50 * time.Millisecond
+
+// recoveryFigures sums up latency and extra work of a run.
+func recoveryFigures(c *cluster.Cluster, results []generationResult) map[string]float64 {
+	var gaps []time.Duration
+	var delivered, finished int
+	for _, result := range results {
+		gaps = append(gaps, result.stream.LongestGap())
+		delivered += len(result.stream.Tokens)
+		if result.stream.Finished {
+			finished++
+		}
+	}
+	work := workOf(c.Attempts(), results)
+	return map[string]float64{
+		"generations":            float64(len(results)),
+		"generations_finished":   float64(finished),
+		"longest_gap_p95_ms":     milliseconds(Quantile(gaps, 0.95)),
+		"longest_gap_max_ms":     milliseconds(Quantile(gaps, 1)),
+		"tokens_delivered":       float64(delivered),
+		"tokens_decoded":         float64(work.decoded),
+		"tokens_prefilled":       float64(work.prefilled),
+		"decode_repeated_tokens": float64(work.repeated),
+		"decode_extra_tokens":    float64(work.decoded - delivered),
+		"prefill_extra_tokens":   float64(work.extraPrefill),
+	}
+}
+
+// engineWork is the work that engines did in a run.
+type engineWork struct {
+	decoded   int
+	prefilled int
+	// repeated counts decoded tokens that the caller had received before their
+	// attempt started.
+	repeated int
+	// extraPrefill counts what attempts after the first of a generation prefilled.
+	extraPrefill int
+}
+
+func workOf(attempts []standin.Attempt, results []generationResult) engineWork {
+	bySeed := make(map[int64]generationResult, len(results))
+	for _, result := range results {
+		bySeed[result.plan.body.Seed] = result
+	}
+	first := make(map[int64]standin.Attempt, len(results))
+	var work engineWork
+	for _, attempt := range attempts {
+		work.decoded += attempt.Decoded
+		work.prefilled += attempt.Prefilled
+		original, seen := first[attempt.Seed]
+		if !seen {
+			first[attempt.Seed] = attempt
+			continue
+		}
+		work.extraPrefill += attempt.Prefilled
+		from := attempt.PromptTokens - original.PromptTokens
+		had := arrivedBefore(bySeed[attempt.Seed].stream, attempt.Started)
+		work.repeated += max(0, min(had-from, attempt.Decoded))
+	}
+	return work
+}
+
+func arrivedBefore(stream cluster.Stream, at time.Time) int {
+	count := 0
+	for _, arrival := range stream.Arrivals {
+		if arrival.Before(at) {
+			count++
+		}
+	}
+	return count
+}
+
+// resumeLatencies returns, for each generation that a fault interrupted, the
+// time without a token around the fault.
+func resumeLatencies(c *cluster.Cluster, results []generationResult, faults []engineFault) []time.Duration {
+	bySeed := make(map[int64][]standin.Attempt)
+	for _, attempt := range c.Attempts() {
+		bySeed[attempt.Seed] = append(bySeed[attempt.Seed], attempt)
+	}
+	var latencies []time.Duration
+	for _, result := range results {
+		for _, fault := range faults {
+			if engineAt(bySeed[result.plan.body.Seed], fault.at) != fault.engine {
+				continue
+			}
+			if latency, interrupted := gapAround(result.stream.Arrivals, fault.at); interrupted {
+				latencies = append(latencies, latency)
+			}
+		}
+	}
+	return latencies
+}
+
+// engineAt returns the engine of the newest attempt at a time.
+func engineAt(attempts []standin.Attempt, at time.Time) string {
+	engine := ""
+	for _, attempt := range attempts {
+		if attempt.Started.Before(at) {
+			engine = attempt.Engine
+		}
+	}
+	return engine
+}
+
+// gapAround returns the longest gap that ends after the fault and begins before
+// tokens in flight have arrived. It reports false if the stream had not begun
+// or had ended.
+func gapAround(arrivals []time.Time, at time.Time) (time.Duration, bool) {
+	var longest time.Duration
+	for i := 1; i < len(arrivals); i++ {
+		if arrivals[i].After(at) && arrivals[i-1].Before(at.Add(inFlight)) {
+			longest = max(longest, arrivals[i].Sub(arrivals[i-1]))
+		}
+	}
+	return longest, longest > 0 && arrivals[0].Before(at)
+}
+
+func addResumeFigures(figures map[string]float64, latencies []time.Duration) {
+	figures["losses"] = float64(len(latencies))
+	figures["resume_p50_ms"] = milliseconds(Quantile(latencies, 0.5))
+	figures["resume_p95_ms"] = milliseconds(Quantile(latencies, 0.95))
+	figures["resume_max_ms"] = milliseconds(Quantile(latencies, 1))
+}
--- a/cmd/lentilpoint-bench/standin/engine.go
+++ b/cmd/lentilpoint-bench/standin/engine.go
@@ -119,6 +119,8 @@
 	id     enginewire.TokenID
 	finish string
 	err    string
+	// end closes the stream cleanly without an end mark.
+	end bool
 }
 
 // outputSize holds the steps a slow reader may lag behind; the engine keeps
@@ -333,6 +335,17 @@
 	e.cache = newPrefixCache(e.options.CacheBlocks)
 }
 
+// endStreams ends all open streams cleanly but early. The engine forgets them,
+// or keeps decoding for a caller who resumes.
+func (e *Engine) endStreams(forget bool) {
+	for id, generation := range e.running {
+		generation.send(step{end: true})
+		if forget {
+			delete(e.running, id)
+		}
+	}
+}
+
 func (e *Engine) revive() error {
 	if e.endpoint.server != nil {
 		return nil
--- a/cmd/lentilpoint-bench/standin/engine_http.go
+++ b/cmd/lentilpoint-bench/standin/engine_http.go
@@ -28,7 +28,7 @@
 	}
 	output := make(chan step, outputSize)
 	result, err := task.Call(r.Context(), e.messages, func(reply task.Reply[startResult]) engineMessage {
-		return startStream{body: body, chat: isChat(r.URL.Path), output: output, reply: reply}
+		return startStream{cancelled: r.Context().Done(), body: body, chat: isChat(r.URL.Path), output: output, reply: reply}
 	})
 	e.write(w, r, result, err, output, isChat(r.URL.Path))
 }
@@ -41,7 +41,7 @@
 	}
 	output := make(chan step, outputSize)
 	result, err := task.Call(r.Context(), e.messages, func(reply task.Reply[startResult]) engineMessage {
-		return resumeStream{stream: r.PathValue("id"), from: from, output: output, reply: reply}
+		return resumeStream{cancelled: r.Context().Done(), stream: r.PathValue("id"), from: from, output: output, reply: reply}
 	})
 	e.write(w, r, result, err, output, false)
 }
@@ -65,6 +65,9 @@
 		case <-r.Context().Done():
 			return
 		case next := <-output:
+			if next.end {
+				return
+			}
 			if next.err != "" {
 				writeEvent(w, enginewire.Chunk{Error: &enginewire.Failure{Message: next.err}})
 				return
--- a/cmd/lentilpoint-bench/standin/engine_messages.go
+++ b/cmd/lentilpoint-bench/standin/engine_messages.go
@@ -12,10 +12,13 @@
 type engineMessage interface{ apply(e *Engine) }
 
 type startStream struct {
-	body   enginewire.Generation
-	chat   bool
-	output chan<- step
-	reply  task.Reply[startResult]
+	// cancelled is closed when the client has gone; an engine that was paused
+	// does not start its request then.
+	cancelled <-chan struct{}
+	body      enginewire.Generation
+	chat      bool
+	output    chan<- step
+	reply     task.Reply[startResult]
 }
 
 type startResult struct {
@@ -25,10 +28,11 @@
 }
 
 type resumeStream struct {
-	stream string
-	from   int
-	output chan<- step
-	reply  task.Reply[startResult]
+	cancelled <-chan struct{}
+	stream    string
+	from      int
+	output    chan<- step
+	reply     task.Reply[startResult]
 }
 
 type detachStream struct {
@@ -56,12 +60,31 @@
 	done chan<- struct{}
 }
 
-func (m startStream) apply(e *Engine)  { m.reply.Send(e.begin(m)) }
-func (m resumeStream) apply(e *Engine) { m.reply.Send(e.resume(m)) }
 func (m detachStream) apply(e *Engine) { e.detach(m.stream, m.output) }
 func (m readLoad) apply(e *Engine)     { m.reply.Send(e.load()) }
 func (m sendOrder) apply(e *Engine)    { m.reply.Send(e.order(m.order)) }
 
+func (m startStream) apply(e *Engine) {
+	if !closed(m.cancelled) {
+		m.reply.Send(e.begin(m))
+	}
+}
+
+func (m resumeStream) apply(e *Engine) {
+	if !closed(m.cancelled) {
+		m.reply.Send(e.resume(m))
+	}
+}
+
+func closed(signal <-chan struct{}) bool {
+	select {
+	case <-signal:
+		return true
+	default:
+		return false
+	}
+}
+
 func (m readCache) apply(e *Engine) {
 	m.reply.Send(enginewire.CacheEvents{Incarnation: e.incarnation, Events: e.cache.since(m.after)})
 }
@@ -104,6 +127,10 @@
 // Silence makes the open connections silent for good; new ones work.
 func (e *Engine) Silence() { e.do(func(e *Engine) { e.endpoint.silence() }) }
 
+// EndStreams ends all open streams cleanly but early; with forget, they cannot
+// be resumed.
+func (e *Engine) EndStreams(forget bool) { e.do(func(e *Engine) { e.endStreams(forget) }) }
+
 // Slow multiplies the time of each token.
 func (e *Engine) Slow(factor float64) { e.do(func(e *Engine) { e.slow = factor }) }
 
--- a/entryhost/callers/fx.go
+++ b/entryhost/callers/fx.go
@@ -1,6 +1,7 @@
 package callers
 
 import (
+	"crypto/rand"
 	"log/slog"
 	"net"
 
@@ -10,13 +11,14 @@
 
 	"github.com/lentilpoint/lentilpoint/entryhost/config"
 	"github.com/lentilpoint/lentilpoint/entryhost/requests"
+	"github.com/lentilpoint/lentilpoint/eventcode"
 	"github.com/lentilpoint/lentilpoint/settings"
 	"github.com/lentilpoint/lentilpoint/task"
 )
 
 // Module provides the caller API.
 var Module = fx.Module("callers",
-	fx.Provide(provideServer),
+	fx.Provide(provideServer, provideCursors),
 	task.AsChild[*Server](),
 )
 
@@ -26,11 +28,31 @@
 	Settings settings.Settings
 	Requests task.Mailbox[requests.Command]
 	Config   task.Mailbox[config.Message]
+	Cursors  Cursors
 	Metrics  *metrics.Set
 	Clock    clockwork.Clock
 	Logger   *slog.Logger
 }
 
+// randomKeyBytes is the length of a cursor key that is made at start.
+const randomKeyBytes = 32
+
+// provideCursors uses the keys of the settings, or one of its own.
+func provideCursors(values settings.Settings, logger *slog.Logger) (Cursors, error) {
+	keys, err := settings.ParseCursorKeys(values.CursorKeys)
+	if err != nil {
+		return Cursors{}, Error.Wrap(err)
+	}
+	if len(keys) == 0 {
+		logger.Warn("no --cursor-keys are set; callers can only reconnect to this entry host", eventcode.CursorKeyRandom.Attr())
+		key := make([]byte, randomKeyBytes)
+		// crypto/rand never fails.
+		_, _ = rand.Read(key)
+		keys = []settings.CursorKey{{ID: "random", Key: key}}
+	}
+	return NewCursors(keys), nil
+}
+
 func provideServer(in serverIn) (*Server, error) {
 	listener, err := net.Listen("tcp", in.Settings.CallerAddress)
 	if err != nil {
@@ -39,6 +61,7 @@
 	return NewServer(listener, Parameters{
 		Requests: in.Requests,
 		Config:   in.Config,
+		Cursors:  in.Cursors,
 		Metrics:  in.Metrics,
 		Clock:    in.Clock,
 		Logger:   in.Logger,
--- a/entryhost/callers/generate.go
+++ b/entryhost/callers/generate.go
@@ -1,13 +1,11 @@
 package callers
 
 import (
-	"encoding/json"
 	"hash/fnv"
 	"math/rand/v2"
 	"net/http"
 	"slices"
 	"strconv"
-	"time"
 
 	"github.com/gin-gonic/gin"
 
@@ -57,11 +55,21 @@
 		s.fail(c, who.id, fault)
 		return
 	}
-	generation, body, fault := s.prepare(c, who, chat)
+	content, fault := readBody(c)
+	if fault != nil {
+		s.fail(c, who.id, fault)
+		return
+	}
+	generation, body, fault := s.prepare(c, who, content, chat)
 	if fault != nil {
 		s.fail(c, who.id, fault)
 		return
 	}
+	binding := bindCursor(who.organisation.ID, generation.Path, content)
+	if fault := s.resume(c, &generation, body, binding); fault != nil {
+		s.fail(c, who.id, fault)
+		return
+	}
 	updates := make(chan requests.Update, updatesSize)
 	start := requests.StartGeneration{Context: c.Request.Context(), Generation: generation, Updates: updates}
 	if err := s.Requests.Send(c.Request.Context(), start); err != nil {
@@ -69,18 +77,15 @@
 	}
 	format := answerFormat{id: who.id, model: body.Model, created: s.Clock.Now().Unix(), chat: chat, tokenIDs: body.ReturnTokenIDs}
 	if body.Stream {
-		s.stream(c, format, updates)
+		cursor := cursorStream{binding: binding, seed: generation.Body.Seed}
+		s.stream(c, newEventEncoder(format, s.Cursors, cursor), updates)
 		return
 	}
 	s.collect(c, format, updates)
 }
 
 // prepare decodes the body and builds the request for the request task.
-func (s *Server) prepare(c *gin.Context, who identity, chat bool) (requests.Generation, generationBody, *model.Fault) {
-	content, fault := readBody(c)
-	if fault != nil {
-		return requests.Generation{}, generationBody{}, fault
-	}
+func (s *Server) prepare(c *gin.Context, who identity, content []byte, chat bool) (requests.Generation, generationBody, *model.Fault) {
 	body, sampling, fault := decodeGeneration(content, chat)
 	if fault != nil {
 		return requests.Generation{}, body, fault
@@ -122,6 +127,25 @@
 	}, body, nil
 }
 
+// resume reads the cursor of a caller that reconnects. The seed comes from the
+// cursor, as the caller may not have set one.
+func (s *Server) resume(c *gin.Context, generation *requests.Generation, body generationBody, binding cursorBinding) *model.Fault {
+	text := c.GetHeader("Last-Event-ID")
+	if text == "" {
+		return nil
+	}
+	if !body.Stream {
+		return model.BadField("stream", "Last-Event-ID continues streamed answers only")
+	}
+	cursor, mark, fault := s.Cursors.read(text, binding)
+	if fault != nil {
+		return fault
+	}
+	generation.Body.Seed = cursor.seed
+	generation.Resume = &requests.ResumePoint{Version: cursor.version, Mark: mark, Source: cursor.source}
+	return nil
+}
+
 // fingerprint identifies the content of a request of one organisation.
 func fingerprint(organisation model.OrganisationID, content []byte) model.Fingerprint {
 	hash := fnv.New64a()
@@ -133,28 +157,28 @@
 
 // stream passes updates on as server-sent events. The status is sent with the
 // first tokens, so that an early refusal still has its own status.
-func (s *Server) stream(c *gin.Context, format answerFormat, updates <-chan requests.Update) {
-	heartbeat := time.NewTicker(heartbeatInterval)
+func (s *Server) stream(c *gin.Context, encoder *eventEncoder, updates <-chan requests.Update) {
+	heartbeat := s.Clock.NewTicker(heartbeatInterval)
 	defer heartbeat.Stop()
 	started := false
 	for {
 		select {
 		case <-c.Request.Context().Done():
 			return
-		case <-heartbeat.C:
-			if started {
-				s.write(c, []byte(": heartbeat\n\n"))
+		case <-heartbeat.Chan():
+			if started && s.write(c, []byte(": heartbeat\n\n")) {
+				c.Writer.Flush()
 			}
 		case update := <-updates:
 			if update.Fault != nil && !started {
-				s.fail(c, format.id, update.Fault)
+				s.fail(c, encoder.format.id, update.Fault)
 				return
 			}
 			if !started {
 				startEvents(c)
 				started = true
 			}
-			if s.writeUpdate(c, format, update) {
+			if s.writeUpdates(c, encoder, update, updates) {
 				return
 			}
 		}
@@ -168,45 +192,42 @@
 	c.Status(http.StatusOK)
 }
 
-// writeUpdate writes one update and reports whether it was the last.
-func (s *Server) writeUpdate(c *gin.Context, format answerFormat, update requests.Update) bool {
-	if update.Fault != nil {
-		s.countRefusal(update.Fault)
-		s.writeEvent(c, "", errorBody(update.Fault, format.id))
-		return true
-	}
-	position := update.Position + len(update.Tokens)
-	s.writeEvent(c, string(format.id)+"."+strconv.Itoa(position), format.chunk(update.Tokens, update.Finish))
-	if update.Finish == "" {
-		return false
+// writeUpdates writes an update and those that wait already, so that a caller
+// who lags costs one flush for several; it waits for none. It reports whether
+// the last update was written.
+func (s *Server) writeUpdates(c *gin.Context, encoder *eventEncoder, update requests.Update, updates <-chan requests.Update) bool {
+	defer c.Writer.Flush()
+	for {
+		if s.writeUpdate(c, encoder, update) {
+			return true
+		}
+		select {
+		case update = <-updates:
+		default:
+			return false
+		}
 	}
-	s.write(c, []byte("data: "+enginewire.StreamEnd+"\n\n"))
-	return true
 }
 
-func (s *Server) writeEvent(c *gin.Context, id string, body any) {
-	content, err := json.Marshal(body)
+// writeUpdate writes one update and reports whether it was the last.
+func (s *Server) writeUpdate(c *gin.Context, encoder *eventEncoder, update requests.Update) bool {
+	if update.Fault == nil {
+		return !s.write(c, encoder.update(update)) || update.Finish != ""
+	}
+	s.countRefusal(update.Fault)
+	event, err := encoder.fault(update.Fault)
 	if err != nil {
 		s.Logger.Error("event not encoded", eventcode.EventNotEncoded.Attr(), "error", err)
-		return
-	}
-	event := make([]byte, 0, len(content)+len(id)+16)
-	if id != "" {
-		event = append(event, "id: "...)
-		event = append(event, id...)
-		event = append(event, '\n')
+		return true
 	}
-	event = append(event, "data: "...)
-	event = append(event, content...)
-	event = append(event, "\n\n"...)
 	s.write(c, event)
+	return true
 }
 
-// write sends the bytes at once. An error shows as the end of the request's context.
-func (s *Server) write(c *gin.Context, content []byte) {
-	if _, err := c.Writer.Write(content); err == nil {
-		c.Writer.Flush()
-	}
+// write reports whether the connection still accepts bytes.
+func (s *Server) write(c *gin.Context, content []byte) bool {
+	_, err := c.Writer.Write(content)
+	return err == nil
 }
 
 // collect answers with the whole generation.
--- a/entryhost/callers/server.go
+++ b/entryhost/callers/server.go
@@ -65,6 +65,7 @@
 type Parameters struct {
 	Requests task.Mailbox[requests.Command]
 	Config   task.Mailbox[config.Message]
+	Cursors  Cursors
 	Metrics  *metrics.Set
 	Clock    clockwork.Clock
 	Logger   *slog.Logger
--- a/entryhost/callers/wire.go
+++ b/entryhost/callers/wire.go
@@ -136,27 +136,6 @@
 	tokenIDs bool
 }
 
-func (f answerFormat) chunk(tokens []backends.Token, finish string) completionChunk {
-	choice := completionChoice{}
-	text := joinText(tokens)
-	if f.chat {
-		choice.Delta = &enginewire.Delta{Content: text}
-	} else {
-		choice.Text = &text
-	}
-	if f.tokenIDs {
-		choice.TokenIDs = tokenIDs(tokens)
-	}
-	if finish != "" {
-		choice.FinishReason = &finish
-	}
-	object := "text_completion"
-	if f.chat {
-		object = "chat.completion.chunk"
-	}
-	return f.body(object, choice)
-}
-
 func (f answerFormat) whole(tokens []backends.Token, finish string, promptTokens int) completionChunk {
 	choice := completionChoice{FinishReason: &finish}
 	text := joinText(tokens)
--- a/entryhost/requests/attempt.go
+++ b/entryhost/requests/attempt.go
@@ -34,15 +34,16 @@
 	source *Source
 }
 
-// limits returns the silences that the attempt is allowed now.
-func (a *attempt) limits(service Observed, stream Moments) Limits {
-	limits := gapLimits(service.Gaps, stream)
+// limits returns the silences that the attempt is allowed now, from what was
+// observed of its service and of this generation.
+func (a *attempt) limits(service, own Observed) Limits {
+	limits := gapLimits(service.Gaps, own.Gaps)
 	if a.tokens == 0 && a.resumed {
 		// The engine holds the stream and answers at once if it is alive.
 		limits.GiveUp = limits.Suspect
 	}
 	if a.tokens == 0 && !a.resumed {
-		limits = firstTokenLimits(service, a.prompt)
+		limits = firstTokenLimits(service.Merge(own), a.prompt)
 	}
 	return limits
 }
--- a/entryhost/requests/generation.go
+++ b/entryhost/requests/generation.go
@@ -225,7 +225,7 @@
 	}
 }
 
-func (g *generationTask) limits(a *attempt) Limits { return a.limits(g.service, g.observed.Gaps) }
+func (g *generationTask) limits(a *attempt) Limits { return a.limits(g.service, g.observed) }
 
 // arm sets the timer to the next time at which something may have expired.
 func (g *generationTask) arm(now time.Time) {
--- a/entryhost/requests/progress.go
+++ b/entryhost/requests/progress.go
@@ -6,13 +6,16 @@
 )
 
 const (
-	// minSuspectAfter and maxSuspectAfter bound the silence between tokens
-	// after which an attempt is suspected to have failed.
+	// minSuspectAfter is the shortest silence after which an attempt is suspected
+	// to have failed. Shorter pauses are common under load.
 	minSuspectAfter = 300 * time.Millisecond
-	maxSuspectAfter = 2 * time.Second
+	// maxFirstTokenWait bounds the silence before the first token, unless the
+	// service is known to take longer for a prompt of that length.
+	maxFirstTokenWait = 2 * time.Second
 	// maxGiveUpAfter bounds the silence between tokens after which an attempt
-	// is given up; callers wait a few seconds at most.
-	maxGiveUpAfter = 2 * time.Second
+	// is given up. It leaves half a second of the 2 s target for the next first
+	// token.
+	maxGiveUpAfter = 1500 * time.Millisecond
 	// giveUpFactor makes giving up more cautious than suspicion, because it
 	// discards an attempt that may still be alive.
 	giveUpFactor = 2
@@ -25,7 +28,7 @@
 	firstTokenDeviations = 4
 	// unobservedGap and unobservedFirstToken are the limits of a service that
 	// has not yet been observed.
-	unobservedGap        = time.Second
+	unobservedGap        = 750 * time.Millisecond
 	unobservedFirstToken = 2 * time.Second
 	// unobservedPromptTokens is the prompt length up to which
 	// unobservedFirstToken applies; longer prompts get proportionally more.
@@ -36,8 +39,10 @@
 	// historyWeight bounds the weight of old observations of a service, so that
 	// the newest few hundred decide.
 	historyWeight = 512
-	// minObservations is the number below which an estimate is not used.
+	// minObservations is the number below which the spread is not known and only
+	// the mean is used, with the larger factor fewMeans.
 	minObservations = 4
+	fewMeans        = 4
 )
 
 // Moments are the count, mean and spread of a series. The zero value is empty.
@@ -133,7 +138,7 @@
 	if gaps.count >= minObservations {
 		suspect = seconds(max(gapMeans*gaps.mean, gaps.mean+gapDeviations*gaps.Deviation()))
 	}
-	suspect = min(max(suspect, minSuspectAfter), maxSuspectAfter)
+	suspect = min(max(suspect, minSuspectAfter), maxGiveUpAfter)
 	return Limits{Suspect: suspect, GiveUp: min(giveUpFactor*suspect, maxGiveUpAfter)}
 }
 
@@ -142,14 +147,17 @@
 // length, so that a long prefill is not taken for silence.
 func firstTokenLimits(service Observed, promptTokens int) Limits {
 	times := service.FirstTokens
-	if times.count < minObservations {
+	if times.count == 0 {
 		suspect := unobservedFirstToken.Seconds() * max(1, float64(promptTokens)/unobservedPromptTokens)
 		return Limits{Suspect: seconds(suspect), GiveUp: seconds(suspect)}
 	}
 	scale := max(1, float64(promptTokens)/max(1, service.PromptTokens.mean))
 	expected := times.mean * scale
 	suspect := max(firstTokenMeans*expected, expected+firstTokenDeviations*times.Deviation()*scale)
-	top := max(maxSuspectAfter, seconds(firstTokenMeans*expected))
+	if times.count < minObservations {
+		suspect = fewMeans * expected
+	}
+	top := max(maxFirstTokenWait, seconds(firstTokenMeans*expected))
 	limits := Limits{Suspect: min(max(seconds(suspect), minSuspectAfter), top)}
 	limits.GiveUp = min(giveUpFactor*limits.Suspect, top)
 	return limits
--- /dev/null
+++ b/entryhost/requests/recovery_test.go
@@ -0,0 +1,303 @@
+package requests
+
+import (
+	"context"
+	"io"
+	"log/slog"
+	"testing"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/jonboulle/clockwork"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"github.com/lentilpoint/lentilpoint/enginewire"
+	"github.com/lentilpoint/lentilpoint/entryhost/admission"
+	"github.com/lentilpoint/lentilpoint/entryhost/backends"
+	"github.com/lentilpoint/lentilpoint/entryhost/events"
+	"github.com/lentilpoint/lentilpoint/model"
+	"github.com/lentilpoint/lentilpoint/task"
+)
+
+// TestGapLimitsProperty guards against limits outside the stated bounds and
+// against a steady stream that would be taken for silent.
+func TestGapLimitsProperty(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var service, stream Moments
+		for range rapid.IntRange(0, 50).Draw(t, "service gaps") {
+			service.Add(rapid.Float64Range(0, 10).Draw(t, "gap"))
+		}
+		gap := rapid.Float64Range(0.001, 0.3).Draw(t, "own gap")
+		count := rapid.IntRange(0, 50).Draw(t, "own gaps")
+		for range count {
+			stream.Add(gap)
+		}
+		limits := gapLimits(service, stream)
+		if limits.Suspect < minSuspectAfter || limits.GiveUp > 2*time.Second || limits.Suspect > limits.GiveUp {
+			t.Fatalf("limits %v are out of bounds", limits)
+		}
+		if count > 0 && limits.Suspect <= seconds(gap) {
+			t.Fatalf("a stream with gaps of %v s is suspected after %v", gap, limits.Suspect)
+		}
+	})
+}
+
+// TestFirstTokenLimitsProperty guards against a long prefill that is taken for
+// silence: a time in proportion to the prompt is never suspected.
+func TestFirstTokenLimitsProperty(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var service Observed
+		perToken := rapid.Float64Range(0.00001, 0.001).Draw(t, "seconds per token")
+		for range rapid.IntRange(1, 20).Draw(t, "observations") {
+			prompt := rapid.IntRange(1, 4000).Draw(t, "observed prompt")
+			service.addFirstToken(seconds(perToken*float64(prompt)), prompt)
+		}
+		prompt := rapid.IntRange(1, 100_000).Draw(t, "prompt")
+		limits := firstTokenLimits(service, prompt)
+		expected := seconds(perToken * float64(prompt))
+		if limits.Suspect < expected || limits.GiveUp < limits.Suspect {
+			t.Fatalf("a prefill of %v is suspected after %v and given up after %v", expected, limits.Suspect, limits.GiveUp)
+		}
+		if expected < time.Second && limits.GiveUp > max(2*time.Second, 2*seconds(service.FirstTokens.mean*float64(prompt))) {
+			t.Fatalf("silence is noticed only after %v", limits.GiveUp)
+		}
+	})
+}
+
+// TestRepeatedGenerationProperty guards against delivering tokens after a
+// cursor's position when the repeated generation differs from the delivered one.
+func TestRepeatedGenerationProperty(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		ids := rapid.SliceOfN(rapid.Int32Range(0, 9), 1, 30).Draw(t, "ids")
+		position := rapid.IntRange(1, len(ids)).Draw(t, "position")
+		changed := rapid.IntRange(-1, len(ids)-1).Draw(t, "changed")
+		var mark Mark
+		for _, id := range ids[:position] {
+			mark = Mark{Position: mark.Position + 1, Hash: enginewire.RollHash(mark.Hash, id)}
+		}
+		ledger := NewLedger("v1", mark)
+		attempt := ledger.Begin()
+		for i, id := range ids {
+			if i == changed {
+				id++
+			}
+			ledger.Accept("v1", backends.StreamEvent{Attempt: attempt, Tokens: []backends.Token{{ID: id}}})
+		}
+		differs := changed >= 0 && changed < position
+		if ledger.Diverged() != differs {
+			t.Fatalf("token %d of %d changed, position %d: diverged is %v", changed, len(ids), position, ledger.Diverged())
+		}
+		if differs && len(ledger.Since(position)) > 0 {
+			t.Fatal("tokens after a difference would be delivered")
+		}
+	})
+}
+
+var _ = DescribeTable("the step after the silence of an attempt",
+	func(silent time.Duration, eager, second bool, expected SilenceStep) {
+		limits := Limits{Suspect: 300 * time.Millisecond, GiveUp: 600 * time.Millisecond}
+		Expect(decideSilence(silent, limits, eager, second)).To(Equal(expected))
+	},
+	Entry("waits within the limits", 299*time.Millisecond, true, false, SilenceWait),
+	Entry("starts a second attempt of an eager service", 300*time.Millisecond, true, false, SilenceStartSecond),
+	Entry("starts no third attempt", 400*time.Millisecond, true, true, SilenceWait),
+	Entry("does not start a second attempt otherwise", 599*time.Millisecond, false, false, SilenceWait),
+	Entry("gives up", 600*time.Millisecond, false, false, SilenceGiveUp),
+)
+
+// harness runs one generation task against mailboxes in place of dispatcher
+// and server, with a fake clock.
+type harness struct {
+	clock      *clockwork.FakeClock
+	dispatches task.Mailbox[admission.Dispatch]
+	commands   task.Mailbox[backends.Command]
+	finished   task.Mailbox[admission.Message]
+	updates    chan Update
+	nextID     admission.DispatchID
+}
+
+func startHarness(generation Generation) *harness {
+	h := &harness{
+		clock:      clockwork.NewFakeClock(),
+		dispatches: task.NewMailbox[admission.Dispatch](16),
+		commands:   task.NewMailbox[backends.Command](16),
+		finished:   task.NewMailbox[admission.Message](16),
+		updates:    make(chan Update, 64),
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	DeferCleanup(cancel)
+	generation.Deadline = time.Now().Add(time.Minute)
+	generation.Body.MaxTokens = 10
+	g := &generationTask{
+		start:      StartGeneration{Context: ctx, Generation: generation, Updates: h.updates},
+		dispatches: h.dispatches, servers: task.NewMailbox[backends.FindServer](1), recovery: RecoveryContinue,
+		clock: h.clock, recorder: events.Discard, metrics: metrics.NewSet(),
+		logger: slog.New(slog.NewTextHandler(io.Discard, nil)),
+	}
+	go g.run()
+	return h
+}
+
+// assign answers the next dispatch and returns it with the opened stream.
+func (h *harness) assign(server model.ServerID) (admission.Dispatch, backends.OpenStream) {
+	GinkgoHelper()
+	var dispatch admission.Dispatch
+	Eventually(h.dispatches.C()).Should(Receive(&dispatch))
+	h.nextID++
+	dispatch.Reply.Send(admission.DispatchResult{Assignment: admission.Assignment{
+		ID: h.nextID, Server: server, Version: "v1", Commands: h.commands, Finished: h.finished,
+	}})
+	return dispatch, h.opened()
+}
+
+func (h *harness) opened() backends.OpenStream {
+	GinkgoHelper()
+	for {
+		var command backends.Command
+		Eventually(h.commands.C()).Should(Receive(&command))
+		if open, isOpen := command.(backends.OpenStream); isOpen {
+			return open
+		}
+	}
+}
+
+func send(open backends.OpenStream, event backends.StreamEvent) {
+	GinkgoHelper()
+	event.Attempt = open.Attempt
+	Expect(open.Events.Send(context.Background(), event)).To(Succeed())
+}
+
+func tokens(ids ...enginewire.TokenID) backends.StreamEvent {
+	event := backends.StreamEvent{PromptIDs: []enginewire.TokenID{100}}
+	for _, id := range ids {
+		event.Tokens = append(event.Tokens, backends.Token{ID: id})
+	}
+	return event
+}
+
+func broken() backends.StreamEvent {
+	return backends.StreamEvent{Err: &backends.StreamError{Kind: backends.FailureBroken, Message: "injected"}}
+}
+
+// received reads updates up to the last and returns the token ids and the last.
+func (h *harness) received() ([]enginewire.TokenID, Update) {
+	GinkgoHelper()
+	var ids []enginewire.TokenID
+	for {
+		var update Update
+		Eventually(h.updates).Should(Receive(&update))
+		for _, token := range update.Tokens {
+			ids = append(ids, token.ID)
+		}
+		if update.Finish != "" || update.Fault != nil {
+			return ids, update
+		}
+	}
+}
+
+var _ = Describe("a generation task", func() {
+	It("drops late tokens of an attempt that was replaced, which would be repeated tokens", func() {
+		h := startHarness(Generation{})
+		_, first := h.assign("a")
+		send(first, tokens(1, 2))
+		send(first, broken())
+		dispatch, second := h.assign("b")
+		Expect(dispatch.Request.Version).To(BeEquivalentTo("v1"))
+		Expect(dispatch.Request.Exclude).To(ConsistOf(model.ServerID("a")))
+		Expect(string(second.Body.Prompt)).To(Equal("[100,1,2]"))
+		Expect(second.Body.MaxTokens).To(Equal(8))
+		send(first, tokens(3))
+		end := tokens(3, 4)
+		end.Finish = "stop"
+		send(second, end)
+		ids, last := h.received()
+		Expect(ids).To(Equal([]enginewire.TokenID{1, 2, 3, 4}))
+		Expect(last.Finish).To(Equal("stop"))
+	})
+
+	It("resumes the engine's own stream once before it asks for another server", func() {
+		h := startHarness(Generation{})
+		_, first := h.assign("a")
+		start := tokens(1, 2)
+		start.EngineStream = "s1"
+		send(first, start)
+		send(first, broken())
+		resumed := h.opened()
+		Expect(resumed.ResumeStream).To(Equal("s1"))
+		Expect(resumed.ResumeFrom).To(Equal(2))
+		send(resumed, broken())
+		_, second := h.assign("b")
+		Expect(second.ResumeStream).To(BeEmpty())
+	})
+
+	It("ends with version_gone when no server of its version is left, instead of changing the version", func() {
+		h := startHarness(Generation{})
+		_, first := h.assign("a")
+		send(first, tokens(1))
+		send(first, broken())
+		var dispatch admission.Dispatch
+		Eventually(h.dispatches.C()).Should(Receive(&dispatch))
+		Expect(dispatch.Request.Version).To(BeEquivalentTo("v1"))
+		h.clock.Advance(versionWait - time.Millisecond)
+		Consistently(h.updates, 50*time.Millisecond).ShouldNot(Receive(HaveField("Fault", Not(BeNil()))))
+		h.clock.Advance(time.Second)
+		_, last := h.received()
+		Expect(last.Fault.Reason).To(Equal(model.ReasonVersionGone))
+		Expect(last.Fault.Executed).To(Equal(model.ExecutedUnknown))
+		Eventually(dispatch.Cancelled).Should(BeClosed())
+	})
+
+	It("gives back an assignment that arrives after its dispatch was abandoned, which would leak a slot", func() {
+		h := startHarness(Generation{Eager: true})
+		_, first := h.assign("a")
+		send(first, tokens(1))
+		Eventually(h.updates).Should(Receive())
+		h.clock.Advance(unobservedGap)
+		var dispatch admission.Dispatch
+		Eventually(h.dispatches.C()).Should(Receive(&dispatch))
+		send(first, tokens(2))
+		Eventually(dispatch.Cancelled).Should(BeClosed())
+		dispatch.Reply.Send(admission.DispatchResult{Assignment: admission.Assignment{ID: 9, Finished: h.finished}})
+		Eventually(h.finished.C()).Should(Receive(HaveField("ID", admission.DispatchID(9))))
+	})
+
+	It("lets the first of two open attempts go on and cancels the other", func() {
+		h := startHarness(Generation{Eager: true})
+		_, first := h.assign("a")
+		send(first, tokens(1))
+		Eventually(h.updates).Should(Receive())
+		h.clock.Advance(unobservedGap)
+		_, second := h.assign("b")
+		Expect(first.Context.Err()).NotTo(HaveOccurred())
+		send(second, tokens(2))
+		Eventually(first.Context.Done()).Should(BeClosed())
+		send(first, tokens(7))
+		end := tokens(3)
+		end.Finish = "stop"
+		send(second, end)
+		ids, _ := h.received()
+		Expect(ids).To(Equal([]enginewire.TokenID{2, 3}))
+	})
+
+	It("ends a generation that has all its tokens without another attempt", func() {
+		h := startHarness(Generation{})
+		_, first := h.assign("a")
+		send(first, tokens(1, 2, 3, 4, 5, 6, 7, 8, 9, 10))
+		send(first, broken())
+		ids, last := h.received()
+		Expect(ids).To(HaveLen(10))
+		Expect(last.Finish).To(Equal("length"))
+	})
+
+	It("ends with resume_diverged when the repeated generation differs at the cursor", func() {
+		h := startHarness(Generation{Resume: &ResumePoint{Version: "v1", Mark: Mark{Position: 2, Hash: 12345}}})
+		dispatch, first := h.assign("a")
+		Expect(dispatch.Request.Version).To(BeEquivalentTo("v1"))
+		send(first, tokens(1, 2, 3))
+		ids, last := h.received()
+		Expect(ids).To(BeEmpty())
+		Expect(last.Fault.Reason).To(Equal(model.ReasonResumeDiverged))
+	})
+})
--- /dev/null
+++ b/settings/cursor_keys_test.go
@@ -0,0 +1,29 @@
+package settings_test
+
+import (
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/lentilpoint/lentilpoint/settings"
+)
+
+var _ = Describe("cursor keys", func() {
+	It("keep their order, in which the first one signs", func() {
+		keys, err := settings.ParseCursorKeys([]string{"new=000102030405060708090a0b0c0d0e0f", "old=0f0e0d0c0b0a09080706050403020100"})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(keys[0].ID).To(Equal("new"))
+		Expect(keys[1].Key[0]).To(Equal(byte(15)))
+	})
+
+	DescribeTable("are refused without showing them", func(values ...string) {
+		_, err := settings.ParseCursorKeys(values)
+		Expect(err).To(HaveOccurred())
+		Expect(err.Error()).NotTo(ContainSubstring("0102"))
+	},
+		Entry("no id", "000102030405060708090a0b0c0d0e0f"),
+		Entry("too short", "a=0001020304"),
+		Entry("not hexadecimal", "a=zz0102030405060708090a0b0c0d0e0f"),
+		Entry("an id that breaks the form of a cursor", "a.b=000102030405060708090a0b0c0d0e0f"),
+		Entry("the same id twice", "a=000102030405060708090a0b0c0d0e0f", "a=000102030405060708090a0b0c0d0e0f"),
+	)
+})
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -138,6 +138,9 @@
 	if s.PeerAddress != "" && s.PeerSecret == "" {
 		report("peer-secret", "is missing; set the same secret on all entry hosts, or leave --peer-address empty")
 	}
+	if _, err := ParseCursorKeys(s.CursorKeys); err != nil {
+		report("cursor-keys", "is invalid: "+err.Error())
+	}
 	if s.OperatorAddress != "" && len(s.OperatorTokens) == 0 {
 		report("operator-tokens", "is missing; set at least one token, or leave --operator-address empty")
 	}
