--- a/cmd/lentilpoint-bench/scenario/doublefault.go
+++ b/cmd/lentilpoint-bench/scenario/doublefault.go
@@ -14,7 +14,7 @@
 var doubleFaultScenarios = []Scenario{
 	{
 		Name: "double-fault", About: "two faults drawn from the seed strike generations and keyed orders together",
-		Baselines: []string{BaselineRestart, BaselineNoResume}, Run: runDoubleFault,
+		Baselines: []string{BaselineRestart, BaselineNoResume, BaselineBlindRetry}, Run: runDoubleFault,
 	},
 }
 
@@ -45,7 +45,8 @@
 func runDoubleFault(ctx context.Context, parameters Parameters) (Report, error) {
 	random := rand.New(rand.NewPCG(parameters.Seed, 12))
 	c, err := cluster.Start(ctx, cluster.Options{
-		Seed: parameters.Seed, EntryHosts: 3, Engines: 6, Plains: 3, HostOptions: hostOptions(parameters.Policy),
+		Seed: parameters.Seed, EntryHosts: 3, Engines: 6, Plains: 3, Settings: sharedCursorKeys,
+		HostOptions: append(hostOptions(parameters.Policy), callOptions(parameters.Policy)...),
 	})
 	if err != nil {
 		return Report{}, err
@@ -68,7 +69,7 @@
 	}
 	orderResults := make(chan []check.OrderResult, 1)
 	go func() { orderResults <- runKeyedOrders(ctx, c, orders) }()
-	results := runResuming(ctx, c, planned)
+	results := runReconnecting(ctx, c, planned, PolicyDefault)
 	history := <-orderResults
 	<-struck
 	<-struck
@@ -99,7 +100,7 @@
 }
 
 func dieEngines(ctx context.Context, c *cluster.Cluster, random *rand.Rand) {
-	killEngines(ctx, c, random.IntN(len(c.Engines)), 3, Parameters{})
+	deaths(ctx, c, random, Parameters{})
 }
 
 func pauseEngine(ctx context.Context, c *cluster.Cluster, random *rand.Rand) {
@@ -159,58 +160,8 @@
 	c.SetLeaving(c.Engines[random.IntN(len(c.Engines))].ID(), true)
 }
 
-const (
-	// maxReconnects bounds the tries of one caller.
-	maxReconnects = 12
-	// reconnectPause is the pause of a caller between two tries.
-	reconnectPause = 150 * time.Millisecond
-)
-
-// runResuming sends the planned generations; callers reconnect to the next
-// entry host with the last event id when their connection is lost.
-func runResuming(ctx context.Context, c *cluster.Cluster, planned []plannedGeneration) []generationResult {
-	results := make(chan generationResult, len(planned))
-	for _, plan := range planned {
-		go func() {
-			client := cluster.NewClient(plan.organisation)
-			defer client.Close()
-			pause(ctx, plan.delay)
-			results <- generationResult{plan: plan, stream: generateResuming(ctx, c, client, plan)}
-		}()
-	}
-	collected := make([]generationResult, 0, len(planned))
-	for range planned {
-		collected = append(collected, <-results)
-	}
-	return collected
-}
-
-// generateResuming joins the parts that one caller received.
-func generateResuming(ctx context.Context, c *cluster.Cluster, client *cluster.Client, plan plannedGeneration) cluster.Stream {
-	var whole cluster.Stream
-	for try := range maxReconnects {
-		part := client.Generate(ctx, c.URL(plan.host+try), plan.body, whole.LastEventID)
-		whole = joinParts(whole, part)
-		refusedBeforeRun := part.Fault != nil && part.Fault.Executed == model.ExecutedNo
-		if part.Finished || (part.Err == nil && !refusedBeforeRun) || !pause(ctx, reconnectPause) {
-			break
-		}
-	}
-	return whole
-}
-
-func joinParts(whole, part cluster.Stream) cluster.Stream {
-	if whole.Sent.IsZero() {
-		return part
-	}
-	whole.Tokens = append(whole.Tokens, part.Tokens...)
-	whole.Arrivals = append(whole.Arrivals, part.Arrivals...)
-	if part.LastEventID != "" {
-		whole.LastEventID = part.LastEventID
-	}
-	whole.Finished, whole.Status, whole.Fault, whole.Err = part.Finished, part.Status, part.Fault, part.Err
-	return whole
-}
+// orderPause is the pause of a caller between two tries of an order.
+const orderPause = 150 * time.Millisecond
 
 // runKeyedOrders sends each order with its own key until it is answered or its
 // outcome is unknown for good.
@@ -246,7 +197,7 @@
 			combined.Answered, combined.AnsweredOrder = true, result.AnsweredOrder
 			break
 		}
-		if !pause(ctx, reconnectPause) {
+		if !pause(ctx, orderPause) {
 			break
 		}
 	}
--- a/cmd/lentilpoint-bench/scenario/load.go
+++ b/cmd/lentilpoint-bench/scenario/load.go
@@ -174,3 +174,5 @@
 	}
 	return result
 }
+
+var twoOrganisations = []model.OrganisationID{"bubbles", "wands"}
--- a/cmd/lentilpoint-bench/scenario/scenario.go
+++ b/cmd/lentilpoint-bench/scenario/scenario.go
@@ -57,7 +57,7 @@
 // All returns the scenarios in order of their names.
 func All() []Scenario {
 	all := slices.Concat(
-		requestScenarios,
+		recoveryScenarios,
 		controlScenarios,
 		configScenarios,
 		doubleFaultScenarios,
--- a/entryhost/callers/server.go
+++ b/entryhost/callers/server.go
@@ -67,6 +67,7 @@
 	Requests task.Mailbox[requests.Command]
 	Config   task.Mailbox[config.Message]
 	Tickets  tickets.Issuer
+	Cursors  Cursors
 	Metrics  *metrics.Set
 	Clock    clockwork.Clock
 	Logger   *slog.Logger
--- a/entryhost/requests/fx.go
+++ b/entryhost/requests/fx.go
@@ -1,8 +1,15 @@
 package requests
 
 import (
+	"log/slog"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/jonboulle/clockwork"
 	"go.uber.org/fx"
 
+	"github.com/lentilpoint/lentilpoint/entryhost/admission"
+	"github.com/lentilpoint/lentilpoint/entryhost/backends"
+	"github.com/lentilpoint/lentilpoint/entryhost/events"
 	"github.com/lentilpoint/lentilpoint/entryhost/peers"
 	"github.com/lentilpoint/lentilpoint/entryhost/requests/claims"
 	"github.com/lentilpoint/lentilpoint/entryhost/requests/tickets"
@@ -27,3 +34,17 @@
 func receiverOf(redeemer *Redeemer) peers.Receiver {
 	return peers.Receiver{Name: tickets.ReceiverName, Object: redeemer}
 }
+
+// Parameters are what the manager is built from.
+type Parameters struct {
+	fx.In
+
+	Dispatches task.Mailbox[admission.Dispatch]
+	Servers    task.Mailbox[backends.FindServer]
+	Recovery   Recovery
+	Calls      CallParts
+	Recorder   events.Recorder
+	Metrics    *metrics.Set
+	Clock      clockwork.Clock
+	Logger     *slog.Logger
+}
