Give the events of recovery numbers of their own

Cause: two parts built in parallel used 1351 to 1356; the test on the catalogue found it. Change: recovery uses 1310 to 1349. Result: go test ./eventcode passes.

--- a/eventcode/recovery.go
+++ b/eventcode/recovery.go
@@ -1,14 +1,14 @@
 package eventcode
 
-// Events of the recovery of generations, 1350 to 1399, and of resume cursors,
+// Events of the recovery of generations, 1310 to 1349, and of resume cursors,
 // 1550 to 1599.
 const (
-	ContinuationStarted Code = 1351
-	StreamResumed       Code = 1352
-	ResumedByCursor     Code = 1353
-	ResumeDiverged      Code = 1354
-	VersionGone         Code = 1355
-	SecondAttempt       Code = 1356
+	ContinuationStarted Code = 1311
+	StreamResumed       Code = 1312
+	ResumedByCursor     Code = 1313
+	ResumeDiverged      Code = 1314
+	VersionGone         Code = 1315
+	SecondAttempt       Code = 1316
 	CursorKeyRandom     Code = 1551
 )
 
--- a/eventcode/requests.go
+++ b/eventcode/requests.go
@@ -1,6 +1,6 @@
 package eventcode
 
-// Events of requests, 1300 to 1399.
+// Events of requests, 1300 to 1309.
 const (
 	AttemptFailed     Code = 1301
 	CallFailed        Code = 1302
