Bound the cost of learning the load of backend servers

Cause: every entry host polled every listed server each second, which at 206 servers in a data centre alone would exceed the 3 KB/s for control many times. Change: engines report their load in the header of each answer; polls of all servers share a bounded rate; an entry host connects to the servers of its data centre and at most 16 others for each service, chosen by rendezvous hashing; servers without cache events are no longer asked for them.

--- a/cmd/lentilpoint-bench/cluster/cluster.go
+++ b/cmd/lentilpoint-bench/cluster/cluster.go
@@ -226,6 +226,7 @@
 		ConfigInterval: 100 * time.Millisecond,
 		HostsInterval:  100 * time.Millisecond,
 		LoadInterval:   100 * time.Millisecond,
+		RemoteServers:  64,
 		RandomSeed:     c.options.Seed*1000 + uint64(i) + 1,
 	}
 	if c.options.Settings != nil {
--- a/cmd/lentilpoint-bench/scenario/doublefault.go
+++ b/cmd/lentilpoint-bench/scenario/doublefault.go
@@ -73,6 +73,11 @@
 	history := <-orderResults
 	<-struck
 	<-struck
+	for _, result := range results {
+		if fault := result.stream.Fault; fault != nil {
+			parameters.progress("generation %d ended: %s: %s", result.plan.number, fault.Reason, fault.Message)
+		}
+	}
 	violations := tokenViolations(results, cluster.VersionOne, check.Whole)
 	violations.Add(check.Orders(history, c.Executions()))
 	figures := recoveryFigures(c, results)
--- a/cmd/lentilpoint-bench/standin/engine.go
+++ b/cmd/lentilpoint-bench/standin/engine.go
@@ -382,7 +382,7 @@
 	fault, found := e.faults[attempt.Version]
 	g.fail = found && e.faultActive(fault, g) && e.random.Float64() < fault.FailShare
 	e.waiting = append(e.waiting, g)
-	return startResult{stream: stream, prompt: prompt}
+	return startResult{stream: stream, prompt: prompt, load: e.load()}
 }
 
 func containsToken(prompt []enginewire.TokenID, word string) bool {
@@ -398,7 +398,7 @@
 	g.output = resume.output
 	g.sent = resume.from
 	g.flush()
-	return startResult{stream: resume.stream, prompt: g.prompt}
+	return startResult{stream: resume.stream, prompt: g.prompt, load: e.load()}
 }
 
 // detach handles the end of a connection: the generation is cancelled, or kept
--- a/cmd/lentilpoint-bench/standin/engine_http.go
+++ b/cmd/lentilpoint-bench/standin/engine_http.go
@@ -58,6 +58,9 @@
 	defer func() { _ = e.messages.TrySend(detachStream{stream: result.stream, output: output}) }()
 	w.Header().Set("Content-Type", "text/event-stream")
 	w.Header().Set(enginewire.HeaderStreamID, result.stream)
+	if load, err := json.Marshal(result.load); err == nil {
+		w.Header().Set(enginewire.HeaderLoad, string(load))
+	}
 	w.WriteHeader(http.StatusOK)
 	writeChunk(w, enginewire.Choice{PromptTokenIDs: result.prompt})
 	for {
--- a/cmd/lentilpoint-bench/standin/engine_messages.go
+++ b/cmd/lentilpoint-bench/standin/engine_messages.go
@@ -24,6 +24,7 @@
 type startResult struct {
 	stream string
 	prompt []enginewire.TokenID
+	load   enginewire.LoadReport
 	err    string
 }
 
--- a/enginewire/wire.go
+++ b/enginewire/wire.go
@@ -19,6 +19,10 @@
 // which the stream can be resumed.
 const HeaderStreamID = "X-Stream-Id"
 
+// HeaderLoad is the response header with the engine's load report as JSON, so
+// that servers in use need few polls.
+const HeaderLoad = "Endpoint-Load-Metrics"
+
 // StreamEnd is the data of the last event of a stream.
 const StreamEnd = "[DONE]"
 
--- a/entryhost/backends/fx.go
+++ b/entryhost/backends/fx.go
@@ -7,6 +7,7 @@
 	"go.uber.org/fx"
 
 	"github.com/lentilpoint/lentilpoint/entryhost/platform"
+	"github.com/lentilpoint/lentilpoint/model"
 	"github.com/lentilpoint/lentilpoint/settings"
 	"github.com/lentilpoint/lentilpoint/task"
 )
@@ -46,5 +47,11 @@
 }
 
 func providePool(in poolIn) *Pool {
-	return NewPool(in.Hosts, in.Events, in.Clock, in.Settings.LoadInterval, in.Logger, in.Observers...)
+	polling := Polling{Interval: in.Settings.LoadInterval, Rate: in.Settings.LoadRate}
+	subset := Subset{
+		Self:             model.HostID(in.Settings.HostID),
+		Home:             model.DataCentre(in.Settings.DataCentre),
+		RemotePerService: in.Settings.RemoteServers,
+	}
+	return NewPool(in.Hosts, in.Events, in.Clock, polling, subset, in.Logger, in.Observers...)
 }
--- a/entryhost/backends/messages.go
+++ b/entryhost/backends/messages.go
@@ -137,7 +137,6 @@
 func (ReportSilence) command() {}
 func (SendOrder) command()     {}
 func (hostUpdate) command()    {}
-func (pollResult) command()    {}
 
 // SendOrder passes an order on to the server.
 type SendOrder struct {
@@ -193,13 +192,6 @@
 // hostUpdate tells a server task about a new entry in the host list.
 type hostUpdate struct{ host model.Host }
 
-// pollResult is what the poll task of a server read.
-type pollResult struct {
-	load  enginewire.LoadReport
-	cache enginewire.CacheEvents
-	err   error
-}
-
 // FindServer asks the pool for the server task of a server.
 type FindServer struct {
 	ID    model.ServerID
--- a/entryhost/backends/pool.go
+++ b/entryhost/backends/pool.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"log/slog"
-	"time"
 
 	"github.com/jonboulle/clockwork"
 	"github.com/thejerf/suture/v4"
@@ -17,14 +16,15 @@
 // Pool is the task that keeps one server task for each backend server in the
 // host list. It owns the set of servers and supervises their tasks.
 type Pool struct {
-	hosts        task.Mailbox[platform.HostsRead]
-	finds        task.Mailbox[FindServer]
-	events       task.Mailbox[Event]
-	observers    []task.Mailbox[Event]
-	clock        clockwork.Clock
-	pollInterval time.Duration
-	logger       *slog.Logger
-	servers      map[model.ServerID]*pooledServer
+	hosts     task.Mailbox[platform.HostsRead]
+	finds     task.Mailbox[FindServer]
+	events    task.Mailbox[Event]
+	observers []task.Mailbox[Event]
+	clock     clockwork.Clock
+	polling   Polling
+	subset    Subset
+	logger    *slog.Logger
+	servers   map[model.ServerID]*pooledServer
 }
 
 type pooledServer struct {
@@ -36,16 +36,17 @@
 // NewPool returns a pool that reads host lists and sends server events.
 // Observers receive the changes of servers too; a full mailbox drops a change,
 // as the next read of the server's load repeats its state.
-func NewPool(hosts task.Mailbox[platform.HostsRead], events task.Mailbox[Event], clock clockwork.Clock, pollInterval time.Duration, logger *slog.Logger, observers ...task.Mailbox[Event]) *Pool {
+func NewPool(hosts task.Mailbox[platform.HostsRead], events task.Mailbox[Event], clock clockwork.Clock, polling Polling, subset Subset, logger *slog.Logger, observers ...task.Mailbox[Event]) *Pool {
 	return &Pool{
-		hosts:        hosts,
-		finds:        task.NewMailbox[FindServer](findsSize),
-		events:       events,
-		observers:    observers,
-		clock:        clock,
-		pollInterval: pollInterval,
-		logger:       logger,
-		servers:      make(map[model.ServerID]*pooledServer),
+		hosts:     hosts,
+		finds:     task.NewMailbox[FindServer](findsSize),
+		events:    events,
+		observers: observers,
+		clock:     clock,
+		polling:   polling,
+		subset:    subset,
+		logger:    logger,
+		servers:   make(map[model.ServerID]*pooledServer),
 	}
 }
 
@@ -88,11 +89,10 @@
 }
 
 func (p *Pool) apply(ctx context.Context, supervisor *suture.Supervisor, hosts []model.Host) {
-	listed := make(map[model.ServerID]bool, len(hosts))
-	for _, host := range hosts {
-		if host.Role != model.RoleBackend {
-			continue
-		}
+	chosen := p.subset.Choose(hosts)
+	before := len(p.servers)
+	listed := make(map[model.ServerID]bool, len(chosen))
+	for _, host := range chosen {
 		id := model.ServerID(host.ID)
 		listed[id] = true
 		p.keep(ctx, supervisor, id, host)
@@ -107,13 +107,24 @@
 		_ = p.events.Send(ctx, removed)
 		notify(p.observers, removed)
 	}
+	if len(p.servers) != before {
+		p.announceSize()
+	}
+}
+
+// announceSize tells the server tasks how many share the poll rate. A busy task
+// learns it with the next change.
+func (p *Pool) announceSize() {
+	for _, server := range p.servers {
+		_ = server.task.commands.TrySend(poolSize{servers: len(p.servers)})
+	}
 }
 
 // keep starts a task for a new server or tells a running one about its entry.
 func (p *Pool) keep(ctx context.Context, supervisor *suture.Supervisor, id model.ServerID, host model.Host) {
 	server, running := p.servers[id]
 	if !running {
-		server = &pooledServer{task: newServerTask(host, p.events, p.observers, p.clock, p.pollInterval, p.logger), host: host}
+		server = &pooledServer{task: newServerTask(host, p.events, p.observers, p.clock, p.polling, p.logger), host: host}
 		server.token = supervisor.Add(server.task)
 		p.servers[id] = server
 		return
--- a/entryhost/backends/server.go
+++ b/entryhost/backends/server.go
@@ -5,10 +5,8 @@
 	"encoding/json"
 	"io"
 	"log/slog"
-	"math/rand/v2"
 	"net"
 	"net/http"
-	"strconv"
 	"strings"
 	"time"
 
@@ -30,37 +28,38 @@
 	idleTimeout = 20 * time.Second
 	// maxIdleConnections bounds the pooled connections to one server.
 	maxIdleConnections = 64
-	// pollTimeout bounds one read of load and cache events.
-	pollTimeout = time.Second
-	// maxPollBytes bounds one answer to a poll.
-	maxPollBytes = 4 << 20
 )
 
 // serverTask owns the transport, load report and cache position of one server.
 type serverTask struct {
-	commands     task.Mailbox[Command]
-	events       task.Mailbox[Event]
-	observers    []task.Mailbox[Event]
-	clock        clockwork.Clock
-	pollInterval time.Duration
-	logger       *slog.Logger
-
-	state  ServerState
-	cache  cachePosition
-	pooled *http.Transport
-	fresh  *http.Transport
-}
-
-func newServerTask(host model.Host, events task.Mailbox[Event], observers []task.Mailbox[Event], clock clockwork.Clock, pollInterval time.Duration, logger *slog.Logger) *serverTask {
+	commands  task.Mailbox[Command]
+	events    task.Mailbox[Event]
+	observers []task.Mailbox[Event]
+	clock     clockwork.Clock
+	polling   Polling
+	logger    *slog.Logger
+
+	// servers is the number of servers that share the poll rate.
+	servers int
+	state   ServerState
+	cache   cachePosition
+	// cacheless tells that the server has no cache events.
+	cacheless bool
+	pooled    *http.Transport
+	fresh     *http.Transport
+}
+
+func newServerTask(host model.Host, events task.Mailbox[Event], observers []task.Mailbox[Event], clock clockwork.Clock, polling Polling, logger *slog.Logger) *serverTask {
 	commands := task.NewMailbox[Command](serverMailboxSize)
 	return &serverTask{
-		commands:     commands,
-		events:       events,
-		observers:    observers,
-		clock:        clock,
-		pollInterval: pollInterval,
-		logger:       logger,
-		state:        ServerState{Host: host, Reachable: true, Commands: commands, Generation: 1},
+		commands:  commands,
+		events:    events,
+		observers: observers,
+		clock:     clock,
+		polling:   polling,
+		servers:   1,
+		logger:    logger,
+		state:     ServerState{Host: host, Reachable: true, Commands: commands, Generation: 1},
 	}
 }
 
@@ -75,7 +74,7 @@
 	s.publish(ctx)
 	pollContext, cancel := context.WithCancel(ctx)
 	defer cancel()
-	go s.poll(pollContext, s.state.Host, s.cache.sequence)
+	go s.poll(pollContext, s.nextPoll())
 	for {
 		select {
 		case <-ctx.Done():
@@ -89,7 +88,7 @@
 func (s *serverTask) handle(ctx, pollContext context.Context, command Command) {
 	switch command := command.(type) {
 	case OpenStream:
-		stream := &streamTask{client: &http.Client{Transport: s.pooled}, address: s.state.Host.Address, generation: s.state.Generation, open: command}
+		stream := &streamTask{client: &http.Client{Transport: s.pooled}, address: s.state.Host.Address, generation: s.state.Generation, open: command, server: s.commands}
 		go stream.run()
 	case OpenExchange:
 		exchange := &exchangeTask{client: s.exchangeClient(command.Repeatable), address: s.state.Host.Address, open: command}
@@ -102,7 +101,11 @@
 		s.updateHost(ctx, command.host)
 	case pollResult:
 		s.applyPoll(ctx, command)
-		go s.poll(pollContext, s.state.Host, s.cache.sequence)
+		go s.poll(pollContext, s.nextPoll())
+	case loadHeard:
+		s.applyHeard(ctx, command)
+	case poolSize:
+		s.servers = command.servers
 	}
 }
 
@@ -165,20 +168,6 @@
 	notify(s.observers, changed)
 }
 
-func (s *serverTask) applyPoll(ctx context.Context, result pollResult) {
-	reachable := result.err == nil
-	if reachable != s.state.Reachable {
-		s.logger.Warn("server reachability changed", eventcode.ServerReachability.Attr(), "server", s.state.Host.ID, "reachable", reachable, "error", result.err)
-	}
-	s.state.Reachable = reachable
-	if reachable {
-		s.state.Load = result.load
-		s.state.LoadAt = s.clock.Now()
-		s.applyCache(ctx, result.cache)
-	}
-	s.publish(ctx)
-}
-
 func (s *serverTask) applyCache(ctx context.Context, page enginewire.CacheEvents) {
 	next, stored, evicted, reset := s.cache.advance(page)
 	s.cache = next
@@ -191,56 +180,6 @@
 	})
 }
 
-// poll waits for the interval, reads load and cache events once and sends the
-// result to the server task, which starts the next poll.
-func (s *serverTask) poll(ctx context.Context, host model.Host, after uint64) {
-	wait := s.pollInterval/2 + rand.N(s.pollInterval)
-	select {
-	case <-ctx.Done():
-		return
-	case <-s.clock.After(wait):
-	}
-	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
-	result := readServer(ctx, client, host.Address, after)
-	_ = s.commands.Send(ctx, result)
-}
-
-func readServer(ctx context.Context, client *http.Client, address string, after uint64) pollResult {
-	ctx, cancel := context.WithTimeout(ctx, pollTimeout)
-	defer cancel()
-	var result pollResult
-	result.err = getJSON(ctx, client, "http://"+address+enginewire.PathLoad, &result.load)
-	if result.err != nil {
-		return result
-	}
-	path := enginewire.PathCacheEvents + "?after=" + strconv.FormatUint(after, 10)
-	if err := getJSON(ctx, client, "http://"+address+path, &result.cache); err != nil {
-		// Plain services have no cache; the load report alone is enough.
-		result.cache = enginewire.CacheEvents{}
-	}
-	return result
-}
-
-func getJSON(ctx context.Context, client *http.Client, address string, target any) error {
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, address, nil)
-	if err != nil {
-		return Error.Wrap(err)
-	}
-	response, err := client.Do(request)
-	if err != nil {
-		return Error.Wrap(err)
-	}
-	defer func() { _ = response.Body.Close() }()
-	content, err := io.ReadAll(io.LimitReader(response.Body, maxPollBytes))
-	if err != nil {
-		return Error.Wrap(err)
-	}
-	if response.StatusCode != http.StatusOK {
-		return Error.New("status %d", response.StatusCode)
-	}
-	return Error.Wrap(json.Unmarshal(content, target))
-}
-
 // order sends one order and answers the caller.
 func (s *serverTask) order(command SendOrder, address string, client *http.Client) {
 	var outcome OrderOutcome
--- a/entryhost/backends/stream.go
+++ b/entryhost/backends/stream.go
@@ -14,6 +14,7 @@
 	"github.com/tmaxmax/go-sse"
 
 	"github.com/lentilpoint/lentilpoint/enginewire"
+	"github.com/lentilpoint/lentilpoint/task"
 )
 
 // maxEventBytes bounds one server-sent event of an engine.
@@ -28,6 +29,8 @@
 	address    string
 	generation Generation
 	open       OpenStream
+	// server receives load reports that come with answers.
+	server task.Mailbox[Command]
 }
 
 // run sends the request and passes on its events until the stream ends.
@@ -82,6 +85,10 @@
 // relay reads server-sent events until the end mark. A stream that ends
 // without it is broken, however cleanly the connection closed.
 func (s *streamTask) relay(response *http.Response) *StreamError {
+	if load, found := heardLoad(response.Header); found {
+		// A busy server task skips the report; the next one replaces it.
+		_ = s.server.TrySend(loadHeard{load: load})
+	}
 	engineStream := response.Header.Get(enginewire.HeaderStreamID)
 	finished := false
 	for event, err := range sse.Read(response.Body, &sse.ReadConfig{MaxEventSize: maxEventBytes}) {
--- a/entryhost/peers/targets.go
+++ b/entryhost/peers/targets.go
@@ -19,12 +19,13 @@
 func RendezvousRank(key string, ids []model.HostID) []model.HostID {
 	ranked := slices.Clone(ids)
 	slices.SortFunc(ranked, func(a, b model.HostID) int {
-		return cmp.Or(cmp.Compare(rendezvousWeight(key, b), rendezvousWeight(key, a)), cmp.Compare(a, b))
+		return cmp.Or(cmp.Compare(RendezvousWeight(key, b), RendezvousWeight(key, a)), cmp.Compare(a, b))
 	})
 	return ranked
 }
 
-func rendezvousWeight(key string, id model.HostID) uint64 {
+// RendezvousWeight is the weight of an id for a key; the highest wins.
+func RendezvousWeight(key string, id model.HostID) uint64 {
 	hash := fnv.New64a()
 	_, _ = hash.Write([]byte(key))
 	_, _ = hash.Write([]byte{0})
