--- a/entryhost/config/commit.go
+++ b/entryhost/config/commit.go
@@ -228,6 +228,15 @@
 	return records[0], nil
 }
 
+// History reads the revisions after one, at most limit.
+func (c Committer) History(ctx context.Context, after model.Revision, limit int) ([]RevisionRecord, error) {
+	rows, err := c.Table.Scan(ctx, PrefixRevision, RevisionKey(after+1), limit)
+	if err != nil {
+		return nil, unreachable(err)
+	}
+	return decodeRecords(rows)
+}
+
 // settled handles a proposal whose place is taken: by itself, when an operator
 // repeats a commit whose answer was lost, or by another that it names.
 func (c Committer) settled(ctx context.Context, proposal Proposal) (RevisionRecord, error) {
--- a/entryhost/fx.go
+++ b/entryhost/fx.go
@@ -11,6 +11,7 @@
 	"github.com/lentilpoint/lentilpoint/entryhost/callers"
 	"github.com/lentilpoint/lentilpoint/entryhost/config"
 	"github.com/lentilpoint/lentilpoint/entryhost/events"
+	"github.com/lentilpoint/lentilpoint/entryhost/operators"
 	"github.com/lentilpoint/lentilpoint/entryhost/peers"
 	"github.com/lentilpoint/lentilpoint/entryhost/platform"
 	"github.com/lentilpoint/lentilpoint/entryhost/requests"
@@ -28,6 +29,7 @@
 	admission.Module,
 	requests.Module,
 	callers.Module,
+	operators.Module,
 	fx.Provide(provideRoot),
 )
 
--- a/entryhost/host.go
+++ b/entryhost/host.go
@@ -15,6 +15,7 @@
 	"go.uber.org/fx/fxevent"
 
 	"github.com/lentilpoint/lentilpoint/entryhost/callers"
+	"github.com/lentilpoint/lentilpoint/entryhost/operators"
 	"github.com/lentilpoint/lentilpoint/entryhost/requests"
 	"github.com/lentilpoint/lentilpoint/eventcode"
 	"github.com/lentilpoint/lentilpoint/settings"
@@ -47,6 +48,8 @@
 	Root     *suture.Supervisor
 	Requests task.Mailbox[requests.Command]
 	Callers  *callers.Server
+	// Operators is the operator API, which may be off.
+	Operators *operators.Server
 }
 
 // Environment is what an entry host needs besides its settings.
@@ -78,6 +81,9 @@
 // CallerAddress returns the address that callers reach.
 func (h *Host) CallerAddress() string { return h.parts.Callers.Address() }
 
+// OperatorAddress returns the address of the operator API, or an empty string.
+func (h *Host) OperatorAddress() string { return h.parts.Operators.Address() }
+
 // Start runs the tree in the background.
 func (h *Host) Start() error {
 	ctx, cancel := context.WithTimeout(context.Background(), startTimeout)
--- /dev/null
+++ b/entryhost/operators/messages.go
@@ -0,0 +1,16 @@
+package operators
+
+import (
+	"github.com/zeebo/errs"
+
+	"github.com/lentilpoint/lentilpoint/model"
+	"github.com/lentilpoint/lentilpoint/task"
+)
+
+// Error is the class of errors of this package.
+var Error = errs.Class("operators")
+
+// askRevisions asks the server task for the revisions that hosts reported.
+type askRevisions struct {
+	reply task.Reply[map[model.HostID]model.Revision]
+}
