Add the operators' command line

Cause: operators had no tool for the operator API.

Change: lentilpoint with config, questionnaire, services, organisations, moves, status, events and explain; each flag also by environment, the next server after one that does not answer, and an exit code for each kind of error. A commit carries an id, so that it may be sent to another server after a lost answer.

--- /dev/null
+++ b/cmd/lentilpoint/commands/explain.go
@@ -0,0 +1,141 @@
+package commands
+
+import (
+	"fmt"
+	"net/url"
+	"strconv"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"github.com/lentilpoint/lentilpoint/entryhost/operators"
+	"github.com/lentilpoint/lentilpoint/eventcode"
+	"github.com/lentilpoint/lentilpoint/explain"
+)
+
+// outputHTML is a format that only explain has.
+const outputHTML = "html"
+
+func statusCommand(g *globals) *cobra.Command {
+	return &cobra.Command{
+		Use: "status", Short: "Show the entry hosts with their state and revision", Args: cobra.NoArgs,
+		Example: "  lentilpoint status --output json",
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			status, err := fetch[operators.StatusAnswer](cmd, g, operators.PathStatus, nil)
+			if err != nil {
+				return err
+			}
+			return g.print(status, func() table {
+				t := table{head: []string{"HOST", "DATA CENTRE", "ALIVE", "LEAVING", "REVISION", "ANSWERS"}}
+				for _, host := range status.Hosts {
+					t.add(host.ID, host.DataCentre, yesNo(host.Alive), yesNo(host.Leaving), host.Revision, yesNo(host.Answering))
+				}
+				return t
+			})
+		},
+	}
+}
+
+func eventsCommand(g *globals) *cobra.Command {
+	var since time.Duration
+	var limit int
+	cmd := &cobra.Command{
+		Use: "events", Short: "List recent events of all entry hosts", Args: cobra.NoArgs,
+		Example: "  lentilpoint events --since 10m",
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			answer, err := g.fetchEvents(cmd, url.Values{"limit": {strconv.Itoa(limit)}}, since)
+			if err != nil {
+				return err
+			}
+			return g.print(answer, func() table {
+				t := table{head: []string{"TIME", "HOST", "EVENT", "SUBJECT", "CAUSE"}}
+				for _, event := range answer.Events {
+					subject := orDash(string(event.Request) + string(event.Move))
+					t.add(clock(event.At), event.Host, eventcode.Name(event.Code), subject, orDash(event.Cause))
+				}
+				return t
+			})
+		},
+	}
+	cmd.Flags().DurationVar(&since, "since", time.Hour, "how far to look back")
+	cmd.Flags().IntVar(&limit, "limit", 1000, "number of events, newest ones")
+	return cmd
+}
+
+// fetchEvents reads events and says which hosts are missing.
+func (g *globals) fetchEvents(cmd *cobra.Command, query url.Values, since time.Duration) (operators.EventsAnswer, error) {
+	if since <= 0 {
+		return operators.EventsAnswer{}, usage(Error.New("--since must be positive, as in 10m"))
+	}
+	query.Set("since", time.Now().Add(-since).UTC().Format(time.RFC3339Nano))
+	answer, err := fetch[operators.EventsAnswer](cmd, g, operators.PathEvents, query)
+	if err == nil && len(answer.Unanswered) > 0 {
+		g.say("these entry hosts did not answer, so their events are missing: %v", answer.Unanswered)
+	}
+	return answer, err
+}
+
+func explainCommand(g *globals) *cobra.Command {
+	return group("explain", "Explain what happened, why, what the system did and what to do",
+		explainSubjectCommand(g, explain.SubjectRequest), explainSubjectCommand(g, explain.SubjectMove),
+		explainSubjectCommand(g, explain.SubjectOrganisation))
+}
+
+func explainSubjectCommand(g *globals, subject explain.Subject) *cobra.Command {
+	var since time.Duration
+	var html bool
+	cmd := &cobra.Command{
+		Use: string(subject) + " ID", Short: "Explain a " + string(subject), Args: cobra.ExactArgs(1),
+		Example: fmt.Sprintf("  lentilpoint explain %s ID\n  lentilpoint explain %s ID --output html > page.html", subject, subject),
+		RunE: func(cmd *cobra.Command, arguments []string) error {
+			input, err := g.explainInput(cmd, subject, arguments[0], since)
+			if err != nil {
+				return err
+			}
+			return g.printPage(explain.Build(input), html)
+		},
+	}
+	cmd.Flags().DurationVar(&since, "since", 24*time.Hour, "how far to look back")
+	// This replaces the check of the root command, which does not allow html.
+	cmd.PersistentPreRunE = func(cmd *cobra.Command, _ []string) error {
+		prepared := g.prepareAllowing(cmd, outputHTML)
+		html = g.output == outputHTML
+		return prepared
+	}
+	return cmd
+}
+
+func (g *globals) explainInput(cmd *cobra.Command, subject explain.Subject, id string, since time.Duration) (explain.Input, error) {
+	answer, err := g.fetchEvents(cmd, url.Values{string(subject): {id}}, since)
+	if err != nil {
+		return explain.Input{}, err
+	}
+	input := explain.Input{Subject: subject, ID: id, Events: answer.Events, Unanswered: answer.Unanswered}
+	if subject != explain.SubjectMove {
+		return input, nil
+	}
+	move, err := g.fetchMove(cmd, id)
+	switch {
+	case err == nil:
+		input.Move = &move
+	case ExitCode(err) != ExitNotFound:
+		return input, err
+	}
+	return input, nil
+}
+
+func (g *globals) printPage(page explain.Page, html bool) error {
+	switch {
+	case html:
+		text, err := explain.HTML(page)
+		if err != nil {
+			return Error.Wrap(err)
+		}
+		_, err = fmt.Fprint(g.streams.Out, text)
+		return Error.Wrap(err)
+	case g.output == "table":
+		_, err := fmt.Fprint(g.streams.Out, explain.Text(page))
+		return Error.Wrap(err)
+	}
+	return g.print(page, nil)
+}
--- a/cmd/lentilpoint/main.go
+++ b/cmd/lentilpoint/main.go
@@ -2,24 +2,17 @@
 package main
 
 import (
-	"fmt"
+	"context"
 	"os"
+	"os/signal"
+	"syscall"
 
-	"github.com/spf13/cobra"
-
-	"github.com/lentilpoint/lentilpoint/version"
+	"github.com/lentilpoint/lentilpoint/cmd/lentilpoint/commands"
 )
 
 func main() {
-	root := &cobra.Command{
-		Use:           "lentilpoint",
-		Short:         "Operate lentilpoint: services, organisations, version moves and explanations",
-		Version:       version.String(),
-		SilenceUsage:  true,
-		SilenceErrors: true,
-	}
-	if err := root.Execute(); err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		os.Exit(1)
-	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	code := commands.Run(ctx, os.Args[1:], commands.Streams{In: os.Stdin, Out: os.Stdout, Err: os.Stderr, Lookup: os.LookupEnv})
+	stop()
+	os.Exit(code)
 }
--- /dev/null
+++ b/entryhost/operators/operators_test.go
@@ -0,0 +1,161 @@
+package operators_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/jonboulle/clockwork"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/lentilpoint/lentilpoint/cmd/lentilpoint-bench/standin"
+	"github.com/lentilpoint/lentilpoint/entryhost/config"
+	"github.com/lentilpoint/lentilpoint/entryhost/events"
+	"github.com/lentilpoint/lentilpoint/entryhost/operators"
+	"github.com/lentilpoint/lentilpoint/entryhost/peers"
+	"github.com/lentilpoint/lentilpoint/entryhost/platform"
+	"github.com/lentilpoint/lentilpoint/model"
+	"github.com/lentilpoint/lentilpoint/task"
+)
+
+func TestOperators(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "operators")
+}
+
+// host is an operator API with the tasks that it asks.
+type host struct {
+	server  *operators.Server
+	journal *events.Journal
+}
+
+// startHost starts a host that other hosts reach through the exchange. A deaf
+// host registers no receiver, as one of another version.
+func startHost(ctx context.Context, stand *standin.Platform, exchange *standin.Exchange, id model.HostID, deaf bool) host {
+	GinkgoHelper()
+	logger := slog.New(slog.NewTextHandler(io.Discard, nil))
+	clock := clockwork.NewRealClock()
+	client := platform.NewClient(stand.URL(), "")
+	DeferCleanup(client.Close)
+	links := task.NewMailbox[peers.Message](256)
+	store := config.NewStore(config.Parameters{
+		Self: id, Home: "jkt", Table: client, Objects: platform.ObjectStore{Client: client}, Peers: links, PeersOn: true,
+		Intervals: config.Intervals{Reader: time.Hour}, Clock: clock, Metrics: metrics.NewSet(), Logger: logger,
+	})
+	journal := events.NewJournal(id, platform.ObjectStore{Client: client}, clock, metrics.NewSet(), logger)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	server := operators.NewServer(listener, operators.Parameters{
+		Self: id, Home: "jkt", Tokens: []string{"maria=m-token", "plain=="}, Config: store.Messages(), Commits: config.Committer{Table: client, Clock: clock},
+		Events: journal.Messages(), Recorder: journal, Peers: links, PeersOn: true, Clock: clock, Metrics: metrics.NewSet(), Logger: logger,
+	})
+	var receivers []peers.Receiver
+	if !deaf {
+		receivers = append(receivers, operators.NewPeer(journal.Messages()).Receiver())
+	}
+	Expect(exchange.Join(ctx, peers.Member{ID: id, DataCentre: "jkt"}, links, receivers...)).To(Succeed())
+	for _, serve := range []func(context.Context) error{store.Serve, journal.Serve, server.Serve} {
+		go func() { _ = serve(ctx) }()
+	}
+	return host{server: server, journal: journal}
+}
+
+func (h host) call(method, path, token string, body, answer any) int {
+	GinkgoHelper()
+	content, err := json.Marshal(body)
+	Expect(err).NotTo(HaveOccurred())
+	request, err := http.NewRequest(method, "http://"+h.server.Address()+path, bytes.NewReader(content))
+	Expect(err).NotTo(HaveOccurred())
+	request.Header.Set("Authorization", "Bearer "+token)
+	response, err := http.DefaultClient.Do(request)
+	Expect(err).NotTo(HaveOccurred())
+	defer func() { _ = response.Body.Close() }()
+	Expect(json.NewDecoder(response.Body).Decode(answer)).To(Succeed())
+	return response.StatusCode
+}
+
+func commitOf(expected model.Revision, id string) operators.CommitBody {
+	return operators.CommitBody{Expected: expected, ID: id, Changes: []config.Change{{PutService: &model.Service{
+		Name: "advisor", Kind: model.ServiceEngine, DefaultDeadline: time.Minute,
+		Shares: []model.VersionShare{{Version: "v1", Share: model.ShareWhole}},
+	}}}}
+}
+
+var _ = Describe("the operator API", Ordered, func() {
+	var first, second host
+
+	BeforeAll(func() {
+		ctx, cancel := context.WithCancel(context.Background())
+		DeferCleanup(cancel)
+		stand, err := standin.StartPlatform(ctx, 1)
+		Expect(err).NotTo(HaveOccurred())
+		exchange := standin.StartExchange(ctx, 1)
+		first = startHost(ctx, stand, exchange, "entry-1", false)
+		second = startHost(ctx, stand, exchange, "entry-2", false)
+		startHost(ctx, stand, exchange, "entry-3", true)
+	})
+
+	It("gives one of two racing operators the winner's author and change, and then lets it go on from any host", func() {
+		var answer operators.CommitAnswer
+		Expect(first.call(http.MethodPost, operators.PathCommit, "m-token", commitOf(0, "a"), &answer)).To(Equal(http.StatusOK))
+		var refused operators.ErrorBody
+		Expect(second.call(http.MethodPost, operators.PathCommit, "plain==", commitOf(0, "b"), &refused)).To(Equal(http.StatusConflict))
+		Expect(refused.Error.Winner.Author).To(Equal("maria"))
+		Expect(refused.Error.Message).To(ContainSubstring("put service advisor"))
+		var known operators.ConfigurationBody
+		Eventually(func() model.Revision {
+			second.call(http.MethodGet, operators.PathConfiguration, "plain==", nil, &known)
+			return known.Revision
+		}).Should(Equal(model.Revision(1)), "the conflict taught the host the winner")
+		Expect(first.call(http.MethodPost, operators.PathCommit, "m-token", commitOf(0, "a"), &answer)).To(Equal(http.StatusOK), "sent again after a lost answer")
+		Expect(answer.Revision).To(Equal(model.Revision(1)))
+	})
+
+	It("refuses moves and misspelt fields in a plain commit", func() {
+		var refused operators.ErrorBody
+		body := operators.CommitBody{Expected: 1, ID: "c", Changes: []config.Change{{PutMove: &model.Move{ID: "m"}}}}
+		Expect(first.call(http.MethodPost, operators.PathCommit, "m-token", body, &refused)).To(Equal(http.StatusBadRequest))
+		Expect(first.call(http.MethodPost, operators.PathCommit, "m-token", map[string]any{"expectd": 1}, &refused)).To(Equal(http.StatusBadRequest))
+		Expect(refused.Error.Message).To(ContainSubstring("expectd"))
+		Expect(first.call(http.MethodGet, operators.PathStatus, "wrong", nil, &refused)).To(Equal(http.StatusUnauthorized))
+	})
+
+	It("joins the events of all hosts and names those that did not answer", func() {
+		second.journal.Record(events.Event{Request: "r1", Cause: "second"})
+		first.journal.Record(events.Event{Request: "r1", Cause: "first", At: time.Now().Add(-time.Second)})
+		first.journal.Record(events.Event{Request: "r2"})
+		var answer operators.EventsAnswer
+		Expect(first.call(http.MethodGet, operators.PathEvents+"?request=r1", "m-token", nil, &answer)).To(Equal(http.StatusOK))
+		Expect(answer.Events).To(HaveLen(2))
+		Expect(answer.Events[0].Cause).To(Equal("first"))
+		Expect(answer.Events[1].Host).To(Equal(model.HostID("entry-2")))
+		Expect(answer.Unanswered).To(ConsistOf(model.HostID("entry-3")))
+	})
+
+	It("shows the revisions that other hosts report", func() {
+		Expect(first.server.Subscriber().Mailbox.TrySend(peers.Fact{Kind: peers.FactRevision, Origin: "entry-2", Value: []byte("17")})).To(Succeed())
+		var answer operators.StatusAnswer
+		Eventually(func() model.Revision {
+			first.call(http.MethodGet, operators.PathStatus, "m-token", nil, &answer)
+			return answer.Hosts[1].Revision
+		}).Should(Equal(model.Revision(17)))
+	})
+
+	It("gives the old version its traffic back when a move is cancelled", func() {
+		var answer operators.CommitAnswer
+		start := operators.StartMoveBody{ID: "m1", Service: "advisor", To: "v2", Deadline: time.Now().Add(time.Hour)}
+		Expect(first.call(http.MethodPost, operators.PathMoves, "m-token", start, &answer)).To(Equal(http.StatusOK))
+		Expect(first.call(http.MethodDelete, operators.PathMoves+"/m1", "m-token", nil, &answer)).To(Equal(http.StatusOK))
+		var move model.Move
+		Expect(first.call(http.MethodGet, operators.PathMoves+"/m1", "m-token", nil, &move)).To(Equal(http.StatusOK))
+		Expect(move.State).To(Equal(model.MoveWithdrawn))
+	})
+})
