Ask another data centre for revisions when the platform is out of reach

Cause: a data centre that is cut off from the platform asked only its own hosts, which had nothing newer. The cold start test could not fail: it did not look at what was read.

--- a/cmd/lentilpoint-bench/scenario/config_churn.go
+++ b/cmd/lentilpoint-bench/scenario/config_churn.go
@@ -50,9 +50,10 @@
 	if err != nil {
 		return Report{}, err
 	}
-	time.Sleep(settleTime)
-	reads := s.platform.Counts().Reads
 	elapsed := time.Since(begin)
+	reads := s.platform.Counts().Reads
+	time.Sleep(settleTime)
+	idle := s.platform.Counts().Reads - reads
 	history.endLives(time.Now())
 	observed := s.take()
 	violations := reverted(observed)
@@ -67,6 +68,8 @@
 		"in_force_max_ms":           milliseconds(Quantile(delays, 1)),
 		"platform_reads_per_change": float64(reads) / float64(len(history.committed)),
 		"platform_reads_per_second": float64(reads) / elapsed.Seconds(),
+		// The time after the last change shows what polling costs between changes.
+		"idle_reads_per_second": float64(idle) / settleTime.Seconds(),
 	}}, nil
 }
 
--- a/entryhost/config/config_test.go
+++ b/entryhost/config/config_test.go
@@ -162,9 +162,22 @@
 	ctx      context.Context
 	platform *standin.Platform
 	client   *platform.Client
+	table    platform.Table
 	exchange *standin.Exchange
 }
 
+// scanTable reports where each scan starts.
+type scanTable struct {
+	platform.Table
+	scans chan<- string
+}
+
+// Scan implements platform.Table.
+func (t scanTable) Scan(ctx context.Context, prefix, from string, limit int) ([]platform.Row, error) {
+	t.scans <- from
+	return t.Table.Scan(ctx, prefix, from, limit)
+}
+
 func newSite() *site {
 	GinkgoHelper()
 	ctx, cancel := context.WithCancel(context.Background())
@@ -173,7 +186,7 @@
 	Expect(err).NotTo(HaveOccurred())
 	client := platform.NewClient(stand.URL(), "")
 	DeferCleanup(client.Close)
-	return &site{ctx: ctx, platform: stand, client: client, exchange: standin.StartExchange(ctx, 1)}
+	return &site{ctx: ctx, platform: stand, client: client, table: client, exchange: standin.StartExchange(ctx, 1)}
 }
 
 // store starts a store; a reader interval of an hour leaves everything to pushes.
@@ -181,7 +194,7 @@
 	GinkgoHelper()
 	mailbox := task.NewMailbox[peers.Message](64)
 	store := config.NewStore(config.Parameters{
-		Self: model.HostID(id), Home: "jkt", Table: s.client, Objects: platform.ObjectStore{Client: s.client},
+		Self: model.HostID(id), Home: "jkt", Table: s.table, Objects: platform.ObjectStore{Client: s.client},
 		Peers: mailbox, PeersOn: true, Intervals: config.Intervals{Reader: interval},
 		Clock: clockwork.NewRealClock(), Metrics: metrics.NewSet(), Logger: slog.New(slog.NewTextHandler(io.Discard, nil)),
 	})
@@ -270,15 +283,33 @@
 	It("starts cold from the snapshot and reads only what follows it", func() {
 		s := newSite()
 		writer := s.store("entry-0", 20*time.Millisecond)
-		for revision := 1; revision <= config.SnapshotEvery+4; revision++ {
+		const last = config.SnapshotEvery + 4
+		for revision := 1; revision <= last; revision++ {
 			_, err := s.commit(revision)
 			Expect(err).NotTo(HaveOccurred())
 		}
-		Eventually(func() model.Revision { return revisionOf(writer) }, "5s").Should(Equal(model.Revision(config.SnapshotEvery + 4)))
+		Eventually(func() model.Revision { return revisionOf(writer) }, "5s").Should(Equal(model.Revision(last)))
 		Eventually(s.platform.Objects, "5s").Should(ContainElement(config.ObjectSnapshot))
-		alone := &site{ctx: s.ctx, platform: s.platform, client: s.client, exchange: standin.StartExchange(s.ctx, 2)}
+		alone := *s
+		alone.exchange = standin.StartExchange(s.ctx, 2)
+		scans := make(chan string, 16)
+		alone.table = scanTable{Table: s.client, scans: scans}
 		cold := alone.store("entry-9", time.Hour)
-		Eventually(func() model.Revision { return revisionOf(cold) }, "5s").Should(Equal(model.Revision(config.SnapshotEvery + 4)))
+		Eventually(func() model.Revision { return revisionOf(cold) }, "5s").Should(Equal(model.Revision(last)))
+		Expect(<-scans > config.RevisionKey(config.SnapshotEvery)).To(BeTrue(), "revisions before the snapshot were read")
+		Expect(scans).To(BeEmpty())
+	})
+
+	It("asks another data centre when its own has nothing newer and the platform is out of reach", func() {
+		member := func(id string, home model.DataCentre) peers.Member {
+			return peers.Member{ID: model.HostID(id), DataCentre: home, Alive: true}
+		}
+		members := []peers.Member{member("a", "jkt"), member("b", "jkt"), member("c", "jkt"), member("d", "jkt"), member("e", "bdg")}
+		first := func(int) int { return 0 }
+		Expect(config.ChoosePeers("jkt", members, 3, first)).To(And(HaveLen(3), ContainElement(model.HostID("e"))))
+		Expect(config.ChoosePeers("jkt", members[:4], 3, first)).To(HaveLen(3))
+		Expect(config.ChoosePeers("smg", members, 3, first)).To(HaveLen(3))
+		Expect(config.ChoosePeers("jkt", nil, 3, first)).To(BeEmpty())
 	})
 
 	It("keeps the configuration and the key index through a snapshot", func() {
@@ -331,3 +362,23 @@
 		})
 	}
 }
+
+// BenchmarkSnapshot measures a snapshot of 9,100 organisations.
+func BenchmarkSnapshot(b *testing.B) {
+	content, err := config.EncodeSnapshot(atTargetSize())
+	if err != nil {
+		b.Fatal(err)
+	}
+	b.Run("encode", func(b *testing.B) {
+		current := atTargetSize()
+		for b.Loop() {
+			_, _ = config.EncodeSnapshot(current)
+		}
+		b.ReportMetric(float64(len(content)), "bytes")
+	})
+	b.Run("decode", func(b *testing.B) {
+		for b.Loop() {
+			_, _ = config.DecodeSnapshot(content)
+		}
+	})
+}
--- a/entryhost/config/reader.go
+++ b/entryhost/config/reader.go
@@ -194,7 +194,9 @@
 }
 
 // ChoosePeers returns up to limit live members in random order, those of the
-// own data centre first.
+// own data centre first. One is of another data centre if there is any: a
+// partition from the platform is often one of the whole data centre, whose
+// hosts then have nothing newer.
 func ChoosePeers(home model.DataCentre, members []peers.Member, limit int, draw func(int) int) []model.HostID {
 	var near, far []model.HostID
 	for _, member := range members {
@@ -206,8 +208,9 @@
 			far = append(far, member.ID)
 		}
 	}
-	chosen := append(shuffled(near, draw), shuffled(far, draw)...)
-	return chosen[:min(limit, len(chosen))]
+	near, far = shuffled(near, draw), shuffled(far, draw)
+	fromNear := min(len(near), limit-min(1, len(far)))
+	return append(near[:fromNear:fromNear], far[:min(len(far), limit-fromNear)]...)
 }
 
 func shuffled(hosts []model.HostID, draw func(int) int) []model.HostID {
--- a/entryhost/config/task.go
+++ b/entryhost/config/task.go
@@ -57,6 +57,7 @@
 	messages task.Mailbox[Message]
 	lists    task.Mailbox[platform.HostsRead]
 	reader   reader
+	inForce  *metrics.Counter
 
 	current *model.Configuration
 	log     recordLog
@@ -78,6 +79,7 @@
 		messages:   task.NewMailbox[Message](storeMailboxSize),
 		lists:      task.NewMailbox[platform.HostsRead](hostsMailboxSize),
 		reader:     newReader(parameters),
+		inForce:    parameters.Metrics.NewCounter("lentilpoint_config_revision"),
 		current:    Empty(),
 	}
 }
@@ -198,6 +200,7 @@
 		return
 	}
 	s.current = next
+	s.inForce.Set(uint64(next.Revision))
 	s.log.extend(applied)
 	s.Logger.Info("configuration in force", eventcode.ConfigInForce.Attr(), "revision", next.Revision, "before", before)
 	if s.PeersOn && len(applied) > 0 && (share || s.rank != NotReader) {
