Keep configurations bounded and hosts of different versions alike

Change: at most 20 ended moves stay for each service; a record with an unknown change is not applied, nor are later ones; a reported newer revision brings the next read forward to 300 ms.

--- a/entryhost/config/config_test.go
+++ b/entryhost/config/config_test.go
@@ -300,6 +300,50 @@
 		Expect(scans).To(BeEmpty())
 	})
 
+	It("reads soon when another host reports a newer revision, although its readers are silent", func() {
+		s := newSite()
+		store := s.store("entry-0", time.Hour)
+		hosts := []model.Host{}
+		for _, id := range []string{"entry-0", "entry-1", "entry-2", "entry-3"} {
+			hosts = append(hosts, model.Host{ID: id, Role: model.RoleEntry, DataCentre: "jkt", PeerAddress: "x"})
+		}
+		for config.ReaderRank("entry-0", "jkt", hosts) != config.NotReader {
+			hosts = append(hosts, model.Host{ID: fmt.Sprint("more-", len(hosts)), Role: model.RoleEntry, DataCentre: "jkt", PeerAddress: "x"})
+		}
+		Expect(store.HostLists().TrySend(platform.HostsRead{Hosts: hosts})).To(Succeed())
+		Eventually(func() int { return store.HostLists().Len() }).Should(BeZero())
+		_, err := s.commit(1)
+		Expect(err).NotTo(HaveOccurred())
+		Eventually(func() model.Revision {
+			// Steady reports must not put the read off.
+			_ = store.Subscriber().Mailbox.TrySend(peers.Fact{Kind: peers.FactRevision, Origin: "far-1", Value: []byte("1")})
+			return revisionOf(store)
+		}, "2s").Should(Equal(model.Revision(1)))
+	})
+
+	It("does not apply a revision with a change that this version does not know", func() {
+		unknown := record(2)
+		unknown.Changes = append(unknown.Changes, config.Change{})
+		current, applied := config.ApplyAll(config.Empty(), []config.RevisionRecord{record(1), unknown, record(3)})
+		Expect(applied).To(Equal(1))
+		Expect(current.Revision).To(Equal(model.Revision(1)))
+	})
+
+	It("keeps a bounded number of ended moves, the newest ones, and all running ones", func() {
+		current := config.Empty()
+		for n := range 60 {
+			move := advisorMove(model.MoveDone)
+			move.ID = model.MoveID(fmt.Sprint("m", n))
+			move.Started = move.Started.Add(time.Duration(n) * time.Minute)
+			if n == 0 {
+				move.State = model.MoveRunning
+			}
+			current, _ = config.Apply(current, config.RevisionRecord{Revision: current.Revision + 1, Changes: []config.Change{{PutMove: move}}})
+		}
+		Expect(current.Moves).To(HaveLen(21))
+		Expect(current.Moves).To(And(HaveKey(model.MoveID("m0")), HaveKey(model.MoveID("m59")), Not(HaveKey(model.MoveID("m1")))))
+	})
+
 	It("asks another data centre when its own has nothing newer and the platform is out of reach", func() {
 		member := func(id string, home model.DataCentre) peers.Member {
 			return peers.Member{ID: model.HostID(id), DataCentre: home, Alive: true}
--- a/entryhost/config/describe.go
+++ b/entryhost/config/describe.go
@@ -75,7 +75,7 @@
 
 // Differences compares the configuration with what the changes make of it.
 func Differences(current *model.Configuration, changes []Change) []Difference {
-	next, _ := Apply(current, RevisionRecord{Revision: current.Revision + 1, Changes: changes})
+	next := preview(current, changes)
 	differences := make([]Difference, 0, len(changes))
 	for _, change := range changes {
 		difference := Difference{Target: change.Target(), Before: lookup(current, change), After: lookup(next, change)}
--- a/entryhost/config/fx.go
+++ b/entryhost/config/fx.go
@@ -52,10 +52,11 @@
 	fx.Out
 
 	HostLists task.Mailbox[platform.HostsRead] `group:"host_list_subscribers"`
+	Facts     peers.Subscriber                 `group:"fact_subscribers"`
 	Receiver  peers.Receiver                   `group:"rpc_receivers"`
 }
 
 // provideGroups builds from the store and the peer receiver.
 func provideGroups(store *Store, peer *Peer) groupsOut {
-	return groupsOut{HostLists: store.HostLists(), Receiver: peer.Receiver()}
+	return groupsOut{HostLists: store.HostLists(), Facts: store.Subscriber(), Receiver: peer.Receiver()}
 }
--- a/entryhost/config/policy.go
+++ b/entryhost/config/policy.go
@@ -1,8 +1,10 @@
 package config
 
 import (
+	"cmp"
 	"fmt"
 	"maps"
+	"slices"
 
 	"github.com/lentilpoint/lentilpoint/model"
 )
@@ -30,8 +32,9 @@
 }
 
 // ApplyAll applies records that are in order. Records that are in force are
-// skipped, and the first gap ends the application. It returns how many were
-// applied. A map is copied once for all records, and only if one changes it.
+// skipped. The first gap ends the application, and so does a record with a
+// change that this version does not know: applying the rest of it would make
+// hosts of different versions differ. It returns how many were applied. A map is copied once for all records, and only if one changes it.
 func ApplyAll(current *model.Configuration, records []RevisionRecord) (*model.Configuration, int) {
 	draft := newDraft(current)
 	applied := 0
@@ -39,7 +42,7 @@
 		if record.Revision <= draft.next.Revision {
 			continue
 		}
-		if record.Revision != draft.next.Revision+1 {
+		if record.Revision != draft.next.Revision+1 || !known(record) {
 			break
 		}
 		draft.apply(record)
@@ -51,6 +54,18 @@
 	return draft.finish(), applied
 }
 
+// known reports whether this version knows every change of the record.
+func known(record RevisionRecord) bool {
+	return !slices.ContainsFunc(record.Changes, func(change Change) bool { return change.fields() != 1 })
+}
+
+// preview returns the configuration after changes that may be invalid.
+func preview(current *model.Configuration, changes []Change) *model.Configuration {
+	draft := newDraft(current)
+	draft.apply(RevisionRecord{Revision: current.Revision + 1, Changes: changes})
+	return draft.finish()
+}
+
 // draft is a configuration being built. Its maps are those of the base until
 // the first change.
 type draft struct {
@@ -92,6 +107,7 @@
 		d.removeOrganisation(change.DeleteOrganisation)
 	case change.PutMove != nil:
 		d.moves()[change.PutMove.ID] = *change.PutMove
+		d.dropOldMoves(change.PutMove.Service)
 	}
 }
 
@@ -111,6 +127,31 @@
 	return d.next.Moves
 }
 
+// keptMoves is the number of ended moves that a configuration keeps for each
+// service. Without a bound every revision and snapshot would grow with the
+// number of moves that ever ran.
+const keptMoves = 20
+
+// dropOldMoves removes the oldest ended moves of a service beyond keptMoves. It
+// depends on nothing but the records, so all hosts drop the same ones.
+func (d *draft) dropOldMoves(service model.ServiceName) {
+	var ended []model.Move
+	for _, move := range d.next.Moves {
+		if move.Service == service && move.State != model.MoveRunning {
+			ended = append(ended, move)
+		}
+	}
+	if len(ended) <= keptMoves {
+		return
+	}
+	slices.SortFunc(ended, func(a, b model.Move) int {
+		return cmp.Or(a.Started.Compare(b.Started), cmp.Compare(a.ID, b.ID))
+	})
+	for _, move := range ended[:len(ended)-keptMoves] {
+		delete(d.next.Moves, move.ID)
+	}
+}
+
 func (d *draft) removeOrganisation(id model.OrganisationID) {
 	if !d.organisationsOwned {
 		d.organisationsOwned = true
--- a/entryhost/config/reader.go
+++ b/entryhost/config/reader.go
@@ -239,3 +239,12 @@
 		Lifetime: factLifetime, Everywhere: true,
 	}
 }
+
+// reportedRevision returns the revision of a fact, or 0 if it is undecodable.
+func reportedRevision(fact peers.Fact) model.Revision {
+	revision, err := strconv.ParseUint(string(fact.Value), 10, 64)
+	if err != nil {
+		return 0
+	}
+	return model.Revision(revision)
+}
--- a/entryhost/config/task.go
+++ b/entryhost/config/task.go
@@ -4,6 +4,7 @@
 	"context"
 	"log/slog"
 	"math/rand/v2"
+	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/jonboulle/clockwork"
@@ -25,6 +26,12 @@
 	// pushOverlap is the number of earlier revisions that a push repeats, so
 	// that a peer that missed or has yet to receive a push needs no read.
 	pushOverlap = 8
+	// factsSize bounds the revisions reported by other hosts that wait; a
+	// dropped one comes again.
+	factsSize = 64
+	// pushGrace is the time that a push gets to arrive after another host
+	// reported a newer revision, before this host reads the table.
+	pushGrace = 300 * time.Millisecond
 )
 
 // Parameters are what the store is built from.
@@ -56,6 +63,7 @@
 
 	messages task.Mailbox[Message]
 	lists    task.Mailbox[platform.HostsRead]
+	facts    task.Mailbox[peers.Fact]
 	reader   reader
 	inForce  *metrics.Counter
 
@@ -78,6 +86,7 @@
 		Parameters: parameters,
 		messages:   task.NewMailbox[Message](storeMailboxSize),
 		lists:      task.NewMailbox[platform.HostsRead](hostsMailboxSize),
+		facts:      task.NewMailbox[peers.Fact](factsSize),
 		reader:     newReader(parameters),
 		inForce:    parameters.Metrics.NewCounter("lentilpoint_config_revision"),
 		current:    Empty(),
@@ -90,25 +99,42 @@
 // HostLists is where the host list task sends each list.
 func (s *Store) HostLists() task.Mailbox[platform.HostsRead] { return s.lists }
 
+// Subscriber receives the revisions that other hosts report. A host whose
+// readers are paused or dead, but still in the host list, learns from them that
+// it is behind.
+func (s *Store) Subscriber() peers.Subscriber {
+	return peers.Subscriber{Kinds: []peers.FactKind{peers.FactRevision}, Mailbox: s.facts}
+}
+
 // String names the task in the logs.
 func (s *Store) String() string { return "config" }
 
 // Serve keeps the configuration up to date until the context ends.
 func (s *Store) Serve(ctx context.Context) error {
 	s.reading, s.again = false, false
-	timer := s.Clock.NewTimer(s.Intervals.For(s.rank))
+	timer := s.Clock.NewTimer(0)
 	defer timer.Stop()
-	s.read(ctx)
+	due := s.Clock.Now()
+	wait := func(length time.Duration) {
+		due = s.Clock.Now().Add(length)
+		timer.Reset(length)
+	}
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
 		case <-timer.Chan():
 			s.read(ctx)
-			timer.Reset(s.Intervals.For(s.rank))
+			wait(s.Intervals.For(s.rank))
 		case list := <-s.lists.C():
 			if s.setHosts(list.Hosts) {
-				timer.Reset(s.Intervals.For(s.rank))
+				wait(s.Intervals.For(s.rank))
+			}
+		case fact := <-s.facts.C():
+			// Only a later read is brought forward: steady reports must not put it off.
+			behind := reportedRevision(fact) > s.current.Revision
+			if behind && due.Sub(s.Clock.Now()) > pushGrace {
+				wait(pushGrace)
 			}
 		case message := <-s.messages.C():
 			s.handle(ctx, message)
--- a/entryhost/config/validate.go
+++ b/entryhost/config/validate.go
@@ -45,8 +45,7 @@
 // No problem means that the changes may be committed.
 func Validate(current *model.Configuration, changes []Change) []Problem {
 	v := &validation{current: current, changes: changes, touched: make(map[string]bool)}
-	next, _ := Apply(current, RevisionRecord{Revision: current.Revision + 1, Changes: changes})
-	v.next = next
+	v.next = preview(current, changes)
 	if len(changes) == 0 {
 		v.report("changes", "there is no change", "name at least one change")
 	}
--- a/entryhost/config/wire.go
+++ b/entryhost/config/wire.go
@@ -72,6 +72,9 @@
 		if err := json.Unmarshal(row.Value, &record); err != nil {
 			return records, ErrUndecodable.New("row %s: %v; upgrade this host or repair the row", row.Key, err)
 		}
+		if !known(record) {
+			return records, ErrUndecodable.New("row %s holds a change that this version does not know; upgrade this host", row.Key)
+		}
 		records = append(records, record)
 	}
 	return records, nil
