--- a/entryhost/config/config_test.go
+++ b/entryhost/config/config_test.go
@@ -162,9 +162,22 @@
 	ctx      context.Context
 	platform *standin.Platform
 	client   *platform.Client
+	table    platform.Table
 	exchange *standin.Exchange
 }
 
+// scanTable reports where each scan starts.
+type scanTable struct {
+	platform.Table
+	scans chan<- string
+}
+
+// Scan implements platform.Table.
+func (t scanTable) Scan(ctx context.Context, prefix, from string, limit int) ([]platform.Row, error) {
+	t.scans <- from
+	return t.Table.Scan(ctx, prefix, from, limit)
+}
+
 func newSite() *site {
 	GinkgoHelper()
 	ctx, cancel := context.WithCancel(context.Background())
@@ -173,7 +186,7 @@
 	Expect(err).NotTo(HaveOccurred())
 	client := platform.NewClient(stand.URL(), "")
 	DeferCleanup(client.Close)
-	return &site{ctx: ctx, platform: stand, client: client, exchange: standin.StartExchange(ctx, 1)}
+	return &site{ctx: ctx, platform: stand, client: client, table: client, exchange: standin.StartExchange(ctx, 1)}
 }
 
 // store starts a store; a reader interval of an hour leaves everything to pushes.
@@ -181,7 +194,7 @@
 	GinkgoHelper()
 	mailbox := task.NewMailbox[peers.Message](64)
 	store := config.NewStore(config.Parameters{
-		Self: model.HostID(id), Home: "jkt", Table: s.client, Objects: platform.ObjectStore{Client: s.client},
+		Self: model.HostID(id), Home: "jkt", Table: s.table, Objects: platform.ObjectStore{Client: s.client},
 		Peers: mailbox, PeersOn: true, Intervals: config.Intervals{Reader: interval},
 		Clock: clockwork.NewRealClock(), Metrics: metrics.NewSet(), Logger: slog.New(slog.NewTextHandler(io.Discard, nil)),
 	})
@@ -270,15 +283,77 @@
 	It("starts cold from the snapshot and reads only what follows it", func() {
 		s := newSite()
 		writer := s.store("entry-0", 20*time.Millisecond)
-		for revision := 1; revision <= config.SnapshotEvery+4; revision++ {
+		const last = config.SnapshotEvery + 4
+		for revision := 1; revision <= last; revision++ {
 			_, err := s.commit(revision)
 			Expect(err).NotTo(HaveOccurred())
 		}
-		Eventually(func() model.Revision { return revisionOf(writer) }, "5s").Should(Equal(model.Revision(config.SnapshotEvery + 4)))
+		Eventually(func() model.Revision { return revisionOf(writer) }, "5s").Should(Equal(model.Revision(last)))
 		Eventually(s.platform.Objects, "5s").Should(ContainElement(config.ObjectSnapshot))
-		alone := &site{ctx: s.ctx, platform: s.platform, client: s.client, exchange: standin.StartExchange(s.ctx, 2)}
+		alone := *s
+		alone.exchange = standin.StartExchange(s.ctx, 2)
+		scans := make(chan string, 16)
+		alone.table = scanTable{Table: s.client, scans: scans}
 		cold := alone.store("entry-9", time.Hour)
-		Eventually(func() model.Revision { return revisionOf(cold) }, "5s").Should(Equal(model.Revision(config.SnapshotEvery + 4)))
+		Eventually(func() model.Revision { return revisionOf(cold) }, "5s").Should(Equal(model.Revision(last)))
+		Expect(<-scans > config.RevisionKey(config.SnapshotEvery)).To(BeTrue(), "revisions before the snapshot were read")
+		Expect(scans).To(BeEmpty())
+	})
+
+	It("reads soon when another host reports a newer revision, although its readers are silent", func() {
+		s := newSite()
+		store := s.store("entry-0", time.Hour)
+		hosts := []model.Host{}
+		for _, id := range []string{"entry-0", "entry-1", "entry-2", "entry-3"} {
+			hosts = append(hosts, model.Host{ID: id, Role: model.RoleEntry, DataCentre: "jkt", PeerAddress: "x"})
+		}
+		for config.ReaderRank("entry-0", "jkt", hosts) != config.NotReader {
+			hosts = append(hosts, model.Host{ID: fmt.Sprint("more-", len(hosts)), Role: model.RoleEntry, DataCentre: "jkt", PeerAddress: "x"})
+		}
+		Expect(store.HostLists().TrySend(platform.HostsRead{Hosts: hosts})).To(Succeed())
+		Eventually(func() int { return store.HostLists().Len() }).Should(BeZero())
+		_, err := s.commit(1)
+		Expect(err).NotTo(HaveOccurred())
+		Eventually(func() model.Revision {
+			// Steady reports must not put the read off.
+			_ = store.Subscriber().Mailbox.TrySend(peers.Fact{Kind: peers.FactRevision, Origin: "far-1", Value: []byte("1")})
+			return revisionOf(store)
+		}, "2s").Should(Equal(model.Revision(1)))
+	})
+
+	It("does not apply a revision with a change that this version does not know", func() {
+		unknown := record(2)
+		unknown.Changes = append(unknown.Changes, config.Change{})
+		current, applied := config.ApplyAll(config.Empty(), []config.RevisionRecord{record(1), unknown, record(3)})
+		Expect(applied).To(Equal(1))
+		Expect(current.Revision).To(Equal(model.Revision(1)))
+	})
+
+	It("keeps a bounded number of ended moves, the newest ones, and all running ones", func() {
+		current := config.Empty()
+		for n := range 60 {
+			move := advisorMove(model.MoveDone)
+			move.ID = model.MoveID(fmt.Sprint("m", n))
+			move.Started = move.Started.Add(time.Duration(n) * time.Minute)
+			if n == 0 {
+				move.State = model.MoveRunning
+			}
+			current, _ = config.Apply(current, config.RevisionRecord{Revision: current.Revision + 1, Changes: []config.Change{{PutMove: move}}})
+		}
+		Expect(current.Moves).To(HaveLen(21))
+		Expect(current.Moves).To(And(HaveKey(model.MoveID("m0")), HaveKey(model.MoveID("m59")), Not(HaveKey(model.MoveID("m1")))))
+	})
+
+	It("asks another data centre when its own has nothing newer and the platform is out of reach", func() {
+		member := func(id string, home model.DataCentre) peers.Member {
+			return peers.Member{ID: model.HostID(id), DataCentre: home, Alive: true}
+		}
+		members := []peers.Member{member("a", "jkt"), member("b", "jkt"), member("c", "jkt"), member("d", "jkt"), member("e", "bdg")}
+		first := func(int) int { return 0 }
+		Expect(config.ChoosePeers("jkt", members, 3, first)).To(And(HaveLen(3), ContainElement(model.HostID("e"))))
+		Expect(config.ChoosePeers("jkt", members[:4], 3, first)).To(HaveLen(3))
+		Expect(config.ChoosePeers("smg", members, 3, first)).To(HaveLen(3))
+		Expect(config.ChoosePeers("jkt", nil, 3, first)).To(BeEmpty())
 	})
 
 	It("keeps the configuration and the key index through a snapshot", func() {
@@ -331,3 +406,23 @@
 		})
 	}
 }
+
+// BenchmarkSnapshot measures a snapshot of 9,100 organisations.
+func BenchmarkSnapshot(b *testing.B) {
+	content, err := config.EncodeSnapshot(atTargetSize())
+	if err != nil {
+		b.Fatal(err)
+	}
+	b.Run("encode", func(b *testing.B) {
+		current := atTargetSize()
+		for b.Loop() {
+			_, _ = config.EncodeSnapshot(current)
+		}
+		b.ReportMetric(float64(len(content)), "bytes")
+	})
+	b.Run("decode", func(b *testing.B) {
+		for b.Loop() {
+			_, _ = config.DecodeSnapshot(content)
+		}
+	})
+}
--- a/entryhost/fx.go
+++ b/entryhost/fx.go
@@ -12,6 +12,7 @@
 	"github.com/lentilpoint/lentilpoint/entryhost/config"
 	"github.com/lentilpoint/lentilpoint/entryhost/control"
 	"github.com/lentilpoint/lentilpoint/entryhost/events"
+	"github.com/lentilpoint/lentilpoint/entryhost/operators"
 	"github.com/lentilpoint/lentilpoint/entryhost/peers"
 	"github.com/lentilpoint/lentilpoint/entryhost/platform"
 	"github.com/lentilpoint/lentilpoint/entryhost/requests"
@@ -30,6 +31,7 @@
 	requests.Module,
 	callers.Module,
 	control.Module,
+	operators.Module,
 	fx.Provide(provideRoot),
 )
 
--- a/entryhost/host.go
+++ b/entryhost/host.go
@@ -15,6 +15,7 @@
 	"go.uber.org/fx/fxevent"
 
 	"github.com/lentilpoint/lentilpoint/entryhost/callers"
+	"github.com/lentilpoint/lentilpoint/entryhost/operators"
 	"github.com/lentilpoint/lentilpoint/entryhost/peers"
 	"github.com/lentilpoint/lentilpoint/entryhost/requests"
 	"github.com/lentilpoint/lentilpoint/eventcode"
@@ -50,6 +51,8 @@
 	Callers  *callers.Server
 	Peers    *peers.Membership
 	Listener *peers.Listener
+	// Operators is the operator API, which may be off.
+	Operators *operators.Server
 }
 
 // Environment is what an entry host needs besides its settings.
@@ -84,6 +87,9 @@
 // PeerAddress returns the address that other entry hosts reach, or "".
 func (h *Host) PeerAddress() string { return h.parts.Listener.Address() }
 
+// OperatorAddress returns the address of the operator API, or an empty string.
+func (h *Host) OperatorAddress() string { return h.parts.Operators.Address() }
+
 // Start runs the tree in the background.
 func (h *Host) Start() error {
 	ctx, cancel := context.WithTimeout(context.Background(), startTimeout)
