Repeat verdicts to peers and bound the routes of evidence

Change: a host announces its own verdict again every third of its lifetime and judges at most 16 routes apart.

--- a/entryhost/admission/evidence.go
+++ b/entryhost/admission/evidence.go
@@ -14,6 +14,11 @@
 const (
 	// reportInterval is the time between reports of changed evidence.
 	reportInterval = 100 * time.Millisecond
+	// routeLimit bounds the routes that are judged apart; callers choose the paths
+	// of plain services.
+	routeLimit = 16
+	// otherRoutes stands for the routes above the limit.
+	otherRoutes = "other"
 	// withdrawnLimit bounds the withdrawals kept for moves that are not known yet.
 	withdrawnLimit = 64
 )
@@ -36,8 +41,11 @@
 	withdrawn map[model.MoveID]string
 
 	changed    bool
-	announced  bool
 	lastReport time.Time
+	// told tells that the verdict came from a peer, which announces it.
+	told bool
+	// announced is when this host last shared its own verdict.
+	announced time.Time
 }
 
 // peerRoute names the counts that one peer shares about one route.
@@ -77,7 +85,7 @@
 	e.peers = make(map[peerRoute]SharedCounts)
 	e.losses = make(map[ServerKey]lossMark)
 	e.verdict = Verdict{Reason: e.withdrawn[move.ID]}
-	e.changed, e.announced = true, e.verdict.Bad()
+	e.changed, e.told, e.announced = true, e.verdict.Bad(), time.Time{}
 }
 
 // shares returns the shares in force with the traffic of a bad version removed.
@@ -97,6 +105,7 @@
 	if sort == sortIgnored {
 		return
 	}
+	done.Request.Route = e.knownRoute(done.Request.Route)
 	switch done.Version {
 	case e.move.From:
 		e.observeOld(now, done, sort)
@@ -105,6 +114,14 @@
 	}
 }
 
+// knownRoute returns the route, or a common one for those above the limit.
+func (e *moveEvidence) knownRoute(route string) string {
+	if e.old[route] == nil && e.routes[route] == nil && len(e.old)+len(e.routes) >= 2*routeLimit {
+		return otherRoutes
+	}
+	return route
+}
+
 func (e *moveEvidence) window(route string) *oldWindow {
 	window := e.old[route]
 	if window == nil {
@@ -214,13 +231,14 @@
 	}
 	e.withdrawn[move] = reason
 	if e.active && e.move.ID == move && !e.verdict.Bad() {
-		e.announced = true
+		e.told = true
 		e.veto(now, Verdict{Reason: reason})
 	}
 }
 
 func (e *moveEvidence) receiveCounts(now time.Time, fact peers.Fact) {
 	move, route, found := splitEvidenceKey(fact.Key)
+	route = e.knownRoute(route)
 	if !found || !e.active || move != e.move.ID {
 		return
 	}
@@ -237,16 +255,15 @@
 
 // share reports changed evidence to the control task and to peers.
 func (e *moveEvidence) share(now time.Time) {
-	if e == nil || !e.active || !e.changed || now.Sub(e.lastReport) < reportInterval {
+	if e == nil || !e.active || now.Sub(e.lastReport) < reportInterval {
+		return
+	}
+	e.announce(now)
+	if !e.changed {
 		return
 	}
 	e.lastReport = now
 	failed := e.links.Reports.TrySend(e.report()) != nil
-	if e.verdict.Bad() && !e.announced {
-		reason := e.verdict.Reason
-		fact := peers.Fact{Kind: peers.FactWithdrawal, Key: string(e.move.ID), Value: []byte(reason[:min(len(reason), peers.MaxFactBytes)])}
-		e.announced = e.publish(fact)
-	}
 	for route, counts := range e.own {
 		if value, changed := counts.encode(); changed {
 			e.publish(peers.Fact{Kind: peers.FactEvidence, Key: evidenceKey(e.move.ID, route), Value: value})
@@ -255,6 +272,19 @@
 	e.changed = failed
 }
 
+// announce shares an own verdict, and repeats it before it expires at peers, so
+// that hosts that start later learn of it without the platform.
+func (e *moveEvidence) announce(now time.Time) {
+	if !e.verdict.Bad() || e.told || now.Sub(e.announced) < factLifetime/3 {
+		return
+	}
+	reason := e.verdict.Reason
+	fact := peers.Fact{Kind: peers.FactWithdrawal, Key: string(e.move.ID), Value: []byte(reason[:min(len(reason), peers.MaxFactBytes)])}
+	if e.publish(fact) {
+		e.announced = now
+	}
+}
+
 func (e *moveEvidence) publish(fact peers.Fact) bool {
 	fact.Lifetime = factLifetime
 	fact.Everywhere = true
--- a/entryhost/admission/evidence_test.go
+++ b/entryhost/admission/evidence_test.go
@@ -140,6 +140,27 @@
 		Expect(shares).To(Equal([]model.VersionShare{{Version: "v1", Share: 10000}, {Version: "v2", Share: 0}}))
 	})
 
+	ginkgo.It("announces its verdict again before it expires at peers", func() {
+		run := newEvidenceRun(1)
+		run.traffic(400, 0.5, "/r", good, versionTraffic{fail: 1, pace: good.pace})
+		run.evidence.share(run.now.Add(time.Second))
+		for run.facts.Len() > 0 {
+			<-run.facts.C()
+		}
+		run.evidence.share(run.now.Add(time.Minute))
+		Expect(run.facts.Len()).To(BeZero())
+		run.evidence.share(run.now.Add(factLifetime / 2))
+		Expect((<-run.facts.C()).(peers.Publish).Fact.Kind).To(Equal(peers.FactWithdrawal))
+	})
+
+	ginkgo.It("keeps a bounded number of routes, whatever paths callers use", func() {
+		run := newEvidenceRun(1)
+		for i := range 200 {
+			run.traffic(4, 0.5, "/path/"+string(rune('a'+i)), good, good)
+		}
+		Expect(len(run.evidence.old) + len(run.evidence.routes)).To(BeNumerically("<=", 2*routeLimit+2))
+	})
+
 	ginkgo.It("reaches a verdict from the counts of peers and accepts their withdrawal", func() {
 		source, counts, told := newEvidenceRun(1), newEvidenceRun(2), newEvidenceRun(3)
 		source.traffic(400, 0.2, "/r", good, versionTraffic{fail: 0.6, pace: good.pace})
