Tell a lost claim answer from an outage by a read

Cause: a keyed call waited up to 1.3 s for its refusal during an outage, and fixed spacing of transactions added 26 ms (p50) to each keyed order. Change: after a failed transaction the writer reads the table; two failed reads refuse all claims at once. Transactions are limited by a budget with a burst of 4.

--- a/cmd/lentilpoint-bench/scenario/atmostonce.go
+++ b/cmd/lentilpoint-bench/scenario/atmostonce.go
@@ -163,7 +163,7 @@
 	outage := func(ctx context.Context, random *rand.Rand) {
 		wait(ctx, time.Duration(200+random.IntN(300))*time.Millisecond)
 		run.cluster.Platform.SetFaults(standin.PlatformFaults{Down: true})
-		wait(ctx, 800*time.Millisecond)
+		wait(ctx, time.Second)
 		run.cluster.Platform.SetFaults(standin.PlatformFaults{})
 	}
 	load := repeatLoad{count: 120, spread: 1500 * time.Millisecond, twins: 0.2, tickets: true}
--- a/entryhost/requests/claims/doc.go
+++ b/entryhost/requests/claims/doc.go
@@ -3,6 +3,6 @@
 // and commits those of one entry host in batches.
 //
 // A claimed call costs two row writes, its claim and its outcome. Batches share
-// one transaction, so that an entry host sends at most one transaction for each
-// launchInterval, whatever its rate of calls.
+// one transaction, so that an entry host sends one transaction for each
+// launchInterval on average, whatever its rate of calls.
 package claims
--- a/entryhost/requests/claims/policy.go
+++ b/entryhost/requests/claims/policy.go
@@ -31,10 +31,13 @@
 const (
 	// maxBatchBytes bounds the values of one transaction.
 	maxBatchBytes = 512 << 10
-	// launchInterval is the least time between two transactions of one entry
-	// host: 7 hosts send at most 350 a second, of the several hundred that the
-	// table takes. It also bounds how long a claim waits for its batch.
+	// launchInterval is the mean time between two transactions of one entry host
+	// under load: 7 hosts send at most 350 a second, of the several hundred that
+	// the table takes.
 	launchInterval = 20 * time.Millisecond
+	// launchBurst is how many transactions may start without that pause, so that
+	// the claim and the outcome of a call wait for no batch under light load.
+	launchBurst = 4
 	// tryTimeout bounds one transaction.
 	tryTimeout = 400 * time.Millisecond
 	// claimBudget bounds all tries of a claim. With 45% of the transactions
@@ -43,7 +46,14 @@
 	// firstBackoff and maxBackoff bound the wait after a failed transaction.
 	firstBackoff = 20 * time.Millisecond
 	maxBackoff   = 160 * time.Millisecond
-	// probeInterval is the time between reads while the table is out of reach.
+	// probeTimeout bounds one read that tells a lost answer from an outage.
+	probeTimeout = 150 * time.Millisecond
+	// maxFailedProbes reads in a row must fail after a failed transaction before
+	// claims are refused, so that one lost packet refuses nothing.
+	maxFailedProbes = 2
+	// probePause is the time between these reads; probeInterval is the time
+	// between reads once the table is out of reach.
+	probePause    = 20 * time.Millisecond
 	probeInterval = 200 * time.Millisecond
 	// maxPending and maxPendingBytes bound what waits for the table.
 	maxPending      = 4096
@@ -189,3 +199,20 @@
 func backoff(failures int) time.Duration {
 	return min(firstBackoff<<min(failures-1, 8), maxBackoff)
 }
+
+// launchBudget limits transactions to one for each launchInterval, with a
+// burst. Free is the time at which the budget is whole again.
+type launchBudget struct{ free time.Time }
+
+// wait returns how long the next transaction must wait.
+func (b launchBudget) wait(now time.Time) time.Duration {
+	return b.free.Add(-(launchBurst - 1) * launchInterval).Sub(now)
+}
+
+// spend returns the budget after a transaction.
+func (b launchBudget) spend(now time.Time) launchBudget {
+	if b.free.Before(now) {
+		b.free = now
+	}
+	return launchBudget{free: b.free.Add(launchInterval)}
+}
--- a/entryhost/requests/claims/task.go
+++ b/entryhost/requests/claims/task.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"log/slog"
 	"time"
 
@@ -35,9 +34,14 @@
 	landings     chan landed
 	probes       chan probed
 	probing      bool
+	// suspect tells that a transaction failed and no read was answered since.
+	suspect      bool
+	failedProbes int
 	unreachable  bool
 	failures     int
-	nextLaunch   time.Time
+	budget       launchBudget
+	// notBefore is the end of the pause after a failed transaction or read.
+	notBefore time.Time
 	// wake ends the wait for nextLaunch; nil when there is nothing to wait for.
 	wake <-chan time.Time
 }
@@ -138,16 +142,17 @@
 
 // launch starts a transaction or a probe if one is due, or sets the wake-up.
 func (w *Writer) launch(ctx context.Context) {
-	if w.flying || w.probing || (len(w.pending) == 0 && !w.unreachable) {
+	if w.flying || w.probing || (len(w.pending) == 0 && !w.suspect) {
 		return
 	}
-	if wait := w.nextLaunch.Sub(w.clock.Now()); wait > 0 {
+	now := w.clock.Now()
+	if wait := w.pause(now); wait > 0 {
 		if w.wake == nil {
 			w.wake = w.clock.After(wait)
 		}
 		return
 	}
-	if w.unreachable {
+	if w.suspect {
 		w.probing = true
 		go w.probe(ctx)
 		return
@@ -159,11 +164,20 @@
 		batch[i].sent = true
 	}
 	w.flying = true
-	w.nextLaunch = w.clock.Now().Add(launchInterval)
+	w.budget = w.budget.spend(now)
 	w.metrics.GetOrCreateHistogram("lentilpoint_claim_batch_rows").Update(float64(len(batch)))
 	go w.fly(ctx, batch)
 }
 
+// pause returns the time until the next transaction or probe may start.
+func (w *Writer) pause(now time.Time) time.Duration {
+	wait := w.notBefore.Sub(now)
+	if w.suspect {
+		return wait
+	}
+	return max(wait, w.budget.wait(now))
+}
+
 // fly runs one transaction outside the task, which goes on to accept messages.
 func (w *Writer) fly(ctx context.Context, batch []operation) {
 	ctx, cancel := context.WithTimeout(ctx, tryTimeout)
@@ -177,7 +191,7 @@
 
 // probe reads a row that does not exist, which costs the table no write.
 func (w *Writer) probe(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, tryTimeout)
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
 	_, err := w.table.Read(ctx, RowPrefix)
 	if platform.ErrNotFound.Has(err) {
@@ -186,13 +200,25 @@
 	w.probes <- probed{err: err}
 }
 
+// applyProbe tells a lost answer, after which the batch is sent again, from an
+// outage, in which all claims are refused.
 func (w *Writer) applyProbe(probe probed) {
-	if probe.err != nil {
-		w.nextLaunch = w.clock.Now().Add(probeInterval)
+	now := w.clock.Now()
+	if probe.err == nil {
+		w.suspect = false
+		w.failedProbes = 0
+		w.notBefore = now.Add(backoff(w.failures))
+		w.setUnreachable(false, nil)
 		return
 	}
-	w.failures = 0
-	w.setUnreachable(false, nil)
+	w.failedProbes++
+	if w.failedProbes < maxFailedProbes {
+		w.notBefore = now.Add(probePause)
+		return
+	}
+	w.notBefore = now.Add(probeInterval)
+	w.setUnreachable(true, probe.err)
+	w.refusePending()
 }
 
 func (w *Writer) setUnreachable(unreachable bool, err error) {
@@ -226,7 +252,7 @@
 }
 
 // settleConflicts answers the operations whose conditions failed. The others
-// did not take effect either; they go into the next transaction at once.
+// did not take effect either; they go into the next transaction.
 func (w *Writer) settleConflicts(landing landed) {
 	rows := make(map[string]platform.Row, len(landing.result.Conflicts))
 	for _, row := range landing.result.Conflicts {
@@ -249,7 +275,6 @@
 		w.settle(next, resolved)
 	}
 	w.prepend(w.expire(again, now))
-	w.nextLaunch = now
 }
 
 // settle answers whoever waits for the operation.
@@ -271,20 +296,12 @@
 func (w *Writer) fail(landing landed) {
 	w.failures++
 	w.count("lentilpoint_claim_transactions_failed_total", "no_answer")
-	now := w.clock.Now()
-	w.nextLaunch = now.Add(backoff(w.failures))
 	if w.readBack == ReadBackNever {
 		w.assumeHeld(landing.batch)
 		return
 	}
-	kept := w.expire(landing.batch, now)
-	if len(kept) < len(landing.batch) && !errors.Is(landing.err, context.Canceled) {
-		w.setUnreachable(true, landing.err)
-	}
-	w.prepend(kept)
-	if w.unreachable {
-		w.refusePending()
-	}
+	w.suspect = true
+	w.prepend(w.expire(landing.batch, w.clock.Now()))
 }
 
 // expire gives up the claims whose time is over and returns the other
@@ -311,8 +328,7 @@
 	return kept
 }
 
-// refusePending refuses the claims that were not sent while the table is out
-// of reach, and those that were sent give up as if their time were over.
+// refusePending gives up all claims that wait, as if their time were over.
 func (w *Writer) refusePending() {
 	pending := w.pending
 	w.pending, w.pendingBytes = nil, 0
