--- /dev/null
+++ b/entryhost/requests/call_test.go
@@ -0,0 +1,271 @@
+package requests
+
+import (
+	"bytes"
+	"context"
+	"encoding/gob"
+	"errors"
+	"io"
+	"log/slog"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/jonboulle/clockwork"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/lentilpoint/lentilpoint/entryhost/admission"
+	"github.com/lentilpoint/lentilpoint/entryhost/backends"
+	"github.com/lentilpoint/lentilpoint/entryhost/events"
+	"github.com/lentilpoint/lentilpoint/entryhost/peers"
+	"github.com/lentilpoint/lentilpoint/entryhost/requests/claims"
+	"github.com/lentilpoint/lentilpoint/entryhost/requests/tickets"
+	"github.com/lentilpoint/lentilpoint/model"
+	"github.com/lentilpoint/lentilpoint/task"
+)
+
+// testHost is an entry host without sockets: its servers are mailboxes.
+type testHost struct {
+	manager    *Manager
+	dispatches task.Mailbox[admission.Dispatch]
+	peers      task.Mailbox[peers.Message]
+	// exchanges receives the calls that reach a server.
+	exchanges task.Mailbox[backends.Command]
+	finished  task.Mailbox[admission.Message]
+	issuer    tickets.Issuer
+}
+
+// startTestHost starts a manager whose dispatcher assigns the one server and
+// refuses after that many assignments.
+func startTestHost(id model.HostID, assignments int) *testHost {
+	ctx, cancel := context.WithCancel(context.Background())
+	DeferCleanup(cancel)
+	clock := clockwork.NewRealClock()
+	host := &testHost{
+		dispatches: task.NewMailbox[admission.Dispatch](16),
+		peers:      task.NewMailbox[peers.Message](16),
+		exchanges:  task.NewMailbox[backends.Command](16),
+		finished:   task.NewMailbox[admission.Message](64),
+		issuer:     tickets.NewIssuer(claims.Identity{Host: id, Incarnation: 1}, "secret"),
+	}
+	book := tickets.NewBook(clock)
+	host.manager = NewManager(host.dispatches, RecoveryContinue, CallParts{
+		Policy: CallAtMostOnce, Claims: task.NewMailbox[claims.Message](16), Book: book.Messages(), Issuer: host.issuer,
+		Peers: host.peers, Recorder: events.Discard, Metrics: metrics.NewSet(),
+	}, clock, slog.New(slog.NewTextHandler(io.Discard, nil)))
+	go func() { _ = book.Serve(ctx) }()
+	go func() { _ = host.manager.Serve(ctx) }()
+	go host.assign(ctx, assignments)
+	return host
+}
+
+func (h *testHost) assign(ctx context.Context, assignments int) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case dispatch := <-h.dispatches.C():
+			if assignments == 0 {
+				dispatch.Reply.Send(admission.DispatchResult{Fault: model.NotRun(model.KindOverloaded, model.ReasonQueueFull, "full", "wait")})
+				continue
+			}
+			assignments--
+			dispatch.Reply.Send(admission.DispatchResult{Assignment: admission.Assignment{
+				Server: "plain-0", Generation: 3, Commands: h.exchanges, Finished: h.finished,
+			}})
+		}
+	}
+}
+
+func (h *testHost) call(call Call) <-chan Answer {
+	GinkgoHelper()
+	answers := make(chan Answer, 1)
+	Expect(h.manager.Commands().TrySend(StartCall{Context: context.Background(), Call: call, Reply: answers})).To(Succeed())
+	return answers
+}
+
+// nextExchange returns the next call that reaches the server.
+func (h *testHost) nextExchange() backends.OpenExchange {
+	GinkgoHelper()
+	var command backends.Command
+	Eventually(h.exchanges.C(), 2*time.Second).Should(Receive(&command))
+	return command.(backends.OpenExchange)
+}
+
+func answered(text string) backends.ExchangeHead {
+	return backends.ExchangeHead{Status: 200, Header: http.Header{}, Body: io.NopCloser(strings.NewReader(text))}
+}
+
+func failed(kind backends.FailureKind) backends.ExchangeHead {
+	return failedHead(kind, "injected")
+}
+
+func receive(answers <-chan Answer) Answer {
+	GinkgoHelper()
+	var answer Answer
+	Eventually(answers, 5*time.Second).Should(Receive(&answer))
+	return answer
+}
+
+func ticketCall(host *testHost) Call {
+	key, _ := host.issuer.Issue("bubbles", time.Now())
+	return Call{
+		ID: "r", Organisation: model.Organisation{ID: "bubbles"}, Deadline: time.Now().Add(time.Second),
+		Method: http.MethodPost, Path: "/orders", Content: []byte("wands"), ContentLength: 5, Key: key,
+	}
+}
+
+var _ = Describe("a call without a key", func() {
+	call := func(repeatable bool, deadline time.Duration) Call {
+		return Call{Deadline: time.Now().Add(deadline), Method: http.MethodGet, Repeatable: repeatable, Body: strings.NewReader("")}
+	}
+
+	It("is not dispatched again after bytes may have reached a server", func() {
+		host := startTestHost("entry-0", 5)
+		answers := host.call(call(false, time.Second))
+		host.nextExchange().Reply.Send(failed(backends.FailureBroken))
+		Expect(receive(answers).Fault.Executed).To(Equal(model.ExecutedUnknown))
+		Consistently(host.exchanges.C(), 50*time.Millisecond).ShouldNot(Receive())
+	})
+
+	It("is dispatched again when no byte was sent", func() {
+		host := startTestHost("entry-0", 5)
+		answers := host.call(call(false, time.Second))
+		host.nextExchange().Reply.Send(failed(backends.FailureConnect))
+		host.nextExchange().Reply.Send(answered("ok"))
+		Expect(receive(answers).Fault).To(BeNil())
+	})
+
+	It("is not called 'not run' when a later attempt is refused after an earlier one may have run", func() {
+		host := startTestHost("entry-0", 1)
+		answers := host.call(call(true, time.Second))
+		host.nextExchange().Reply.Send(failed(backends.FailureBroken))
+		fault := receive(answers).Fault
+		Expect(fault.Reason).To(Equal(model.ReasonQueueFull))
+		Expect(fault.Executed).To(Equal(model.ExecutedUnknown))
+	})
+
+	It("is not called 'not run' when the last attempt found no connection after an earlier one may have run", func() {
+		host := startTestHost("entry-0", maxAttempts)
+		answers := host.call(call(true, 5*time.Second))
+		host.nextExchange().Reply.Send(failed(backends.FailureBroken))
+		for range maxAttempts - 1 {
+			host.nextExchange().Reply.Send(failed(backends.FailureConnect))
+		}
+		Expect(receive(answers).Fault.Executed).To(Equal(model.ExecutedUnknown))
+	})
+
+	It("leaves a silent server for another one before its deadline and replaces the transport", func() {
+		host := startTestHost("entry-0", 5)
+		answers := host.call(call(true, time.Second))
+		silent := host.nextExchange()
+		go func() { <-silent.Context.Done(); silent.Reply.Send(failed(backends.FailureBroken)) }()
+		var report backends.Command
+		Eventually(host.exchanges.C(), 2*time.Second).Should(Receive(&report))
+		Expect(report).To(Equal(backends.ReportSilence{Generation: 3}))
+		host.nextExchange().Reply.Send(answered("ok"))
+		Expect(receive(answers).Fault).To(BeNil())
+	})
+
+	It("ends at its deadline with an unknown outcome when the server is silent", func() {
+		host := startTestHost("entry-0", 5)
+		answers := host.call(call(false, 200*time.Millisecond))
+		silent := host.nextExchange()
+		go func() { <-silent.Context.Done(); silent.Reply.Send(failed(backends.FailureBroken)) }()
+		Expect(receive(answers).Fault.Reason).To(Equal(model.ReasonOutcomeUnknown))
+	})
+})
+
+var _ = Describe("a call with a ticket", func() {
+	It("is executed once by the issuing incarnation and repeats its answer", func() {
+		host := startTestHost("entry-0", 5)
+		call := ticketCall(host)
+		first := host.call(call)
+		host.nextExchange().Reply.Send(answered("done"))
+		Expect(receive(first).Fault).To(BeNil())
+		repeat := receive(host.call(call))
+		content, err := io.ReadAll(repeat.Head.Body)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(string(content)).To(Equal("done"))
+		Expect(repeat.Head.Header.Get(headerRepeated)).To(Equal("true"))
+		Consistently(host.exchanges.C(), 50*time.Millisecond).ShouldNot(Receive())
+	})
+
+	It("keeps the outcome of an answer that was cut short unknown instead of recording a part", func() {
+		host := startTestHost("entry-0", 5)
+		call := ticketCall(host)
+		first := host.call(call)
+		cut := answered("")
+		cut.Body = io.NopCloser(io.MultiReader(strings.NewReader("ha"), brokenReader{}))
+		host.nextExchange().Reply.Send(cut)
+		Expect(receive(first).Fault.Executed).To(Equal(model.ExecutedUnknown))
+		Expect(receive(host.call(call)).Fault.Reason).To(Equal(model.ReasonOutcomeUnknown))
+	})
+
+	It("passes a long answer on whole and says to a repeat that it was executed", func() {
+		host := startTestHost("entry-0", 5)
+		call := ticketCall(host)
+		first := host.call(call)
+		text := strings.Repeat("x", claims.MaxAnswerBytes+10)
+		host.nextExchange().Reply.Send(answered(text))
+		content, err := io.ReadAll(receive(first).Head.Body)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(string(content)).To(Equal(text))
+		Expect(receive(host.call(call)).Fault.Executed).To(Equal(model.ExecutedYes))
+	})
+
+	It("is passed on to the issuing entry host, which alone executes it", func() {
+		issuing, other := startTestHost("entry-0", 5), startTestHost("entry-1", 5)
+		redeemer := NewRedeemer(issuing.manager.Commands(), issuing.issuer, clockwork.NewRealClock())
+		answers := other.call(ticketCall(issuing))
+		var message peers.Message
+		Eventually(other.peers.C(), 2*time.Second).Should(Receive(&message))
+		invoke := message.(peers.Invoke)
+		Expect(invoke.Host).To(Equal(model.HostID("entry-0")))
+		Expect(invoke.Method).To(Equal(tickets.MethodRedeem))
+		go func() { issuing.nextExchange().Reply.Send(answered("done")) }()
+		var arguments tickets.ForwardedCall
+		throughGob(invoke.Arguments, &arguments)
+		var result tickets.ForwardedAnswer
+		Expect(redeemer.Redeem(arguments, &result)).To(Succeed())
+		throughGob(result, invoke.Result)
+		invoke.Reply.Send(nil)
+		content, err := io.ReadAll(receive(answers).Head.Body)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(string(content)).To(Equal("done"))
+		Consistently(other.exchanges.C(), 50*time.Millisecond).ShouldNot(Receive())
+	})
+
+	It("has an unknown outcome when the issuing entry host cannot be reached or was restarted", func() {
+		issuing, other := startTestHost("entry-0", 5), startTestHost("entry-1", 5)
+		call := ticketCall(issuing)
+		answers := other.call(call)
+		var message peers.Message
+		Eventually(other.peers.C(), 2*time.Second).Should(Receive(&message))
+		message.(peers.Invoke).Reply.Send(peers.ErrUnreachable.New("entry-0"))
+		gone := receive(answers).Fault
+		Expect(gone.Reason).To(Equal(model.ReasonTicketHostGone))
+		Expect(gone.Executed).To(Equal(model.ExecutedUnknown))
+		restarted := startTestHost("entry-0", 5)
+		restarted.issuer = tickets.NewIssuer(claims.Identity{Host: "entry-0", Incarnation: 2}, "secret")
+		redeemer := NewRedeemer(restarted.manager.Commands(), restarted.issuer, clockwork.NewRealClock())
+		var result tickets.ForwardedAnswer
+		Expect(redeemer.Redeem(tickets.ForwardedCall{Organisation: call.Organisation, Key: call.Key}, &result)).To(Succeed())
+		Expect(result.Fault.Reason).To(Equal(model.ReasonTicketHostGone))
+	})
+})
+
+// brokenReader fails like a connection that was lost.
+type brokenReader struct{}
+
+func (brokenReader) Read([]byte) (int, error) { return 0, errors.New("connection lost") }
+
+// throughGob copies a value as net/rpc would.
+func throughGob(from, to any) {
+	GinkgoHelper()
+	var buffer bytes.Buffer
+	Expect(gob.NewEncoder(&buffer).Encode(from)).To(Succeed())
+	Expect(gob.NewDecoder(&buffer).Decode(to)).To(Succeed())
+}
--- /dev/null
+++ b/entryhost/requests/tickets/tickets_test.go
@@ -0,0 +1,94 @@
+package tickets
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/lentilpoint/lentilpoint/entryhost/requests/claims"
+	"github.com/lentilpoint/lentilpoint/model"
+)
+
+func TestTickets(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "tickets")
+}
+
+var _ = Describe("tickets", func() {
+	now := time.UnixMilli(1_700_000_000_000)
+	until := now.Add(time.Second)
+	issuer := NewIssuer(claims.Identity{Host: "entry-0", Incarnation: 7}, "secret")
+	fresh := func() Ticket {
+		GinkgoHelper()
+		key, _ := issuer.Issue("bubbles", now)
+		ticket, fault := issuer.Verify(key, "bubbles")
+		Expect(fault).To(BeNil())
+		return ticket
+	}
+
+	It("can be verified by entry hosts with the same secret only", func() {
+		key, _ := issuer.Issue("bubbles", now)
+		ticket, fault := NewIssuer(claims.Identity{Host: "entry-1"}, "secret").Verify(key, "bubbles")
+		Expect(fault).To(BeNil())
+		Expect(ticket.Host).To(Equal(model.HostID("entry-0")))
+		_, fault = NewIssuer(claims.Identity{Host: "entry-1"}, "other").Verify(key, "bubbles")
+		Expect(fault.Reason).To(Equal(model.ReasonTicketInvalid))
+		Expect(fault.Executed).To(Equal(model.ExecutedUnknown), "it may have run before the secret changed")
+	})
+
+	It("belong to one organisation, so that nobody learns another's answer", func() {
+		key, _ := issuer.Issue("bubbles", now)
+		_, fault := issuer.Verify(key, "wands")
+		Expect(fault.Reason).To(Equal(model.ReasonTicketInvalid))
+	})
+
+	It("are executed once and repeat the answer", func() {
+		book, ticket := newBook(), fresh()
+		Expect(book.redeem(ticket, "h", until, now).Held).To(BeTrue())
+		Expect(book.redeem(ticket, "h", until, now).Fault.Reason).To(Equal(model.ReasonKeyInProgress))
+		Expect(book.finish(ticket.ID, claims.StateDone, &claims.Answer{Status: 200})).To(BeTrue())
+		Expect(book.redeem(ticket, "h", until, now).Answer.Status).To(Equal(200))
+		Expect(book.redeem(ticket, "other", until, now).Fault.Reason).To(Equal(model.ReasonKeyReused))
+	})
+
+	It("may run again only after a call that reached no server", func() {
+		book, ticket := newBook(), fresh()
+		Expect(book.redeem(ticket, "h", until, now).Held).To(BeTrue())
+		Expect(book.finish(ticket.ID, claims.StateReleased, nil)).To(BeTrue())
+		Expect(book.redeem(ticket, "h", until, now).Held).To(BeTrue())
+		Expect(book.finish(ticket.ID, claims.StateUnknown, nil)).To(BeTrue())
+		Expect(book.redeem(ticket, "h", until, now).Fault.Executed).To(Equal(model.ExecutedUnknown))
+	})
+
+	It("do not run a second time when the clock is set back after they were forgotten", func() {
+		book, ticket := newBook(), fresh()
+		book.redeem(ticket, "h", until, now)
+		book.finish(ticket.ID, claims.StateDone, &claims.Answer{Status: 200})
+		book.sweep(now.Add(Lifetime + time.Minute))
+		Expect(book.entries).To(BeEmpty())
+		verdict := book.redeem(ticket, "h", until, now)
+		Expect(verdict.Held).To(BeFalse())
+		Expect(verdict.Fault.Executed).To(Equal(model.ExecutedUnknown))
+	})
+
+	It("are refused as not run when the book is full, instead of forgetting an outcome", func() {
+		book := newBook()
+		for i := range maxEntries {
+			book.entries[string(rune(i))+"x"] = entry{expires: until.UnixMilli()}
+		}
+		fault := book.redeem(fresh(), "h", until, now).Fault
+		Expect(fault.Reason).To(Equal(model.ReasonQueueFull))
+		Expect(fault.Executed).To(Equal(model.ExecutedNo))
+	})
+
+	It("keep answers within the memory limit and say when one was dropped", func() {
+		book := newBook()
+		book.bytes = maxAnswerBytes
+		ticket := fresh()
+		book.redeem(ticket, "h", until, now)
+		book.finish(ticket.ID, claims.StateDone, &claims.Answer{Status: 200, Body: []byte("x")})
+		Expect(book.redeem(ticket, "h", until, now).Fault.Executed).To(Equal(model.ExecutedYes))
+	})
+})
