Measure the token path and decode chunks without reflection

Cause: an entry host needed 0.57 to 0.83 of a core for 23,000 tokens a second; encoding/json and the general event reader took a third of it.

--- /dev/null
+++ b/cmd/lentilpoint-bench/standin/source.go
@@ -0,0 +1,83 @@
+package standin
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/lentilpoint/lentilpoint/enginewire"
+)
+
+// Source is an engine that sends tokens at a fixed rate with as little work as
+// possible, to measure what an entry host adds. The text of each token is the
+// time at which it was sent, in Unix nanoseconds.
+type Source struct {
+	endpoint *endpoint
+	version  string
+	interval time.Duration
+}
+
+// StartSource starts a source on a loopback address.
+func StartSource(version string, interval time.Duration) (*Source, error) {
+	source := &Source{version: version, interval: interval}
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST "+enginewire.PathCompletions, source.serveStream)
+	mux.HandleFunc("GET "+enginewire.PathLoad, source.serveLoad)
+	mux.HandleFunc("GET "+enginewire.PathCacheEvents, source.serveCache)
+	endpoint, err := newEndpoint(mux)
+	source.endpoint = endpoint
+	return source, err
+}
+
+// Address returns the address of the source.
+func (s *Source) Address() string { return s.endpoint.address }
+
+// Close cuts all connections.
+func (s *Source) Close() { s.endpoint.cut() }
+
+func (s *Source) serveLoad(w http.ResponseWriter, _ *http.Request) {
+	writeAnswer(w, enginewire.LoadReport{Versions: []string{s.version}, Capacity: 1 << 20, Incarnation: 1}, nil)
+}
+
+func (s *Source) serveCache(w http.ResponseWriter, _ *http.Request) {
+	writeAnswer(w, enginewire.CacheEvents{Incarnation: 1}, nil)
+}
+
+func (s *Source) serveStream(w http.ResponseWriter, r *http.Request) {
+	var body enginewire.Generation
+	if err := json.NewDecoder(r.Body).Decode(&body); err != nil {
+		writeError(w, http.StatusBadRequest, err.Error())
+		return
+	}
+	flusher, _ := w.(http.Flusher)
+	w.Header().Set("Content-Type", "text/event-stream")
+	w.Header().Set(enginewire.HeaderStreamID, "source-1")
+	w.WriteHeader(http.StatusOK)
+	writeChunk(w, enginewire.Choice{PromptTokenIDs: []enginewire.TokenID{1, 2, 3}})
+	ticker := time.NewTicker(s.interval)
+	defer ticker.Stop()
+	event := make([]byte, 0, 256)
+	for i := range body.MaxTokens {
+		select {
+		case <-r.Context().Done():
+			return
+		case <-ticker.C:
+		}
+		event = appendTimedToken(event[:0], i, body.MaxTokens)
+		_, _ = w.Write(event)
+		flusher.Flush()
+	}
+}
+
+func appendTimedToken(event []byte, i, limit int) []byte {
+	event = append(event, `data: {"choices":[{"index":0,"text":"`...)
+	event = strconv.AppendInt(event, time.Now().UnixNano(), 10)
+	event = append(event, `","token_ids":[`...)
+	event = strconv.AppendInt(event, int64(i%vocabulary), 10)
+	event = append(event, ']')
+	if i+1 == limit {
+		return append(event, `,"finish_reason":"length"}]}`+"\n\ndata: "+enginewire.StreamEnd+"\n\n"...)
+	}
+	return append(event, "}]}\n\n"...)
+}
--- a/entryhost/backends/stream.go
+++ b/entryhost/backends/stream.go
@@ -11,8 +11,6 @@
 	"strconv"
 	"strings"
 
-	"github.com/tmaxmax/go-sse"
-
 	"github.com/lentilpoint/lentilpoint/enginewire"
 )
 
@@ -84,17 +82,22 @@
 func (s *streamTask) relay(response *http.Response) *StreamError {
 	engineStream := response.Header.Get(enginewire.HeaderStreamID)
 	finished := false
-	for event, err := range sse.Read(response.Body, &sse.ReadConfig{MaxEventSize: maxEventBytes}) {
+	events := newEventReader(response.Body)
+	for {
+		data, err := events.next()
+		if err == io.EOF {
+			return &StreamError{Kind: FailureBroken, Message: "the stream ended without its end mark"}
+		}
 		if err != nil {
 			return s.transportError(err, true)
 		}
-		if event.Data == enginewire.StreamEnd && finished {
+		if string(data) == enginewire.StreamEnd && finished {
 			return nil
 		}
-		if event.Data == enginewire.StreamEnd {
+		if string(data) == enginewire.StreamEnd {
 			return &StreamError{Kind: FailureBroken, Message: "the stream ended without a finish reason"}
 		}
-		update, failure := decodeChunk(event.Data)
+		update, failure := decodeChunk(data)
 		if failure != nil {
 			return failure
 		}
@@ -104,41 +107,6 @@
 			return &StreamError{Kind: FailureCancelled, Message: err.Error()}
 		}
 	}
-	return &StreamError{Kind: FailureBroken, Message: "the stream ended without its end mark"}
-}
-
-// decodeChunk turns one chunk into a stream event.
-func decodeChunk(data string) (StreamEvent, *StreamError) {
-	var chunk enginewire.Chunk
-	if err := json.Unmarshal([]byte(data), &chunk); err != nil {
-		return StreamEvent{}, &StreamError{Kind: FailureBroken, Message: "undecodable chunk: " + err.Error()}
-	}
-	if chunk.Error != nil {
-		return StreamEvent{}, &StreamError{Kind: FailureBroken, Message: chunk.Error.Message}
-	}
-	if len(chunk.Choices) == 0 {
-		return StreamEvent{}, nil
-	}
-	choice := chunk.Choices[0]
-	return StreamEvent{
-		PromptIDs: choice.PromptTokenIDs,
-		Tokens:    chunkTokens(choice),
-		Finish:    choice.FinishReason,
-	}, nil
-}
-
-// chunkTokens pairs the token ids of a chunk with its text. The text of a
-// chunk with several ids belongs to its last token.
-func chunkTokens(choice enginewire.Choice) []Token {
-	if len(choice.TokenIDs) == 0 {
-		return nil
-	}
-	tokens := make([]Token, len(choice.TokenIDs))
-	for i, id := range choice.TokenIDs {
-		tokens[i].ID = id
-	}
-	tokens[len(tokens)-1].Text = choice.Content()
-	return tokens
 }
 
 func (s *streamTask) transportError(err error, sent bool) *StreamError {
