Bound the resumes of one engine stream and finish complete answers

Cause: two entry hosts that serve one caller, one over a dead connection, could take the engine's stream from each other without end; a generation whose last token had arrived was sent to another engine for no tokens; a long repeated generation sent nothing until its position was reached. Change: one engine stream is resumed at most three times; a complete generation ends with reason length; resumed answers send heartbeats at once. Specs for cursors over two entry hosts.

--- a/entryhost/backends/stream.go
+++ b/entryhost/backends/stream.go
@@ -40,6 +40,9 @@
 
 func (s *streamTask) send(event StreamEvent) error {
 	event.Attempt = s.open.Attempt
+	if s.open.Events.TrySend(event) == nil {
+		return nil
+	}
 	return s.open.Events.Send(s.open.Context, event)
 }
 
--- a/entryhost/callers/generate.go
+++ b/entryhost/callers/generate.go
@@ -78,7 +78,7 @@
 	format := answerFormat{id: who.id, model: body.Model, created: s.Clock.Now().Unix(), chat: chat, tokenIDs: body.ReturnTokenIDs}
 	if body.Stream {
 		cursor := cursorStream{binding: binding, seed: generation.Body.Seed}
-		s.stream(c, newEventEncoder(format, s.Cursors, cursor), updates)
+		s.stream(c, newEventEncoder(format, s.Cursors, cursor), updates, generation.Resume != nil)
 		return
 	}
 	s.collect(c, format, updates)
@@ -156,8 +156,10 @@
 }
 
 // stream passes updates on as server-sent events. The status is sent with the
-// first tokens, so that an early refusal still has its own status.
-func (s *Server) stream(c *gin.Context, encoder *eventEncoder, updates <-chan requests.Update) {
+// first tokens, so that an early refusal still has its own status. A resumed
+// answer may have to be generated again up to its position, which takes longer
+// than callers wait for a status, so its status is sent with the first heartbeat.
+func (s *Server) stream(c *gin.Context, encoder *eventEncoder, updates <-chan requests.Update, resumed bool) {
 	heartbeat := s.Clock.NewTicker(heartbeatInterval)
 	defer heartbeat.Stop()
 	started := false
@@ -166,6 +168,10 @@
 		case <-c.Request.Context().Done():
 			return
 		case <-heartbeat.Chan():
+			if !started && resumed {
+				startEvents(c)
+				started = true
+			}
 			if started && s.write(c, []byte(": heartbeat\n\n")) {
 				c.Writer.Flush()
 			}
--- a/entryhost/requests/attempts.go
+++ b/entryhost/requests/attempts.go
@@ -16,14 +16,14 @@
 // findTimeout bounds the search for the server that a cursor names.
 const findTimeout = 500 * time.Millisecond
 
-// dispatch asks for a server; the assignment arrives as a message. A generation
-// that has all its tokens needs none.
+// complete reports whether the ledger has as many tokens as were asked for,
+// which leaves nothing to generate.
+func (g *generationTask) complete() bool {
+	return g.recovery != RecoveryRestart && g.ledger.Len() > 0 && g.ledger.Len() >= g.start.Generation.Body.MaxTokens
+}
+
+// dispatch asks for a server; the assignment arrives as a message.
 func (g *generationTask) dispatch(ctx context.Context) *model.Fault {
-	limit := g.start.Generation.Body.MaxTokens
-	if g.recovery != RecoveryRestart && g.ledger.Len() > 0 && g.ledger.Len() >= limit {
-		g.ledger.Finish("length")
-		return nil
-	}
 	if _, exact := g.ledger.Continuation(); !exact {
 		return &model.Fault{
 			Kind: model.KindUnavailable, Reason: model.ReasonBackendFailed, Executed: model.ExecutedUnknown,
@@ -198,8 +198,7 @@
 		return g.endedFault()
 	}
 	g.noteFailure(a, failure)
-	streamKnown := a.source != nil
-	if a == g.current && !g.secondOpen() && decideNext(g.recovery, failure.Kind, a.resumed && a.tokens == 0, streamKnown) == StepResume {
+	if g.nextStep(a, failure) == StepResume {
 		return g.resume(ctx, a, failure)
 	}
 	g.countRetry(string(failure.Kind))
@@ -226,12 +225,23 @@
 		g.arm(g.clock.Now())
 		return nil
 	}
+	if g.complete() {
+		g.ledger.Finish(finishLength)
+		return nil
+	}
 	if g.ledger.Joined() {
 		g.ledger.Forget(Mark{Position: g.sent, Hash: g.hash})
 	}
 	return g.dispatch(ctx)
 }
 
+func (g *generationTask) nextStep(a *attempt, failure *backends.StreamError) NextStep {
+	if a != g.current || g.secondOpen() || g.complete() {
+		return StepDispatch
+	}
+	return decideNext(g.recovery, failure.Kind, a.resumed && a.tokens == 0, a.source != nil, g.resumes)
+}
+
 // reportedOutcome is the outcome of an assignment: a stream that could not be
 // resumed ended with the failure that came before.
 func reportedOutcome(a *attempt, failure *backends.StreamError) admission.Outcome {
@@ -245,6 +255,7 @@
 // assignment.
 func (g *generationTask) resume(ctx context.Context, lost *attempt, failure *backends.StreamError) *model.Fault {
 	lost.cancel()
+	g.resumes++
 	g.countRetry("resume_stream")
 	resumed := &attempt{
 		number: g.ledger.Begin(), assignment: lost.assignment, base: lost.source.Base,
--- a/entryhost/requests/generation.go
+++ b/entryhost/requests/generation.go
@@ -25,6 +25,10 @@
 // maxUpdateTokens bounds the tokens in one update to the caller.
 const maxUpdateTokens = 64
 
+// finishLength is the reason for the end of a generation that has as many
+// tokens as were asked for.
+const finishLength = "length"
+
 // lateEventsWait is the pause before silence is judged again when events wait
 // in the mailbox: this task was late then, not the engine.
 const lateEventsWait = 10 * time.Millisecond
@@ -50,6 +54,8 @@
 	source   *Source
 	exclude  []model.ServerID
 	failures int
+	// resumes counts how often the current engine stream was resumed.
+	resumes int
 	// current delivers to the ledger; second is open beside it when the service
 	// is eager and current is silent.
 	current *attempt
@@ -72,7 +78,7 @@
 	}
 	g.flush()
 	g.sendLast(Update{
-		Position: g.ledger.Len(), Hash: g.hash, Finish: g.ledger.Finished(), Version: g.ledger.Version(), Source: g.source,
+		Position: g.sent, Hash: g.hash, Finish: g.ledger.Finished(), Version: g.ledger.Version(), Source: g.source,
 		PromptTokens: len(g.ledger.promptIDs), Attempts: int(g.ledger.Issued()),
 	})
 }
@@ -110,6 +116,10 @@
 	g.ledger = NewLedger(resume.Version, resume.Mark)
 	g.sent = resume.Mark.Position
 	g.hash = resume.Mark.Hash
+	if g.sent >= g.start.Generation.Body.MaxTokens {
+		g.ledger.Finish(finishLength)
+		return nil
+	}
 	if g.joinStream(ctx, resume) {
 		return nil
 	}
@@ -140,7 +150,10 @@
 		g.secondRefused = false
 	}
 	g.ledger.Accept(from.assignment.Version, event)
-	g.source = from.source
+	if g.source != from.source {
+		g.source = from.source
+		g.resumes = 0
+	}
 	if g.ledger.Diverged() {
 		g.note(eventcode.ResumeDiverged, from, "the repeated tokens differ from those delivered")
 		return divergedFault()
--- a/entryhost/requests/recovery.go
+++ b/entryhost/requests/recovery.go
@@ -22,12 +22,17 @@
 	StepResume
 )
 
+// maxResumes bounds how often one engine stream is resumed. Two entry hosts
+// that serve the same caller, one of them over a dead connection, would take the
+// stream from each other without end.
+const maxResumes = 3
+
 // decideNext prefers the engine's own stream where that is cheap: the engine
 // keeps decoding behind a lost connection, so nothing is prefilled again, and
 // a dead engine refuses the connection at once. A stream is resumed once for
 // each loss; a paused engine would not answer the second time either.
-func decideNext(recovery Recovery, failure backends.FailureKind, resumed, streamKnown bool) NextStep {
-	if recovery != RecoveryContinue || resumed || !streamKnown {
+func decideNext(recovery Recovery, failure backends.FailureKind, resumed, streamKnown bool, resumes int) NextStep {
+	if recovery != RecoveryContinue || resumed || !streamKnown || resumes >= maxResumes {
 		return StepDispatch
 	}
 	if failure == backends.FailureBroken || failure == backends.FailureSilent {
--- a/entryhost/requests/recovery_test.go
+++ b/entryhost/requests/recovery_test.go
@@ -235,6 +235,33 @@
 		Expect(second.ResumeStream).To(BeEmpty())
 	})
 
+	It("stops taking a stream back that another entry host takes over each time", func() {
+		h := startHarness(Generation{})
+		_, open := h.assign("a")
+		for i := range enginewire.TokenID(maxResumes) {
+			event := tokens(i + 1)
+			event.EngineStream = "s1"
+			send(open, event)
+			send(open, broken())
+			open = h.opened()
+			Expect(open.ResumeStream).To(Equal("s1"))
+		}
+		event := tokens(9)
+		event.EngineStream = "s1"
+		send(open, event)
+		send(open, broken())
+		_, open = h.assign("b")
+		Expect(open.ResumeStream).To(BeEmpty())
+	})
+
+	It("answers a caller that has all tokens without another attempt", func() {
+		h := startHarness(Generation{Resume: &ResumePoint{Version: "v1", Mark: Mark{Position: 10, Hash: 1}}})
+		ids, last := h.received()
+		Expect(ids).To(BeEmpty())
+		Expect(last.Finish).To(Equal("length"))
+		Expect(last.Position).To(Equal(10))
+	})
+
 	It("ends with version_gone when no server of its version is left, instead of changing the version", func() {
 		h := startHarness(Generation{})
 		_, first := h.assign("a")
