--- a/cmd/lentilpoint-bench/scenario/recovery.go
+++ b/cmd/lentilpoint-bench/scenario/recovery.go
@@ -105,7 +105,7 @@
 	results := runGenerations(ctx, c, planned)
 	faults := <-injected
 	figures := recoveryFigures(c, results)
-	addResumeFigures(figures, resumeLatencies(c, results, faults))
+	addResumptionFigures(figures, resumptions(c, results, faults))
 	return Report{Violations: tokenViolations(results, cluster.VersionOne, check.Whole), Figures: figures}, nil
 }
 
--- a/cmd/lentilpoint-bench/scenario/recovery_figures.go
+++ b/cmd/lentilpoint-bench/scenario/recovery_figures.go
@@ -80,25 +80,45 @@
 	return count
 }
 
-// resumeLatencies returns, for each generation that a fault interrupted, the
-// time without a token around the fault.
-func resumeLatencies(c *cluster.Cluster, results []generationResult, faults []engineFault) []time.Duration {
+// resumption is the interruption of one generation by one fault.
+type resumption struct {
+	// latency is the time without a token around the fault.
+	latency time.Duration
+	// firstToken is the engine's own time to the first token of the attempt
+	// that followed; 0 if the engine's stream was resumed.
+	firstToken time.Duration
+}
+
+// resumptions returns how each generation that a fault interrupted went on.
+func resumptions(c *cluster.Cluster, results []generationResult, faults []engineFault) []resumption {
 	bySeed := make(map[int64][]standin.Attempt)
 	for _, attempt := range c.Attempts() {
 		bySeed[attempt.Seed] = append(bySeed[attempt.Seed], attempt)
 	}
-	var latencies []time.Duration
+	var resumed []resumption
 	for _, result := range results {
+		attempts := bySeed[result.plan.body.Seed]
 		for _, fault := range faults {
-			if engineAt(bySeed[result.plan.body.Seed], fault.at) != fault.engine {
+			if engineAt(attempts, fault.at) != fault.engine {
 				continue
 			}
 			if latency, interrupted := gapAround(result.stream.Arrivals, fault.at); interrupted {
-				latencies = append(latencies, latency)
+				resumed = append(resumed, resumption{latency: latency, firstToken: firstTokenAfter(attempts, fault.at)})
 			}
 		}
 	}
-	return latencies
+	return resumed
+}
+
+// firstTokenAfter returns the time to the first token of the first attempt
+// that started after the fault and delivered one.
+func firstTokenAfter(attempts []standin.Attempt, at time.Time) time.Duration {
+	for _, attempt := range attempts {
+		if attempt.Started.After(at) && attempt.FirstToken > 0 {
+			return attempt.FirstToken
+		}
+	}
+	return 0
 }
 
 // engineAt returns the engine of the newest attempt at a time.
@@ -131,3 +151,14 @@
 	figures["resume_p95_ms"] = milliseconds(Quantile(latencies, 0.95))
 	figures["resume_max_ms"] = milliseconds(Quantile(latencies, 1))
 }
+
+// addResumptionFigures adds what recovery takes beyond the engine's own first token.
+func addResumptionFigures(figures map[string]float64, resumed []resumption) {
+	var latencies, beyond []time.Duration
+	for _, one := range resumed {
+		latencies = append(latencies, one.latency)
+		beyond = append(beyond, one.latency-one.firstToken)
+	}
+	addResumeFigures(figures, latencies)
+	figures["resume_beyond_first_token_p95_ms"] = milliseconds(Quantile(beyond, 0.95))
+}
--- a/cmd/lentilpoint-bench/standin/engine.go
+++ b/cmd/lentilpoint-bench/standin/engine.go
@@ -377,7 +377,7 @@
 	g := &generation{
 		attempt: attempt, prompt: prompt, chat: start.chat, context: attempt.PromptHash,
 		limit: start.body.MaxTokens, prefill: attempt.Prefilled, output: start.output,
-		crash: containsToken(prompt, CrashWord),
+		crash: slices.Contains(prompt, crashToken),
 	}
 	fault, found := e.faults[attempt.Version]
 	g.fail = found && e.faultActive(fault, g) && e.random.Float64() < fault.FailShare
@@ -385,10 +385,6 @@
 	return startResult{stream: stream, prompt: prompt}
 }
 
-func containsToken(prompt []enginewire.TokenID, word string) bool {
-	return slices.Contains(prompt, Tokenize(word)[0])
-}
-
 func (e *Engine) resume(resume resumeStream) startResult {
 	g := e.running[resume.stream]
 	if g == nil || resume.from > len(g.tokens) {
--- a/cmd/lentilpoint-bench/standin/tokens.go
+++ b/cmd/lentilpoint-bench/standin/tokens.go
@@ -10,14 +10,23 @@
 	"github.com/lentilpoint/lentilpoint/enginewire"
 )
 
-// vocabulary is the number of token ids.
+// vocabulary is the number of token ids of words and of generated tokens.
 const vocabulary = 50_000
 
+// crashToken is the token of CrashWord. It lies outside the vocabulary, because
+// a generated token with the same id would turn the continuation of any
+// request into one that crashes engines.
+const crashToken enginewire.TokenID = vocabulary
+
 // Tokenize turns text into token ids, one for each word.
 func Tokenize(text string) []enginewire.TokenID {
 	words := strings.Fields(text)
 	ids := make([]enginewire.TokenID, len(words))
 	for i, word := range words {
+		if word == CrashWord {
+			ids[i] = crashToken
+			continue
+		}
 		hash := fnv.New32a()
 		_, _ = hash.Write([]byte(word))
 		ids[i] = enginewire.TokenID(hash.Sum32() % vocabulary)
--- /dev/null
+++ b/entryhost/callers/bench_test.go
@@ -0,0 +1,34 @@
+package callers
+
+import (
+	"testing"
+
+	"github.com/lentilpoint/lentilpoint/entryhost/backends"
+	"github.com/lentilpoint/lentilpoint/entryhost/requests"
+	"github.com/lentilpoint/lentilpoint/settings"
+)
+
+// BenchmarkEvent measures the encoding of one event with its cursor.
+func BenchmarkEvent(b *testing.B) {
+	encoder := newEventEncoder(answerFormat{id: "request", model: "advisor", tokenIDs: true},
+		NewCursors([]settings.CursorKey{oldKey}), cursorStream{seed: 1, version: "advisor-v1"})
+	update := requests.Update{
+		Tokens: []backends.Token{{ID: 4711, Text: " token"}}, Version: "advisor-v1",
+		Source: &requests.Source{Server: "engine-1", Stream: "engine-1-1-99"},
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		update.Position++
+		encoder.update(update)
+	}
+}
+
+// BenchmarkCursor measures one cursor alone.
+func BenchmarkCursor(b *testing.B) {
+	writer := NewCursors([]settings.CursorKey{oldKey}).writer(cursorStream{seed: 1, version: "advisor-v1"})
+	var buffer []byte
+	b.ReportAllocs()
+	for b.Loop() {
+		buffer = writer.append(buffer[:0], requests.Mark{Position: 7, Hash: 8})
+	}
+}
