Outlast servers that refuse work instead of spending all attempts at once

Cause: connections refused and answers 429 or 503 counted like failures of work that ran: with several servers down for a moment, the six attempts of a generation were spent within milliseconds, and the error said that the outcome was unknown although nothing had run. Change: attempts that certainly did not run are counted apart, up to ten in a row, with pauses of 50 ms to 1 s after the first three; the error then says that the request did not run if no attempt did.

--- a/entryhost/requests/attempts.go
+++ b/entryhost/requests/attempts.go
@@ -44,6 +44,17 @@
 	return nil
 }
 
+// dispatchAfter dispatches after a pause, in which tokens still reach the caller.
+func (g *generationTask) dispatchAfter(ctx context.Context, delay time.Duration) *model.Fault {
+	if delay == 0 {
+		return g.dispatch(ctx)
+	}
+	now := g.clock.Now()
+	g.retryAt = now.Add(delay)
+	g.arm(now)
+	return nil
+}
+
 func (g *generationTask) dispatchRequest() admission.Request {
 	generation := g.start.Generation
 	return admission.Request{
@@ -202,7 +213,7 @@
 		return g.resume(ctx, a, failure)
 	}
 	g.countRetry(string(failure.Kind))
-	g.failures++
+	g.failures.count(failure.Kind)
 	decision := decideRetry(g.failures, failure)
 	g.close(a, reportedOutcome(a, failure))
 	g.exclude = append(g.exclude, a.assignment.Server)
@@ -216,7 +227,7 @@
 	case !decision.Retry:
 		return decision.Fault
 	case g.recovery == RecoveryNone:
-		return attemptsSpent(failure)
+		return attemptsSpent(g.failures, failure)
 	case g.second != nil:
 		g.promote()
 		g.arm(g.clock.Now())
@@ -232,7 +243,7 @@
 	if g.ledger.Joined() {
 		g.ledger.Forget(Mark{Position: g.sent, Hash: g.hash})
 	}
-	return g.dispatch(ctx)
+	return g.dispatchAfter(ctx, decision.Delay)
 }
 
 func (g *generationTask) nextStep(a *attempt, failure *backends.StreamError) NextStep {
--- a/entryhost/requests/generation.go
+++ b/entryhost/requests/generation.go
@@ -53,7 +53,9 @@
 	hash     uint64
 	source   *Source
 	exclude  []model.ServerID
-	failures int
+	failures failureCounts
+	// retryAt is when the next dispatch is sent; zero if none is planned.
+	retryAt time.Time
 	// resumes counts how often the current engine stream was resumed.
 	resumes int
 	// current delivers to the ledger; second is open beside it when the service
@@ -149,6 +151,10 @@
 		g.dropSecond()
 		g.secondRefused = false
 	}
+	if delivers {
+		g.failures.delivered = true
+		g.failures.refusals = 0
+	}
 	g.ledger.Accept(from.assignment.Version, event)
 	if g.source != from.source {
 		g.source = from.source
@@ -182,6 +188,10 @@
 		g.timer.Reset(lateEventsWait)
 		return nil
 	}
+	if !g.retryAt.IsZero() && !now.Before(g.retryAt) {
+		g.retryAt = time.Time{}
+		return g.dispatch(ctx)
+	}
 	if g.current == nil && g.pending != nil && !g.pending.expires.IsZero() && !now.Before(g.pending.expires) {
 		g.note(eventcode.VersionGone, nil, "no server with the version was free in time")
 		return versionGone(g.ledger.Version())
@@ -219,7 +229,7 @@
 }
 
 func (g *generationTask) secondOpen() bool {
-	return g.second != nil || g.pending != nil || g.secondRefused || g.failures >= maxAttempts
+	return g.second != nil || g.pending != nil || g.secondRefused || g.failures.ran >= maxAttempts
 }
 
 // silent tells the server task about the silent connection, so that its
@@ -247,6 +257,8 @@
 		next = nextCheck(g.current.progress, g.limits(g.current), g.eager(), g.secondOpen())
 	} else if g.pending != nil && !g.pending.expires.IsZero() {
 		next = g.pending.expires
+	} else if !g.retryAt.IsZero() {
+		next = g.retryAt
 	}
 	if g.second != nil {
 		second := g.second.progress.Add(g.limits(g.second).GiveUp)
--- a/entryhost/requests/recovery_test.go
+++ b/entryhost/requests/recovery_test.go
@@ -254,6 +254,25 @@
 		Expect(open.ResumeStream).To(BeEmpty())
 	})
 
+	It("outlasts servers that refuse connections for a moment, and then says that it did not run", func() {
+		h := startHarness(Generation{})
+		refused := backends.StreamEvent{Err: &backends.StreamError{Kind: backends.FailureConnect, Message: "injected"}}
+		for i := range maxRefusals {
+			if i > promptRefusals {
+				Consistently(h.dispatches.Len, 5*time.Millisecond).Should(BeZero())
+			}
+			// The task may not have set its timer yet, so the time is advanced
+			// until it dispatches.
+			Eventually(func() int { h.clock.Advance(refusalDelay(i)); return h.dispatches.Len() }).Should(Equal(1))
+			_, open := h.assign("a")
+			send(open, refused)
+			Eventually(h.finished.C()).Should(Receive())
+		}
+		_, last := h.received()
+		Expect(last.Fault.Reason).To(Equal(model.ReasonRetriesSpent))
+		Expect(last.Fault.Executed).To(Equal(model.ExecutedNo))
+	})
+
 	It("answers a caller that has all tokens without another attempt", func() {
 		h := startHarness(Generation{Resume: &ResumePoint{Version: "v1", Mark: Mark{Position: 10, Hash: 1}}})
 		ids, last := h.received()
