--- a/cmd/lentilpoint-bench/scenario/atmostonce.go
+++ b/cmd/lentilpoint-bench/scenario/atmostonce.go
@@ -125,7 +125,7 @@
 		plain := c.Plains[random.IntN(len(c.Plains))]
 		before := random.IntN(2) == 0
 		plain.SetFaults(standin.PlainFaults{Delay: 2 * time.Millisecond, DieBefore: before, DieAfter: !before})
-		wait(ctx, 40*time.Millisecond)
+		sleep(ctx, 40*time.Millisecond)
 		plain.Revive()
 	}
 }
@@ -161,9 +161,9 @@
 	}
 	defer run.cluster.Stop()
 	outage := func(ctx context.Context, random *rand.Rand) {
-		wait(ctx, time.Duration(200+random.IntN(300))*time.Millisecond)
+		sleep(ctx, time.Duration(200+random.IntN(300))*time.Millisecond)
 		run.cluster.Platform.SetFaults(standin.PlatformFaults{Down: true})
-		wait(ctx, time.Second)
+		sleep(ctx, time.Second)
 		run.cluster.Platform.SetFaults(standin.PlatformFaults{})
 	}
 	load := repeatLoad{count: 120, spread: 1500 * time.Millisecond, twins: 0.2, tickets: true}
@@ -201,9 +201,9 @@
 	}
 	defer relay.Close()
 	partition := func(ctx context.Context, random *rand.Rand) {
-		wait(ctx, time.Duration(100+random.IntN(200))*time.Millisecond)
+		sleep(ctx, time.Duration(100+random.IntN(200))*time.Millisecond)
 		relay.Partition(true)
-		wait(ctx, 1500*time.Millisecond)
+		sleep(ctx, 1500*time.Millisecond)
 		relay.Partition(false)
 	}
 	load := repeatLoad{count: 120, spread: 1500 * time.Millisecond, twins: 0.3, tickets: true}
--- a/cmd/lentilpoint-bench/scenario/claimlatency.go
+++ b/cmd/lentilpoint-bench/scenario/claimlatency.go
@@ -72,7 +72,7 @@
 		delay := time.Duration(random.Int64N(int64(spread)))
 		host := random.IntN(1 << 16)
 		go func() {
-			wait(ctx, delay)
+			sleep(ctx, delay)
 			key := ""
 			if i%2 == 0 {
 				key = fmt.Sprintf("key-%d", i)
--- a/cmd/lentilpoint-bench/scenario/control_run.go
+++ b/cmd/lentilpoint-bench/scenario/control_run.go
@@ -145,16 +145,6 @@
 	return true
 }
 
-// sleep waits and reports whether the context is still running.
-func sleep(ctx context.Context, wait time.Duration) bool {
-	select {
-	case <-ctx.Done():
-		return false
-	case <-time.After(wait):
-		return true
-	}
-}
-
 // load sends requests at a fixed rate until the context ends and returns their
 // number.
 func (r *moveRun) load(ctx context.Context) int {
--- a/cmd/lentilpoint-bench/scenario/doublefault.go
+++ b/cmd/lentilpoint-bench/scenario/doublefault.go
@@ -31,7 +31,7 @@
 	{"connections to an engine go silent", silenceEngine},
 	{"a plain server dies after it ran a call", diePlainAfter},
 	{"a plain server dies before it runs a call", diePlainBefore},
-	{"the platform is out of reach", platformDown},
+	{"the platform is out of reach", cutPlatform},
 	{"answers of the platform are lost", platformLosesAnswers},
 	{"the platform is slow", platformSlow},
 	{"an entry host dies", dieEntryHost},
@@ -62,7 +62,7 @@
 		own := rand.New(rand.NewPCG(parameters.Seed, uint64(100+i)))
 		go func() {
 			defer func() { struck <- struct{}{} }()
-			if pause(ctx, time.Duration(own.Int64N(int64(time.Second)))) {
+			if sleep(ctx, time.Duration(own.Int64N(int64(time.Second)))) {
 				chosen.run(ctx, c, own)
 			}
 		}()
@@ -94,16 +94,6 @@
 	return faults[i], faults[j]
 }
 
-// pause waits and reports whether the context still lives.
-func pause(ctx context.Context, wait time.Duration) bool {
-	select {
-	case <-ctx.Done():
-		return false
-	case <-time.After(wait):
-		return true
-	}
-}
-
 func dieEngines(ctx context.Context, c *cluster.Cluster, random *rand.Rand) {
 	deaths(ctx, c, random, Parameters{})
 }
@@ -111,7 +101,7 @@
 func pauseEngine(ctx context.Context, c *cluster.Cluster, random *rand.Rand) {
 	engine := c.Engines[random.IntN(len(c.Engines))]
 	engine.Pause()
-	pause(ctx, faultLength)
+	sleep(ctx, faultLength)
 	engine.Unpause()
 }
 
@@ -130,12 +120,12 @@
 func diePlain(ctx context.Context, c *cluster.Cluster, random *rand.Rand, faults standin.PlainFaults) {
 	plain := c.Plains[random.IntN(len(c.Plains))]
 	plain.SetFaults(faults)
-	pause(ctx, faultLength)
+	sleep(ctx, faultLength)
 	plain.SetFaults(standin.PlainFaults{})
 	plain.Revive()
 }
 
-func platformDown(ctx context.Context, c *cluster.Cluster, _ *rand.Rand) {
+func cutPlatform(ctx context.Context, c *cluster.Cluster, _ *rand.Rand) {
 	strikePlatform(ctx, c, standin.PlatformFaults{Down: true})
 }
 
@@ -149,7 +139,7 @@
 
 func strikePlatform(ctx context.Context, c *cluster.Cluster, faults standin.PlatformFaults) {
 	c.Platform.SetFaults(faults)
-	pause(ctx, faultLength)
+	sleep(ctx, faultLength)
 	c.Platform.SetFaults(standin.PlatformFaults{})
 }
 
@@ -176,7 +166,7 @@
 		go func() {
 			client := cluster.NewClient(plan.organisation)
 			defer client.Close()
-			pause(ctx, plan.delay)
+			sleep(ctx, plan.delay)
 			results <- orderUntilAnswered(ctx, c, client, plan)
 		}()
 	}
@@ -202,7 +192,7 @@
 			combined.Answered, combined.AnsweredOrder = true, result.AnsweredOrder
 			break
 		}
-		if !pause(ctx, orderPause) {
+		if !sleep(ctx, orderPause) {
 			break
 		}
 	}
--- a/cmd/lentilpoint-bench/scenario/load.go
+++ b/cmd/lentilpoint-bench/scenario/load.go
@@ -51,6 +51,16 @@
 	return planned
 }
 
+// sleep waits and reports whether the context still lives.
+func sleep(ctx context.Context, wait time.Duration) bool {
+	select {
+	case <-ctx.Done():
+		return false
+	case <-time.After(wait):
+		return true
+	}
+}
+
 func promptOf(random *rand.Rand, number, words int) string {
 	prompt := fmt.Sprintf("request %d asks:", number)
 	for range words {
--- a/cmd/lentilpoint-bench/scenario/reconnect.go
+++ b/cmd/lentilpoint-bench/scenario/reconnect.go
@@ -116,13 +116,6 @@
 	})
 }
 
-func sleep(ctx context.Context, duration time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(duration):
-	}
-}
-
 func runHostFaults(ctx context.Context, parameters Parameters, inject func(context.Context, *cluster.Cluster, *rand.Rand) []hostFault) (Report, error) {
 	random := rand.New(rand.NewPCG(parameters.Seed, 12))
 	c, err := cluster.Start(ctx, cluster.Options{
--- a/cmd/lentilpoint-bench/scenario/repeats.go
+++ b/cmd/lentilpoint-bench/scenario/repeats.go
@@ -76,7 +76,7 @@
 	defer client.Close()
 	for _, plan := range plans {
 		go func() {
-			wait(ctx, plan.delay)
+			sleep(ctx, plan.delay)
 			caller := &repeatCaller{cluster: c, client: client, plan: plan, tickets: load.tickets, key: "key-" + plan.order}
 			results <- caller.run(ctx)
 		}()
@@ -88,13 +88,6 @@
 	return tries
 }
 
-func wait(ctx context.Context, pause time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(pause):
-	}
-}
-
 // repeatCaller sends one order until it is answered.
 type repeatCaller struct {
 	cluster *cluster.Cluster
@@ -122,7 +115,7 @@
 		if r.tickets && !r.mayRun && result.reason == model.ReasonPlatformUnavailable {
 			r.takeTicket(ctx, r.plan.hosts[i])
 		}
-		wait(ctx, r.plan.pauses[i])
+		sleep(ctx, r.plan.pauses[i])
 	}
 	// A repeat through another host must get the same answer.
 	r.results = append(r.results, r.send(ctx, r.plan.hosts[maxTries+1], "after", r.key))
--- a/cmd/lentilpoint-bench/scenario/scenario.go
+++ b/cmd/lentilpoint-bench/scenario/scenario.go
@@ -62,6 +62,7 @@
 		configScenarios,
 		doubleFaultScenarios,
 		atMostOnceScenarios,
+		tokenPathScenarios,
 	)
 	slices.SortFunc(all, func(a, b Scenario) int { return cmp.Compare(a.Name, b.Name) })
 	return all
--- a/cmd/lentilpoint-bench/standin/engine.go
+++ b/cmd/lentilpoint-bench/standin/engine.go
@@ -389,7 +389,7 @@
 	g := &generation{
 		attempt: attempt, prompt: prompt, chat: start.chat, context: attempt.PromptHash,
 		limit: start.body.MaxTokens, prefill: attempt.Prefilled, output: start.output,
-		crash: containsToken(prompt, CrashWord),
+		crash: slices.Contains(prompt, crashToken),
 	}
 	fault, found := e.faults[attempt.Version]
 	active := found && e.faultActive(fault, g)
@@ -399,10 +399,6 @@
 	return startResult{stream: stream, prompt: prompt, load: e.load()}
 }
 
-func containsToken(prompt []enginewire.TokenID, word string) bool {
-	return slices.Contains(prompt, Tokenize(word)[0])
-}
-
 func (e *Engine) resume(resume resumeStream) startResult {
 	g := e.running[resume.stream]
 	if g == nil || resume.from > len(g.tokens) {
--- a/entryhost/backends/exchange_test.go
+++ b/entryhost/backends/exchange_test.go
@@ -9,7 +9,6 @@
 	"net"
 	"net/http"
 	"strings"
-	"testing"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -20,11 +19,6 @@
 	"github.com/lentilpoint/lentilpoint/task"
 )
 
-func TestBackends(t *testing.T) {
-	RegisterFailHandler(Fail)
-	RunSpecs(t, "backends")
-}
-
 // seenRequest is one request that a raw server read.
 type seenRequest struct {
 	connection int
@@ -72,8 +66,8 @@
 	var server *serverTask
 
 	use := func(address string) {
-		server = newServerTask(model.Host{ID: "plain-0", Address: address}, task.NewMailbox[Event](16),
-			clockwork.NewRealClock(), time.Second, slog.New(slog.NewTextHandler(io.Discard, nil)))
+		server = newServerTask(model.Host{ID: "plain-0", Address: address}, task.NewMailbox[Event](16), nil,
+			clockwork.NewRealClock(), Polling{Interval: time.Second}, slog.New(slog.NewTextHandler(io.Discard, nil)))
 		server.openTransports()
 		DeferCleanup(server.closeTransports)
 	}
--- a/entryhost/backends/policy_test.go
+++ b/entryhost/backends/policy_test.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"net/http"
-	"testing"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -13,11 +12,6 @@
 	"github.com/lentilpoint/lentilpoint/model"
 )
 
-func TestBackends(t *testing.T) {
-	RegisterFailHandler(Fail)
-	RunSpecs(t, "backends")
-}
-
 func event(sequence uint64, stored ...uint64) enginewire.CacheEvent {
 	return enginewire.CacheEvent{Sequence: sequence, Stored: stored}
 }
--- a/entryhost/requests/call_test.go
+++ b/entryhost/requests/call_test.go
@@ -51,10 +51,15 @@
 		issuer:     tickets.NewIssuer(claims.Identity{Host: id, Incarnation: 1}, "secret"),
 	}
 	book := tickets.NewBook(clock)
-	host.manager = NewManager(host.dispatches, RecoveryContinue, CallParts{
-		Policy: CallAtMostOnce, Claims: task.NewMailbox[claims.Message](16), Book: book.Messages(), Issuer: host.issuer,
-		Peers: host.peers, Recorder: events.Discard, Metrics: metrics.NewSet(),
-	}, clock, slog.New(slog.NewTextHandler(io.Discard, nil)))
+	set := metrics.NewSet()
+	host.manager = NewManager(Parameters{
+		Dispatches: host.dispatches, Recovery: RecoveryContinue, Recorder: events.Discard, Metrics: set, Clock: clock,
+		Logger: slog.New(slog.NewTextHandler(io.Discard, nil)),
+		Calls: CallParts{
+			Policy: CallAtMostOnce, Claims: task.NewMailbox[claims.Message](16), Book: book.Messages(), Issuer: host.issuer,
+			Peers: host.peers, Recorder: events.Discard, Metrics: set,
+		},
+	})
 	go func() { _ = book.Serve(ctx) }()
 	go func() { _ = host.manager.Serve(ctx) }()
 	go host.assign(ctx, assignments)
--- a/entryhost/requests/generation.go
+++ b/entryhost/requests/generation.go
@@ -25,6 +25,10 @@
 // maxUpdateTokens bounds the tokens in one update to the caller.
 const maxUpdateTokens = 64
 
+// finishLength is the reason for the end of a generation that has as many
+// tokens as were asked for.
+const finishLength = "length"
+
 // lateEventsWait is the pause before silence is judged again when events wait
 // in the mailbox: this task was late then, not the engine.
 const lateEventsWait = 10 * time.Millisecond
@@ -49,7 +53,11 @@
 	hash     uint64
 	source   *Source
 	exclude  []model.ServerID
-	failures int
+	failures failureCounts
+	// retryAt is when the next dispatch is sent; zero if none is planned.
+	retryAt time.Time
+	// resumes counts how often the current engine stream was resumed.
+	resumes int
 	// current delivers to the ledger; second is open beside it when the service
 	// is eager and current is silent.
 	current *attempt
@@ -72,7 +80,7 @@
 	}
 	g.flush()
 	g.sendLast(Update{
-		Position: g.ledger.Len(), Hash: g.hash, Finish: g.ledger.Finished(), Version: g.ledger.Version(), Source: g.source,
+		Position: g.sent, Hash: g.hash, Finish: g.ledger.Finished(), Version: g.ledger.Version(), Source: g.source,
 		PromptTokens: len(g.ledger.promptIDs), Attempts: int(g.ledger.Issued()),
 	})
 }
@@ -110,6 +118,10 @@
 	g.ledger = NewLedger(resume.Version, resume.Mark)
 	g.sent = resume.Mark.Position
 	g.hash = resume.Mark.Hash
+	if g.sent >= g.start.Generation.Body.MaxTokens {
+		g.ledger.Finish(finishLength)
+		return nil
+	}
 	if g.joinStream(ctx, resume) {
 		return nil
 	}
@@ -139,8 +151,15 @@
 		g.dropSecond()
 		g.secondRefused = false
 	}
+	if delivers {
+		g.failures.delivered = true
+		g.failures.refusals = 0
+	}
 	g.ledger.Accept(from.assignment.Version, event)
-	g.source = from.source
+	if g.source != from.source {
+		g.source = from.source
+		g.resumes = 0
+	}
 	if g.ledger.Diverged() {
 		g.note(eventcode.ResumeDiverged, from, "the repeated tokens differ from those delivered")
 		return divergedFault()
@@ -169,6 +188,10 @@
 		g.timer.Reset(lateEventsWait)
 		return nil
 	}
+	if !g.retryAt.IsZero() && !now.Before(g.retryAt) {
+		g.retryAt = time.Time{}
+		return g.dispatch(ctx)
+	}
 	if g.current == nil && g.pending != nil && !g.pending.expires.IsZero() && !now.Before(g.pending.expires) {
 		g.note(eventcode.VersionGone, nil, "no server with the version was free in time")
 		return versionGone(g.ledger.Version())
@@ -206,7 +229,7 @@
 }
 
 func (g *generationTask) secondOpen() bool {
-	return g.second != nil || g.pending != nil || g.secondRefused || g.failures >= maxAttempts
+	return g.second != nil || g.pending != nil || g.secondRefused || g.failures.ran >= maxAttempts
 }
 
 // silent tells the server task about the silent connection, so that its
@@ -234,6 +257,8 @@
 		next = nextCheck(g.current.progress, g.limits(g.current), g.eager(), g.secondOpen())
 	} else if g.pending != nil && !g.pending.expires.IsZero() {
 		next = g.pending.expires
+	} else if !g.retryAt.IsZero() {
+		next = g.retryAt
 	}
 	if g.second != nil {
 		second := g.second.progress.Add(g.limits(g.second).GiveUp)
