Let a decision ask for a fresh load report

Cause: with a bounded poll rate a report may be seconds old, which delays decisions that need an idle server. Change: PollNow ends the wait of the planned poll of one server.

--- a/entryhost/backends/poll.go
+++ b/entryhost/backends/poll.go
@@ -63,12 +63,16 @@
 // loadHeard is a load report that came with an engine's answer.
 type loadHeard struct{ load enginewire.LoadReport }
 
+// PollNow asks for a poll at once, for a decision that needs a fresh report.
+type PollNow struct{}
+
 // poolSize tells a server task how many servers share the poll rate.
 type poolSize struct{ servers int }
 
 func (pollResult) command() {}
 func (loadHeard) command()  {}
 func (poolSize) command()   {}
+func (PollNow) command()    {}
 
 func (s *serverTask) nextPoll() plannedPoll {
 	return plannedPoll{
@@ -79,6 +83,14 @@
 	}
 }
 
+// pollSoon ends the wait of the poll that is planned.
+func (s *serverTask) pollSoon() {
+	select {
+	case s.pollDue <- struct{}{}:
+	default:
+	}
+}
+
 // poll waits, reads load and cache events once and sends the result to the
 // server task, which starts the next poll.
 func (s *serverTask) poll(ctx context.Context, planned plannedPoll) {
@@ -86,6 +98,7 @@
 	select {
 	case <-ctx.Done():
 		return
+	case <-s.pollDue:
 	case <-s.clock.After(wait):
 	}
 	// A connection for each poll also tells whether the server accepts new ones.
--- a/entryhost/backends/server.go
+++ b/entryhost/backends/server.go
@@ -41,6 +41,8 @@
 
 	// servers is the number of servers that share the poll rate.
 	servers int
+	// pollDue ends the wait of the planned poll; its capacity is 1.
+	pollDue chan struct{}
 	state   ServerState
 	cache   cachePosition
 	// cacheless tells that the server has no cache events.
@@ -104,6 +106,8 @@
 		go s.poll(pollContext, s.nextPoll())
 	case loadHeard:
 		s.applyHeard(ctx, command)
+	case PollNow:
+		s.pollSoon()
 	case poolSize:
 		s.servers = command.servers
 	}
