--- a/cmd/lentilpoint-bench/cluster/cluster.go
+++ b/cmd/lentilpoint-bench/cluster/cluster.go
@@ -56,6 +56,10 @@
 	Service func(*model.Service)
 	// Settings changes the settings of each entry host.
 	Settings func(*settings.Settings)
+	// Changes are committed with the first revision, after the two services.
+	Changes []config.Change
+	// Listed are further hosts in the host list that the cluster does not start.
+	Listed []model.Host
 	// HostOptions replace or decorate parts of each entry host.
 	HostOptions []fx.Option
 	Logger      *slog.Logger
@@ -124,6 +128,7 @@
 	if err := c.startServers(ctx); err != nil {
 		return err
 	}
+	c.list = append(c.list, c.options.Listed...)
 	c.Platform.SetHosts(c.list)
 	if err := c.putConfiguration(ctx); err != nil {
 		return err
@@ -197,7 +202,7 @@
 		organisation.KeySHA256 = []string{hex.EncodeToString(digest[:])}
 		changes = append(changes, config.Change{PutOrganisation: &organisation})
 	}
-	return c.Commit(ctx, 0, changes)
+	return c.Commit(ctx, 0, append(changes, c.options.Changes...))
 }
 
 // Commit commits the changes as the revision after the expected one, the way
--- a/cmd/lentilpoint-bench/slope/all.go
+++ b/cmd/lentilpoint-bench/slope/all.go
@@ -2,7 +2,7 @@
 
 // All returns the measurements.
 func All() []Measurement {
-	return []Measurement{Peers, Streams}
+	return []Measurement{Peers, Streams, Requests, Servers, Hosts, Services, Organisations}
 }
 
 // Find returns the measurement of this name.
--- /dev/null
+++ b/cmd/lentilpoint-bench/slope/servers.go
@@ -0,0 +1,123 @@
+package slope
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/lentilpoint/lentilpoint/cmd/lentilpoint-bench/cluster"
+	"github.com/lentilpoint/lentilpoint/enginewire"
+	"github.com/lentilpoint/lentilpoint/model"
+)
+
+const (
+	idleSettle = 3 * time.Second
+	idlePeriod = 8 * time.Second
+)
+
+// Servers measures an entry host without load by the number of backend servers
+// in its data centre.
+var Servers = Measurement{
+	Name:    "servers",
+	About:   "an entry host without load by the number of backend servers in its data centre",
+	Driver:  "backend servers",
+	LeftOut: "requests; load reports that come with answers",
+	Sizes:   []int{20, 50, 100, 200, 400},
+	Measure: measureServers,
+}
+
+// pollCounter stands for many backend servers at one address and counts polls.
+type pollCounter struct {
+	server *http.Server
+	polls  atomic.Int64
+	bytes  atomic.Int64
+}
+
+func startPollCounter() (*pollCounter, string, error) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, "", Error.Wrap(err)
+	}
+	counter := &pollCounter{}
+	counter.server = &http.Server{Handler: http.HandlerFunc(counter.serve), ReadHeaderTimeout: time.Second}
+	go func() { _ = counter.server.Serve(listener) }()
+	return counter, listener.Addr().String(), nil
+}
+
+// headerBytes estimates the headers of a request and its answer.
+const headerBytes = 260
+
+func (p *pollCounter) serve(w http.ResponseWriter, r *http.Request) {
+	p.polls.Add(1)
+	content := []byte(`{}`)
+	if r.URL.Path == enginewire.PathLoad {
+		content, _ = json.Marshal(enginewire.LoadReport{Versions: []string{cluster.VersionOne}, Capacity: 32, Incarnation: 1})
+	}
+	p.bytes.Add(int64(len(content) + headerBytes))
+	_, _ = w.Write(content)
+}
+
+func listServers(count int, address string) []model.Host {
+	hosts := make([]model.Host, count)
+	for i := range hosts {
+		hosts[i] = model.Host{
+			ID: fmt.Sprintf("server-%04d", i), Role: model.RoleBackend, Service: cluster.ServiceAdvisor,
+			DataCentre: "jkt", Address: address, Incarnation: 1,
+		}
+	}
+	return hosts
+}
+
+func measureServers(ctx context.Context, size int, seed uint64) (map[string]float64, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	counter, address, err := startPollCounter()
+	if err != nil {
+		return nil, err
+	}
+	defer func() { _ = counter.server.Close() }()
+	c, err := cluster.Start(ctx, cluster.Options{Seed: seed, Listed: listServers(size, address)})
+	if err != nil {
+		return nil, err
+	}
+	defer c.Stop()
+	process, err := startHostProcess(ctx, c.Platform.URL(), seed)
+	if err != nil {
+		return nil, err
+	}
+	defer process.stop()
+	time.Sleep(idleSettle)
+	polls, bytes := counter.polls.Load(), counter.bytes.Load()
+	figures, err := process.idleCost(idlePeriod)
+	if err != nil {
+		return nil, err
+	}
+	figures["polls_per_s"] = float64(counter.polls.Load()-polls) / idlePeriod.Seconds()
+	figures["poll_bytes_per_s"] = float64(counter.bytes.Load()-bytes) / idlePeriod.Seconds()
+	return figures, nil
+}
+
+// idleCost measures the process over a period.
+func (p *hostProcess) idleCost(period time.Duration) (map[string]float64, error) {
+	before, err := p.metric("process_cpu_seconds_total")
+	if err != nil {
+		return nil, err
+	}
+	time.Sleep(period)
+	after, err := p.metric("process_cpu_seconds_total")
+	if err != nil {
+		return nil, err
+	}
+	resident, err := p.metric("process_resident_memory_bytes")
+	if err != nil {
+		return nil, err
+	}
+	return map[string]float64{
+		"core_percent":   100 * (after - before) / period.Seconds(),
+		"resident_bytes": resident,
+	}, nil
+}
