Read the configuration at once at the start of a host

Cause: a host list that arrived before the first tick made a host that is no reader wait for its fallback interval, 5 s, before its first read.

Change: the first read does not go through the timer, and a host without a configuration tries as often as a reader.

--- a/entryhost/config/config_test.go
+++ b/entryhost/config/config_test.go
@@ -191,6 +191,14 @@
 
 // store starts a store; a reader interval of an hour leaves everything to pushes.
 func (s *site) store(id string, interval time.Duration) *config.Store {
+	GinkgoHelper()
+	store := s.prepare(id, interval)
+	go func() { _ = store.Serve(s.ctx) }()
+	return store
+}
+
+// prepare builds a store that does not run yet.
+func (s *site) prepare(id string, interval time.Duration) *config.Store {
 	GinkgoHelper()
 	mailbox := task.NewMailbox[peers.Message](64)
 	store := config.NewStore(config.Parameters{
@@ -199,7 +207,6 @@
 		Clock: clockwork.NewRealClock(), Metrics: metrics.NewSet(), Logger: slog.New(slog.NewTextHandler(io.Discard, nil)),
 	})
 	Expect(s.exchange.Join(s.ctx, peers.Member{ID: model.HostID(id), DataCentre: "jkt"}, mailbox, config.NewPeer(store.Messages()).Receiver())).To(Succeed())
-	go func() { _ = store.Serve(s.ctx) }()
 	return store
 }
 
@@ -212,6 +219,15 @@
 	})
 }
 
+// nonReaderList returns a host list in which the host is no reader.
+func nonReaderList(id string) []model.Host {
+	hosts := []model.Host{{ID: id, Role: model.RoleEntry, DataCentre: "jkt", PeerAddress: "x"}}
+	for config.ReaderRank(model.HostID(id), "jkt", hosts) != config.NotReader {
+		hosts = append(hosts, model.Host{ID: fmt.Sprint("more-", len(hosts)), Role: model.RoleEntry, DataCentre: "jkt", PeerAddress: "x"})
+	}
+	return hosts
+}
+
 func revisionOf(store *config.Store) model.Revision {
 	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 	defer cancel()
@@ -300,16 +316,38 @@
 		Expect(scans).To(BeEmpty())
 	})
 
+	It("reads at once at its start, also when the host list arrives first and makes it no reader", func() {
+		s := newSite()
+		_, err := s.commit(1)
+		Expect(err).NotTo(HaveOccurred())
+		hosts := nonReaderList("entry-0")
+		for range 8 {
+			alone := *s
+			alone.exchange = standin.StartExchange(s.ctx, 1)
+			store := alone.prepare("entry-0", time.Hour)
+			Expect(store.HostLists().TrySend(platform.HostsRead{Hosts: hosts})).To(Succeed())
+			go func() { _ = store.Serve(s.ctx) }()
+			Eventually(func() model.Revision { return revisionOf(store) }, "2s").Should(Equal(model.Revision(1)))
+		}
+	})
+
+	It("tries as often as a reader until it has a configuration", func() {
+		s := newSite()
+		s.platform.SetFaults(standin.PlatformFaults{Down: true})
+		store := s.prepare("entry-0", 100*time.Millisecond)
+		Expect(store.HostLists().TrySend(platform.HostsRead{Hosts: nonReaderList("entry-0")})).To(Succeed())
+		go func() { _ = store.Serve(s.ctx) }()
+		Consistently(func() model.Revision { return revisionOf(store) }, "200ms").Should(BeZero())
+		s.platform.SetFaults(standin.PlatformFaults{})
+		_, err := s.commit(1)
+		Expect(err).NotTo(HaveOccurred())
+		Eventually(func() model.Revision { return revisionOf(store) }, "800ms").Should(Equal(model.Revision(1)), "the fallback interval is 1 s here")
+	})
+
 	It("reads soon when another host reports a newer revision, although its readers are silent", func() {
 		s := newSite()
 		store := s.store("entry-0", time.Hour)
-		hosts := []model.Host{}
-		for _, id := range []string{"entry-0", "entry-1", "entry-2", "entry-3"} {
-			hosts = append(hosts, model.Host{ID: id, Role: model.RoleEntry, DataCentre: "jkt", PeerAddress: "x"})
-		}
-		for config.ReaderRank("entry-0", "jkt", hosts) != config.NotReader {
-			hosts = append(hosts, model.Host{ID: fmt.Sprint("more-", len(hosts)), Role: model.RoleEntry, DataCentre: "jkt", PeerAddress: "x"})
-		}
+		hosts := nonReaderList("entry-0")
 		Expect(store.HostLists().TrySend(platform.HostsRead{Hosts: hosts})).To(Succeed())
 		Eventually(func() int { return store.HostLists().Len() }).Should(BeZero())
 		_, err := s.commit(1)
--- a/entryhost/config/task.go
+++ b/entryhost/config/task.go
@@ -112,23 +112,26 @@
 // Serve keeps the configuration up to date until the context ends.
 func (s *Store) Serve(ctx context.Context) error {
 	s.reading, s.again = false, false
-	timer := s.Clock.NewTimer(0)
+	timer := s.Clock.NewTimer(s.interval())
 	defer timer.Stop()
-	due := s.Clock.Now()
+	due := s.Clock.Now().Add(s.interval())
 	wait := func(length time.Duration) {
 		due = s.Clock.Now().Add(length)
 		timer.Reset(length)
 	}
+	// The first read does not go through the timer: a host list that arrives
+	// first would put it off until the fallback interval.
+	s.read(ctx)
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
 		case <-timer.Chan():
 			s.read(ctx)
-			wait(s.Intervals.For(s.rank))
+			wait(s.interval())
 		case list := <-s.lists.C():
 			if s.setHosts(list.Hosts) {
-				wait(s.Intervals.For(s.rank))
+				wait(s.interval())
 			}
 		case fact := <-s.facts.C():
 			// Only a later read is brought forward: steady reports must not put it off.
@@ -142,6 +145,15 @@
 	}
 }
 
+// interval returns the time until the next read. A host without a configuration
+// cannot serve, so it tries as often as a reader.
+func (s *Store) interval() time.Duration {
+	if s.current.Revision == 0 {
+		return s.Intervals.Reader
+	}
+	return s.Intervals.For(s.rank)
+}
+
 func (s *Store) handle(ctx context.Context, message Message) {
 	switch message := message.(type) {
 	case Current:
