Add an experiment on a data centre cut off from the platform

Cause: no experiment showed that revisions reach a data centre through another.

Change: config-partition with the baseline poll-only.

--- a/cmd/lentilpoint-bench/scenario/config.go
+++ b/cmd/lentilpoint-bench/scenario/config.go
@@ -62,6 +62,10 @@
 		Name: "cold-start-in-outage", About: "entry hosts start while the platform is down or silent",
 		Baselines: []string{BaselineNoPeers}, Run: runColdStart,
 	},
+	{
+		Name: "config-partition", About: "revisions are committed while a data centre is cut off from the platform",
+		Baselines: []string{BaselinePollOnly}, Run: runConfigPartition,
+	},
 }
 
 // observation is one revision that a host put in force.
@@ -95,6 +99,8 @@
 	lives    []configHost
 	observed chan observation
 	current  *model.Configuration
+	// cut is a data centre that does not reach the platform; empty means none.
+	cut model.DataCentre
 }
 
 // observedSize holds all observations of one run.
@@ -165,6 +171,9 @@
 		Clock: clockwork.NewRealClock(), Metrics: metrics.NewSet(), Logger: slog.New(slog.NewTextHandler(io.Discard, nil)),
 		Subscribers: []task.Mailbox[*model.Configuration]{inForce},
 	}
+	if s.cut == parameters.Home {
+		parameters.Table = cutTable{}
+	}
 	if s.policy == BaselineAcceptAny {
 		parameters.Acceptance = config.AcceptAny
 	}
--- a/cmd/lentilpoint-bench/scenario/config_test.go
+++ b/cmd/lentilpoint-bench/scenario/config_test.go
@@ -13,6 +13,7 @@
 			Expect(run(name, scenario.PolicyDefault, seed).Violations).To(BeEmpty())
 		},
 		Entry("while hosts restart and the platform is down", "config-churn", uint64(1)),
+		Entry("when a data centre is cut off from the platform", "config-partition", uint64(1)),
 		Entry("when operators race", "operators-race", uint64(1)),
 		Entry("when hosts start while the platform refuses", "cold-start-in-outage", uint64(1)),
 		Entry("when hosts start while the platform is silent", "cold-start-in-outage", uint64(2)),
@@ -24,6 +25,7 @@
 		},
 		Entry("going back", "config-churn", scenario.BaselineAcceptAny, "reverted_revisions"),
 		Entry("being late", "config-churn", scenario.BaselineNoPush, "late_revisions"),
+		Entry("not reaching a data centre", "config-partition", scenario.BaselinePollOnly, "late_revisions"),
 		Entry("two winners", "operators-race", scenario.BaselineBlindWrite, "revisions_with_several_winners"),
 		Entry("a history that no register has", "operators-race", scenario.BaselineBlindWrite, "histories_not_linearizable"),
 		Entry("no configuration in an outage", "cold-start-in-outage", scenario.BaselineNoPeers, "hosts_without_configuration"),
