Read flushed events of hosts that died for explanations

Cause: events of a host that died or restarted are in no ring, so an explanation lacked them.

Measured: go test -race ./entryhost/operators ./cmd/lentilpoint/..., green.

--- a/cmd/lentilpoint/commands/explain.go
+++ b/cmd/lentilpoint/commands/explain.go
@@ -13,6 +13,8 @@
 	"github.com/lentilpoint/lentilpoint/explain"
 )
 
+const archiveHelp = "also read flushed events from the object store, for hosts that died or restarted"
+
 // outputHTML is a format that only explain has.
 const outputHTML = "html"
 
@@ -39,11 +41,12 @@
 func eventsCommand(g *globals) *cobra.Command {
 	var since time.Duration
 	var limit int
+	var archive bool
 	cmd := &cobra.Command{
 		Use: "events", Short: "List recent events of all entry hosts", Args: cobra.NoArgs,
 		Example: "  lentilpoint events --since 10m",
 		RunE: func(cmd *cobra.Command, _ []string) error {
-			answer, err := g.fetchEvents(cmd, url.Values{"limit": {strconv.Itoa(limit)}}, since)
+			answer, err := g.fetchEvents(cmd, url.Values{"limit": {strconv.Itoa(limit)}, "archive": {strconv.FormatBool(archive)}}, since)
 			if err != nil {
 				return err
 			}
@@ -59,6 +62,7 @@
 	}
 	cmd.Flags().DurationVar(&since, "since", time.Hour, "how far to look back")
 	cmd.Flags().IntVar(&limit, "limit", 1000, "number of events, newest ones")
+	cmd.Flags().BoolVar(&archive, "archive", false, archiveHelp)
 	return cmd
 }
 
@@ -70,7 +74,10 @@
 	query.Set("since", time.Now().Add(-since).UTC().Format(time.RFC3339Nano))
 	answer, err := fetch[operators.EventsAnswer](cmd, g, operators.PathEvents, query)
 	if err == nil && len(answer.Unanswered) > 0 {
-		g.say("these entry hosts did not answer, so their events are missing: %v", answer.Unanswered)
+		g.say("these entry hosts did not answer, so their newest events are missing: %v", answer.Unanswered)
+	}
+	if err == nil && answer.ArchiveIncomplete {
+		g.say("the object store has more events, or did not answer; use a shorter --since")
 	}
 	return answer, err
 }
@@ -83,12 +90,12 @@
 
 func explainSubjectCommand(g *globals, subject explain.Subject) *cobra.Command {
 	var since time.Duration
-	var html bool
+	var html, archive bool
 	cmd := &cobra.Command{
 		Use: string(subject) + " ID", Short: "Explain a " + string(subject), Args: cobra.ExactArgs(1),
 		Example: fmt.Sprintf("  lentilpoint explain %s ID\n  lentilpoint explain %s ID --output html > page.html", subject, subject),
 		RunE: func(cmd *cobra.Command, arguments []string) error {
-			input, err := g.explainInput(cmd, subject, arguments[0], since)
+			input, err := g.explainInput(cmd, subject, arguments[0], since, archive)
 			if err != nil {
 				return err
 			}
@@ -96,6 +103,7 @@
 		},
 	}
 	cmd.Flags().DurationVar(&since, "since", 24*time.Hour, "how far to look back")
+	cmd.Flags().BoolVar(&archive, "archive", false, archiveHelp)
 	// This replaces the check of the root command, which does not allow html.
 	cmd.PersistentPreRunE = func(cmd *cobra.Command, _ []string) error {
 		prepared := g.prepareAllowing(cmd, outputHTML)
@@ -105,8 +113,8 @@
 	return cmd
 }
 
-func (g *globals) explainInput(cmd *cobra.Command, subject explain.Subject, id string, since time.Duration) (explain.Input, error) {
-	answer, err := g.fetchEvents(cmd, url.Values{string(subject): {id}}, since)
+func (g *globals) explainInput(cmd *cobra.Command, subject explain.Subject, id string, since time.Duration, archive bool) (explain.Input, error) {
+	answer, err := g.fetchEvents(cmd, url.Values{string(subject): {id}, "archive": {strconv.FormatBool(archive)}}, since)
 	if err != nil {
 		return explain.Input{}, err
 	}
--- a/entryhost/operators/cluster.go
+++ b/entryhost/operators/cluster.go
@@ -86,6 +86,11 @@
 			answer.Unanswered = append(answer.Unanswered, part.host)
 		}
 	}
+	if wantsArchive(c.Query("archive")) {
+		flushed := readArchive(c.Request.Context(), s.Objects, query, s.Clock.Now())
+		answer.ArchiveIncomplete = flushed.incomplete
+		parts = append(parts, flushed.events)
+	}
 	slices.Sort(answer.Unanswered)
 	answer.Events = mergeEvents(parts, query.Limit)
 	c.JSON(http.StatusOK, answer)
--- a/entryhost/operators/fx.go
+++ b/entryhost/operators/fx.go
@@ -12,6 +12,7 @@
 	"github.com/lentilpoint/lentilpoint/entryhost/config"
 	"github.com/lentilpoint/lentilpoint/entryhost/events"
 	"github.com/lentilpoint/lentilpoint/entryhost/peers"
+	"github.com/lentilpoint/lentilpoint/entryhost/platform"
 	"github.com/lentilpoint/lentilpoint/model"
 	"github.com/lentilpoint/lentilpoint/settings"
 	"github.com/lentilpoint/lentilpoint/task"
@@ -31,6 +32,7 @@
 	Commits  config.Committer
 	Events   task.Mailbox[events.Message]
 	Recorder events.Recorder
+	Objects  platform.Objects
 	Peers    task.Mailbox[peers.Message]
 	Clock    clockwork.Clock
 	Metrics  *metrics.Set
@@ -48,7 +50,7 @@
 	}
 	return NewServer(listener, Parameters{
 		Self: model.HostID(in.Settings.HostID), Home: model.DataCentre(in.Settings.DataCentre), Tokens: in.Settings.OperatorTokens,
-		Config: in.Config, Commits: in.Commits, Events: in.Events, Recorder: in.Recorder, Peers: in.Peers, PeersOn: in.Settings.PeerAddress != "",
+		Config: in.Config, Commits: in.Commits, Events: in.Events, Recorder: in.Recorder, Objects: in.Objects, Peers: in.Peers, PeersOn: in.Settings.PeerAddress != "",
 		TLS: encryption, Clock: in.Clock, Metrics: in.Metrics, Logger: in.Logger,
 	}), nil
 }
--- a/entryhost/operators/operators_test.go
+++ b/entryhost/operators/operators_test.go
@@ -55,7 +55,7 @@
 	Expect(err).NotTo(HaveOccurred())
 	server := operators.NewServer(listener, operators.Parameters{
 		Self: id, Home: "jkt", Tokens: []string{"maria=m-token", "plain=="}, Config: store.Messages(), Commits: config.Committer{Table: client, Clock: clock},
-		Events: journal.Messages(), Recorder: journal, Peers: links, PeersOn: true, Clock: clock, Metrics: metrics.NewSet(), Logger: logger,
+		Events: journal.Messages(), Recorder: journal, Objects: platform.ObjectStore{Client: client}, Peers: links, PeersOn: true, Clock: clock, Metrics: metrics.NewSet(), Logger: logger,
 	})
 	var receivers []peers.Receiver
 	if !deaf {
@@ -91,12 +91,16 @@
 
 var _ = Describe("the operator API", Ordered, func() {
 	var first, second host
+	var objects platform.Objects
 
 	BeforeAll(func() {
 		ctx, cancel := context.WithCancel(context.Background())
 		DeferCleanup(cancel)
 		stand, err := standin.StartPlatform(ctx, 1)
 		Expect(err).NotTo(HaveOccurred())
+		client := platform.NewClient(stand.URL(), "")
+		DeferCleanup(client.Close)
+		objects = platform.ObjectStore{Client: client}
 		exchange := standin.StartExchange(ctx, 1)
 		first = startHost(ctx, stand, exchange, "entry-1", false)
 		second = startHost(ctx, stand, exchange, "entry-2", false)
@@ -140,6 +144,24 @@
 		Expect(answer.Unanswered).To(ConsistOf(model.HostID("entry-3")))
 	})
 
+	It("finds the flushed events of a host that died, and no event twice", func() {
+		at := time.Now().UTC().Add(-10 * time.Second).Truncate(time.Millisecond)
+		first.journal.Record(events.Event{Request: "r9", Cause: "alive", At: at})
+		name := at.Format("20060102T150405")
+		line := func(cause string, host string) string {
+			return `{"at":"` + at.Format(time.RFC3339Nano) + `","host":"` + host + `","code":0,"request":"r9","cause":"` + cause + "\"}\n"
+		}
+		Expect(objects.Put(context.Background(), events.ObjectPrefix+name+"/dead-1", []byte(line("dead", "entry-7")+"not json\n"+line("alive", "entry-1")))).To(Succeed())
+		var answer operators.EventsAnswer
+		path := operators.PathEvents + "?request=r9&since=" + at.Add(-time.Minute).Format(time.RFC3339)
+		first.call(http.MethodGet, path, "m-token", nil, &answer)
+		Expect(answer.Events).To(HaveLen(1))
+		first.call(http.MethodGet, path+"&archive=true", "m-token", nil, &answer)
+		Expect(answer.Events).To(HaveLen(2))
+		Expect(answer.Events).To(ContainElement(HaveField("Host", model.HostID("entry-7"))))
+		Expect(answer.ArchiveIncomplete).To(BeFalse())
+	})
+
 	It("shows the revisions that other hosts report", func() {
 		Expect(first.server.Subscriber().Mailbox.TrySend(peers.Fact{Kind: peers.FactRevision, Origin: "entry-2", Value: []byte("17")})).To(Succeed())
 		var answer operators.StatusAnswer
--- a/entryhost/operators/policy.go
+++ b/entryhost/operators/policy.go
@@ -165,10 +165,10 @@
 	return hosts
 }
 
-// mergeEvents joins the events of several hosts, oldest first, and keeps the
-// newest up to the limit.
+// mergeEvents joins the events of several sources, oldest first and without
+// repeats, and keeps the newest up to the limit.
 func mergeEvents(parts [][]events.Event, limit int) []events.Event {
-	merged := slices.Concat(parts...)
+	merged := withoutRepeats(slices.Concat(parts...))
 	slices.SortStableFunc(merged, func(a, b events.Event) int { return a.At.Compare(b.At) })
 	if len(merged) > limit {
 		merged = merged[len(merged)-limit:]
--- a/entryhost/operators/server.go
+++ b/entryhost/operators/server.go
@@ -18,6 +18,7 @@
 	"github.com/lentilpoint/lentilpoint/entryhost/config"
 	"github.com/lentilpoint/lentilpoint/entryhost/events"
 	"github.com/lentilpoint/lentilpoint/entryhost/peers"
+	"github.com/lentilpoint/lentilpoint/entryhost/platform"
 	"github.com/lentilpoint/lentilpoint/model"
 	"github.com/lentilpoint/lentilpoint/task"
 )
@@ -48,6 +49,8 @@
 	Config  task.Mailbox[config.Message]
 	Commits config.Committer
 	Events  task.Mailbox[events.Message]
+	// Objects holds the events that journals flushed.
+	Objects platform.Objects
 	// Recorder takes the operators' decisions.
 	Recorder events.Recorder
 	// Peers is the mailbox of the membership task; PeersOn tells that it is in use.
--- a/entryhost/operators/wire.go
+++ b/entryhost/operators/wire.go
@@ -110,6 +110,8 @@
 	Events []events.Event `json:"events"`
 	// Unanswered lists the hosts whose events are missing.
 	Unanswered []model.HostID `json:"unanswered,omitempty"`
+	// ArchiveIncomplete tells that flushed events could not all be read.
+	ArchiveIncomplete bool `json:"archive_incomplete,omitempty"`
 }
 
 // ErrorBody is the JSON body of every refusal and error.
