--- a/cmd/lentilpoint/commands/moves.go
+++ b/cmd/lentilpoint/commands/moves.go
@@ -123,7 +123,7 @@
 			if err := pause(cmd.Context(), watchInterval); err != nil {
 				return err
 			}
-			if move, err = g.fetchMove(cmd, id); err != nil {
+			if move, err = g.watchMove(cmd, shown); err != nil {
 				return err
 			}
 		}
@@ -137,6 +137,17 @@
 	return nil
 }
 
+// watchMove reads a move again. While no server answers it returns what was
+// shown: the move goes on without the command.
+func (g *globals) watchMove(cmd *cobra.Command, shown model.Move) (model.Move, error) {
+	move, err := g.fetchMove(cmd, string(shown.ID))
+	if ExitCode(err) == ExitUnavailable && cmd.Context().Err() == nil {
+		g.say("%s; still watching", describeError(err))
+		return shown, nil
+	}
+	return move, err
+}
+
 func (g *globals) fetchMove(cmd *cobra.Command, id string) (model.Move, error) {
 	return fetch[model.Move](cmd, g, operators.PathMoves+"/"+url.PathEscape(id), nil)
 }
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -24,6 +24,11 @@
 		Expect(err).NotTo(MatchError(ContainSubstring("--log-level")))
 	})
 
+	It("refuses a TLS certificate without its key, which would leave the operator API open or down", func() {
+		err := settings.Settings{OperatorTLSCertificate: "cert.pem"}.Check()
+		Expect(err).To(MatchError(ContainSubstring("--operator-tls-key")))
+	})
+
 	It("prefers a flag to its environment variable", func() {
 		var values settings.Settings
 		flags := pflag.NewFlagSet("test", pflag.ContinueOnError)
