Make the store's mailbox before the store

Cause: a task that receives each configuration and also sends revisions to the store, as the mover will, would make a cycle in the construction.

Change: the mailbox is provided by itself.

Measured: go test -race ./entryhost/... ./cmd/lentilpoint/..., green.

--- a/cmd/lentilpoint-bench/scenario/config.go
+++ b/cmd/lentilpoint-bench/scenario/config.go
@@ -146,7 +146,7 @@
 	host.store = config.NewStore(s.parameters(host, mailbox, inForce))
 	var receivers []peers.Receiver
 	if s.policy != BaselineNoPush {
-		receivers = append(receivers, config.NewPeer(host.store.Messages()).Receiver())
+		receivers = append(receivers, config.NewPeer(host.store.Messages).Receiver())
 	}
 	member := peers.Member{ID: configHostID(number), DataCentre: configDataCentre(number)}
 	if err := s.exchange.Join(ctx, member, mailbox, receivers...); err != nil {
@@ -164,7 +164,8 @@
 
 func (s *configSite) parameters(host *configHost, mailbox task.Mailbox[peers.Message], inForce task.Mailbox[*model.Configuration]) config.Parameters {
 	parameters := config.Parameters{
-		Self: configHostID(host.number), Home: configDataCentre(host.number),
+		Messages: config.NewMailbox(),
+		Self:     configHostID(host.number), Home: configDataCentre(host.number),
 		Table: s.client, Objects: platform.ObjectStore{Client: s.client}, Peers: mailbox,
 		PeersOn:   s.policy != BaselinePollOnly && s.policy != BaselineNoPeers,
 		Intervals: configIntervals, Seed: s.seed + uint64(host.life),
@@ -206,7 +207,7 @@
 	}
 	s.current, _ = config.Apply(s.current, record)
 	if host := s.hosts[operator%len(s.hosts)]; s.policy != BaselinePollOnly && host != nil {
-		_ = host.store.Messages().TrySend(config.Accepted{Records: []config.RevisionRecord{record}, Share: true})
+		_ = host.store.Messages.TrySend(config.Accepted{Records: []config.RevisionRecord{record}, Share: true})
 	}
 	return nil
 }
--- a/cmd/lentilpoint-bench/standin/exchange.go
+++ b/cmd/lentilpoint-bench/standin/exchange.go
@@ -135,6 +135,8 @@
 	}
 	select {
 	case <-call.Context.Done():
+		call.Reply.Send(peers.ErrUnreachable.Wrap(context.Cause(call.Context)))
+		return
 	case <-time.After(to.delay):
 	}
 	near, far := net.Pipe()
--- a/cmd/lentilpoint/commands/commands_test.go
+++ b/cmd/lentilpoint/commands/commands_test.go
@@ -131,6 +131,19 @@
 		Expect(succeed("events", "--since", "5m").out).To(ContainSubstring("revision committed"))
 	})
 
+	It("follows a move until it ends and tells a withdrawn one by the exit code", func() {
+		watched := make(chan result, 1)
+		go func() {
+			watched <- run("moves", "start", "advisor", "--to", "advisor-v2", "--deadline", "2h", "--id", "m2", "--watch")
+		}()
+		Eventually(func() string { return run("moves", "list").out }, "2s").Should(ContainSubstring("m2"))
+		succeed("moves", "cancel", "m2")
+		var r result
+		Eventually(watched, "5s").Should(Receive(&r))
+		Expect(r.code).To(Equal(commands.ExitWithdrawn), r.err)
+		Expect(r.out).To(ContainSubstring("cancelled by maria"))
+	})
+
 	It("has an exit code for each kind of error", func() {
 		Expect(run("status", "--token", "wrong").code).To(Equal(commands.ExitUnauthorised))
 		Expect(run("services", "show").code).To(Equal(commands.ExitUsage))
--- a/entryhost/config/config_test.go
+++ b/entryhost/config/config_test.go
@@ -142,11 +142,12 @@
 	GinkgoHelper()
 	mailbox := task.NewMailbox[peers.Message](64)
 	store := config.NewStore(config.Parameters{
-		Self: model.HostID(id), Home: "jkt", Table: s.table, Objects: platform.ObjectStore{Client: s.client},
+		Messages: config.NewMailbox(),
+		Self:     model.HostID(id), Home: "jkt", Table: s.table, Objects: platform.ObjectStore{Client: s.client},
 		Peers: mailbox, PeersOn: true, Intervals: config.Intervals{Reader: interval},
 		Clock: clockwork.NewRealClock(), Metrics: metrics.NewSet(), Logger: slog.New(slog.NewTextHandler(io.Discard, nil)),
 	})
-	Expect(s.exchange.Join(s.ctx, peers.Member{ID: model.HostID(id), DataCentre: "jkt"}, mailbox, config.NewPeer(store.Messages()).Receiver())).To(Succeed())
+	Expect(s.exchange.Join(s.ctx, peers.Member{ID: model.HostID(id), DataCentre: "jkt"}, mailbox, config.NewPeer(store.Messages).Receiver())).To(Succeed())
 	return store
 }
 
@@ -171,7 +172,7 @@
 func revisionOf(store *config.Store) model.Revision {
 	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 	defer cancel()
-	current, err := task.Call(ctx, store.Messages(), func(reply task.Reply[*model.Configuration]) config.Message {
+	current, err := task.Call(ctx, store.Messages, func(reply task.Reply[*model.Configuration]) config.Message {
 		return config.Current{Reply: reply}
 	})
 	if err != nil {
@@ -230,9 +231,9 @@
 			_, err := s.commit(revision)
 			Expect(err).NotTo(HaveOccurred())
 		}
-		Expect(store.Messages().TrySend(config.Accepted{Records: []config.RevisionRecord{record(5)}})).To(Succeed())
+		Expect(store.Messages.TrySend(config.Accepted{Records: []config.RevisionRecord{record(5)}})).To(Succeed())
 		Eventually(func() model.Revision { return revisionOf(store) }, "2s").Should(Equal(model.Revision(5)))
-		Expect(store.Messages().TrySend(config.Accepted{Records: []config.RevisionRecord{record(2)}})).To(Succeed())
+		Expect(store.Messages.TrySend(config.Accepted{Records: []config.RevisionRecord{record(2)}})).To(Succeed())
 		Consistently(func() model.Revision { return revisionOf(store) }, "100ms").Should(Equal(model.Revision(5)))
 	})
 
@@ -279,7 +280,7 @@
 		alone.ctx = ctx
 		s.platform.SetFaults(standin.PlatformFaults{Delay: 300 * time.Millisecond})
 		store := alone.store("entry-0", 10*time.Millisecond)
-		Expect(store.Messages().TrySend(config.Accepted{Records: []config.RevisionRecord{record(1)}, Share: true})).To(Succeed())
+		Expect(store.Messages.TrySend(config.Accepted{Records: []config.RevisionRecord{record(1)}, Share: true})).To(Succeed())
 		Eventually(func() model.Revision { return revisionOf(store) }, "2s").Should(Equal(model.Revision(1)))
 		cancel()
 		s.client.Close()
--- a/entryhost/config/fx.go
+++ b/entryhost/config/fx.go
@@ -16,7 +16,7 @@
 
 // Module provides the configuration store, its receiver for peers and the committer.
 var Module = fx.Module("config",
-	fx.Provide(provideStore, (*Store).Messages, NewPeer, provideCommitter, provideGroups),
+	fx.Provide(NewMailbox, provideStore, NewPeer, provideCommitter, provideGroups),
 	fx.Provide(func() Acceptance { return AcceptInOrder }),
 	task.AsChild[*Store](),
 )
@@ -24,6 +24,7 @@
 type storeIn struct {
 	fx.In
 
+	Messages    task.Mailbox[Message]
 	Table       platform.Table
 	Objects     platform.Objects
 	Peers       task.Mailbox[peers.Message]
@@ -37,7 +38,8 @@
 
 func provideStore(in storeIn) *Store {
 	return NewStore(Parameters{
-		Self: model.HostID(in.Settings.HostID), Home: model.DataCentre(in.Settings.DataCentre),
+		Messages: in.Messages,
+		Self:     model.HostID(in.Settings.HostID), Home: model.DataCentre(in.Settings.DataCentre),
 		Table: in.Table, Objects: in.Objects, Peers: in.Peers, PeersOn: in.Settings.PeerAddress != "",
 		Intervals:  Intervals{Reader: in.Settings.ConfigInterval, Fallback: in.Settings.ConfigFallbackInterval},
 		Acceptance: in.Acceptance, Seed: in.Settings.RandomSeed, Clock: in.Clock, Metrics: in.Metrics, Logger: in.Logger, Subscribers: in.Subscribers,
--- a/entryhost/config/task.go
+++ b/entryhost/config/task.go
@@ -36,10 +36,13 @@
 
 // Parameters are what the store is built from.
 type Parameters struct {
-	Self    model.HostID
-	Home    model.DataCentre
-	Table   platform.Table
-	Objects platform.Objects
+	// Messages is the store's mailbox, made with NewMailbox. It exists before
+	// the store, so that a subscriber may also send to it.
+	Messages task.Mailbox[Message]
+	Self     model.HostID
+	Home     model.DataCentre
+	Table    platform.Table
+	Objects  platform.Objects
 	// Peers is the mailbox of the membership task.
 	Peers task.Mailbox[peers.Message]
 	// PeersOn tells that this host has links to peers. Without them it reads the
@@ -61,11 +64,10 @@
 type Store struct {
 	Parameters
 
-	messages task.Mailbox[Message]
-	lists    task.Mailbox[platform.HostsRead]
-	facts    task.Mailbox[peers.Fact]
-	reader   reader
-	inForce  *metrics.Counter
+	lists   task.Mailbox[platform.HostsRead]
+	facts   task.Mailbox[peers.Fact]
+	reader  reader
+	inForce *metrics.Counter
 
 	current *model.Configuration
 	log     recordLog
@@ -80,11 +82,13 @@
 	reads uint64
 }
 
+// NewMailbox returns a mailbox for the store.
+func NewMailbox() task.Mailbox[Message] { return task.NewMailbox[Message](storeMailboxSize) }
+
 // NewStore returns the store task.
 func NewStore(parameters Parameters) *Store {
 	return &Store{
 		Parameters: parameters,
-		messages:   task.NewMailbox[Message](storeMailboxSize),
 		lists:      task.NewMailbox[platform.HostsRead](hostsMailboxSize),
 		facts:      task.NewMailbox[peers.Fact](factsSize),
 		reader:     newReader(parameters),
@@ -93,9 +97,6 @@
 	}
 }
 
-// Messages is the store's mailbox.
-func (s *Store) Messages() task.Mailbox[Message] { return s.messages }
-
 // HostLists is where the host list task sends each list.
 func (s *Store) HostLists() task.Mailbox[platform.HostsRead] { return s.lists }
 
@@ -139,7 +140,7 @@
 			if behind && due.Sub(s.Clock.Now()) > pushGrace {
 				wait(pushGrace)
 			}
-		case message := <-s.messages.C():
+		case message := <-s.Messages.C():
 			s.handle(ctx, message)
 		}
 	}
@@ -201,7 +202,7 @@
 	revision := s.current.Revision
 	random := rand.New(rand.NewPCG(s.Seed, s.reads))
 	go func() {
-		_ = s.messages.Send(ctx, s.reader.read(ctx, revision, random.IntN))
+		_ = s.Messages.Send(ctx, s.reader.read(ctx, revision, random.IntN))
 	}()
 }
 
--- a/entryhost/operators/cluster.go
+++ b/entryhost/operators/cluster.go
@@ -18,13 +18,13 @@
 
 const (
 	// peerEventsTimeout keeps an explanation within 1 s although a peer is silent.
-	peerEventsTimeout = 700 * time.Millisecond
+	peerEventsTimeout = 500 * time.Millisecond
 	// maxEvents bounds the events of one answer.
 	maxEvents = 5000
 	// maxPeerEvents bounds the events of one peer.
 	maxPeerEvents = 1000
 	// receiveTimeout bounds the wait of a peer's call for the journal.
-	receiveTimeout = 500 * time.Millisecond
+	receiveTimeout = 400 * time.Millisecond
 )
 
 const (
--- a/entryhost/operators/operators_test.go
+++ b/entryhost/operators/operators_test.go
@@ -47,14 +47,15 @@
 	DeferCleanup(client.Close)
 	links := task.NewMailbox[peers.Message](256)
 	store := config.NewStore(config.Parameters{
-		Self: id, Home: "jkt", Table: client, Objects: platform.ObjectStore{Client: client}, Peers: links, PeersOn: true,
+		Messages: config.NewMailbox(),
+		Self:     id, Home: "jkt", Table: client, Objects: platform.ObjectStore{Client: client}, Peers: links, PeersOn: true,
 		Intervals: config.Intervals{Reader: time.Hour}, Clock: clock, Metrics: metrics.NewSet(), Logger: logger,
 	})
 	journal := events.NewJournal(id, platform.ObjectStore{Client: client}, clock, metrics.NewSet(), logger)
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	Expect(err).NotTo(HaveOccurred())
 	server := operators.NewServer(listener, operators.Parameters{
-		Self: id, Home: "jkt", Tokens: []string{"maria=m-token", "plain=="}, Config: store.Messages(), Commits: config.Committer{Table: client, Clock: clock},
+		Self: id, Home: "jkt", Tokens: []string{"maria=m-token", "plain=="}, Config: store.Messages, Commits: config.Committer{Table: client, Clock: clock},
 		Events: journal.Messages(), Recorder: journal, Objects: platform.ObjectStore{Client: client}, Peers: links, PeersOn: true, Clock: clock, Metrics: metrics.NewSet(), Logger: logger,
 	})
 	var receivers []peers.Receiver
@@ -92,6 +93,7 @@
 var _ = Describe("the operator API", Ordered, func() {
 	var first, second host
 	var objects platform.Objects
+	var exchange *standin.Exchange
 
 	BeforeAll(func() {
 		ctx, cancel := context.WithCancel(context.Background())
@@ -101,7 +103,7 @@
 		client := platform.NewClient(stand.URL(), "")
 		DeferCleanup(client.Close)
 		objects = platform.ObjectStore{Client: client}
-		exchange := standin.StartExchange(ctx, 1)
+		exchange = standin.StartExchange(ctx, 1)
 		first = startHost(ctx, stand, exchange, "entry-1", false)
 		second = startHost(ctx, stand, exchange, "entry-2", false)
 		startHost(ctx, stand, exchange, "entry-3", true)
@@ -144,6 +146,18 @@
 		Expect(answer.Unanswered).To(ConsistOf(model.HostID("entry-3")))
 	})
 
+	It("answers within the 1 s of an explanation although peers are silent, and names them", func() {
+		exchange.SetDelay(time.Hour)
+		DeferCleanup(exchange.SetDelay, time.Duration(0))
+		first.journal.Record(events.Event{Request: "r5"})
+		begin := time.Now()
+		var answer operators.EventsAnswer
+		Expect(first.call(http.MethodGet, operators.PathEvents+"?request=r5", "m-token", nil, &answer)).To(Equal(http.StatusOK))
+		Expect(time.Since(begin)).To(BeNumerically("<", time.Second))
+		Expect(answer.Events).To(HaveLen(1))
+		Expect(answer.Unanswered).To(HaveLen(2))
+	})
+
 	It("finds the flushed events of a host that died, and no event twice", func() {
 		at := time.Now().UTC().Add(-10 * time.Second).Truncate(time.Millisecond)
 		first.journal.Record(events.Event{Request: "r9", Cause: "alive", At: at})
