--- a/cmd/lentilpoint-bench/scenario/config.go
+++ b/cmd/lentilpoint-bench/scenario/config.go
@@ -62,6 +62,10 @@
 		Name: "cold-start-in-outage", About: "entry hosts start while the platform is down or silent",
 		Baselines: []string{BaselineNoPeers}, Run: runColdStart,
 	},
+	{
+		Name: "config-partition", About: "revisions are committed while a data centre is cut off from the platform",
+		Baselines: []string{BaselinePollOnly}, Run: runConfigPartition,
+	},
 }
 
 // observation is one revision that a host put in force.
@@ -95,6 +99,8 @@
 	lives    []configHost
 	observed chan observation
 	current  *model.Configuration
+	// cut is a data centre that does not reach the platform; empty means none.
+	cut model.DataCentre
 }
 
 // observedSize holds all observations of one run.
@@ -140,7 +146,7 @@
 	host.store = config.NewStore(s.parameters(host, mailbox, inForce))
 	var receivers []peers.Receiver
 	if s.policy != BaselineNoPush {
-		receivers = append(receivers, config.NewPeer(host.store.Messages()).Receiver())
+		receivers = append(receivers, config.NewPeer(host.store.Messages).Receiver())
 	}
 	member := peers.Member{ID: configHostID(number), DataCentre: configDataCentre(number)}
 	if err := s.exchange.Join(ctx, member, mailbox, receivers...); err != nil {
@@ -158,13 +164,17 @@
 
 func (s *configSite) parameters(host *configHost, mailbox task.Mailbox[peers.Message], inForce task.Mailbox[*model.Configuration]) config.Parameters {
 	parameters := config.Parameters{
-		Self: configHostID(host.number), Home: configDataCentre(host.number),
+		Messages: config.NewMailbox(),
+		Self:     configHostID(host.number), Home: configDataCentre(host.number),
 		Table: s.client, Objects: platform.ObjectStore{Client: s.client}, Peers: mailbox,
 		PeersOn:   s.policy != BaselinePollOnly && s.policy != BaselineNoPeers,
 		Intervals: configIntervals, Seed: s.seed + uint64(host.life),
 		Clock: clockwork.NewRealClock(), Metrics: metrics.NewSet(), Logger: slog.New(slog.NewTextHandler(io.Discard, nil)),
 		Subscribers: []task.Mailbox[*model.Configuration]{inForce},
 	}
+	if s.cut == parameters.Home {
+		parameters.Table = cutTable{}
+	}
 	if s.policy == BaselineAcceptAny {
 		parameters.Acceptance = config.AcceptAny
 	}
@@ -197,7 +207,7 @@
 	}
 	s.current, _ = config.Apply(s.current, record)
 	if host := s.hosts[operator%len(s.hosts)]; s.policy != BaselinePollOnly && host != nil {
-		_ = host.store.Messages().TrySend(config.Accepted{Records: []config.RevisionRecord{record}, Share: true})
+		_ = host.store.Messages.TrySend(config.Accepted{Records: []config.RevisionRecord{record}, Share: true})
 	}
 	return nil
 }
--- a/entryhost/config/task.go
+++ b/entryhost/config/task.go
@@ -36,10 +36,13 @@
 
 // Parameters are what the store is built from.
 type Parameters struct {
-	Self    model.HostID
-	Home    model.DataCentre
-	Table   platform.Table
-	Objects platform.Objects
+	// Messages is the store's mailbox, made with NewMailbox. It exists before
+	// the store, so that a subscriber may also send to it.
+	Messages task.Mailbox[Message]
+	Self     model.HostID
+	Home     model.DataCentre
+	Table    platform.Table
+	Objects  platform.Objects
 	// Peers is the mailbox of the membership task.
 	Peers task.Mailbox[peers.Message]
 	// PeersOn tells that this host has links to peers. Without them it reads the
@@ -61,11 +64,10 @@
 type Store struct {
 	Parameters
 
-	messages task.Mailbox[Message]
-	lists    task.Mailbox[platform.HostsRead]
-	facts    task.Mailbox[peers.Fact]
-	reader   reader
-	inForce  *metrics.Counter
+	lists   task.Mailbox[platform.HostsRead]
+	facts   task.Mailbox[peers.Fact]
+	reader  reader
+	inForce *metrics.Counter
 
 	current *model.Configuration
 	log     recordLog
@@ -80,11 +82,13 @@
 	reads uint64
 }
 
+// NewMailbox returns a mailbox for the store.
+func NewMailbox() task.Mailbox[Message] { return task.NewMailbox[Message](storeMailboxSize) }
+
 // NewStore returns the store task.
 func NewStore(parameters Parameters) *Store {
 	return &Store{
 		Parameters: parameters,
-		messages:   task.NewMailbox[Message](storeMailboxSize),
 		lists:      task.NewMailbox[platform.HostsRead](hostsMailboxSize),
 		facts:      task.NewMailbox[peers.Fact](factsSize),
 		reader:     newReader(parameters),
@@ -93,9 +97,6 @@
 	}
 }
 
-// Messages is the store's mailbox.
-func (s *Store) Messages() task.Mailbox[Message] { return s.messages }
-
 // HostLists is where the host list task sends each list.
 func (s *Store) HostLists() task.Mailbox[platform.HostsRead] { return s.lists }
 
@@ -112,23 +113,26 @@
 // Serve keeps the configuration up to date until the context ends.
 func (s *Store) Serve(ctx context.Context) error {
 	s.reading, s.again = false, false
-	timer := s.Clock.NewTimer(0)
+	timer := s.Clock.NewTimer(s.interval())
 	defer timer.Stop()
-	due := s.Clock.Now()
+	due := s.Clock.Now().Add(s.interval())
 	wait := func(length time.Duration) {
 		due = s.Clock.Now().Add(length)
 		timer.Reset(length)
 	}
+	// The first read does not go through the timer: a host list that arrives
+	// first would put it off until the fallback interval.
+	s.read(ctx)
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
 		case <-timer.Chan():
 			s.read(ctx)
-			wait(s.Intervals.For(s.rank))
+			wait(s.interval())
 		case list := <-s.lists.C():
 			if s.setHosts(list.Hosts) {
-				wait(s.Intervals.For(s.rank))
+				wait(s.interval())
 			}
 		case fact := <-s.facts.C():
 			// Only a later read is brought forward: steady reports must not put it off.
@@ -136,12 +140,21 @@
 			if behind && due.Sub(s.Clock.Now()) > pushGrace {
 				wait(pushGrace)
 			}
-		case message := <-s.messages.C():
+		case message := <-s.Messages.C():
 			s.handle(ctx, message)
 		}
 	}
 }
 
+// interval returns the time until the next read. A host without a configuration
+// cannot serve, so it tries as often as a reader.
+func (s *Store) interval() time.Duration {
+	if s.current.Revision == 0 {
+		return s.Intervals.Reader
+	}
+	return s.Intervals.For(s.rank)
+}
+
 func (s *Store) handle(ctx context.Context, message Message) {
 	switch message := message.(type) {
 	case Current:
@@ -189,7 +202,7 @@
 	revision := s.current.Revision
 	random := rand.New(rand.NewPCG(s.Seed, s.reads))
 	go func() {
-		_ = s.messages.Send(ctx, s.reader.read(ctx, revision, random.IntN))
+		_ = s.Messages.Send(ctx, s.reader.read(ctx, revision, random.IntN))
 	}()
 }
 
--- a/entryhost/operators/cluster.go
+++ b/entryhost/operators/cluster.go
@@ -18,13 +18,13 @@
 
 const (
 	// peerEventsTimeout keeps an explanation within 1 s although a peer is silent.
-	peerEventsTimeout = 700 * time.Millisecond
+	peerEventsTimeout = 500 * time.Millisecond
 	// maxEvents bounds the events of one answer.
 	maxEvents = 5000
 	// maxPeerEvents bounds the events of one peer.
 	maxPeerEvents = 1000
 	// receiveTimeout bounds the wait of a peer's call for the journal.
-	receiveTimeout = 500 * time.Millisecond
+	receiveTimeout = 400 * time.Millisecond
 )
 
 const (
@@ -86,6 +86,11 @@
 			answer.Unanswered = append(answer.Unanswered, part.host)
 		}
 	}
+	if wantsArchive(c.Query("archive")) {
+		flushed := readArchive(c.Request.Context(), s.Objects, query, s.Clock.Now())
+		answer.ArchiveIncomplete = flushed.incomplete
+		parts = append(parts, flushed.events)
+	}
 	slices.Sort(answer.Unanswered)
 	answer.Events = mergeEvents(parts, query.Limit)
 	c.JSON(http.StatusOK, answer)
