--- a/cmd/lentilpoint-bench/scenario/atmostonce.go
+++ b/cmd/lentilpoint-bench/scenario/atmostonce.go
@@ -33,6 +33,10 @@
 		Name: "order-retries", About: "callers repeat orders with keys while plain servers die before and after execution",
 		Baselines: []string{BaselineBlindRetry}, Run: runOrderRetries,
 	},
+	{
+		Name: "order-host-deaths", About: "entry hosts and plain servers die while orders with keys are repeated",
+		Baselines: []string{BaselineBlindRetry}, Run: runOrderHostDeaths,
+	},
 	{
 		Name: "platform-outage", About: "the platform is down while orders are repeated; callers go on with tickets",
 		Baselines: []string{BaselineBlindRetry, BaselineNoReadBack}, Run: runPlatformOutage,
@@ -154,6 +158,24 @@
 	return run.report(tries), nil
 }
 
+// runOrderHostDeaths kills two entry hosts, whose claims stay behind.
+func runOrderHostDeaths(ctx context.Context, parameters Parameters) (Report, error) {
+	run, err := startRepeats(ctx, parameters, 35, nil)
+	if err != nil {
+		return Report{}, err
+	}
+	defer run.cluster.Stop()
+	deaths := func(ctx context.Context, random *rand.Rand) {
+		for _, host := range random.Perm(len(run.cluster.Hosts))[:2] {
+			wait(ctx, time.Duration(200+random.IntN(400))*time.Millisecond)
+			parameters.progress("killing entry host %d", host)
+			_ = run.cluster.Hosts[host].Kill()
+		}
+	}
+	load := repeatLoad{count: 120, spread: 1500 * time.Millisecond, twins: 0.3}
+	return run.report(run.withFaults(ctx, load, run.kills, deaths)), nil
+}
+
 func runPlatformOutage(ctx context.Context, parameters Parameters) (Report, error) {
 	run, err := startRepeats(ctx, parameters, 31, nil)
 	if err != nil {
--- a/cmd/lentilpoint-bench/standin/plain.go
+++ b/cmd/lentilpoint-bench/standin/plain.go
@@ -165,6 +165,8 @@
 	if faults.CutAnswer {
 		w.Header().Set("Content-Length", "1000")
 		_, _ = w.Write([]byte(`{"server":"`))
+		// Without the flush the head of the answer would be lost too.
+		_ = http.NewResponseController(w).Flush()
 		panic(http.ErrAbortHandler)
 	}
 	writeAnswer(w, plainAnswer{
--- a/entryhost/requests/call.go
+++ b/entryhost/requests/call.go
@@ -103,7 +103,7 @@
 		failed := failedAttempt{failure: head.Err, resendable: c.resendable(), attempts: len(c.exclude)}
 		if ctx.Err() != nil || !mayCallAgain(c.parts.Policy, c.start.Call, failed) {
 			fault := callFault(head.Err, c.mayHaveRun)
-			c.note(eventcode.CallOutcomeUnknown, assignment, fault.Reason, head.Err.Error())
+			c.note(endCode(fault), assignment, fault.Reason, head.Err.Error())
 			return backends.ExchangeHead{}, fault
 		}
 		c.count("lentilpoint_call_retries_total", string(head.Err.Kind))
--- a/entryhost/requests/callpolicy.go
+++ b/entryhost/requests/callpolicy.go
@@ -5,6 +5,7 @@
 
 	"github.com/lentilpoint/lentilpoint/entryhost/backends"
 	"github.com/lentilpoint/lentilpoint/entryhost/requests/claims"
+	"github.com/lentilpoint/lentilpoint/eventcode"
 	"github.com/lentilpoint/lentilpoint/model"
 )
 
@@ -93,3 +94,11 @@
 	}
 	return claims.StateUnknown
 }
+
+// endCode is the event of a call that ended with the fault.
+func endCode(fault *model.Fault) eventcode.Code {
+	if fault.Executed == model.ExecutedNo {
+		return eventcode.CallFailed
+	}
+	return eventcode.CallOutcomeUnknown
+}
