End answers without progress and leave silent servers earlier

Cause: an answer whose connection went silent after its head held the caller for good, and an idempotent call with a deadline under 500 ms had no time left for another server. Change: each wait for bytes of a body is bounded by the deadline, at least 15 s; the first attempt of an idempotent call takes half of the deadline down to 100 ms.

--- a/cmd/lentilpoint-bench/cluster/calls_test.go
+++ b/cmd/lentilpoint-bench/cluster/calls_test.go
@@ -115,6 +115,15 @@
 		Entry("without a key", ""),
 	)
 
+	It("reach a server through a new connection when the open ones went silent", func() {
+		_, _, err := send(context.Background(), 0, http.MethodGet, "/orders", "", "", "")
+		Expect(err).NotTo(HaveOccurred())
+		c.Plains[0].Silence()
+		response, _, err := send(context.Background(), 0, http.MethodGet, "/orders", "", "", "")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(response.StatusCode).To(Equal(http.StatusOK))
+	})
+
 	It("show an answer that was cut short as an error, with and without a key", func() {
 		c.Plains[0].SetFaults(standin.PlainFaults{CutAnswer: true})
 		_, _, err := send(context.Background(), 0, http.MethodPost, "/orders", "", "o-6", "wands")
--- a/entryhost/requests/call.go
+++ b/entryhost/requests/call.go
@@ -164,7 +164,7 @@
 	head := c.await(exchangeContext, assignment)
 	timer.Stop()
 	if head.Err == nil {
-		head.Body = &cancellingBody{ReadCloser: head.Body, cancel: cancel}
+		head.Body = c.watch(head.Body, cancel, assignment)
 	} else {
 		c.checkSilence(exchangeContext, assignment, head.Err, c.clock.Since(started))
 		cancel(nil)
@@ -227,19 +227,6 @@
 	}
 }
 
-// cancellingBody ends the exchange's context when the body is closed.
-type cancellingBody struct {
-	io.ReadCloser
-	cancel context.CancelCauseFunc
-}
-
-// Close implements io.Closer.
-func (b *cancellingBody) Close() error {
-	err := b.ReadCloser.Close()
-	b.cancel(nil)
-	return err
-}
-
 // note records a decision about the call.
 func (c *callTask) note(code eventcode.Code, assignment admission.Assignment, reason model.Reason, cause string) {
 	call := c.start.Call
--- a/entryhost/requests/call_test.go
+++ b/entryhost/requests/call_test.go
@@ -178,6 +178,32 @@
 	})
 })
 
+var _ = Describe("the body of an answer", func() {
+	It("ends with an error when its connection is silent, instead of holding the caller for good", func() {
+		clock := clockwork.NewFakeClock()
+		ctx, cancel := context.WithCancelCause(context.Background())
+		reported := make(chan struct{}, 1)
+		body := &watchedBody{
+			ReadCloser: io.NopCloser(blockedReader{ctx}), clock: clock, deadline: clock.Now(), cancel: cancel,
+			silent: func() { reported <- struct{}{} },
+		}
+		failures := make(chan error, 1)
+		go func() { _, err := body.Read(make([]byte, 1)); failures <- err }()
+		Expect(clock.BlockUntilContext(context.Background(), 1)).To(Succeed())
+		clock.Advance(leastBodySilence)
+		Eventually(failures).Should(Receive(MatchError(errBodySilent)))
+		Expect(reported).To(Receive())
+	})
+})
+
+// blockedReader waits until its context ends, as a silent connection does.
+type blockedReader struct{ ctx context.Context }
+
+func (r blockedReader) Read([]byte) (int, error) {
+	<-r.ctx.Done()
+	return 0, context.Cause(r.ctx)
+}
+
 var _ = Describe("a call with a ticket", func() {
 	It("is executed once by the issuing incarnation and repeats its answer", func() {
 		host := startTestHost("entry-0", 5)
--- a/entryhost/requests/callpolicy.go
+++ b/entryhost/requests/callpolicy.go
@@ -23,12 +23,22 @@
 
 // leastHeadTimeout is the least part of the deadline that is worth keeping
 // back for another server.
-const leastHeadTimeout = 250 * time.Millisecond
+const leastHeadTimeout = 100 * time.Millisecond
 
 // leastSilence is the least wait without an answer that replaces a transport,
 // so that callers with very short deadlines do not discard good connections.
 const leastSilence = 100 * time.Millisecond
 
+// leastBodySilence is the least time without a byte of an answer's body that
+// counts as silence. It allows for services that stream with pauses.
+const leastBodySilence = 15 * time.Second
+
+// bodySilence bounds one wait for bytes of an answer's body, so that a silent
+// connection does not hold its caller for good.
+func bodySilence(remaining time.Duration) time.Duration {
+	return max(remaining, leastBodySilence)
+}
+
 // failedAttempt describes an attempt of a call that ended without an answer.
 type failedAttempt struct {
 	failure *backends.StreamError
