Name the parts of claims and tickets by common terms

Cause: some names of the claim writer and the ticket store were figurative. Change: names only. Measured: go test ./entryhost/requests/... passes.

--- a/cmd/lentilpoint-bench/scenario/atmostonce.go
+++ b/cmd/lentilpoint-bench/scenario/atmostonce.go
@@ -154,7 +154,7 @@
 		return Report{}, err
 	}
 	defer run.cluster.Stop()
-	tries := run.withFaults(ctx, repeatLoad{count: 120, spread: 1500 * time.Millisecond, twins: 0.3}, run.kills)
+	tries := run.withFaults(ctx, repeatLoad{count: 120, spread: 1500 * time.Millisecond, duplicates: 0.3}, run.kills)
 	return run.report(tries), nil
 }
 
@@ -172,7 +172,7 @@
 			_ = run.cluster.Hosts[host].Kill()
 		}
 	}
-	load := repeatLoad{count: 120, spread: 1500 * time.Millisecond, twins: 0.3}
+	load := repeatLoad{count: 120, spread: 1500 * time.Millisecond, duplicates: 0.3}
 	return run.report(run.withFaults(ctx, load, run.kills, deaths)), nil
 }
 
@@ -188,7 +188,7 @@
 		wait(ctx, time.Second)
 		run.cluster.Platform.SetFaults(standin.PlatformFaults{})
 	}
-	load := repeatLoad{count: 120, spread: 1500 * time.Millisecond, twins: 0.2, tickets: true}
+	load := repeatLoad{count: 120, spread: 1500 * time.Millisecond, duplicates: 0.2, tickets: true}
 	return run.report(run.withFaults(ctx, load, outage, run.kills)), nil
 }
 
@@ -199,7 +199,7 @@
 	}
 	defer run.cluster.Stop()
 	run.cluster.Platform.SetFaults(standin.PlatformFaults{LoseAnswers: 0.3, LoseRequests: 0.15})
-	load := repeatLoad{count: 120, spread: 1500 * time.Millisecond, twins: 0.3}
+	load := repeatLoad{count: 120, spread: 1500 * time.Millisecond, duplicates: 0.3}
 	return run.report(run.withFaults(ctx, load, run.kills)), nil
 }
 
@@ -228,6 +228,6 @@
 		wait(ctx, 1500*time.Millisecond)
 		relay.Partition(false)
 	}
-	load := repeatLoad{count: 120, spread: 1500 * time.Millisecond, twins: 0.3, tickets: true}
+	load := repeatLoad{count: 120, spread: 1500 * time.Millisecond, duplicates: 0.3, tickets: true}
 	return run.report(run.withFaults(ctx, load, partition, run.kills)), nil
 }
--- a/cmd/lentilpoint-bench/scenario/repeats.go
+++ b/cmd/lentilpoint-bench/scenario/repeats.go
@@ -28,8 +28,8 @@
 type repeatLoad struct {
 	count  int
 	spread time.Duration
-	// twins is the share of orders that are sent through two hosts at once.
-	twins float64
+	// duplicates is the share of orders that are sent through two hosts at once.
+	duplicates float64
 	// tickets makes callers continue with a ticket when the platform is out of
 	// reach and no earlier try may have run.
 	tickets bool
@@ -37,20 +37,20 @@
 
 // repeatPlan is what one caller does, drawn before the run starts.
 type repeatPlan struct {
-	order  string
-	twin   bool
-	hosts  []int
-	pauses []time.Duration
-	delay  time.Duration
+	order     string
+	duplicate bool
+	hosts     []int
+	pauses    []time.Duration
+	delay     time.Duration
 }
 
 func (l repeatLoad) plan(random *rand.Rand) []repeatPlan {
 	plans := make([]repeatPlan, l.count)
 	for i := range plans {
 		plan := repeatPlan{
-			order: fmt.Sprintf("order-%d", i),
-			twin:  random.Float64() < l.twins,
-			delay: time.Duration(random.Int64N(int64(l.spread))),
+			order:     fmt.Sprintf("order-%d", i),
+			duplicate: random.Float64() < l.duplicates,
+			delay:     time.Duration(random.Int64N(int64(l.spread))),
 		}
 		for range maxTries + 2 {
 			plan.hosts = append(plan.hosts, random.IntN(1<<16))
@@ -108,9 +108,9 @@
 }
 
 func (r *repeatCaller) run(ctx context.Context) []tryResult {
-	twin := make(chan tryResult, 1)
-	if r.plan.twin {
-		go func() { twin <- r.send(ctx, r.plan.hosts[maxTries], "twin", r.key) }()
+	duplicate := make(chan tryResult, 1)
+	if r.plan.duplicate {
+		go func() { duplicate <- r.send(ctx, r.plan.hosts[maxTries], "duplicate", r.key) }()
 	}
 	for i := range maxTries {
 		result := r.send(ctx, r.plan.hosts[i], fmt.Sprint(i), r.key)
@@ -118,7 +118,7 @@
 		if result.AnsweredTry != "" {
 			break
 		}
-		r.mayRun = r.mayRun || result.Executed != model.ExecutedNo || r.plan.twin
+		r.mayRun = r.mayRun || result.Executed != model.ExecutedNo || r.plan.duplicate
 		if r.tickets && !r.mayRun && result.reason == model.ReasonPlatformUnavailable {
 			r.takeTicket(ctx, r.plan.hosts[i])
 		}
@@ -126,8 +126,8 @@
 	}
 	// A repeat through another host must get the same answer.
 	r.results = append(r.results, r.send(ctx, r.plan.hosts[maxTries+1], "after", r.key))
-	if r.plan.twin {
-		r.results = append(r.results, <-twin)
+	if r.plan.duplicate {
+		r.results = append(r.results, <-duplicate)
 	}
 	return r.results
 }
--- a/entryhost/requests/call.go
+++ b/entryhost/requests/call.go
@@ -37,7 +37,7 @@
 
 	Policy   CallPolicy
 	Claims   task.Mailbox[claims.Message]
-	Book     task.Mailbox[tickets.Message]
+	Tickets  task.Mailbox[tickets.Message]
 	Issuer   tickets.Issuer
 	Peers    task.Mailbox[peers.Message]
 	Recorder events.Recorder
--- a/entryhost/requests/call_test.go
+++ b/entryhost/requests/call_test.go
@@ -50,12 +50,12 @@
 		finished:   task.NewMailbox[admission.Message](64),
 		issuer:     tickets.NewIssuer(claims.Identity{Host: id, Incarnation: 1}, "secret"),
 	}
-	book := tickets.NewBook(clock)
+	registry := tickets.NewRegistry(clock)
 	host.manager = NewManager(host.dispatches, RecoveryContinue, CallParts{
-		Policy: CallAtMostOnce, Claims: task.NewMailbox[claims.Message](16), Book: book.Messages(), Issuer: host.issuer,
+		Policy: CallAtMostOnce, Claims: task.NewMailbox[claims.Message](16), Tickets: registry.Messages(), Issuer: host.issuer,
 		Peers: host.peers, Recorder: events.Discard, Metrics: metrics.NewSet(),
 	}, clock, slog.New(slog.NewTextHandler(io.Discard, nil)))
-	go func() { _ = book.Serve(ctx) }()
+	go func() { _ = registry.Serve(ctx) }()
 	go func() { _ = host.manager.Serve(ctx) }()
 	go host.assign(ctx, assignments)
 	return host
--- a/entryhost/requests/claims/claims_test.go
+++ b/entryhost/requests/claims/claims_test.go
@@ -277,19 +277,19 @@
 	})
 
 	It("lets the first transaction start at once; the zero budget once overflowed to a wait of centuries", func() {
-		Expect(launchBudget{}.wait(now)).To(BeNumerically("<=", 0))
+		Expect(rateBudget{}.wait(now)).To(BeNumerically("<=", 0))
 	})
 
 	It("bounds the transactions of an entry host to one for each interval on average", func() {
-		var budget launchBudget
-		launches := 0
+		var budget rateBudget
+		transactions := 0
 		for elapsed := time.Duration(0); elapsed < time.Second; elapsed += time.Millisecond {
 			if budget.wait(now.Add(elapsed)) <= 0 {
 				budget = budget.spend(now.Add(elapsed))
-				launches++
+				transactions++
 			}
 		}
-		Expect(launches).To(BeNumerically("<=", int(time.Second/launchInterval)+launchBurst))
+		Expect(transactions).To(BeNumerically("<=", int(time.Second/transactionInterval)+transactionBurst))
 	})
 
 	It("tells bodies and paths apart that join to the same bytes", func() {
--- a/entryhost/requests/claims/doc.go
+++ b/entryhost/requests/claims/doc.go
@@ -4,5 +4,5 @@
 //
 // A claimed call costs two row writes, its claim and its outcome. Batches share
 // one transaction, so that an entry host sends one transaction for each
-// launchInterval on average, whatever its rate of calls.
+// transactionInterval on average, whatever its rate of calls.
 package claims
--- a/entryhost/requests/claims/messages.go
+++ b/entryhost/requests/claims/messages.go
@@ -100,8 +100,8 @@
 func (Claim) claimsMessage()  {}
 func (Finish) claimsMessage() {}
 
-// landed is the result of one transaction.
-type landed struct {
+// transactDone is the result of one transaction.
+type transactDone struct {
 	batch  []operation
 	result platform.TransactResult
 	err    error
--- a/entryhost/requests/claims/policy.go
+++ b/entryhost/requests/claims/policy.go
@@ -25,19 +25,19 @@
 type BatchLimit int
 
 // DefaultBatchLimit is above what an entry host claims and records within
-// launchInterval at 70 requests/s, also after a pause of a second.
+// transactionInterval at 70 requests/s, also after a pause of a second.
 const DefaultBatchLimit BatchLimit = 64
 
 const (
 	// maxBatchBytes bounds the values of one transaction.
 	maxBatchBytes = 512 << 10
-	// launchInterval is the mean time between two transactions of one entry host
+	// transactionInterval is the mean time between two transactions of one entry host
 	// under load: 7 hosts send at most 350 a second, of the several hundred that
 	// the table takes.
-	launchInterval = 20 * time.Millisecond
-	// launchBurst is how many transactions may start without that pause, so that
+	transactionInterval = 20 * time.Millisecond
+	// transactionBurst is how many transactions may start without that pause, so that
 	// the claim and the outcome of a call wait for no batch under light load.
-	launchBurst = 4
+	transactionBurst = 4
 	// tryTimeout bounds one transaction.
 	tryTimeout = 400 * time.Millisecond
 	// claimBudget bounds all tries of a claim. With 45% of the transactions
@@ -200,19 +200,19 @@
 	return min(firstBackoff<<min(failures-1, 8), maxBackoff)
 }
 
-// launchBudget limits transactions to one for each launchInterval, with a
+// rateBudget limits transactions to one for each transactionInterval, with a
 // burst. Free is the time at which the budget is whole again.
-type launchBudget struct{ free time.Time }
+type rateBudget struct{ free time.Time }
 
 // wait returns how long the next transaction must wait.
-func (b launchBudget) wait(now time.Time) time.Duration {
-	return b.free.Add(-(launchBurst - 1) * launchInterval).Sub(now)
+func (b rateBudget) wait(now time.Time) time.Duration {
+	return b.free.Add(-(transactionBurst - 1) * transactionInterval).Sub(now)
 }
 
 // spend returns the budget after a transaction.
-func (b launchBudget) spend(now time.Time) launchBudget {
+func (b rateBudget) spend(now time.Time) rateBudget {
 	if b.free.Before(now) {
 		b.free = now
 	}
-	return launchBudget{free: b.free.Add(launchInterval)}
+	return rateBudget{free: b.free.Add(transactionInterval)}
 }
--- a/entryhost/requests/claims/task.go
+++ b/entryhost/requests/claims/task.go
@@ -30,8 +30,8 @@
 
 	pending      []operation
 	pendingBytes int
-	flying       bool
-	landings     chan landed
+	inFlight     bool
+	results      chan transactDone
 	probes       chan probed
 	probing      bool
 	// suspect tells that a transaction failed and no read was answered since.
@@ -39,10 +39,10 @@
 	failedProbes int
 	unreachable  bool
 	failures     int
-	budget       launchBudget
+	budget       rateBudget
 	// notBefore is the end of the pause after a failed transaction or read.
 	notBefore time.Time
-	// wake ends the wait for nextLaunch; nil when there is nothing to wait for.
+	// wake ends the pause before the next transaction or read; nil when there is nothing to wait for.
 	wake <-chan time.Time
 }
 
@@ -56,7 +56,7 @@
 		clock:    clock,
 		metrics:  set,
 		logger:   logger,
-		landings: make(chan landed, 1),
+		results:  make(chan transactDone, 1),
 		probes:   make(chan probed, 1),
 	}
 }
@@ -70,15 +70,15 @@
 // Serve commits claims and outcomes until the context ends.
 func (w *Writer) Serve(ctx context.Context) error {
 	for {
-		w.launch(ctx)
+		w.startNext(ctx)
 		select {
 		case <-ctx.Done():
 			return nil
 		case message := <-w.messages.C():
 			w.accept(message)
-		case landing := <-w.landings:
-			w.flying = false
-			w.land(landing)
+		case done := <-w.results:
+			w.inFlight = false
+			w.applyResult(done)
 		case probe := <-w.probes:
 			w.probing = false
 			w.applyProbe(probe)
@@ -140,9 +140,9 @@
 	w.pending = append(operations, w.pending...)
 }
 
-// launch starts a transaction or a probe if one is due, or sets the wake-up.
-func (w *Writer) launch(ctx context.Context) {
-	if w.flying || w.probing || (len(w.pending) == 0 && !w.suspect) {
+// startNext starts a transaction or a probe if one is due, or sets the wake-up.
+func (w *Writer) startNext(ctx context.Context) {
+	if w.inFlight || w.probing || (len(w.pending) == 0 && !w.suspect) {
 		return
 	}
 	now := w.clock.Now()
@@ -163,10 +163,10 @@
 		w.pendingBytes -= len(batch[i].value)
 		batch[i].sent = true
 	}
-	w.flying = true
+	w.inFlight = true
 	w.budget = w.budget.spend(now)
 	w.metrics.GetOrCreateHistogram("lentilpoint_claim_batch_rows").Update(float64(len(batch)))
-	go w.fly(ctx, batch)
+	go w.transact(ctx, batch)
 }
 
 // pause returns the time until the next transaction or probe may start.
@@ -178,15 +178,15 @@
 	return max(wait, w.budget.wait(now))
 }
 
-// fly runs one transaction outside the task, which goes on to accept messages.
-func (w *Writer) fly(ctx context.Context, batch []operation) {
+// transact runs one transaction outside the task, which goes on to accept messages.
+func (w *Writer) transact(ctx context.Context, batch []operation) {
 	ctx, cancel := context.WithTimeout(ctx, tryTimeout)
 	defer cancel()
 	result, err := w.table.Transact(ctx, transactionOf(batch))
 	if err == nil && !result.Committed && len(result.Conflicts) == 0 {
 		err = Error.New("the table refused a transaction without naming a conflict")
 	}
-	w.landings <- landed{batch: batch, result: result, err: err}
+	w.results <- transactDone{batch: batch, result: result, err: err}
 }
 
 // probe reads a row that does not exist, which costs the table no write.
@@ -229,38 +229,38 @@
 	w.logger.Warn("claims table reachability changed", eventcode.ClaimsReachability.Attr(), "reachable", !unreachable, "error", err)
 }
 
-func (w *Writer) land(landing landed) {
+func (w *Writer) applyResult(done transactDone) {
 	switch {
-	case landing.err != nil:
-		w.fail(landing)
-	case landing.result.Committed:
+	case done.err != nil:
+		w.fail(done)
+	case done.result.Committed:
 		w.failures = 0
-		for i, next := range landing.batch {
-			w.settle(next, resolution{verdict: Verdict{Held: true, Version: versionOf(landing, i)}, recorded: true})
+		for i, next := range done.batch {
+			w.settle(next, resolution{verdict: Verdict{Held: true, Version: versionOf(done, i)}, recorded: true})
 		}
 	default:
 		w.failures = 0
-		w.settleConflicts(landing)
+		w.settleConflicts(done)
 	}
 }
 
-func versionOf(landing landed, i int) platform.RowVersion {
-	if i < len(landing.result.Versions) {
-		return landing.result.Versions[i]
+func versionOf(done transactDone, i int) platform.RowVersion {
+	if i < len(done.result.Versions) {
+		return done.result.Versions[i]
 	}
-	return landing.batch[i].expect + 1
+	return done.batch[i].expect + 1
 }
 
 // settleConflicts answers the operations whose conditions failed. The others
 // did not take effect either; they go into the next transaction.
-func (w *Writer) settleConflicts(landing landed) {
-	rows := make(map[string]platform.Row, len(landing.result.Conflicts))
-	for _, row := range landing.result.Conflicts {
+func (w *Writer) settleConflicts(done transactDone) {
+	rows := make(map[string]platform.Row, len(done.result.Conflicts))
+	for _, row := range done.result.Conflicts {
 		rows[row.Key] = row
 	}
 	now := w.clock.Now()
 	var again []operation
-	for _, next := range landing.batch {
+	for _, next := range done.batch {
 		row, conflicts := rows[next.row]
 		if !conflicts {
 			again = append(again, next)
@@ -293,15 +293,15 @@
 
 // fail keeps the operations of a transaction without an answer for the next
 // one. Claims whose time is over are given up.
-func (w *Writer) fail(landing landed) {
+func (w *Writer) fail(done transactDone) {
 	w.failures++
 	w.count("lentilpoint_claim_transactions_failed_total", "no_answer")
 	if w.readBack == ReadBackNever {
-		w.assumeHeld(landing.batch)
+		w.assumeHeld(done.batch)
 		return
 	}
 	w.suspect = true
-	w.prepend(w.expire(landing.batch, w.clock.Now()))
+	w.prepend(w.expire(done.batch, w.clock.Now()))
 }
 
 // expire gives up the claims whose time is over and returns the other
--- a/entryhost/requests/fx.go
+++ b/entryhost/requests/fx.go
@@ -9,7 +9,7 @@
 	"github.com/lentilpoint/lentilpoint/task"
 )
 
-// Module provides the manager of request tasks, the claim writer and the book
+// Module provides the manager of request tasks, the claim writer and the registry
 // of tickets.
 var Module = fx.Module("requests",
 	claims.Module,
--- a/entryhost/requests/keyed.go
+++ b/entryhost/requests/keyed.go
@@ -67,7 +67,7 @@
 		c.finish(ctx, store, stateAfter(fault), nil)
 		return Answer{Fault: fault}
 	}
-	return c.keep(ctx, store, head)
+	return c.recordAnswer(ctx, store, head)
 }
 
 // acquire waits for the verdict also after the caller is gone, because a key
@@ -86,9 +86,9 @@
 	return Answer{Fault: fault}
 }
 
-// keep reads the answer up to the size of a record, records the outcome and
+// recordAnswer reads the answer up to the size of a record, records the outcome and
 // returns the answer.
-func (c *callTask) keep(ctx context.Context, store keyStore, head backends.ExchangeHead) Answer {
+func (c *callTask) recordAnswer(ctx context.Context, store keyStore, head backends.ExchangeHead) Answer {
 	limit := max(c.start.Call.Deadline.Sub(c.clock.Now()), leastBodyTime)
 	timer := c.clock.AfterFunc(limit, func() { _ = head.Body.Close() })
 	content, err := io.ReadAll(io.LimitReader(head.Body, claims.MaxAnswerBytes+1))
--- a/entryhost/requests/ticket.go
+++ b/entryhost/requests/ticket.go
@@ -35,8 +35,8 @@
 	case ticket.Incarnation != identity.Incarnation:
 		return c.refuse(tickets.HostGone(ticket.Host, "it was restarted"))
 	}
-	return c.serveHeld(ctx, &bookStore{
-		book: c.parts.Book, ticket: ticket, bodyHash: c.bodyHash(), until: c.start.Call.Deadline.Add(endGrace),
+	return c.serveHeld(ctx, &ticketStore{
+		registry: c.parts.Tickets, ticket: ticket, bodyHash: c.bodyHash(), until: c.start.Call.Deadline.Add(endGrace),
 	})
 }
 
@@ -70,22 +70,22 @@
 	}}
 }
 
-// bookStore keeps a ticket in the memory of this incarnation.
-type bookStore struct {
-	book     task.Mailbox[tickets.Message]
+// ticketStore keeps a ticket in the memory of this incarnation.
+type ticketStore struct {
+	registry task.Mailbox[tickets.Message]
 	ticket   tickets.Ticket
 	bodyHash string
 	until    time.Time
 }
 
-func (s *bookStore) acquire(ctx context.Context) (claims.Verdict, error) {
-	return task.Call(ctx, s.book, func(reply task.Reply[claims.Verdict]) tickets.Message {
+func (s *ticketStore) acquire(ctx context.Context) (claims.Verdict, error) {
+	return task.Call(ctx, s.registry, func(reply task.Reply[claims.Verdict]) tickets.Message {
 		return tickets.Redeem{Ticket: s.ticket, BodyHash: s.bodyHash, Until: s.until, Reply: reply}
 	})
 }
 
-func (s *bookStore) finish(ctx context.Context, state claims.State, answer *claims.Answer) (bool, error) {
-	return task.Call(ctx, s.book, func(reply task.Reply[bool]) tickets.Message {
+func (s *ticketStore) finish(ctx context.Context, state claims.State, answer *claims.Answer) (bool, error) {
+	return task.Call(ctx, s.registry, func(reply task.Reply[bool]) tickets.Message {
 		return tickets.Finish{ID: s.ticket.ID, State: state, Answer: answer, Reply: reply}
 	})
 }
--- a/entryhost/requests/tickets/doc.go
+++ b/entryhost/requests/tickets/doc.go
@@ -1,6 +1,6 @@
 // Package tickets issues and redeems idempotency keys without the platform. A
 // ticket names the entry host and incarnation that issued it; only that
-// incarnation executes it, and remembers its outcome in the memory of the book
+// incarnation executes it, and remembers its outcome in the memory of the registry
 // task until the ticket expires.
 //
 // A ticket saves both row writes of a claimed call. At the target size 25,000
--- a/entryhost/requests/tickets/fx.go
+++ b/entryhost/requests/tickets/fx.go
@@ -8,10 +8,10 @@
 	"github.com/lentilpoint/lentilpoint/task"
 )
 
-// Module provides the issuer and the book of redeemed tickets.
+// Module provides the issuer and the registry of redeemed tickets.
 var Module = fx.Module("tickets",
-	fx.Provide(NewBook, (*Book).Messages, provideIssuer),
-	task.AsChild[*Book](),
+	fx.Provide(NewRegistry, (*Registry).Messages, provideIssuer),
+	task.AsChild[*Registry](),
 )
 
 func provideIssuer(identity claims.Identity, values settings.Settings) Issuer {
--- a/entryhost/requests/tickets/messages.go
+++ b/entryhost/requests/tickets/messages.go
@@ -24,7 +24,7 @@
 	Expires int64 `json:"e"`
 }
 
-// Redeem asks the book for the one dispatch of a ticket's call.
+// Redeem asks the registry for the one dispatch of a ticket's call.
 type Redeem struct {
 	Ticket   Ticket
 	BodyHash string
@@ -33,7 +33,7 @@
 	Reply task.Reply[claims.Verdict]
 }
 
-// Finish tells the book the outcome of a ticket's call.
+// Finish tells the registry the outcome of a ticket's call.
 type Finish struct {
 	ID     string
 	State  claims.State
@@ -41,7 +41,7 @@
 	Reply  task.Reply[bool]
 }
 
-// Message is a message to the book.
+// Message is a message to the registry.
 type Message interface{ ticketsMessage() }
 
 func (Redeem) ticketsMessage() {}
--- a/entryhost/requests/tickets/policy.go
+++ b/entryhost/requests/tickets/policy.go
@@ -20,8 +20,8 @@
 	sweepInterval = 10 * time.Second
 )
 
-// book holds the redeemed tickets of one incarnation.
-type book struct {
+// registry holds the redeemed tickets of one incarnation.
+type registry struct {
 	entries map[string]entry
 	bytes   int
 	// floor is the latest expiry of a removed entry. A ticket up to it is not
@@ -35,73 +35,73 @@
 	record  claims.Record
 }
 
-func newBook() *book { return &book{entries: make(map[string]entry)} }
+func newRegistry() *registry { return &registry{entries: make(map[string]entry)} }
 
 // redeem decides about a request with a ticket of this incarnation.
-func (b *book) redeem(ticket Ticket, bodyHash string, until, now time.Time) claims.Verdict {
-	b.sweep(now)
-	held, found := b.entries[ticket.ID]
+func (r *registry) redeem(ticket Ticket, bodyHash string, until, now time.Time) claims.Verdict {
+	r.sweep(now)
+	held, found := r.entries[ticket.ID]
 	if found && held.record.BodyHash == bodyHash && held.record.State == claims.StateReleased {
-		return b.hold(ticket, bodyHash, until, now)
+		return r.hold(ticket, bodyHash, until, now)
 	}
 	if found {
 		return claims.Judge(held.record, bodyHash, now)
 	}
-	return b.hold(ticket, bodyHash, until, now)
+	return r.hold(ticket, bodyHash, until, now)
 }
 
-// hold allows the dispatch if the ticket may not have run before and the book
+// hold allows the dispatch if the ticket may not have run before and the registry
 // has room to remember it.
-func (b *book) hold(ticket Ticket, bodyHash string, until, now time.Time) claims.Verdict {
-	_, found := b.entries[ticket.ID]
+func (r *registry) hold(ticket Ticket, bodyHash string, until, now time.Time) claims.Verdict {
+	_, found := r.entries[ticket.ID]
 	switch {
-	case ticket.Expires <= b.floor:
+	case ticket.Expires <= r.floor:
 		return claims.Verdict{Fault: invalid(model.ExecutedUnknown, "the ticket has expired and its outcome is no longer kept")}
 	case ticket.Expires <= now.UnixMilli():
 		return claims.Verdict{Fault: invalid(model.ExecutedNo, "the ticket expired before it was redeemed")}
-	case !found && len(b.entries) >= maxEntries:
+	case !found && len(r.entries) >= maxEntries:
 		return claims.Verdict{Fault: model.NotRun(model.KindOverloaded, model.ReasonQueueFull,
 			"this entry host remembers too many tickets", "get a ticket from another entry host").After(time.Second)}
 	}
-	b.entries[ticket.ID] = entry{expires: ticket.Expires, record: claims.Record{
+	r.entries[ticket.ID] = entry{expires: ticket.Expires, record: claims.Record{
 		ID: ticket.ID, BodyHash: bodyHash, State: claims.StateClaimed, Until: until,
 	}}
 	return claims.Verdict{Held: true}
 }
 
 // finish keeps the outcome of a redeemed ticket.
-func (b *book) finish(id string, state claims.State, answer *claims.Answer) bool {
-	held, found := b.entries[id]
+func (r *registry) finish(id string, state claims.State, answer *claims.Answer) bool {
+	held, found := r.entries[id]
 	if !found || held.record.State != claims.StateClaimed {
 		return false
 	}
 	held.record.State = state
-	if answer != nil && b.bytes+len(answer.Body) > maxAnswerBytes {
+	if answer != nil && r.bytes+len(answer.Body) > maxAnswerBytes {
 		answer = &claims.Answer{Status: answer.Status, Header: answer.Header, BodyOmitted: true}
 	}
 	if answer != nil {
-		b.bytes += len(answer.Body)
+		r.bytes += len(answer.Body)
 	}
 	held.record.Answer = answer
-	b.entries[id] = held
+	r.entries[id] = held
 	return true
 }
 
 // sweep removes expired entries whose calls have ended.
-func (b *book) sweep(now time.Time) {
-	if now.Sub(b.lastSweep) < sweepInterval {
+func (r *registry) sweep(now time.Time) {
+	if now.Sub(r.lastSweep) < sweepInterval {
 		return
 	}
-	b.lastSweep = now
-	for id, held := range b.entries {
+	r.lastSweep = now
+	for id, held := range r.entries {
 		if held.expires > now.UnixMilli() || held.record.State == claims.StateClaimed {
 			continue
 		}
 		if held.record.Answer != nil {
-			b.bytes -= len(held.record.Answer.Body)
+			r.bytes -= len(held.record.Answer.Body)
 		}
-		b.floor = max(b.floor, held.expires)
-		delete(b.entries, id)
+		r.floor = max(r.floor, held.expires)
+		delete(r.entries, id)
 	}
 }
 
--- a/entryhost/requests/tickets/tickets_test.go
+++ b/entryhost/requests/tickets/tickets_test.go
@@ -45,50 +45,50 @@
 	})
 
 	It("are executed once and repeat the answer", func() {
-		book, ticket := newBook(), fresh()
-		Expect(book.redeem(ticket, "h", until, now).Held).To(BeTrue())
-		Expect(book.redeem(ticket, "h", until, now).Fault.Reason).To(Equal(model.ReasonKeyInProgress))
-		Expect(book.finish(ticket.ID, claims.StateDone, &claims.Answer{Status: 200})).To(BeTrue())
-		Expect(book.redeem(ticket, "h", until, now).Answer.Status).To(Equal(200))
-		Expect(book.redeem(ticket, "other", until, now).Fault.Reason).To(Equal(model.ReasonKeyReused))
+		registry, ticket := newRegistry(), fresh()
+		Expect(registry.redeem(ticket, "h", until, now).Held).To(BeTrue())
+		Expect(registry.redeem(ticket, "h", until, now).Fault.Reason).To(Equal(model.ReasonKeyInProgress))
+		Expect(registry.finish(ticket.ID, claims.StateDone, &claims.Answer{Status: 200})).To(BeTrue())
+		Expect(registry.redeem(ticket, "h", until, now).Answer.Status).To(Equal(200))
+		Expect(registry.redeem(ticket, "other", until, now).Fault.Reason).To(Equal(model.ReasonKeyReused))
 	})
 
 	It("may run again only after a call that reached no server", func() {
-		book, ticket := newBook(), fresh()
-		Expect(book.redeem(ticket, "h", until, now).Held).To(BeTrue())
-		Expect(book.finish(ticket.ID, claims.StateReleased, nil)).To(BeTrue())
-		Expect(book.redeem(ticket, "h", until, now).Held).To(BeTrue())
-		Expect(book.finish(ticket.ID, claims.StateUnknown, nil)).To(BeTrue())
-		Expect(book.redeem(ticket, "h", until, now).Fault.Executed).To(Equal(model.ExecutedUnknown))
+		registry, ticket := newRegistry(), fresh()
+		Expect(registry.redeem(ticket, "h", until, now).Held).To(BeTrue())
+		Expect(registry.finish(ticket.ID, claims.StateReleased, nil)).To(BeTrue())
+		Expect(registry.redeem(ticket, "h", until, now).Held).To(BeTrue())
+		Expect(registry.finish(ticket.ID, claims.StateUnknown, nil)).To(BeTrue())
+		Expect(registry.redeem(ticket, "h", until, now).Fault.Executed).To(Equal(model.ExecutedUnknown))
 	})
 
 	It("do not run a second time when the clock is set back after they were forgotten", func() {
-		book, ticket := newBook(), fresh()
-		book.redeem(ticket, "h", until, now)
-		book.finish(ticket.ID, claims.StateDone, &claims.Answer{Status: 200})
-		book.sweep(now.Add(Lifetime + time.Minute))
-		Expect(book.entries).To(BeEmpty())
-		verdict := book.redeem(ticket, "h", until, now)
+		registry, ticket := newRegistry(), fresh()
+		registry.redeem(ticket, "h", until, now)
+		registry.finish(ticket.ID, claims.StateDone, &claims.Answer{Status: 200})
+		registry.sweep(now.Add(Lifetime + time.Minute))
+		Expect(registry.entries).To(BeEmpty())
+		verdict := registry.redeem(ticket, "h", until, now)
 		Expect(verdict.Held).To(BeFalse())
 		Expect(verdict.Fault.Executed).To(Equal(model.ExecutedUnknown))
 	})
 
-	It("are refused as not run when the book is full, instead of forgetting an outcome", func() {
-		book := newBook()
+	It("are refused as not run when the registry is full, instead of forgetting an outcome", func() {
+		registry := newRegistry()
 		for i := range maxEntries {
-			book.entries[string(rune(i))+"x"] = entry{expires: until.UnixMilli()}
+			registry.entries[string(rune(i))+"x"] = entry{expires: until.UnixMilli()}
 		}
-		fault := book.redeem(fresh(), "h", until, now).Fault
+		fault := registry.redeem(fresh(), "h", until, now).Fault
 		Expect(fault.Reason).To(Equal(model.ReasonQueueFull))
 		Expect(fault.Executed).To(Equal(model.ExecutedNo))
 	})
 
 	It("keep answers within the memory limit and say when one was dropped", func() {
-		book := newBook()
-		book.bytes = maxAnswerBytes
+		registry := newRegistry()
+		registry.bytes = maxAnswerBytes
 		ticket := fresh()
-		book.redeem(ticket, "h", until, now)
-		book.finish(ticket.ID, claims.StateDone, &claims.Answer{Status: 200, Body: []byte("x")})
-		Expect(book.redeem(ticket, "h", until, now).Fault.Executed).To(Equal(model.ExecutedYes))
+		registry.redeem(ticket, "h", until, now)
+		registry.finish(ticket.ID, claims.StateDone, &claims.Answer{Status: 200, Body: []byte("x")})
+		Expect(registry.redeem(ticket, "h", until, now).Fault.Executed).To(Equal(model.ExecutedYes))
 	})
 })
