--- a/entryhost/requests/claims/fx.go
+++ b/entryhost/requests/claims/fx.go
@@ -9,14 +9,15 @@
 	"github.com/lentilpoint/lentilpoint/task"
 )
 
-// Module provides the claim writer and the identity of this entry host.
+// Module provides the claim writer, the sweeper and the identity of this entry host.
 var Module = fx.Module("claims",
 	fx.Provide(
-		NewWriter, (*Writer).Messages, provideIdentity,
+		NewWriter, (*Writer).Messages, NewSweeper, provideIdentity,
 		func() ReadBack { return ReadBackByID },
 		func() BatchLimit { return DefaultBatchLimit },
 	),
 	task.AsChild[*Writer](),
+	task.AsChild[*Sweeper](),
 )
 
 // provideIdentity takes the start time as the incarnation: an entry host keeps
--- a/entryhost/requests/claims/wire.go
+++ b/entryhost/requests/claims/wire.go
@@ -12,10 +12,11 @@
 const RowPrefix = "claims/"
 
 // RowKey returns the row of an organisation's key. The key is hashed, because
-// callers choose it and it may hold any bytes.
+// callers choose it and it may hold any bytes. The hash comes first, so that
+// rows are spread evenly and sweepers can start anywhere.
 func RowKey(organisation model.OrganisationID, key string) string {
-	digest := sha256.Sum256([]byte(key))
-	return RowPrefix + string(organisation) + "/" + hex.EncodeToString(digest[:])
+	digest := sha256.Sum256([]byte(string(organisation) + "\x00" + key))
+	return RowPrefix + hex.EncodeToString(digest[:]) + "/" + string(organisation)
 }
 
 // BodyHash identifies what a call asks for. Each part is preceded by its
