--- a/cmd/lentilpoint-bench/scenario/atmostonce.go
+++ b/cmd/lentilpoint-bench/scenario/atmostonce.go
@@ -33,6 +33,10 @@
 		Name: "order-retries", About: "callers repeat orders with keys while plain servers die before and after execution",
 		Baselines: []string{BaselineBlindRetry}, Run: runOrderRetries,
 	},
+	{
+		Name: "order-host-deaths", About: "entry hosts and plain servers die while orders with keys are repeated",
+		Baselines: []string{BaselineBlindRetry}, Run: runOrderHostDeaths,
+	},
 	{
 		Name: "platform-outage", About: "the platform is down while orders are repeated; callers go on with tickets",
 		Baselines: []string{BaselineBlindRetry, BaselineNoReadBack}, Run: runPlatformOutage,
@@ -150,10 +154,28 @@
 		return Report{}, err
 	}
 	defer run.cluster.Stop()
-	tries := run.withFaults(ctx, repeatLoad{count: 120, spread: 1500 * time.Millisecond, twins: 0.3}, run.kills)
+	tries := run.withFaults(ctx, repeatLoad{count: 120, spread: 1500 * time.Millisecond, duplicates: 0.3}, run.kills)
 	return run.report(tries), nil
 }
 
+// runOrderHostDeaths kills two entry hosts, whose claims stay behind.
+func runOrderHostDeaths(ctx context.Context, parameters Parameters) (Report, error) {
+	run, err := startRepeats(ctx, parameters, 35, nil)
+	if err != nil {
+		return Report{}, err
+	}
+	defer run.cluster.Stop()
+	deaths := func(ctx context.Context, random *rand.Rand) {
+		for _, host := range random.Perm(len(run.cluster.Hosts))[:2] {
+			sleep(ctx, time.Duration(200+random.IntN(400))*time.Millisecond)
+			parameters.progress("killing entry host %d", host)
+			_ = run.cluster.Hosts[host].Kill()
+		}
+	}
+	load := repeatLoad{count: 120, spread: 1500 * time.Millisecond, duplicates: 0.3}
+	return run.report(run.withFaults(ctx, load, run.kills, deaths)), nil
+}
+
 func runPlatformOutage(ctx context.Context, parameters Parameters) (Report, error) {
 	run, err := startRepeats(ctx, parameters, 31, nil)
 	if err != nil {
@@ -166,7 +188,7 @@
 		sleep(ctx, time.Second)
 		run.cluster.Platform.SetFaults(standin.PlatformFaults{})
 	}
-	load := repeatLoad{count: 120, spread: 1500 * time.Millisecond, twins: 0.2, tickets: true}
+	load := repeatLoad{count: 120, spread: 1500 * time.Millisecond, duplicates: 0.2, tickets: true}
 	return run.report(run.withFaults(ctx, load, outage, run.kills)), nil
 }
 
@@ -177,7 +199,7 @@
 	}
 	defer run.cluster.Stop()
 	run.cluster.Platform.SetFaults(standin.PlatformFaults{LoseAnswers: 0.3, LoseRequests: 0.15})
-	load := repeatLoad{count: 120, spread: 1500 * time.Millisecond, twins: 0.3}
+	load := repeatLoad{count: 120, spread: 1500 * time.Millisecond, duplicates: 0.3}
 	return run.report(run.withFaults(ctx, load, run.kills)), nil
 }
 
@@ -206,6 +228,6 @@
 		sleep(ctx, 1500*time.Millisecond)
 		relay.Partition(false)
 	}
-	load := repeatLoad{count: 120, spread: 1500 * time.Millisecond, twins: 0.3, tickets: true}
+	load := repeatLoad{count: 120, spread: 1500 * time.Millisecond, duplicates: 0.3, tickets: true}
 	return run.report(run.withFaults(ctx, load, partition, run.kills)), nil
 }
--- a/entryhost/requests/call_test.go
+++ b/entryhost/requests/call_test.go
@@ -50,17 +50,17 @@
 		finished:   task.NewMailbox[admission.Message](64),
 		issuer:     tickets.NewIssuer(claims.Identity{Host: id, Incarnation: 1}, "secret"),
 	}
-	book := tickets.NewBook(clock)
+	registry := tickets.NewRegistry(clock)
 	set := metrics.NewSet()
 	host.manager = NewManager(Parameters{
 		Dispatches: host.dispatches, Recovery: RecoveryContinue, Recorder: events.Discard, Metrics: set, Clock: clock,
 		Logger: slog.New(slog.NewTextHandler(io.Discard, nil)),
 		Calls: CallParts{
-			Policy: CallAtMostOnce, Claims: task.NewMailbox[claims.Message](16), Book: book.Messages(), Issuer: host.issuer,
+			Policy: CallAtMostOnce, Claims: task.NewMailbox[claims.Message](16), Tickets: registry.Messages(), Issuer: host.issuer,
 			Peers: host.peers, Recorder: events.Discard, Metrics: set,
 		},
 	})
-	go func() { _ = book.Serve(ctx) }()
+	go func() { _ = registry.Serve(ctx) }()
 	go func() { _ = host.manager.Serve(ctx) }()
 	go host.assign(ctx, assignments)
 	return host
@@ -183,6 +183,32 @@
 	})
 })
 
+var _ = Describe("the body of an answer", func() {
+	It("ends with an error when its connection is silent, instead of holding the caller for good", func() {
+		clock := clockwork.NewFakeClock()
+		ctx, cancel := context.WithCancelCause(context.Background())
+		reported := make(chan struct{}, 1)
+		body := &watchedBody{
+			ReadCloser: io.NopCloser(blockedReader{ctx}), clock: clock, deadline: clock.Now(), cancel: cancel,
+			silent: func() { reported <- struct{}{} },
+		}
+		failures := make(chan error, 1)
+		go func() { _, err := body.Read(make([]byte, 1)); failures <- err }()
+		Expect(clock.BlockUntilContext(context.Background(), 1)).To(Succeed())
+		clock.Advance(leastBodySilence)
+		Eventually(failures).Should(Receive(MatchError(errBodySilent)))
+		Expect(reported).To(Receive())
+	})
+})
+
+// blockedReader waits until its context ends, as a silent connection does.
+type blockedReader struct{ ctx context.Context }
+
+func (r blockedReader) Read([]byte) (int, error) {
+	<-r.ctx.Done()
+	return 0, context.Cause(r.ctx)
+}
+
 var _ = Describe("a call with a ticket", func() {
 	It("is executed once by the issuing incarnation and repeats its answer", func() {
 		host := startTestHost("entry-0", 5)
