--- a/entryhost/requests/recovery_test.go
+++ b/entryhost/requests/recovery_test.go
@@ -121,25 +121,32 @@
 	nextID     admission.DispatchID
 }
 
-func startHarness(generation Generation) *harness {
-	h := &harness{
-		clock:      clockwork.NewFakeClock(),
+func newHarness(clock *clockwork.FakeClock) *harness {
+	return &harness{
+		clock:      clock,
 		dispatches: task.NewMailbox[admission.Dispatch](16),
 		commands:   task.NewMailbox[backends.Command](16),
 		finished:   task.NewMailbox[admission.Message](16),
 		updates:    make(chan Update, 64),
 	}
-	ctx, cancel := context.WithCancel(context.Background())
-	DeferCleanup(cancel)
-	generation.Deadline = time.Now().Add(time.Minute)
-	generation.Body.MaxTokens = 10
-	g := &generationTask{
+}
+
+func (h *harness) task(ctx context.Context, generation Generation) *generationTask {
+	return &generationTask{
 		start:      StartGeneration{Context: ctx, Generation: generation, Updates: h.updates},
 		dispatches: h.dispatches, servers: task.NewMailbox[backends.FindServer](1), recovery: RecoveryContinue,
 		clock: h.clock, recorder: events.Discard, metrics: metrics.NewSet(),
 		logger: slog.New(slog.NewTextHandler(io.Discard, nil)),
 	}
-	go g.run()
+}
+
+func startHarness(generation Generation) *harness {
+	h := newHarness(clockwork.NewFakeClock())
+	ctx, cancel := context.WithCancel(context.Background())
+	DeferCleanup(cancel)
+	generation.Deadline = time.Now().Add(time.Minute)
+	generation.Body.MaxTokens = 10
+	go h.task(ctx, generation).run()
 	return h
 }
 
