Go on with an open second attempt when no further one may start

Cause: the loss of the leading attempt ended the generation when the limit of attempts was reached, although a second attempt was open (found by reading). Change: a pure decision promotes or awaits the second attempt first. Result: go test ./entryhost/requests ./cmd/lentilpoint-bench/cluster pass.

--- a/entryhost/requests/attempts.go
+++ b/entryhost/requests/attempts.go
@@ -223,18 +223,19 @@
 		return nil
 	}
 	g.current = nil
-	switch {
-	case !decision.Retry:
-		return decision.Fault
-	case g.recovery == RecoveryNone:
-		return attemptsSpent(g.failures, failure)
-	case g.second != nil:
+	switch decideLoss(decision.Retry && g.recovery != RecoveryNone, g.second != nil, g.pending != nil) {
+	case LossPromote:
 		g.promote()
 		g.arm(g.clock.Now())
 		return nil
-	case g.pending != nil:
+	case LossWait:
 		g.arm(g.clock.Now())
 		return nil
+	case LossEnd:
+		if decision.Fault != nil {
+			return decision.Fault
+		}
+		return attemptsSpent(g.failures, failure)
 	}
 	if g.complete() {
 		g.ledger.Finish(finishLength)
--- a/entryhost/requests/recovery.go
+++ b/entryhost/requests/recovery.go
@@ -41,6 +41,36 @@
 	return StepDispatch
 }
 
+// LossStep says what follows the loss of the leading attempt.
+type LossStep int
+
+// The steps that follow a loss.
+const (
+	// LossDispatch starts another attempt.
+	LossDispatch LossStep = iota
+	// LossPromote goes on with the second attempt.
+	LossPromote
+	// LossWait goes on with the second attempt once it has a server.
+	LossWait
+	// LossEnd ends the generation with an error.
+	LossEnd
+)
+
+// decideLoss goes on with a second attempt that is under way, even when no
+// further one may be started.
+func decideLoss(retry, secondOpen, secondPending bool) LossStep {
+	switch {
+	case secondOpen:
+		return LossPromote
+	case secondPending:
+		return LossWait
+	case !retry:
+		return LossEnd
+	default:
+		return LossDispatch
+	}
+}
+
 // SilenceStep says what follows from the silence of an attempt.
 type SilenceStep int
 
--- a/entryhost/requests/recovery_test.go
+++ b/entryhost/requests/recovery_test.go
@@ -110,6 +110,16 @@
 	Entry("gives up", 600*time.Millisecond, false, false, SilenceGiveUp),
 )
 
+var _ = DescribeTable("the step after the loss of the leading attempt",
+	func(retry, second, pending bool, expected LossStep) {
+		Expect(decideLoss(retry, second, pending)).To(Equal(expected))
+	},
+	Entry("does not end an answer whose second attempt is open", false, true, false, LossPromote),
+	Entry("does not end an answer whose second attempt waits for a server", false, false, true, LossWait),
+	Entry("ends an answer without attempts left", false, false, false, LossEnd),
+	Entry("starts another attempt", true, false, false, LossDispatch),
+)
+
 // harness runs one generation task against mailboxes in place of dispatcher
 // and server, with a fake clock.
 type harness struct {
