--- a/entryhost/requests/recovery_test.go
+++ b/entryhost/requests/recovery_test.go
@@ -110,6 +110,16 @@
 	Entry("gives up", 600*time.Millisecond, false, false, SilenceGiveUp),
 )
 
+var _ = DescribeTable("the step after the loss of the leading attempt",
+	func(retry, second, pending bool, expected LossStep) {
+		Expect(decideLoss(retry, second, pending)).To(Equal(expected))
+	},
+	Entry("does not end an answer whose second attempt is open", false, true, false, LossPromote),
+	Entry("does not end an answer whose second attempt waits for a server", false, false, true, LossWait),
+	Entry("ends an answer without attempts left", false, false, false, LossEnd),
+	Entry("starts another attempt", true, false, false, LossDispatch),
+)
+
 // harness runs one generation task against mailboxes in place of dispatcher
 // and server, with a fake clock.
 type harness struct {
@@ -121,25 +131,32 @@
 	nextID     admission.DispatchID
 }
 
-func startHarness(generation Generation) *harness {
-	h := &harness{
-		clock:      clockwork.NewFakeClock(),
+func newHarness(clock *clockwork.FakeClock) *harness {
+	return &harness{
+		clock:      clock,
 		dispatches: task.NewMailbox[admission.Dispatch](16),
 		commands:   task.NewMailbox[backends.Command](16),
 		finished:   task.NewMailbox[admission.Message](16),
 		updates:    make(chan Update, 64),
 	}
-	ctx, cancel := context.WithCancel(context.Background())
-	DeferCleanup(cancel)
-	generation.Deadline = time.Now().Add(time.Minute)
-	generation.Body.MaxTokens = 10
-	g := &generationTask{
+}
+
+func (h *harness) task(ctx context.Context, generation Generation) *generationTask {
+	return &generationTask{
 		start:      StartGeneration{Context: ctx, Generation: generation, Updates: h.updates},
 		dispatches: h.dispatches, servers: task.NewMailbox[backends.FindServer](1), recovery: RecoveryContinue,
 		clock: h.clock, recorder: events.Discard, metrics: metrics.NewSet(),
 		logger: slog.New(slog.NewTextHandler(io.Discard, nil)),
 	}
-	go g.run()
+}
+
+func startHarness(generation Generation) *harness {
+	h := newHarness(clockwork.NewFakeClock())
+	ctx, cancel := context.WithCancel(context.Background())
+	DeferCleanup(cancel)
+	generation.Deadline = time.Now().Add(time.Minute)
+	generation.Body.MaxTokens = 10
+	go h.task(ctx, generation).run()
 	return h
 }
 
