--- a/cmd/lentilpoint-bench/cluster/client.go
+++ b/cmd/lentilpoint-bench/cluster/client.go
@@ -40,11 +40,25 @@
 	ReturnTokenIDs bool                 `json:"return_token_ids"`
 }
 
+// MarshalJSON sends the prompt as token ids if there are any.
+func (r GenerationRequest) MarshalJSON() ([]byte, error) {
+	type plain GenerationRequest
+	if len(r.PromptTokens) == 0 {
+		return json.Marshal(plain(r))
+	}
+	return json.Marshal(struct {
+		plain
+		Prompt []enginewire.TokenID `json:"prompt"`
+	}{plain: plain(r), Prompt: r.PromptTokens})
+}
+
 // Stream is what a caller received of one streamed generation.
 type Stream struct {
 	Tokens   []enginewire.TokenID
 	Arrivals []time.Time
 	Sent     time.Time
+	// Ended is when the answer ended or its refusal was read.
+	Ended    time.Time
 	Finished bool
 	// LastEventID is the id of the last event received.
 	LastEventID string
@@ -66,6 +80,12 @@
 // Generate sends a streamed generation and reads it to its end. A lastEventID
 // that is not empty continues an earlier stream.
 func (c *Client) Generate(ctx context.Context, base string, body GenerationRequest, lastEventID string) Stream {
+	stream := c.generate(ctx, base, body, lastEventID)
+	stream.Ended = time.Now()
+	return stream
+}
+
+func (c *Client) generate(ctx context.Context, base string, body GenerationRequest, lastEventID string) Stream {
 	body.Stream = true
 	body.ReturnTokenIDs = true
 	stream := Stream{Sent: time.Now()}
--- a/cmd/lentilpoint-bench/scenario/load.go
+++ b/cmd/lentilpoint-bench/scenario/load.go
@@ -77,7 +77,11 @@
 
 // expected returns the tokens of an undisturbed generation.
 func (r generationResult) expected(version string) []enginewire.TokenID {
-	return standin.Expected(standin.Tokenize(r.plan.body.Prompt), r.plan.body.Seed, version, r.plan.body.MaxTokens)
+	prompt := r.plan.body.PromptTokens
+	if len(prompt) == 0 {
+		prompt = standin.Tokenize(r.plan.body.Prompt)
+	}
+	return standin.Expected(prompt, r.plan.body.Seed, version, r.plan.body.MaxTokens)
 }
 
 // runGenerations sends the planned generations at their times and waits for all.
--- /dev/null
+++ b/cmd/lentilpoint-bench/scenario/overload.go
@@ -0,0 +1,336 @@
+package scenario
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"go.uber.org/fx"
+
+	"github.com/lentilpoint/lentilpoint/cmd/lentilpoint-bench/check"
+	"github.com/lentilpoint/lentilpoint/cmd/lentilpoint-bench/cluster"
+	"github.com/lentilpoint/lentilpoint/enginewire"
+	"github.com/lentilpoint/lentilpoint/model"
+)
+
+const (
+	// overloadDeadline is the deadline of each generation of these experiments.
+	overloadDeadline = 2 * time.Second
+	// overloadTokens bounds a generation; the mean is three quarters of it.
+	overloadTokens = 120
+	overloadTime   = 6 * time.Second
+	overloadWarmUp = 1500 * time.Millisecond
+)
+
+// startSmallCluster starts two engines of small capacity behind two entry hosts,
+// so that few connections are enough to overload them.
+func startSmallCluster(ctx context.Context, parameters Parameters, organisations []model.Organisation) (*cluster.Cluster, error) {
+	engine := cluster.DefaultEngine()
+	engine.Capacity = smallCapacity
+	engine.TokenInterval = admissionTokenInterval
+	// A cancelled generation frees its slot at once, as the callers of these
+	// experiments never resume a stream at the engine.
+	engine.ResumeGrace = 0
+	return cluster.Start(ctx, cluster.Options{
+		Seed: parameters.Seed, EntryHosts: 2, Engines: 2, Engine: engine, Organisations: organisations,
+		Service:     func(service *model.Service) { service.DefaultDeadline = overloadDeadline },
+		HostOptions: append(admissionOptions(parameters.Policy), fx.Options(startRelay(ctx))),
+	})
+}
+
+// smallClusterRate is the number of mean generations a second that the small
+// cluster can serve.
+func smallClusterRate() float64 {
+	const meanTokens = overloadTokens * 3 / 4
+	return 2 * smallCapacity / (meanTokens * admissionTokenInterval.Seconds())
+}
+
+// window measures what the engines offered between two times.
+type window struct {
+	from, to time.Time
+	offered  int
+}
+
+// measureWindow reads the engines' steps after the warm-up and at the end.
+func measureWindow(c *cluster.Cluster) window {
+	steps := func() (time.Time, int) {
+		sum := 0
+		for _, engine := range c.Engines {
+			sum += engine.Steps()
+		}
+		return time.Now(), sum
+	}
+	time.Sleep(overloadWarmUp)
+	from, before := steps()
+	time.Sleep(overloadTime - overloadWarmUp)
+	to, after := steps()
+	return window{from: from, to: to, offered: (after - before) * smallCapacity}
+}
+
+// useful counts the tokens of finished generations that arrived in the window.
+func (w window) useful(stream cluster.Stream) int {
+	if !stream.Finished {
+		return 0
+	}
+	count := 0
+	for _, at := range stream.Arrivals {
+		if at.After(w.from) && !at.After(w.to) {
+			count++
+		}
+	}
+	return count
+}
+
+func runWindow(ctx context.Context, c *cluster.Cluster, planned []plannedGeneration) ([]generationResult, window) {
+	measured := make(chan window, 1)
+	go func() { measured <- measureWindow(c) }()
+	results := runGenerations(ctx, c, planned)
+	return results, <-measured
+}
+
+func runOverload(ctx context.Context, parameters Parameters) (Report, error) {
+	random := rand.New(rand.NewPCG(parameters.Seed, 21))
+	c, err := startSmallCluster(ctx, parameters, nil)
+	if err != nil {
+		return Report{}, err
+	}
+	defer c.Stop()
+	load := generationLoad{
+		count: int(3 * smallClusterRate() * overloadTime.Seconds()), tokens: overloadTokens, promptWords: 10,
+		spread: overloadTime, organisations: twoOrganisations,
+	}
+	results, measured := runWindow(ctx, c, load.plan(random))
+	violations := tokenViolations(results, cluster.VersionOne, check.Tokens)
+	useful, finished, cut, late := 0, 0, 0, 0
+	var delays, waits []time.Duration
+	for _, result := range results {
+		useful += measured.useful(result.stream)
+		switch {
+		case result.stream.Finished:
+			finished++
+		case len(result.stream.Tokens) > 0:
+			cut++
+		case result.stream.Fault != nil:
+			delays = append(delays, refusalDelay(result))
+			waits = append(waits, result.stream.Ended.Sub(result.stream.Sent))
+		}
+	}
+	for _, delay := range delays {
+		if delay > refusalBound {
+			late++
+		}
+	}
+	share := float64(useful) / float64(max(measured.offered, 1))
+	if share < minUsefulShare {
+		violations[violationGoodput] = 1
+	}
+	if late > 0 {
+		violations[violationLateRefusal] = late
+	}
+	return Report{Violations: violations, Figures: map[string]float64{
+		"generations":          float64(len(results)),
+		"generations_finished": float64(finished),
+		"cut_at_deadline":      float64(cut),
+		"refused":              float64(len(delays)),
+		"refused_after_p50_ms": milliseconds(Quantile(waits, 0.5)),
+		"refused_after_p95_ms": milliseconds(Quantile(waits, 0.95)),
+		"useful_share":         share,
+		"refusal_delay_p95_ms": milliseconds(Quantile(delays, 0.95)),
+		"refusal_delay_max_ms": milliseconds(Quantile(delays, 1)),
+	}}, nil
+}
+
+// refusalDelay is the time between the cause of a refusal and its arrival. The
+// cause is the arrival of the request or, for one that waited, the time from
+// which its deadline could not be met even by an engine that is free.
+func refusalDelay(result generationResult) time.Duration {
+	stream := result.stream
+	sinceSent := stream.Ended.Sub(stream.Sent)
+	if sinceSent <= refusalBound {
+		return sinceSent
+	}
+	work := time.Duration(result.plan.body.MaxTokens) * admissionTokenInterval
+	latest := stream.Sent.Add(overloadDeadline - work)
+	return max(stream.Ended.Sub(latest), 0)
+}
+
+func runNoisyOrganisation(ctx context.Context, parameters Parameters) (Report, error) {
+	const count, noisyFactor, quietFactor = 10, 10, 1.5
+	random := rand.New(rand.NewPCG(parameters.Seed, 23))
+	organisations := make([]model.Organisation, count)
+	for i := range organisations {
+		organisations[i] = model.Organisation{ID: model.OrganisationID(fmt.Sprint("organisation-", i)), Weight: 1}
+	}
+	c, err := startSmallCluster(ctx, parameters, organisations)
+	if err != nil {
+		return Report{}, err
+	}
+	defer c.Stop()
+	var planned []plannedGeneration
+	fair := smallClusterRate() / count * overloadTime.Seconds()
+	for i, organisation := range organisations {
+		factor := quietFactor
+		if i == 0 {
+			factor = noisyFactor
+		}
+		load := generationLoad{
+			count: int(factor * fair), tokens: overloadTokens, promptWords: 10,
+			spread: overloadTime, organisations: []model.OrganisationID{organisation.ID},
+		}
+		for _, plan := range load.plan(random) {
+			plan.number = len(planned)
+			if i > 0 {
+				// The noisy organisation spreads over all hosts, the others use one.
+				plan.host = i
+			}
+			planned = append(planned, plan)
+		}
+	}
+	results, measured := runWindow(ctx, c, planned)
+	violations := tokenViolations(results, cluster.VersionOne, check.Tokens)
+	tokens := make(map[model.OrganisationID]float64)
+	for _, result := range results {
+		tokens[result.plan.organisation] += float64(measured.useful(result.stream))
+	}
+	shares := make([]float64, 0, count)
+	for _, organisation := range organisations {
+		shares = append(shares, tokens[organisation.ID])
+	}
+	index := jainIndex(shares)
+	parameters.progress("tokens by organisation: %v", shares)
+	if index < minJainIndex {
+		violations[violationFairness] = 1
+	}
+	return Report{Violations: violations, Figures: map[string]float64{
+		"generations":  float64(len(results)),
+		"jain_index":   index,
+		"noisy_share":  shares[0] / max(sum(shares), 1),
+		"useful_share": sum(shares) / float64(max(measured.offered, 1)),
+	}}, nil
+}
+
+// jainIndex is 1 when all values are equal and 1/n when one has everything.
+func jainIndex(values []float64) float64 {
+	var squares float64
+	for _, value := range values {
+		squares += value * value
+	}
+	if squares == 0 {
+		return 0
+	}
+	total := sum(values)
+	return total * total / (float64(len(values)) * squares)
+}
+
+func sum(values []float64) float64 {
+	var total float64
+	for _, value := range values {
+		total += value
+	}
+	return total
+}
+
+const (
+	prefixGroups  = 12
+	prefixTokens  = 24 * enginewire.PrefixBlockTokens
+	suffixTokens  = enginewire.PrefixBlockTokens
+	routingCount  = 480
+	routingTime   = 4 * time.Second
+	routingTokens = 40
+	// routingWarmUp leaves out the first prompt of each group, which no engine
+	// can have in its cache.
+	routingWarmUp     = 1500 * time.Millisecond
+	routingCache      = 144
+	routingPrefill    = 8
+	routingEngines    = 6
+	routingEntryHosts = 2
+)
+
+// routingFigures are the results of one policy.
+type routingFigures struct {
+	hitRate       float64
+	firstTokenP95 time.Duration
+	violations    check.Violations
+}
+
+func runRouting(ctx context.Context, parameters Parameters) (Report, error) {
+	figures := make(map[string]float64)
+	violations := check.Violations{}
+	measured := make(map[string]routingFigures)
+	for _, policy := range []string{parameters.Policy, BaselineRoundRobin, BaselineRandom} {
+		if _, done := measured[policy]; done {
+			continue
+		}
+		result, err := measureRouting(ctx, parameters.Seed, policy)
+		if err != nil {
+			return Report{}, err
+		}
+		parameters.progress("%s: hit rate %.2f, first token p95 %s", policy, result.hitRate, result.firstTokenP95)
+		measured[policy] = result
+		violations.Add(result.violations)
+		figures["hit_rate_"+policy] = result.hitRate
+		figures["first_token_p95_ms_"+policy] = milliseconds(result.firstTokenP95)
+	}
+	chosen := measured[parameters.Policy]
+	for _, baseline := range []string{BaselineRoundRobin, BaselineRandom} {
+		other := measured[baseline]
+		if chosen.hitRate <= other.hitRate || chosen.firstTokenP95 >= other.firstTokenP95 {
+			violations[violationRouting]++
+		}
+	}
+	return Report{Violations: violations, Figures: figures}, nil
+}
+
+// measureRouting runs prompts of a few groups with a common prefix. The
+// prefixes of all groups do not fit the cache of one engine.
+func measureRouting(ctx context.Context, seed uint64, policy string) (routingFigures, error) {
+	random := rand.New(rand.NewPCG(seed, 24))
+	engine := cluster.DefaultEngine()
+	engine.CacheBlocks = routingCache
+	engine.PrefillRate = routingPrefill
+	c, err := cluster.Start(ctx, cluster.Options{
+		Seed: seed, EntryHosts: routingEntryHosts, Engines: routingEngines, Engine: engine,
+		DataCentres: []model.DataCentre{"jkt"}, HostOptions: admissionOptions(policy),
+	})
+	if err != nil {
+		return routingFigures{}, err
+	}
+	defer c.Stop()
+	load := generationLoad{
+		count: routingCount, tokens: routingTokens, spread: routingTime, organisations: twoOrganisations,
+	}
+	planned := load.plan(random)
+	groups := make([][]enginewire.TokenID, prefixGroups)
+	for i := range groups {
+		groups[i] = randomTokens(random, prefixTokens)
+	}
+	for i := range planned {
+		prefix := groups[random.IntN(prefixGroups)]
+		planned[i].body.PromptTokens = append(prefix[:prefixTokens:prefixTokens], randomTokens(random, suffixTokens)...)
+	}
+	results := runGenerations(ctx, c, planned)
+	figures := routingFigures{violations: tokenViolations(results, cluster.VersionOne, check.Whole)}
+	var first []time.Duration
+	for _, result := range results {
+		if len(result.stream.Arrivals) > 0 && result.plan.delay > routingWarmUp {
+			first = append(first, result.stream.Arrivals[0].Sub(result.stream.Sent))
+		}
+	}
+	figures.firstTokenP95 = Quantile(first, 0.95)
+	prompt, prefilled := 0, 0
+	for _, attempt := range c.Attempts() {
+		prompt += attempt.PromptTokens
+		prefilled += attempt.Prefilled
+	}
+	figures.hitRate = 1 - float64(prefilled)/float64(max(prompt, 1))
+	return figures, nil
+}
+
+func randomTokens(random *rand.Rand, count int) []enginewire.TokenID {
+	tokens := make([]enginewire.TokenID, count)
+	for i := range tokens {
+		tokens[i] = enginewire.TokenID(random.IntN(50_000))
+	}
+	return tokens
+}
--- a/cmd/lentilpoint-bench/scenario/scenario.go
+++ b/cmd/lentilpoint-bench/scenario/scenario.go
@@ -56,7 +56,7 @@
 
 // All returns the scenarios in order of their names.
 func All() []Scenario {
-	all := slices.Concat(requestScenarios, controlScenarios)
+	all := slices.Concat(requestScenarios, controlScenarios, admissionScenarios)
 	slices.SortFunc(all, func(a, b Scenario) int { return cmp.Compare(a.Name, b.Name) })
 	return all
 }
--- a/cmd/lentilpoint-bench/standin/engine.go
+++ b/cmd/lentilpoint-bench/standin/engine.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"net/http"
 	"slices"
 	"strconv"
 	"strings"
@@ -27,6 +28,9 @@
 	CacheBlocks int
 	// ResumeGrace is how long a generation outlives its connection.
 	ResumeGrace time.Duration
+	// RestartAfter starts the engine again this long after a request crashed it;
+	// 0 leaves it dead.
+	RestartAfter time.Duration
 	// ChecksFencing makes the engine refuse orders with an old fencing number.
 	ChecksFencing bool
 	// LoadDelay is the time an order to load a version takes.
@@ -94,6 +98,9 @@
 	pending     []engineMessage
 	slow        float64
 	steps       int
+	draining    bool
+	refused     []time.Time
+	crashes     int
 }
 
 // generation is a stream inside the engine.
@@ -249,7 +256,7 @@
 	}
 	g.skipped--
 	if g.crash && len(g.tokens) >= crashAfterSteps {
-		e.die()
+		e.crash()
 		return
 	}
 	if g.fail && len(g.tokens) >= 1 {
@@ -333,6 +340,15 @@
 	e.cache = newPrefixCache(e.options.CacheBlocks)
 }
 
+// crash is a death caused by a request.
+func (e *Engine) crash() {
+	e.crashes++
+	e.die()
+	if e.options.RestartAfter > 0 {
+		time.AfterFunc(e.options.RestartAfter, e.Revive)
+	}
+}
+
 func (e *Engine) revive() error {
 	if e.endpoint.server != nil {
 		return nil
@@ -345,6 +361,10 @@
 }
 
 func (e *Engine) begin(start startStream) startResult {
+	if e.draining {
+		e.refused = append(e.refused, time.Now())
+		return startResult{err: "the engine is leaving", status: http.StatusServiceUnavailable}
+	}
 	if !slices.Contains(e.versions, start.body.Model) {
 		return startResult{err: "version " + start.body.Model + " is not loaded"}
 	}
--- a/cmd/lentilpoint-bench/standin/engine_http.go
+++ b/cmd/lentilpoint-bench/standin/engine_http.go
@@ -1,6 +1,7 @@
 package standin
 
 import (
+	"cmp"
 	"encoding/json"
 	"net/http"
 	"strconv"
@@ -52,7 +53,7 @@
 		return
 	}
 	if result.err != "" {
-		writeError(w, http.StatusNotFound, result.err)
+		writeError(w, cmp.Or(result.status, http.StatusNotFound), result.err)
 		return
 	}
 	defer func() { _ = e.messages.TrySend(detachStream{stream: result.stream, output: output}) }()
--- a/cmd/lentilpoint-bench/standin/engine_messages.go
+++ b/cmd/lentilpoint-bench/standin/engine_messages.go
@@ -22,6 +22,8 @@
 	stream string
 	prompt []enginewire.TokenID
 	err    string
+	// status is the HTTP status of an error; 0 means not found.
+	status int
 }
 
 type resumeStream struct {
@@ -107,6 +109,31 @@
 // Slow multiplies the time of each token.
 func (e *Engine) Slow(factor float64) { e.do(func(e *Engine) { e.slow = factor }) }
 
+// Drain makes the engine refuse new generations; running ones go on.
+func (e *Engine) Drain() { e.do(func(e *Engine) { e.draining = true }) }
+
+// Refused returns when generations were refused because the engine drains.
+func (e *Engine) Refused() []time.Time {
+	var refused []time.Time
+	e.do(func(e *Engine) { refused = append(refused, e.refused...) })
+	return refused
+}
+
+// Crashes returns how often a request crashed the engine.
+func (e *Engine) Crashes() int {
+	var crashes int
+	e.do(func(e *Engine) { crashes = e.crashes })
+	return crashes
+}
+
+// Steps returns the number of steps so far. Each offers one token to each
+// generation that runs.
+func (e *Engine) Steps() int {
+	var steps int
+	e.do(func(e *Engine) { steps = e.steps })
+	return steps
+}
+
 // SetFault makes a version bad.
 func (e *Engine) SetFault(version string, fault VersionFault) {
 	e.do(func(e *Engine) { e.faults[version] = fault })
--- a/entryhost/admission/assign.go
+++ b/entryhost/admission/assign.go
@@ -25,11 +25,11 @@
 // assign offers a waiting dispatch to the router. It returns the charge for the
 // fair queue, and true when the dispatch needs to wait no more.
 func (d *Dispatcher) assign(waiting Waiting) (float64, bool) {
-	if ended(waiting.Dispatch.Cancelled) {
+	now := d.clock.Now()
+	if d.overdue(now, waiting) {
 		return 0, true
 	}
 	request := &waiting.Dispatch.Request
-	now := d.clock.Now()
 	candidate, found := d.policies.Router.Route(d.random, request, d.listCandidates(now, request), d.scored)
 	if !found {
 		return 0, false
@@ -61,9 +61,6 @@
 	for _, hash := range request.PrefixHashes {
 		slots.prefixes.store(hash)
 	}
-	if request.Resume {
-		d.count("retries", "assigned")
-	}
 	waiting.Dispatch.Reply.Send(DispatchResult{Assignment: Assignment{
 		ID:                d.nextID,
 		Server:            id,
@@ -90,6 +87,7 @@
 			Limit:        slots.limit(health),
 			Load:         slots.load(now),
 			Assigned:     slots.assigned,
+			Hash:         slots.hash,
 			CachedBlocks: slots.prefixes.leading(request.PrefixHashes),
 			SlotWait:     wait,
 			Health:       health,
@@ -124,7 +122,10 @@
 	if done.Outcome == OutcomeDone {
 		d.work.Observe(done, flight.request.Cost)
 		d.suspects.Finished(now, flight.request.Fingerprint)
-	} else if flight.alone {
+	} else {
+		d.failures[flight.request.ID] = failure{outcome: done.Outcome, at: now}
+	}
+	if flight.alone && done.Outcome != OutcomeDone {
 		d.suspects.SetTurn(flight.request.Fingerprint, TurnNone)
 	}
 	slots := d.servers[flight.server]
@@ -230,6 +231,11 @@
 			d.count("attempts", "lost")
 		}
 	}
+	for id, last := range d.failures {
+		if now.Sub(last.at) > maxDeferral {
+			delete(d.failures, id)
+		}
+	}
 	d.suspects.Expire(now)
 	d.usage.Expire(now)
 	d.shareUsage()
--- /dev/null
+++ b/entryhost/admission/bench_test.go
@@ -0,0 +1,52 @@
+package admission
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/lentilpoint/lentilpoint/model"
+)
+
+// BenchmarkDispatch measures one dispatch and its end at the servers of one
+// data centre of the target size.
+func BenchmarkDispatch(b *testing.B) {
+	bench := newBench(DefaultPolicies())
+	bench.servers(206, 32)
+	hashes := []uint64{11, 12, 13, 14}
+	reply := make(chan DispatchResult, 1)
+	dispatch := Dispatch{Request: Request{
+		Service: service, Organisation: "wands", Version: "v1", Cost: 10,
+		Deadline: start.Add(time.Hour), PrefixHashes: hashes,
+	}, Reply: reply}
+	b.ReportAllocs()
+	b.ResetTimer()
+	for range b.N {
+		bench.handle(dispatch)
+		bench.assignWaiting()
+		assignment := (<-reply).Assignment
+		bench.handle(Done{ID: assignment.ID, Outcome: OutcomeCancelled})
+	}
+}
+
+// BenchmarkFairQueue measures one dispatch through a queue in which many
+// organisations wait.
+func BenchmarkFairQueue(b *testing.B) {
+	for _, organisations := range []int{10, 910, 9100} {
+		b.Run(fmt.Sprint(organisations), func(b *testing.B) {
+			queue := NewFairQueue()
+			names := make([]model.OrganisationID, organisations)
+			for i := range names {
+				names[i] = model.OrganisationID(fmt.Sprint("organisation-", i))
+				queue.Push(waitingOf(string(names[i]), 1))
+			}
+			take := func(Waiting) (float64, bool) { return 1, true }
+			b.ReportAllocs()
+			b.ResetTimer()
+			for i := range b.N {
+				queue.Push(Waiting{Dispatch: Dispatch{Request: Request{Organisation: names[i%organisations], Cost: 1}}})
+				queue.Next(take)
+			}
+		})
+	}
+}
--- a/entryhost/admission/dispatcher.go
+++ b/entryhost/admission/dispatcher.go
@@ -57,6 +57,7 @@
 	clock    clockwork.Clock
 	logger   *slog.Logger
 	metrics  *metrics.Set
+	counters map[counterKey]*metrics.Counter
 
 	configuration *model.Configuration
 	servers       map[model.ServerID]*serverSlots
@@ -65,6 +66,9 @@
 	flights map[DispatchID]*flight
 	open    map[model.OrganisationID]int
 	nextID  DispatchID
+	// failures holds how the last attempt of a request ended, to count the reason
+	// of a retry.
+	failures map[model.RequestID]failure
 	// handling is the dispatch in work, to be refused if the task fails on it.
 	handling *Dispatch
 
@@ -82,6 +86,7 @@
 	nextDeath  DeathID
 	upkeepAt   time.Time
 	usageSent  bool
+	balance    float64
 	candidates []Candidate
 	scored     []Scored
 }
@@ -98,6 +103,12 @@
 	alone bool
 }
 
+// failure is the end of an attempt that may be followed by another.
+type failure struct {
+	outcome Outcome
+	at      time.Time
+}
+
 // NewDispatcher returns the dispatcher task of one service.
 func NewDispatcher(service model.ServiceName, environment Environment, random *rand.Rand) *Dispatcher {
 	return &Dispatcher{
@@ -110,13 +121,16 @@
 		clock:    environment.Clock,
 		logger:   environment.Logger,
 		metrics:  environment.Metrics,
+		counters: make(map[counterKey]*metrics.Counter),
 		servers:  make(map[model.ServerID]*serverSlots),
 		flights:  make(map[DispatchID]*flight),
 		open:     make(map[model.OrganisationID]int),
+		failures: make(map[model.RequestID]failure),
 		queue:    environment.Policies.newQueue(),
 		budget:   NewRetryBudget(environment.Clock.Now()),
 		suspects: NewSuspectTable(environment.Host),
 		usage:    NewUsageTable(),
+		balance:  1,
 	}
 }
 
@@ -173,6 +187,9 @@
 	if request.Version == "" {
 		request.Version = d.chooseVersion()
 	}
+	if request.Resume {
+		d.countRetry(request.ID)
+	}
 	waiting := Waiting{Dispatch: dispatch, Since: now}
 	switch {
 	case d.verdict(request) == VerdictSuspect:
@@ -266,8 +283,26 @@
 	dispatch.Reply.Send(DispatchResult{Fault: fault})
 }
 
+// counterKey names a counter of this service.
+type counterKey struct{ name, reason string }
+
+// count increments lentilpoint_admission_NAME_total for a reason.
 func (d *Dispatcher) count(name, reason string) {
-	d.metrics.GetOrCreateCounter(fmt.Sprintf("lentilpoint_admission_%s_total{service=%q,reason=%q}", name, d.service, reason)).Inc()
+	key := counterKey{name: name, reason: reason}
+	counter := d.counters[key]
+	if counter == nil {
+		counter = d.metrics.GetOrCreateCounter(
+			fmt.Sprintf("lentilpoint_admission_%s_total{service=%q,reason=%q}", name, d.service, reason))
+		d.counters[key] = counter
+	}
+	counter.Inc()
+}
+
+// countRetry counts a resumed attempt by the way the one before it ended.
+func (d *Dispatcher) countRetry(id model.RequestID) {
+	last := d.failures[id]
+	delete(d.failures, id)
+	d.count("retries", string(last.outcome))
 }
 
 // refuseAll refuses what waits, including the dispatch on which the task failed.
--- a/entryhost/admission/filters.go
+++ b/entryhost/admission/filters.go
@@ -126,25 +126,44 @@
 }
 
 // AffinityFilter keeps the servers that hold the longest part of the prompt and
-// whose load is within affinityBound of the mean; if there are none, it keeps all.
+// whose load is within affinityBound of the mean. A prompt that no such server
+// holds goes to the one that rendezvous hashing names among those within the
+// bound, so that all entry hosts build up the same prefix in the same place.
 type AffinityFilter struct{}
 
 // Filter implements Filter.
-func (AffinityFilter) Filter(_ *Request, candidates []Candidate) []Candidate {
+func (AffinityFilter) Filter(request *Request, candidates []Candidate) []Candidate {
+	if len(request.PrefixHashes) == 0 {
+		return candidates
+	}
 	var sum float64
 	for i := range candidates {
 		sum += candidates[i].Load
 	}
 	// One more request on a nearly idle set of servers is always within the bound.
 	bound := max(affinityBound*sum/float64(len(candidates)), 1)
-	longest := 0
+	longest, home := 0, -1
 	for i := range candidates {
-		if candidates[i].Load <= bound {
-			longest = max(longest, candidates[i].CachedBlocks)
+		if candidates[i].Load > bound {
+			continue
+		}
+		longest = max(longest, candidates[i].CachedBlocks)
+		if home < 0 || candidates[i].rank(request) < candidates[home].rank(request) {
+			home = i
 		}
 	}
-	if longest == 0 {
+	if longest > 0 {
+		return keep(candidates, func(c *Candidate) bool { return c.CachedBlocks == longest && c.Load <= bound })
+	}
+	if home < 0 {
 		return candidates
 	}
-	return keep(candidates, func(c *Candidate) bool { return c.CachedBlocks == longest && c.Load <= bound })
+	return candidates[home : home+1]
+}
+
+// rank orders servers for the first block of a prompt.
+func (c *Candidate) rank(request *Request) uint64 {
+	const multiplier = 0x9e3779b97f4a7c15
+	mixed := (c.Hash ^ request.PrefixHashes[0]) * multiplier
+	return (mixed ^ mixed>>32) * multiplier
 }
--- a/entryhost/admission/isolation.go
+++ b/entryhost/admission/isolation.go
@@ -1,6 +1,7 @@
 package admission
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -121,8 +122,8 @@
 		if !mayIsolate(now, slots, version) {
 			continue
 		}
-		if rank := isolationRank(id); chosen == "" || rank < best {
-			chosen, best = id, rank
+		if chosen == "" || slots.hash < best {
+			chosen, best = id, slots.hash
 		}
 	}
 	return chosen
@@ -178,7 +179,10 @@
 // shareUsage publishes the open requests of the largest organisations. After
 // the last one ended, one empty fact is sent and then none.
 func (d *Dispatcher) shareUsage() {
-	entries := largestUsage(d.open)
+	open := maps.Clone(d.open)
+	d.queue.AddOwned(open)
+	entries := largestUsage(open)
+	d.balance = d.usage.Balance(entries)
 	if len(entries) == 0 && !d.usageSent {
 		return
 	}
--- a/entryhost/admission/limit.go
+++ b/entryhost/admission/limit.go
@@ -82,21 +82,25 @@
 // Report applies a load report. Reports move the limit also while generations
 // run for minutes and none finishes. The limit falls again only once the last
 // decrease took effect, that is, when no more than the limit is in flight.
-func (l *Limiter) Report(now time.Time, inFlight, waiting int) {
+//
+// The step is 1 for a host with the mean share of the organisations' weight, and
+// in proportion for others: the limits of hosts that share a server converge to
+// the ratio of their steps.
+func (l *Limiter) Report(now time.Time, inFlight, waiting int, step float64) {
 	if float64(waiting) > queueingShare*float64(l.capacity) {
 		if inFlight > 0 && inFlight <= l.Limit() {
 			l.decrease(now, now, queueingFactor)
 		}
 		return
 	}
-	if waiting > 0 || !l.inUse(inFlight) {
+	if !l.inUse(inFlight) {
 		return
 	}
 	if l.slowStart {
 		l.raise(l.limit)
 		return
 	}
-	l.raise(1)
+	l.raise(step)
 }
 
 // Finish applies the end of an attempt.
--- a/entryhost/admission/load.go
+++ b/entryhost/admission/load.go
@@ -13,6 +13,9 @@
 // report. Of the reported work, what this host had in flight at the time of the
 // report is already in own; only the rest, discounted by age, is added.
 func estimatedLoad(own, reported, ownAtReport int, age time.Duration) float64 {
-	others := float64(max(0, reported-ownAtReport))
+	if reported <= ownAtReport {
+		return float64(own)
+	}
+	others := float64(reported - ownAtReport)
 	return float64(own) + others*math.Exp2(-age.Seconds()/reportHalfLife.Seconds())
 }
--- a/entryhost/admission/queue.go
+++ b/entryhost/admission/queue.go
@@ -21,10 +21,17 @@
 	Resume  bool
 }
 
-// laneTries bounds the organisations that are offered in one lane before the
-// lane counts as blocked. More than one is offered because a resumed request
-// may exclude the only servers with room.
-const laneTries = 4
+// resumeTries bounds the organisations that are offered in a lane of resumed
+// work before it counts as blocked, as one may exclude the only servers with
+// room. Other requests of a lane may use the same servers, so one try decides.
+const resumeTries = 4
+
+func (l Lane) tries() int {
+	if l.Resume {
+		return resumeTries
+	}
+	return 1
+}
 
 // FairQueue orders waiting dispatches by weighted virtual time of their
 // organisations (start-time fair queueing). Each operation costs O(log n) in
@@ -87,6 +94,15 @@
 	return 0
 }
 
+// AddOwned adds the number of waiting dispatches of each organisation to counts.
+func (q *FairQueue) AddOwned(counts map[model.OrganisationID]int) {
+	for id, owner := range q.organisations {
+		if owner.length > 0 {
+			counts[id] += owner.length
+		}
+	}
+}
+
 func (q *FairQueue) owner(id model.OrganisationID) model.OrganisationID {
 	if q.shared {
 		return ""
@@ -180,7 +196,7 @@
 	entries := q.lanes[lane]
 	var refused []*laneEntry
 	taken := false
-	for len(refused) < laneTries && entries.Len() > 0 && !taken {
+	for len(refused) < lane.tries() && entries.Len() > 0 && !taken {
 		entry := (*entries)[0]
 		cost, accepted := take(entry.waiting[0])
 		if !accepted {
--- a/entryhost/admission/routing.go
+++ b/entryhost/admission/routing.go
@@ -21,6 +21,8 @@
 	Load float64
 	// Assigned counts the attempts sent to the server so far.
 	Assigned uint64
+	// Hash stands for the server's id in rendezvous hashing.
+	Hash uint64
 	// CachedBlocks is the number of leading prompt blocks the server holds.
 	CachedBlocks int
 	// SlotWait is the expected time until a slot is free in this data centre.
--- a/entryhost/admission/servers.go
+++ b/entryhost/admission/servers.go
@@ -21,7 +21,9 @@
 // serverSlots is the dispatcher's view of one server.
 type serverSlots struct {
 	// state points to an immutable snapshot.
-	state        *backends.ServerState
+	state *backends.ServerState
+	// hash stands for the id in rendezvous hashing.
+	hash         uint64
 	inFlight     int
 	ownAtReport  int
 	assigned     uint64
@@ -98,7 +100,7 @@
 // addServer takes a server in; it starts slowly, also when it is only new to
 // this entry host.
 func (d *Dispatcher) addServer(id model.ServerID, state backends.ServerState) {
-	slots := &serverSlots{state: &state, prefixes: newPrefixSet()}
+	slots := &serverSlots{state: &state, hash: serverHash(id), prefixes: newPrefixSet()}
 	slots.limiter = d.policies.newLimiter(slots.capacity())
 	d.servers[id] = slots
 	d.recount()
@@ -121,7 +123,7 @@
 	if load.Running >= slots.capacity() {
 		queued = load.Waiting
 	}
-	slots.limiter.Report(now, slots.inFlight, queued)
+	slots.limiter.Report(now, slots.inFlight, queued, d.balance)
 	slots.health.Reported(slots.state.LoadAt)
 	if slots.inFlight > 0 {
 		slots.health.Probed(now, slots.lastAssigned)
--- a/entryhost/admission/suspects.go
+++ b/entryhost/admission/suspects.go
@@ -280,9 +280,10 @@
 	return record
 }
 
-// isolationRank orders servers for the choice of the one set apart. All entry
-// hosts choose the same one (rendezvous hashing) while they see the same servers.
-func isolationRank(server model.ServerID) uint64 {
+// serverHash stands for a server in rendezvous hashing. The server with the
+// smallest hash is the one set apart, so all entry hosts choose the same one
+// while they see the same servers.
+func serverHash(server model.ServerID) uint64 {
 	hash := fnv.New64a()
 	_, _ = hash.Write([]byte(server))
 	return hash.Sum64()
--- a/entryhost/admission/usage.go
+++ b/entryhost/admission/usage.go
@@ -13,6 +13,8 @@
 	// usageLifetime is how long the usage of another host holds: several rounds
 	// of upkeepInterval, in which each host shares its usage.
 	usageLifetime = 5 * time.Second
+	// maxBalance bounds how much faster or slower the limits of a host may grow.
+	maxBalance = 4.0
 	// maxUsageEntries fits one fact: 6 bytes for each organisation.
 	maxUsageEntries = 40
 )
@@ -94,6 +96,29 @@
 // Elsewhere returns the requests that an organisation has open on other hosts.
 func (t *UsageTable) Elsewhere(id model.OrganisationID) int { return t.totals[hashOrganisation(id)] }
 
+// Balance compares the weight of the organisations with open requests on this
+// host with the mean over all hosts. Limits grow in proportion to it, so that an
+// organisation gets the same service whichever host it uses.
+func (t *UsageTable) Balance(own []UsageEntry) float64 {
+	mine, theirs := 0.0, 0.0
+	here := make(map[OrganisationHash]int, len(own))
+	for _, entry := range own {
+		here[entry.Organisation] = int(entry.Open)
+		mine += presence(int(entry.Open), t.totals[entry.Organisation])
+	}
+	for _, usage := range t.hosts {
+		for _, entry := range usage.entries {
+			total := t.totals[entry.Organisation] + here[entry.Organisation]
+			theirs += float64(entry.Open) / float64(max(total, 1))
+		}
+	}
+	if mine == 0 || theirs == 0 {
+		return 1
+	}
+	mean := (mine + theirs) / float64(1+len(t.hosts))
+	return min(max(mine/mean, 1/maxBalance), maxBalance)
+}
+
 // presence is the part of an organisation's open requests that is on this host.
 // Its weight here is multiplied by it, so that the weights over all hosts add up
 // to its weight and spreading gains nothing.
--- a/entryhost/admission/wait.go
+++ b/entryhost/admission/wait.go
@@ -9,9 +9,11 @@
 	rateWeight = 0.4
 	// durationWeight is the weight of the newest generation in the means.
 	durationWeight = 0.1
-	// durationMargin understates the expected duration, so that a refusal rests
-	// on a clear miss of the deadline and not on the noise of the mean.
-	durationMargin = 0.9
+	// durationMargin and waitMargin cover the noise of the means. Under overload
+	// the queue settles where the estimate just meets the deadline; without the
+	// margins a tenth of the generations of experiment overload were cut at it.
+	durationMargin = 1.05
+	waitMargin     = 1.25
 )
 
 // ServiceRate measures how many dispatches a second leave the queue while work
@@ -50,13 +52,13 @@
 	r.served, r.emptied, r.began = 0, waiting == 0, now
 }
 
-// Wait estimates the time until a dispatch at this position of the queue is
-// assigned. It is 0 while the rate is unknown.
+// Wait estimates, with waitMargin, the time until a dispatch at this position of
+// the queue is assigned. It is 0 while the rate is unknown.
 func (r *ServiceRate) Wait(position int) time.Duration {
 	if r.perSecond <= 0 {
 		return 0
 	}
-	return time.Duration(float64(position) / r.perSecond * float64(time.Second))
+	return time.Duration(waitMargin * float64(position) / r.perSecond * float64(time.Second))
 }
 
 // fairPosition estimates how many dispatches are assigned before a new one of
