--- a/entryhost/admission/dispatcher.go
+++ b/entryhost/admission/dispatcher.go
@@ -86,7 +86,7 @@
 	nextDeath  DeathID
 	upkeepAt   time.Time
 	usageSent  bool
-	balance    float64
+	balance    Balance
 	candidates []Candidate
 	scored     []Scored
 }
@@ -130,7 +130,7 @@
 		budget:   NewRetryBudget(environment.Clock.Now()),
 		suspects: NewSuspectTable(environment.Host),
 		usage:    NewUsageTable(),
-		balance:  1,
+		balance:  Balance{Step: 1},
 	}
 }
 
--- a/entryhost/admission/limit.go
+++ b/entryhost/admission/limit.go
@@ -83,24 +83,23 @@
 // run for minutes and none finishes. The limit falls again only once the last
 // decrease took effect, that is, when no more than the limit is in flight.
 //
-// The step is 1 for a host with the mean share of the organisations' weight, and
-// in proportion for others: the limits of hosts that share a server converge to
-// the ratio of their steps.
-func (l *Limiter) Report(now time.Time, inFlight, waiting int, step float64) {
-	if float64(waiting) > queueingShare*float64(l.capacity) {
+// Hosts that share a server converge to limits in proportion to their weight:
+// the limit rises by the step, and up to this host's part of the capacity it
+// rises also while work queues, which the hosts beyond their part cause.
+func (l *Limiter) Report(now time.Time, inFlight, waiting int, balance Balance) {
+	beyondPart := l.limit > balance.Part*float64(l.capacity)
+	queueing := float64(waiting) > queueingShare*float64(l.capacity)
+	switch {
+	case queueing && beyondPart:
 		if inFlight > 0 && inFlight <= l.Limit() {
 			l.decrease(now, now, queueingFactor)
 		}
-		return
-	}
-	if !l.inUse(inFlight) {
-		return
-	}
-	if l.slowStart {
+	case !l.inUse(inFlight):
+	case l.slowStart && !queueing:
 		l.raise(l.limit)
-		return
+	default:
+		l.raise(balance.Step)
 	}
-	l.raise(step)
 }
 
 // Finish applies the end of an attempt.
--- a/entryhost/admission/usage.go
+++ b/entryhost/admission/usage.go
@@ -97,9 +97,17 @@
 func (t *UsageTable) Elsewhere(id model.OrganisationID) int { return t.totals[hashOrganisation(id)] }
 
 // Balance compares the weight of the organisations with open requests on this
-// host with the mean over all hosts. Limits grow in proportion to it, so that an
-// organisation gets the same service whichever host it uses.
-func (t *UsageTable) Balance(own []UsageEntry) float64 {
+// host with that on the others, so that an organisation gets the same service
+// whichever host it uses.
+type Balance struct {
+	// Step is the increase of limits, 1 for a host with the mean weight.
+	Step float64
+	// Part is this host's part of all weight, or 0 while no other host is known.
+	Part float64
+}
+
+// Balance returns this host's balance, given its own usage.
+func (t *UsageTable) Balance(own []UsageEntry) Balance {
 	mine, theirs := 0.0, 0.0
 	here := make(map[OrganisationHash]int, len(own))
 	for _, entry := range own {
@@ -113,10 +121,10 @@
 		}
 	}
 	if mine == 0 || theirs == 0 {
-		return 1
+		return Balance{Step: 1}
 	}
 	mean := (mine + theirs) / float64(1+len(t.hosts))
-	return min(max(mine/mean, 1/maxBalance), maxBalance)
+	return Balance{Step: min(max(mine/mean, 1/maxBalance), maxBalance), Part: mine / (mine + theirs)}
 }
 
 // presence is the part of an organisation's open requests that is on this host.
