--- a/cmd/lentilpoint-bench/scenario/atmostonce.go
+++ b/cmd/lentilpoint-bench/scenario/atmostonce.go
@@ -19,7 +19,8 @@
 
 // The baselines of calls that run at most once.
 const (
-	// BaselineBlindRetry sends a failed call to another server, whatever happened.
+	// BaselineBlindRetry sends failed work to another server, whatever happened,
+	// without a budget or suspicion.
 	BaselineBlindRetry = "blind-retry"
 	// BaselineNoReadBack treats a claim without an answer as held.
 	BaselineNoReadBack = "no-read-back"
--- a/cmd/lentilpoint-bench/scenario/scenario.go
+++ b/cmd/lentilpoint-bench/scenario/scenario.go
@@ -63,6 +63,7 @@
 		doubleFaultScenarios,
 		atMostOnceScenarios,
 		tokenPathScenarios,
+		admissionScenarios,
 	)
 	slices.SortFunc(all, func(a, b Scenario) int { return cmp.Compare(a.Name, b.Name) })
 	return all
