Delete the order rows of servers that left; check the wall clock too

Cause: each replaced server left a row behind; the monotonic clock stands still while a host is suspended, which would have kept its lease.

Change: the holder deletes rows of unknown servers; a term also ends by the wall clock. The wall clock rule has no test, as a test cannot stop the monotonic clock.

--- a/entryhost/control/leasetask_test.go
+++ b/entryhost/control/leasetask_test.go
@@ -136,6 +136,25 @@
 	})
 })
 
+var _ = Describe("a mover", func() {
+	It("deletes the order rows of servers that have left, which would otherwise grow without bound", func() {
+		clock := clockwork.NewFakeClock()
+		table := &memoryTable{rows: map[string]platform.Row{orderKey("s", "gone"): {Key: orderKey("s", "gone"), Version: 1}}}
+		mover := &moverTask{
+			service: "s", policy: DefaultPolicy(), table: table, recorder: events.Discard, clock: clock, logger: quiet,
+			configuration: &model.Configuration{},
+			outstanding:   map[model.ServerID]Outstanding{"gone": {}},
+		}
+		mover.policy.Lease.Unsafe = true
+		mover.term = Term{Fencing: 1, Since: clock.Now(), Until: clock.Now().Add(time.Hour)}
+		mover.order(context.Background(), model.Service{Name: "s"}, nil)
+		Expect(mover.outstanding).To(HaveLen(1), "the list of servers may be incomplete at the start of a term")
+		clock.Advance(2 * forgetServerAfter)
+		mover.order(context.Background(), model.Service{Name: "s"}, nil)
+		Expect(mover.outstanding).To(BeEmpty())
+	})
+})
+
 var _ = Describe("the control task", func() {
 	It("ends all its tasks, so that a stopped host leaves nothing behind", func() {
 		leaks := goleak.IgnoreCurrent()
--- a/entryhost/control/messages.go
+++ b/entryhost/control/messages.go
@@ -33,8 +33,12 @@
 	Holder platform.RowVersion
 }
 
-// Holds reports whether the term covers the time.
-func (t Term) Holds(now time.Time) bool { return t.Fencing != 0 && now.Before(t.Until) }
+// Holds reports whether the term covers the time. The monotonic clock stands
+// still while a host is suspended, so that the wall clock must not be past the
+// end either.
+func (t Term) Holds(now time.Time) bool {
+	return t.Fencing != 0 && now.Before(t.Until) && now.Round(0).Before(t.Until.Round(0))
+}
 
 // Commit is one configuration revision to be committed.
 type Commit struct {
--- a/entryhost/control/moverorders.go
+++ b/entryhost/control/moverorders.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 
 	"github.com/lentilpoint/lentilpoint/enginewire"
 	"github.com/lentilpoint/lentilpoint/entryhost/backends"
@@ -20,7 +21,7 @@
 	m.outstanding = Settle(m.outstanding, views)
 	input.Outstanding = m.outstanding
 	orders := make(map[model.ServerID]enginewire.Order)
-	var writes []platform.Write
+	writes := m.deleteGone()
 	for _, wanted := range PlanOrders(m.policy.Orders, input) {
 		order, repeated := m.prepare(wanted)
 		orders[wanted.Server] = order
@@ -41,6 +42,26 @@
 	}
 }
 
+// maxDeletes bounds the rows deleted in one write.
+const maxDeletes = 64
+
+// deleteGone returns the writes that delete the rows of servers that have left,
+// so that the rows are bounded by the present servers.
+func (m *moverTask) deleteGone() []platform.Write {
+	var writes []platform.Write
+	if m.clock.Now().Sub(m.term.Since) < forgetServerAfter {
+		// The host list may not have been read completely yet.
+		return nil
+	}
+	for server, last := range m.outstanding {
+		if _, known := m.servers[server]; known || last.InFlight || len(writes) == maxDeletes {
+			continue
+		}
+		writes = append(writes, platform.Write{Key: orderKey(m.service, server), Delete: true})
+	}
+	return writes
+}
+
 // prepare returns the order to send, which is the last one if that asked for
 // the same in this term and its effect has not been seen.
 func (m *moverTask) prepare(wanted WantedOrder) (order enginewire.Order, repeated bool) {
@@ -63,7 +84,15 @@
 	defer cancel()
 	// Without an answer nothing is sent; the orders are planned and written again.
 	result, err := m.table.Transact(ctx, platform.Transaction{Conditions: m.conditions(), Writes: writes})
-	return err == nil && result.Committed
+	if err != nil || !result.Committed {
+		return false
+	}
+	for server := range m.outstanding {
+		if slices.ContainsFunc(writes, func(w platform.Write) bool { return w.Delete && w.Key == orderKey(m.service, server) }) {
+			delete(m.outstanding, server)
+		}
+	}
+	return true
 }
 
 // send starts one order. Its context ends with the term, after which nothing
