--- a/entryhost/requests/generation.go
+++ b/entryhost/requests/generation.go
@@ -25,6 +25,10 @@
 // maxUpdateTokens bounds the tokens in one update to the caller.
 const maxUpdateTokens = 64
 
+// reportTokens is the number of tokens after which a generation reports the
+// speed of its service.
+const reportTokens = 32
+
 // finishLength is the reason for the end of a generation that has as many
 // tokens as were asked for.
 const finishLength = "length"
@@ -36,6 +40,7 @@
 // generationTask owns the ledger and the attempts of one generation.
 type generationTask struct {
 	start      StartGeneration
+	manager    task.Mailbox[Command]
 	dispatches task.Mailbox[admission.Dispatch]
 	servers    task.Mailbox[backends.FindServer]
 	recovery   Recovery
@@ -47,6 +52,7 @@
 	// observed what this request adds.
 	service  Observed
 	observed Observed
+	reported bool
 
 	ledger   Ledger
 	sent     int
@@ -73,6 +79,7 @@
 func (g *generationTask) run() {
 	ctx, cancel := context.WithDeadline(g.start.Context, g.start.Generation.Deadline)
 	defer cancel()
+	defer g.report(true)
 	g.stream = task.NewMailbox[backends.StreamEvent](streamEventsSize)
 	if fault := g.serve(ctx); fault != nil {
 		g.sendLast(Update{Fault: fault})
@@ -166,10 +173,21 @@
 	}
 	if rearm {
 		g.arm(now)
+		g.report(from.tokens >= reportTokens)
 	}
 	return nil
 }
 
+// report tells the manager once what was observed. It does not wait: a report
+// that finds the mailbox full is dropped, as others follow.
+func (g *generationTask) report(due bool) {
+	if g.reported || !due {
+		return
+	}
+	g.reported = true
+	_ = g.manager.TrySend(speedObserved{service: g.start.Generation.Service, observed: g.observed})
+}
+
 func (g *generationTask) attemptOf(number backends.Attempt) *attempt {
 	switch {
 	case g.current != nil && g.current.number == number:
--- a/entryhost/requests/messages.go
+++ b/entryhost/requests/messages.go
@@ -123,10 +123,15 @@
 func (StartCall) managerCommand()       {}
 func (Drain) managerCommand()           {}
 func (requestEnded) managerCommand()    {}
+func (speedObserved) managerCommand()   {}
 
-// requestEnded tells the manager that a request task has ended and what a
-// generation observed of its service.
-type requestEnded struct {
+// requestEnded tells the manager that a request task has ended.
+type requestEnded struct{}
+
+// speedObserved tells the manager what a generation observed of its service.
+// Each generation reports once, early enough to help those that start soon
+// after it on a fresh entry host.
+type speedObserved struct {
 	service  model.ServiceName
 	observed Observed
 }
--- a/entryhost/requests/recovery_test.go
+++ b/entryhost/requests/recovery_test.go
@@ -123,6 +123,7 @@
 // harness runs one generation task against mailboxes in place of dispatcher
 // and server, with a fake clock.
 type harness struct {
+	manager    task.Mailbox[Command]
 	clock      *clockwork.FakeClock
 	dispatches task.Mailbox[admission.Dispatch]
 	commands   task.Mailbox[backends.Command]
@@ -133,6 +134,7 @@
 
 func newHarness(clock *clockwork.FakeClock) *harness {
 	return &harness{
+		manager:    task.NewMailbox[Command](16),
 		clock:      clock,
 		dispatches: task.NewMailbox[admission.Dispatch](16),
 		commands:   task.NewMailbox[backends.Command](16),
@@ -143,8 +145,8 @@
 
 func (h *harness) task(ctx context.Context, generation Generation) *generationTask {
 	return &generationTask{
-		start:      StartGeneration{Context: ctx, Generation: generation, Updates: h.updates},
-		dispatches: h.dispatches, servers: task.NewMailbox[backends.FindServer](1), recovery: RecoveryContinue,
+		start:   StartGeneration{Context: ctx, Generation: generation, Updates: h.updates},
+		manager: h.manager, dispatches: h.dispatches, servers: task.NewMailbox[backends.FindServer](1), recovery: RecoveryContinue,
 		clock: h.clock, recorder: events.Discard, metrics: metrics.NewSet(),
 		logger: slog.New(slog.NewTextHandler(io.Discard, nil)),
 	}
@@ -347,6 +349,24 @@
 		Expect(ids).To(Equal([]enginewire.TokenID{2, 3}))
 	})
 
+	It("reports the speed of its service once, early enough for generations that start after it", func() {
+		generation := Generation{Service: "advisor"}
+		h := startHarness(generation)
+		_, first := h.assign("a")
+		for i := range enginewire.TokenID(reportTokens) {
+			send(first, tokens(i))
+		}
+		var report Command
+		Eventually(h.manager.C()).Should(Receive(&report))
+		Expect(report.(speedObserved).service).To(BeEquivalentTo("advisor"))
+		Expect(report.(speedObserved).observed.Gaps.count).To(BeEquivalentTo(reportTokens - 1))
+		end := tokens(1)
+		end.Finish = "stop"
+		send(first, end)
+		h.received()
+		Consistently(h.manager.Len, 20*time.Millisecond).Should(BeZero())
+	})
+
 	It("ends a generation that has all its tokens without another attempt", func() {
 		h := startHarness(Generation{})
 		_, first := h.assign("a")
--- a/entryhost/requests/task.go
+++ b/entryhost/requests/task.go
@@ -80,10 +80,9 @@
 		m.startCall(ctx, command)
 	case requestEnded:
 		m.open--
-		if command.service != "" {
-			m.observed[command.service] = m.observed[command.service].Merge(command.observed)
-		}
 		m.reportIdle()
+	case speedObserved:
+		m.observed[command.service] = m.observed[command.service].Merge(command.observed)
 	case Drain:
 		m.draining = true
 		m.idle = append(m.idle, command.Idle)
@@ -112,14 +111,10 @@
 		return
 	}
 	generation := &generationTask{
-		start: start, dispatches: m.dispatches, servers: m.servers, recovery: m.recovery, clock: m.clock,
+		start: start, manager: m.commands, dispatches: m.dispatches, servers: m.servers, recovery: m.recovery, clock: m.clock,
 		recorder: m.recorder, metrics: m.metrics, logger: m.logger, service: m.observed[start.Generation.Service],
 	}
-	run := func() requestEnded {
-		generation.run()
-		return requestEnded{service: start.Generation.Service, observed: generation.observed}
-	}
-	m.spawn(ctx, run, func(fault *model.Fault) { generation.sendLast(Update{Fault: fault}) })
+	m.spawn(ctx, generation.run, func(fault *model.Fault) { generation.sendLast(Update{Fault: fault}) })
 }
 
 func (m *Manager) startCall(ctx context.Context, start StartCall) {
@@ -128,25 +123,20 @@
 		return
 	}
 	call := &callTask{start: start, dispatches: m.dispatches, clock: m.clock, logger: m.logger}
-	run := func() requestEnded {
-		call.run()
-		return requestEnded{}
-	}
-	m.spawn(ctx, run, func(fault *model.Fault) { start.Reply.Send(Answer{Fault: fault}) })
+	m.spawn(ctx, call.run, func(fault *model.Fault) { start.Reply.Send(Answer{Fault: fault}) })
 }
 
 // spawn runs a request task. A panic ends only that request, with a typed fault.
-func (m *Manager) spawn(ctx context.Context, run func() requestEnded, fail func(*model.Fault)) {
+func (m *Manager) spawn(ctx context.Context, run func(), fail func(*model.Fault)) {
 	m.open++
 	go func() {
-		var ended requestEnded
 		defer func() {
 			if cause := recover(); cause != nil {
 				m.logger.Error("request task failed", eventcode.RequestTaskFailed.Attr(), "cause", cause)
 				fail(model.AsFault(Error.New("request task failed: %s", fmt.Sprint(cause))))
 			}
-			_ = m.commands.Send(ctx, ended)
+			_ = m.commands.Send(ctx, requestEnded{})
 		}()
-		ended = run()
+		run()
 	}()
 }
