Charge organisations for generated tokens and estimate durations cautiously

Cause: the fair queue charged all allowed tokens, so organisations whose answers stop early paid too much, and the mean completion would refuse requests that could still finish.

Change: the end of an attempt gives back the unused charge; the expected duration rests on the 10% quantile of the generated part.

--- a/entryhost/admission/assign.go
+++ b/entryhost/admission/assign.go
@@ -35,8 +35,10 @@
 		return 0, false
 	}
 	d.rate.Served()
+	charged := d.charge(request)
 	d.place(now, waiting, candidate.ID(), false)
-	return d.charge(request), true
+	d.flights[d.nextID].charged = charged
+	return charged, true
 }
 
 // charge is the cost of a request in virtual time.
@@ -117,6 +119,7 @@
 		return
 	}
 	d.release(done.ID, flight)
+	d.refund(flight, done.Tokens)
 	d.count("attempts", string(done.Outcome))
 	now := d.clock.Now()
 	if done.Outcome == OutcomeDone {
@@ -142,6 +145,16 @@
 	d.share(now)
 }
 
+// refund gives back the charge for tokens that were not generated: the charge
+// covers all tokens that the request allows. Calls to plain services have none.
+func (d *Dispatcher) refund(flight *flight, tokens int) {
+	if !d.isEngine() || flight.request.Cost <= 0 {
+		return
+	}
+	unused := 1 - min(float64(tokens)/float64(flight.request.Cost), 1)
+	d.queue.Credit(flight.request.Organisation, flight.charged*unused)
+}
+
 func (d *Dispatcher) release(id DispatchID, flight *flight) {
 	delete(d.flights, id)
 	if slots := d.servers[flight.server]; slots != nil {
--- a/entryhost/admission/dispatcher.go
+++ b/entryhost/admission/dispatcher.go
@@ -96,6 +96,8 @@
 	request Request
 	server  model.ServerID
 	started time.Time
+	// charged is the virtual time charged to the organisation.
+	charged float64
 	// cancelled is closed when the request ended; its Done follows shortly.
 	cancelled <-chan struct{}
 	endedAt   time.Time
--- a/entryhost/admission/queue.go
+++ b/entryhost/admission/queue.go
@@ -244,13 +244,30 @@
 func (q *FairQueue) charge(owner *organisationQueue, cost float64) {
 	q.virtual = max(q.virtual, owner.finish)
 	owner.finish += cost
+	q.reorder(owner)
+	q.forgetIdle()
+}
+
+// Credit gives back a part of an earlier charge that was not used. An
+// organisation that was idle since and is forgotten has no use for it.
+func (q *FairQueue) Credit(id model.OrganisationID, cost float64) {
+	owner := q.organisations[q.owner(id)]
+	if owner == nil {
+		return
+	}
+	owner.finish = max(owner.finish-cost, q.virtual)
+	q.reorder(owner)
+	q.forgetIdle()
+}
+
+// reorder moves an organisation to its place after its virtual time changed.
+func (q *FairQueue) reorder(owner *organisationQueue) {
 	for lane, entry := range owner.entries {
 		heap.Fix(q.lanes[lane], entry.index)
 	}
 	if owner.idleIndex >= 0 {
 		heap.Fix(&q.idle, owner.idleIndex)
 	}
-	q.forgetIdle()
 }
 
 // forgetIdle drops idle organisations whose virtual time has passed, so that
--- a/entryhost/admission/wait.go
+++ b/entryhost/admission/wait.go
@@ -9,6 +9,12 @@
 	rateWeight = 0.4
 	// durationWeight is the weight of the newest generation in the means.
 	durationWeight = 0.1
+	// lowCompletion is the quantile of the generated part of the allowed tokens
+	// that estimates rest on, and completionStep how fast it follows. With the
+	// mean, requests that would stop early would be refused for a deadline that
+	// they meet.
+	lowCompletion  = 0.1
+	completionStep = 0.05
 	// durationMargin and waitMargin cover the noise of the means. Under overload
 	// the queue settles where the estimate just meets the deadline; without the
 	// margins a tenth of the generations of experiment overload were cut at it.
@@ -72,7 +78,7 @@
 type WorkTime struct {
 	firstToken float64
 	gap        float64
-	// completion is the mean part of the allowed tokens that is generated.
+	// completion is a low quantile of the generated part of the allowed tokens.
 	completion float64
 	samples    int
 }
@@ -89,11 +95,25 @@
 	w.samples++
 	w.firstToken += weight * (done.FirstToken.Seconds() - w.firstToken)
 	w.gap += weight * (done.MeanGap.Seconds() - w.gap)
-	w.completion += weight * (min(float64(done.Tokens)/float64(cost), 1) - w.completion)
+	w.complete(min(float64(done.Tokens)/float64(cost), 1))
 }
 
-// Expect estimates the duration of a generation with this cost. It is 0 before
-// any has finished.
+// complete moves the low quantile: up by a little for most samples, and down by
+// much for the few below it.
+func (w *WorkTime) complete(part float64) {
+	switch {
+	case w.samples == 1:
+		w.completion = part
+	case part < w.completion:
+		w.completion -= completionStep * (1 - lowCompletion)
+	default:
+		w.completion += completionStep * lowCompletion
+	}
+	w.completion = min(max(w.completion, 0), 1)
+}
+
+// Expect estimates the time that a generation with this cost needs at least. It
+// is 0 before any has finished.
 func (w *WorkTime) Expect(cost int) time.Duration {
 	if w.samples == 0 {
 		return 0
