Clear suspects once they have run alone for 16 tokens

Change: suspicions are urgent facts, so the wait before a run alone falls to 0.3 s; the server set apart is polled at once; a suspect that delivered 16 tokens alone is cleared and the next one starts beside it.

--- a/entryhost/admission/assign.go
+++ b/entryhost/admission/assign.go
@@ -63,7 +63,12 @@
 	for _, hash := range request.PrefixHashes {
 		slots.prefixes.store(hash)
 	}
+	reportAfter := 0
+	if alone {
+		reportAfter = provenTokens
+	}
 	waiting.Dispatch.Reply.Send(DispatchResult{Assignment: Assignment{
+		ReportAfter:       reportAfter,
 		ID:                d.nextID,
 		Server:            id,
 		DataCentre:        slots.state.Host.DataCentre,
--- a/entryhost/admission/dispatcher.go
+++ b/entryhost/admission/dispatcher.go
@@ -103,8 +103,10 @@
 	// cancelled is closed when the request ended; its Done follows shortly.
 	cancelled <-chan struct{}
 	endedAt   time.Time
-	// alone marks a suspect on the server set apart.
-	alone bool
+	// alone marks a suspect on the server set apart, cleared one that has been
+	// proven harmless there.
+	alone   bool
+	cleared bool
 }
 
 // failure is the end of an attempt that may be followed by another.
@@ -173,6 +175,8 @@
 	case Done:
 		d.finish(message)
 		d.evidence.observe(d.clock.Now(), message)
+	case Progressed:
+		d.clearProgressed(message)
 	case ServerEvent:
 		d.applyServerEvent(message.Event)
 	case ConfigurationChange:
--- a/entryhost/admission/isolation.go
+++ b/entryhost/admission/isolation.go
@@ -5,14 +5,21 @@
 	"slices"
 	"time"
 
+	"github.com/lentilpoint/lentilpoint/entryhost/backends"
 	"github.com/lentilpoint/lentilpoint/entryhost/peers"
 	"github.com/lentilpoint/lentilpoint/eventcode"
 	"github.com/lentilpoint/lentilpoint/model"
 )
 
-// suspectSpread is the time after which the other entry hosts know that a
-// server is set apart; only a load report read after it shows the server idle.
-const suspectSpread = 2 * time.Second
+const (
+	// suspectSpread is the time after which the other entry hosts know that a
+	// server is set apart; only a load report read after it shows the server idle.
+	suspectSpread = 200 * time.Millisecond
+	// provenTokens is the number of tokens after which a suspect that runs alone
+	// is cleared. A continuation starts where the earlier attempts ended, so that
+	// content which crashes engines does so within the first tokens.
+	provenTokens = 16
+)
 
 // recordDeath counts the death of a server against a request that was on it.
 func (d *Dispatcher) recordDeath(now time.Time, flight *flight, slots *serverSlots) {
@@ -97,7 +104,11 @@
 	}
 	request := &waiting.Dispatch.Request
 	id := d.setApart(now, request.Version)
-	if id == "" || !d.idleSince(d.servers[id], waiting.Since.Add(suspectSpread)) {
+	if id == "" {
+		return false
+	}
+	if !d.idleSince(id, waiting.Since.Add(suspectSpread)) {
+		_ = d.servers[id].state.Commands.TrySend(backends.PollNow{})
 		return false
 	}
 	d.suspects.SetTurn(request.Fingerprint, TurnRunning)
@@ -105,9 +116,32 @@
 	return true
 }
 
-func (d *Dispatcher) idleSince(slots *serverSlots, at time.Time) bool {
+// idleSince reports whether a server ran nothing but cleared suspects of this
+// host when its load was last read, and that was after the time.
+func (d *Dispatcher) idleSince(id model.ServerID, at time.Time) bool {
+	slots := d.servers[id]
+	cleared := 0
+	for _, flight := range d.flights {
+		if flight.server == id && flight.cleared {
+			cleared++
+		}
+	}
 	load := slots.state.Load
-	return slots.inFlight == 0 && load.Running+load.Waiting == 0 && slots.state.LoadAt.After(at)
+	return slots.inFlight == cleared && load.Running+load.Waiting <= cleared && slots.state.LoadAt.After(at)
+}
+
+// clearProgressed clears a suspect that ran alone for long enough. The next
+// suspect may then run beside it.
+func (d *Dispatcher) clearProgressed(progressed Progressed) {
+	flight := d.flights[progressed.ID]
+	if flight == nil || !flight.alone {
+		return
+	}
+	flight.alone = false
+	flight.cleared = true
+	now := d.clock.Now()
+	d.suspects.Finished(now, flight.request.Fingerprint)
+	d.share(now)
 }
 
 // setApart returns the server reserved for suspects of a version, or "" while
--- a/entryhost/admission/messages.go
+++ b/entryhost/admission/messages.go
@@ -71,6 +71,14 @@
 	// FirstTokenTimeout and TokenTimeout are the progress limits of the attempt.
 	FirstTokenTimeout time.Duration
 	TokenTimeout      time.Duration
+	// ReportAfter is the number of tokens after which the request sends
+	// Progressed to Finished; 0 means never.
+	ReportAfter int
+}
+
+// Progressed reports that an assignment has delivered ReportAfter tokens.
+type Progressed struct {
+	ID DispatchID
 }
 
 // Outcome says how an assignment ended.
@@ -108,6 +116,7 @@
 type Message interface{ admissionMessage() }
 
 func (Dispatch) admissionMessage()            {}
+func (Progressed) admissionMessage()          {}
 func (Done) admissionMessage()                {}
 func (ServerEvent) admissionMessage()         {}
 func (ConfigurationChange) admissionMessage() {}
--- a/entryhost/admission/suspects.go
+++ b/entryhost/admission/suspects.go
@@ -14,10 +14,10 @@
 	refuseDeaths  = 3
 	// suspectLifetime is how long a suspicion holds after the last death.
 	suspectLifetime = 10 * time.Minute
-	// suspectHold is the wait before a suspect runs alone. It is longer than a
-	// few rounds of gossip (1 s each), so that the other entry hosts know of the
-	// suspicion before the third death can happen.
-	suspectHold = 2500 * time.Millisecond
+	// suspectHold is the wait before a suspect runs alone. Suspicions are urgent
+	// facts, which reach all entry hosts within a few messages, so that they know
+	// of it before the third death can happen.
+	suspectHold = 300 * time.Millisecond
 	// turnValid is how long another host's turn holds without a repetition, and
 	// turnRefresh how often this host repeats its own.
 	turnValid   = 30 * time.Second
--- a/entryhost/admission/suspects_test.go
+++ b/entryhost/admission/suspects_test.go
@@ -132,3 +132,30 @@
 		Expect(third).To(BeEmpty())
 	})
 })
+
+var _ = ginkgo.Describe("a suspect that runs alone", func() {
+	ginkgo.It("is cleared once it has delivered tokens, so that others need not wait for its end", func() {
+		b := newBench(DefaultPolicies())
+		b.servers(4, 8)
+		waiting := func(fingerprint model.Fingerprint) <-chan DispatchResult {
+			for range suspectDeaths {
+				b.crash((<-b.dispatch(resumed(fingerprint))).Assignment)
+				b.advance(sameDeath)
+			}
+			return b.dispatch(resumed(fingerprint))
+		}
+		first, second := waiting(7), waiting(8)
+		b.advance(suspectHold)
+		b.report(nil)
+		b.advance(sweepInterval)
+		assignment := (<-first).Assignment
+		Expect(assignment.ReportAfter).To(Equal(provenTokens))
+		Expect(second).To(BeEmpty())
+		b.handle(Progressed{ID: assignment.ID})
+		Expect(b.suspects.Verdict(7)).To(Equal(VerdictClear))
+		b.advance(suspectHold)
+		b.report(nil)
+		b.advance(sweepInterval)
+		Expect((<-second).Assignment.Server).To(Equal(assignment.Server))
+	})
+})
--- a/entryhost/requests/attempt.go
+++ b/entryhost/requests/attempt.go
@@ -77,8 +77,13 @@
 	if a.tokens == 0 {
 		a.firstToken = now
 	}
+	before := a.tokens
 	a.tokens += count
 	a.progress = now
+	if after := a.assignment.ReportAfter; after > 0 && before < after && a.tokens >= after {
+		// A full mailbox drops the report; the request then runs alone to its end.
+		_ = a.assignment.Finished.TrySend(admission.Progressed{ID: a.assignment.ID})
+	}
 }
 
 // done returns the report of the attempt to its dispatcher.
