--- a/cmd/lentilpoint-bench/scenario/config.go
+++ b/cmd/lentilpoint-bench/scenario/config.go
@@ -221,8 +221,8 @@
 	return observed
 }
 
-// reverted counts the steps of a host to a lower revision within one life, and
-// skipped revisions cannot hide them.
+// reverted counts the steps of a host to a lower revision within one life. That
+// a new life has what was in force before is the rule on late revisions.
 func reverted(observed []observation) check.Violations {
 	violations := check.Violations{}
 	newest := make(map[int]model.Revision)
--- a/cmd/lentilpoint-bench/scenario/config_churn.go
+++ b/cmd/lentilpoint-bench/scenario/config_churn.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/lentilpoint/lentilpoint/cmd/lentilpoint-bench/check"
@@ -20,6 +21,10 @@
 	settleTime = configBound + 200*time.Millisecond
 )
 
+// churnOutages are the commits that an outage follows. The rest of the run is
+// longer than the bound, as an outage excuses what is late near it.
+var churnOutages = []int{5, 11}
+
 // span is a time from begin to end.
 type span struct{ begin, end time.Time }
 
@@ -90,7 +95,7 @@
 				return nil, err
 			}
 		}
-		if i%15 == 14 {
+		if slices.Contains(churnOutages, i) {
 			parameters.progress("the platform is down after revision %d", s.current.Revision)
 			s.outage(history, time.Duration(500+random.IntN(1000))*time.Millisecond)
 		}
--- a/cmd/lentilpoint-bench/scenario/operators_race.go
+++ b/cmd/lentilpoint-bench/scenario/operators_race.go
@@ -21,12 +21,16 @@
 const (
 	raceOperators = 5
 	raceTries     = 16
+	// raceReadPause is the wait before a failed read is tried again.
+	raceReadPause = 10 * time.Millisecond
 	// raceCheckTimeout bounds the check of the history.
 	raceCheckTimeout = 10 * time.Second
 )
 
-// raceInput is one try to commit a revision after the expected one.
+// raceInput is one try to commit a revision after the expected one, or a read
+// of all revisions.
 type raceInput struct {
+	read     bool
 	expected model.Revision
 	id       string
 }
@@ -36,6 +40,8 @@
 	committed bool
 	// winner is the id of the revision that took the place, if one did.
 	winner string
+	// ids are the ids of all revisions, for a read.
+	ids []string
 }
 
 // raceModel is a register that holds the ids of all revisions in order. A
@@ -45,6 +51,8 @@
 	Step: func(state, input, output any) (bool, any) {
 		ids, try, result := state.([]string), input.(raceInput), output.(raceOutput)
 		switch {
+		case try.read:
+			return slices.Equal(ids, result.ids), ids
 		case result.committed:
 			return len(ids) == int(try.expected), append(slices.Clip(ids), try.id)
 		case result.winner != "":
@@ -101,6 +109,11 @@
 	current := config.Empty()
 	history := make([]porcupine.Operation, 0, raceTries)
 	for try := range raceTries {
+		if random.IntN(4) == 0 {
+			operation, newest := raceRead(ctx, committer, operator)
+			history = append(history, operation)
+			current = newest
+		}
 		id := fmt.Sprintf("operator-%d-%d", operator, try)
 		organisation := &model.Organisation{ID: model.OrganisationID(id), Weight: 1, KeySHA256: []string{fmt.Sprintf("%032x%032x", operator, try)}}
 		start := time.Now()
@@ -119,6 +132,27 @@
 	return history
 }
 
+// raceRead reads all revisions, as an operator does before a change. A failed
+// read is tried again: the faults of this scenario are those of writes.
+func raceRead(ctx context.Context, committer config.Committer, operator int) (porcupine.Operation, *model.Configuration) {
+	start := time.Now()
+	records, err := committer.History(ctx, 0, raceOperators*raceTries)
+	for err != nil && ctx.Err() == nil {
+		time.Sleep(raceReadPause)
+		start = time.Now()
+		records, err = committer.History(ctx, 0, raceOperators*raceTries)
+	}
+	ids := make([]string, len(records))
+	for i, record := range records {
+		ids[i] = record.ID
+	}
+	newest, _ := config.ApplyAll(config.Empty(), records)
+	return porcupine.Operation{
+		ClientId: operator, Input: raceInput{read: true}, Output: raceOutput{ids: ids},
+		Call: start.UnixNano(), Return: time.Now().UnixNano(),
+	}, newest
+}
+
 func raceOutcome(err error) raceOutput {
 	var conflict *config.Conflict
 	if errors.As(err, &conflict) {
@@ -139,10 +173,12 @@
 
 func raceReport(history []porcupine.Operation) Report {
 	winners := make(map[model.Revision]int)
-	conflicts, unknown := 0, 0
+	reads, conflicts, unknown := 0, 0, 0
 	for _, operation := range history {
 		output := operation.Output.(raceOutput)
 		switch {
+		case operation.Input.(raceInput).read:
+			reads++
 		case output.committed:
 			winners[operation.Input.(raceInput).expected+1]++
 		case output.winner != "":
@@ -161,6 +197,6 @@
 		violations[violationHistory]++
 	}
 	return Report{Violations: violations, Figures: map[string]float64{
-		"tries": float64(len(history)), "revisions": float64(len(winners)), "conflicts": float64(conflicts), "unknown": float64(unknown),
+		"tries": float64(len(history) - reads), "reads": float64(reads), "revisions": float64(len(winners)), "conflicts": float64(conflicts), "unknown": float64(unknown),
 	}}
 }
