Test the reason counters and the wait for the retry budget

Cause: nothing guarded the counter of each reason, nor that a resumed request over the budget waits and is then refused.

--- a/entryhost/admission/admission_test.go
+++ b/entryhost/admission/admission_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"log/slog"
 	"math/rand/v2"
+	"strings"
 	"testing"
 	"time"
 
@@ -408,6 +409,36 @@
 		Expect((<-reply).Fault.Reason).To(Equal(model.ReasonDeadlineUnreachable))
 	})
 
+	ginkgo.It("counts each refusal and each retry by its reason", func() {
+		b := newBench(DefaultPolicies())
+		b.servers(2, 8)
+		assignment := (<-b.dispatch(nil)).Assignment
+		b.handle(Done{ID: assignment.ID, Outcome: OutcomeSilent})
+		b.dispatch(func(r *Request) { r.Resume = true })
+		b.dispatch(func(r *Request) { r.Deadline = b.clock.Now() })
+		var page strings.Builder
+		b.metrics.WritePrometheus(&page)
+		Expect(page.String()).To(ContainSubstring(`lentilpoint_admission_retries_total{service="advisor",reason="silent"} 1`))
+		Expect(page.String()).To(ContainSubstring(`lentilpoint_admission_refusals_total{service="advisor",reason="deadline_passed"} 1`))
+	})
+
+	ginkgo.It("lets a resumed request wait for the retry budget and refuses it after a time", func() {
+		b := newBench(DefaultPolicies())
+		for range retryReserve {
+			b.budget.Spend(b.clock.Now(), "failing")
+			b.budget.Spend(b.clock.Now(), "wands")
+		}
+		b.budget.reserve = 0
+		reply := b.dispatch(resumed(3))
+		Expect(b.deferred).To(HaveLen(1))
+		for range 3 {
+			b.clock.Advance(maxDeferral / 2)
+			b.budget.reserve, b.budget.savings, b.budget.at = 0, 0, b.clock.Now()
+			b.sweep()
+		}
+		Expect((<-reply).Fault.Reason).To(Equal(model.ReasonRetryBudget))
+	})
+
 	ginkgo.It("leaves room in the queue when one organisation fills it", func() {
 		b := newBench(DefaultPolicies())
 		refused := 0
