Remember only failures that a retry can follow

Cause: the dispatcher kept the outcome of cancelled attempts until upkeep.

Change: only outcomes that a retry can follow are remembered for its reason.

--- a/entryhost/admission/assign.go
+++ b/entryhost/admission/assign.go
@@ -125,7 +125,7 @@
 	if done.Outcome == OutcomeDone {
 		d.work.Observe(done, flight.request.Cost)
 		d.suspects.Finished(now, flight.request.Fingerprint)
-	} else {
+	} else if done.Outcome != OutcomeCancelled && done.Outcome != OutcomeInvalid {
 		d.failures[flight.request.ID] = failure{outcome: done.Outcome, at: now}
 	}
 	if flight.alone && done.Outcome != OutcomeDone {
