Keep the cost of the host list, polls and leases flat; never eject the only server

A spec also failed with 504: the only plain server was ejected after one silent call. Change: a server not heard of yet is polled at once; load polls fall to 2 a second; the own data centre's hosts are read by a conditional request, the whole list in one of ten rounds; hosts that are no candidates read a lease row each 5 periods; digests carry 200 bytes of facts; a service's only server is never ejected.

--- a/cmd/lentilpoint-bench/standin/platform.go
+++ b/cmd/lentilpoint-bench/standin/platform.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"hash/fnv"
 	"io"
 	"math/rand/v2"
 	"net/http"
@@ -327,7 +328,29 @@
 }
 
 func (p *Platform) serveHosts(w http.ResponseWriter, r *http.Request) {
-	if hosts, ok := respond(p, w, r, (*Platform).listHosts); ok {
-		writeAnswer(w, platform.HostsBody{Hosts: hosts}, nil)
+	hosts, ok := respond(p, w, r, (*Platform).listHosts)
+	if !ok {
+		return
+	}
+	if wanted := model.DataCentre(r.URL.Query().Get("data_centre")); wanted != "" {
+		hosts = slices.DeleteFunc(slices.Clone(hosts), func(host model.Host) bool { return host.DataCentre != wanted })
+	}
+	content, err := json.Marshal(platform.HostsBody{Hosts: hosts})
+	if err != nil {
+		w.WriteHeader(http.StatusInternalServerError)
+		return
 	}
+	tag := hostsTag(content)
+	if r.Header.Get("If-None-Match") == tag {
+		w.WriteHeader(http.StatusNotModified)
+		return
+	}
+	w.Header().Set("ETag", tag)
+	_, _ = w.Write(content)
+}
+
+func hostsTag(content []byte) string {
+	hash := fnv.New64a()
+	_, _ = hash.Write(content)
+	return strconv.Quote(strconv.FormatUint(hash.Sum64(), 16))
 }
--- a/entryhost/admission/health.go
+++ b/entryhost/admission/health.go
@@ -126,7 +126,11 @@
 	}
 }
 
-// mayEjectAnother tells whether one more server may be ejected. One always may.
+// mayEjectAnother tells whether one more server may be ejected: the first one,
+// and others within maxEjectedShare, but never the only server of a service.
 func mayEjectAnother(ejected, servers int) bool {
+	if servers < 2 {
+		return false
+	}
 	return ejected == 0 || float64(ejected+1) <= maxEjectedShare*float64(servers)
 }
--- a/entryhost/admission/suspects_test.go
+++ b/entryhost/admission/suspects_test.go
@@ -159,3 +159,11 @@
 		Expect((<-second).Assignment.Server).To(Equal(assignment.Server))
 	})
 })
+
+var _ = ginkgo.Describe("ejection", func() {
+	ginkgo.It("never takes the only server of a service, which would refuse all its work", func() {
+		Expect(mayEjectAnother(0, 1)).To(BeFalse())
+		Expect(mayEjectAnother(0, 2)).To(BeTrue())
+		Expect(mayEjectAnother(1, 2)).To(BeFalse())
+	})
+})
--- a/entryhost/backends/poll.go
+++ b/entryhost/backends/poll.go
@@ -74,9 +74,15 @@
 func (poolSize) command()   {}
 func (PollNow) command()    {}
 
+// nextPoll plans the next poll. A server that was never heard of is polled soon,
+// because it takes no work before its versions are known.
 func (s *serverTask) nextPoll() plannedPoll {
+	interval := s.polling.intervalFor(s.servers)
+	if s.state.LoadAt.IsZero() {
+		interval = s.polling.Interval
+	}
 	return plannedPoll{
-		interval:  s.polling.intervalFor(s.servers),
+		interval:  interval,
 		host:      s.state.Host,
 		after:     s.cache.sequence,
 		cacheless: s.cacheless,
--- a/entryhost/control/lease.go
+++ b/entryhost/control/lease.go
@@ -24,9 +24,15 @@
 	Unsafe bool
 }
 
-// candidateHosts is how many hosts read the lease row in each lease period.
-// The others read it less often, which keeps the reads of the table bounded.
-const candidateHosts = 3
+const (
+	// candidateHosts is how many hosts read the lease row in each lease period.
+	// The others read it less often, which keeps the reads of the table bounded.
+	candidateHosts = 3
+	// spectatorPeriods is the time between reads of the other hosts in lease
+	// periods. They step in when all candidates are cut off from the platform; a
+	// change of the host list makes them look at once.
+	spectatorPeriods = 5
+)
 
 // unsafeTerm is the length of a term that is not checked.
 const unsafeTerm = time.Hour
@@ -108,7 +114,7 @@
 	case rank < candidateHosts:
 		return p.Duration / 3
 	default:
-		return 2 * p.Duration
+		return spectatorPeriods * p.Duration
 	}
 }
 
--- a/entryhost/peers/wire.go
+++ b/entryhost/peers/wire.go
@@ -13,7 +13,7 @@
 
 // maxDigestBytes bounds the facts of one digest. A host sends about four digests
 // a second, so that facts, heartbeats and framing together stay below 3 KB/s.
-const maxDigestBytes = 300
+const maxDigestBytes = 200
 
 // maxJoinBytes bounds the facts that a host receives when it joins.
 const maxJoinBytes = 64 << 10
--- a/entryhost/platform/client.go
+++ b/entryhost/platform/client.go
@@ -8,8 +8,6 @@
 	"net/http"
 	"net/url"
 	"strconv"
-
-	"github.com/lentilpoint/lentilpoint/model"
 )
 
 // maxAnswerBytes bounds what is read of one answer of the platform.
@@ -80,37 +78,72 @@
 	return names.Names, err
 }
 
-// ListHosts returns the platform's host list.
-func (c *Client) ListHosts(ctx context.Context) ([]model.Host, error) {
-	var hosts HostsBody
-	err := c.do(ctx, http.MethodGet, PathHosts, nil, nil, &hosts)
-	return hosts.Hosts, err
+// ListHosts returns the hosts that the query selects.
+func (c *Client) ListHosts(ctx context.Context, query HostQuery) (HostAnswer, error) {
+	values := url.Values{}
+	if query.DataCentre != "" {
+		values.Set("data_centre", string(query.DataCentre))
+	}
+	request, err := c.request(ctx, http.MethodGet, PathHosts, values, nil)
+	if err != nil {
+		return HostAnswer{}, err
+	}
+	if query.Known != "" {
+		request.Header.Set("If-None-Match", query.Known)
+	}
+	response, content, err := c.send(request)
+	if err != nil {
+		return HostAnswer{}, err
+	}
+	if response.StatusCode == http.StatusNotModified {
+		return HostAnswer{Unchanged: true, Tag: query.Known}, nil
+	}
+	var body HostsBody
+	err = decodeAnswer(response.StatusCode, PathHosts, content, &body)
+	return HostAnswer{Tag: response.Header.Get("ETag"), Hosts: body.Hosts}, err
 }
 
 // do sends one request and decodes the answer into target, which is a JSON
 // value, a byte slice for raw content, or nil.
 func (c *Client) do(ctx context.Context, method, path string, query url.Values, body []byte, target any) error {
+	request, err := c.request(ctx, method, path, query, body)
+	if err != nil {
+		return err
+	}
+	response, content, err := c.send(request)
+	if err != nil {
+		return err
+	}
+	return decodeAnswer(response.StatusCode, path, content, target)
+}
+
+func (c *Client) request(ctx context.Context, method, path string, query url.Values, body []byte) (*http.Request, error) {
 	address := c.base + path
 	if len(query) > 0 {
 		address += "?" + query.Encode()
 	}
 	request, err := http.NewRequestWithContext(ctx, method, address, bytes.NewReader(body))
 	if err != nil {
-		return Error.Wrap(err)
+		return nil, Error.Wrap(err)
 	}
 	if c.token != "" {
 		request.Header.Set("Authorization", "Bearer "+c.token)
 	}
+	return request, nil
+}
+
+// send returns the answer with its whole content.
+func (c *Client) send(request *http.Request) (*http.Response, []byte, error) {
 	response, err := c.http.Do(request)
 	if err != nil {
-		return ErrUnavailable.Wrap(err)
+		return nil, nil, ErrUnavailable.Wrap(err)
 	}
 	defer func() { _ = response.Body.Close() }()
 	content, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes))
 	if err != nil {
-		return ErrUnavailable.Wrap(err)
+		return nil, nil, ErrUnavailable.Wrap(err)
 	}
-	return decodeAnswer(response.StatusCode, path, content, target)
+	return response, content, nil
 }
 
 func decodeAnswer(status int, path string, content []byte, target any) error {
@@ -145,6 +178,6 @@
 type HostList struct{ *Client }
 
 // List implements Hosts.
-func (h HostList) List(ctx context.Context) ([]model.Host, error) {
-	return h.ListHosts(ctx)
+func (h HostList) List(ctx context.Context, query HostQuery) (HostAnswer, error) {
+	return h.ListHosts(ctx, query)
 }
--- a/entryhost/platform/fx.go
+++ b/entryhost/platform/fx.go
@@ -6,6 +6,7 @@
 	"github.com/jonboulle/clockwork"
 	"go.uber.org/fx"
 
+	"github.com/lentilpoint/lentilpoint/model"
 	"github.com/lentilpoint/lentilpoint/settings"
 	"github.com/lentilpoint/lentilpoint/task"
 )
@@ -37,5 +38,5 @@
 }
 
 func provideHostList(in hostListIn) *HostListTask {
-	return NewHostListTask(in.Hosts, in.Clock, in.Settings.HostsInterval, in.Logger, in.Subscribers...)
+	return NewHostListTask(in.Hosts, model.DataCentre(in.Settings.DataCentre), in.Clock, in.Settings.HostsInterval, in.Logger, in.Subscribers...)
 }
--- a/entryhost/platform/messages.go
+++ b/entryhost/platform/messages.go
@@ -79,7 +79,24 @@
 	List(ctx context.Context, prefix string) ([]string, error)
 }
 
+// HostQuery selects hosts of the list.
+type HostQuery struct {
+	// DataCentre limits the answer to one data centre; empty means all.
+	DataCentre model.DataCentre
+	// Known is the tag of the list that the caller has; an unchanged list is not
+	// sent again.
+	Known string
+}
+
+// HostAnswer is the answer to a query of the host list.
+type HostAnswer struct {
+	// Unchanged tells that the list still has the tag that the caller knew.
+	Unchanged bool
+	Tag       string
+	Hosts     []model.Host
+}
+
 // Hosts is the lagging list of live and leaving hosts.
 type Hosts interface {
-	List(ctx context.Context) ([]model.Host, error)
+	List(ctx context.Context, query HostQuery) (HostAnswer, error)
 }
--- a/entryhost/platform/task.go
+++ b/entryhost/platform/task.go
@@ -20,20 +20,33 @@
 	Hosts []model.Host
 }
 
-// HostListTask polls the host list and owns the time of the last read.
-// Subscribers receive each list; a full mailbox drops the list, as the next
-// poll brings a newer one.
+// fullListRounds is the number of reads of the own data centre's hosts between
+// two reads of the whole list. The whole list is large at the size of a fleet,
+// and changes elsewhere matter less.
+const fullListRounds = 10
+
+// HostListTask polls the host list and owns the parts that were last read.
+// Subscribers receive the list after each change and with each full read; a
+// full mailbox gets it again after the next read.
 type HostListTask struct {
 	hosts       Hosts
+	home        model.DataCentre
 	clock       clockwork.Clock
 	interval    time.Duration
 	subscribers []task.Mailbox[HostsRead]
 	logger      *slog.Logger
+
+	round int
+	// missed tells that a subscriber was busy; the list is sent again.
+	missed bool
+	local  HostAnswer
+	whole  HostAnswer
 }
 
-// NewHostListTask returns a task that reads the list once per interval.
-func NewHostListTask(hosts Hosts, clock clockwork.Clock, interval time.Duration, logger *slog.Logger, subscribers ...task.Mailbox[HostsRead]) *HostListTask {
-	return &HostListTask{hosts: hosts, clock: clock, interval: interval, subscribers: subscribers, logger: logger}
+// NewHostListTask returns a task that reads the hosts of the home data centre
+// once per interval.
+func NewHostListTask(hosts Hosts, home model.DataCentre, clock clockwork.Clock, interval time.Duration, logger *slog.Logger, subscribers ...task.Mailbox[HostsRead]) *HostListTask {
+	return &HostListTask{hosts: hosts, home: home, clock: clock, interval: interval, subscribers: subscribers, logger: logger}
 }
 
 // String names the task in the logs.
@@ -58,15 +71,55 @@
 	}
 }
 
+// poll reads the own data centre's hosts, and in some rounds the whole list.
 func (t *HostListTask) poll(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, hostListTimeout)
 	defer cancel()
-	hosts, err := t.hosts.List(ctx)
+	full := t.round%fullListRounds == 0
+	changed, err := t.read(ctx, &t.local, HostQuery{DataCentre: t.home, Known: t.local.Tag})
 	if err != nil {
 		return err
 	}
-	for _, subscriber := range t.subscribers {
-		_ = subscriber.TrySend(HostsRead{Hosts: hosts})
+	if full {
+		if _, err := t.read(ctx, &t.whole, HostQuery{Known: t.whole.Tag}); err != nil {
+			return err
+		}
+	}
+	t.round++
+	if changed || full || t.missed {
+		t.send()
 	}
 	return nil
 }
+
+func (t *HostListTask) read(ctx context.Context, part *HostAnswer, query HostQuery) (changed bool, err error) {
+	answer, err := t.hosts.List(ctx, query)
+	if err != nil || answer.Unchanged {
+		return false, err
+	}
+	*part = answer
+	return true, nil
+}
+
+// send gives the subscribers the hosts of the own data centre as last read, and
+// those of the others from the last whole list.
+func (t *HostListTask) send() {
+	list := mergeLists(t.home, t.local.Hosts, t.whole.Hosts)
+	t.missed = false
+	for _, subscriber := range t.subscribers {
+		if subscriber.TrySend(HostsRead{Hosts: list}) != nil {
+			t.missed = true
+		}
+	}
+}
+
+func mergeLists(home model.DataCentre, local, whole []model.Host) []model.Host {
+	merged := make([]model.Host, 0, len(local)+len(whole))
+	merged = append(merged, local...)
+	for _, host := range whole {
+		if host.DataCentre != home {
+			merged = append(merged, host)
+		}
+	}
+	return merged
+}
--- /dev/null
+++ b/entryhost/platform/task_test.go
@@ -0,0 +1,83 @@
+package platform
+
+import (
+	"context"
+	"io"
+	"log/slog"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/lentilpoint/lentilpoint/model"
+	"github.com/lentilpoint/lentilpoint/task"
+)
+
+func TestPlatform(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "platform")
+}
+
+// fakeHosts answers queries from a fixed list and counts the hosts it sent.
+type fakeHosts struct {
+	hosts []model.Host
+	tag   string
+	sent  int
+}
+
+// List implements Hosts.
+func (f *fakeHosts) List(_ context.Context, query HostQuery) (HostAnswer, error) {
+	if query.Known == f.tag {
+		return HostAnswer{Unchanged: true, Tag: f.tag}, nil
+	}
+	answer := HostAnswer{Tag: f.tag}
+	for _, host := range f.hosts {
+		if query.DataCentre == "" || host.DataCentre == query.DataCentre {
+			answer.Hosts = append(answer.Hosts, host)
+		}
+	}
+	f.sent += len(answer.Hosts)
+	return answer, nil
+}
+
+var _ = Describe("the host list task", func() {
+	var (
+		hosts   *fakeHosts
+		mailbox task.Mailbox[HostsRead]
+		list    *HostListTask
+	)
+
+	BeforeEach(func() {
+		hosts = &fakeHosts{tag: "1", hosts: []model.Host{{ID: "a", DataCentre: "jkt"}, {ID: "b", DataCentre: "bdg"}}}
+		mailbox = task.NewMailbox[HostsRead](1)
+		list = NewHostListTask(hosts, "jkt", clockwork.NewFakeClock(), time.Second, slog.New(slog.NewTextHandler(io.Discard, nil)), mailbox)
+	})
+
+	It("does not transfer an unchanged list again, which would cost more than all other control at fleet size", func() {
+		for range 2 * fullListRounds {
+			Expect(list.poll(context.Background())).To(Succeed())
+		}
+		Expect(hosts.sent).To(Equal(3))
+	})
+
+	It("learns of a change in its own data centre with the next read and of others with the next whole list", func() {
+		Expect(list.poll(context.Background())).To(Succeed())
+		Expect((<-mailbox.C()).Hosts).To(HaveLen(2))
+		hosts.tag = "2"
+		hosts.hosts = []model.Host{{ID: "a", DataCentre: "jkt", Leaving: true}, {ID: "b", DataCentre: "bdg", Leaving: true}}
+		Expect(list.poll(context.Background())).To(Succeed())
+		Expect((<-mailbox.C()).Hosts).To(Equal([]model.Host{{ID: "a", DataCentre: "jkt", Leaving: true}, {ID: "b", DataCentre: "bdg"}}))
+	})
+
+	It("sends a list again to a subscriber that was busy, so that no leaving mark is lost", func() {
+		Expect(list.poll(context.Background())).To(Succeed())
+		hosts.tag = "2"
+		hosts.hosts[0].Leaving = true
+		Expect(list.poll(context.Background())).To(Succeed())
+		Expect((<-mailbox.C()).Hosts[0].Leaving).To(BeFalse())
+		Expect(list.poll(context.Background())).To(Succeed())
+		Expect((<-mailbox.C()).Hosts[0].Leaving).To(BeTrue())
+	})
+})
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -91,7 +91,7 @@
 	flags.StringVar(&target.OperatorTLSKey, "operator-tls-key", "", "PEM file with the key of that certificate")
 	flags.DurationVar(&target.HostsInterval, "hosts-interval", time.Second, "time between reads of the host list")
 	flags.DurationVar(&target.LoadInterval, "load-interval", time.Second, "mean time between reads of a backend server's load")
-	flags.Float64Var(&target.LoadRate, "load-rate", 4, "reads of load of all backend servers in a second, at most; 0 means no bound")
+	flags.Float64Var(&target.LoadRate, "load-rate", 2, "reads of load of all backend servers in a second, at most; 0 means no bound")
 	flags.IntVar(&target.RemoteServers, "remote-servers", 16, "backend servers of other data centres for each service that this host may use")
 	flags.Uint64Var(&target.RandomSeed, "random-seed", 0, "seed of random choices; 0 draws one at start")
 }
