Give a restarted server a new order id

Cause: an engine that died before its load report showed an order received the same order again, so that one id had an effect twice.

Change: an order counts as settled once the server's incarnation changed; the same wish then gets a new id.

--- a/entryhost/control/control_test.go
+++ b/entryhost/control/control_test.go
@@ -203,6 +203,16 @@
 		Expect(same).To(BeFalse())
 		Expect(renewed.ID).NotTo(Equal("first"))
 	})
+
+	It("get a new id when the server restarted, as it may have lost the effect of the last one", func() {
+		order := enginewire.Order{ID: "first", Kind: enginewire.OrderLoad, Version: "v2", Fencing: 3}
+		orders := map[model.ServerID]Outstanding{"a": {Order: order, Sent: now, Incarnation: 1}}
+		view := servers("v1")[:1]
+		view[0].Incarnation = 1
+		Expect(Settle(orders, view)["a"].Settled).To(BeFalse())
+		view[0].Incarnation = 2
+		Expect(Settle(orders, view)["a"].Settled).To(BeTrue())
+	})
 })
 
 var _ = Describe("a version move", func() {
--- a/entryhost/control/mover.go
+++ b/entryhost/control/mover.go
@@ -192,7 +192,7 @@
 		views = append(views, ServerView{
 			ID:       id,
 			Usable:   state.Reachable && !state.Host.Leaving && state.LoadAt.After(m.term.Since),
-			Versions: state.Load.Versions,
+			Versions: state.Load.Versions, Incarnation: state.Load.Incarnation,
 		})
 	}
 	slices.SortFunc(views, func(a, b ServerView) int { return cmp.Compare(a.ID, b.ID) })
--- a/entryhost/control/orders.go
+++ b/entryhost/control/orders.go
@@ -31,6 +31,8 @@
 	// report was read in the present term.
 	Usable   bool
 	Versions []string
+	// Incarnation tells restarts of the server apart.
+	Incarnation uint64
 }
 
 // Has reports whether the server's load report shows the version.
@@ -48,14 +50,19 @@
 	// Settled tells that a load report has shown its wanted state. An order that
 	// is settled is never sent again; the same wish gets a new one.
 	Settled bool
+	// Incarnation is the server's when the order was sent, or 0 if unknown.
+	Incarnation uint64
 }
 
-// Settle returns the orders after the servers' load reports were read.
+// Settle returns the orders after the servers' load reports were read. A server
+// that restarted may have carried out its order and lost the effect, so that the
+// order counts as settled too.
 func Settle(orders map[model.ServerID]Outstanding, servers []ServerView) map[model.ServerID]Outstanding {
 	settled := maps.Clone(orders)
 	for _, server := range servers {
 		last, found := settled[server.ID]
-		if found && server.Usable && last.Shown(server) {
+		restarted := last.Incarnation != 0 && last.Incarnation != server.Incarnation
+		if found && server.Usable && (restarted || last.Shown(server)) {
 			last.Settled = true
 			settled[server.ID] = last
 		}
