Read engine streams with libraries again

Cause: a reader of server-sent events and a decoder of chunks of our own had come in for speed, but parsing belongs to libraries.

--- a/entryhost/backends/decode_test.go
+++ b/entryhost/backends/decode_test.go
@@ -1,8 +1,10 @@
 package backends
 
 import (
+	"context"
 	"encoding/json"
 	"io"
+	"net/http"
 	"reflect"
 	"strings"
 	"testing"
@@ -13,6 +15,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/lentilpoint/lentilpoint/enginewire"
+	"github.com/lentilpoint/lentilpoint/task"
 )
 
 func TestBackends(t *testing.T) {
@@ -20,9 +23,9 @@
 	RunSpecs(t, "backends")
 }
 
-// TestPlainChunkProperty guards against a fast path that reads a chunk
-// differently from encoding/json, whatever its text.
-func TestPlainChunkProperty(t *testing.T) {
+// TestChunkProperty guards against a decoder that reads a chunk differently from
+// encoding/json, whatever its text.
+func TestChunkProperty(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		text := rapid.OneOf(rapid.StringMatching(`[ a-z0-9é]{0,12}`), rapid.String()).Draw(t, "text")
 		choice := enginewire.Choice{
@@ -36,25 +39,22 @@
 		}
 		content, _ := json.Marshal(enginewire.Chunk{ID: "x", Choices: []enginewire.Choice{choice}})
 		want := StreamEvent{Tokens: chunkTokens(choice.TokenIDs, choice.Content()), Finish: choice.FinishReason}
-		got, failure := decodeChunk(content)
+		got, failure := decodeChunk(string(content))
 		if failure != nil || !reflect.DeepEqual(got, want) {
 			t.Fatalf("%s gave %v %v, want %v", content, got, failure, want)
 		}
-		if event, plain := decodePlainChunk(content); plain && !reflect.DeepEqual(event, want) {
-			t.Fatalf("the fast path read %s as %v", content, event)
-		}
 	})
 }
 
-// TestDamagedChunkProperty guards against a fast path that accepts a chunk
-// which encoding/json refuses.
+// TestDamagedChunkProperty guards against a decoder that accepts a chunk which
+// encoding/json refuses.
 func TestDamagedChunkProperty(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		content := []byte(`{"id":"x","created":17,"choices":[{"index":0,"text":"w 1","token_ids":[12,-3],"finish_reason":null}]}`)
 		at := rapid.IntRange(0, len(content)-1).Draw(t, "at")
 		content[at] = rapid.SampledFrom([]byte(`{}[]",:0\ x-`)).Draw(t, "character")
-		event, plain := decodePlainChunk(content)
-		if !plain {
+		event, failure := decodeChunk(string(content))
+		if failure != nil {
 			return
 		}
 		var chunk enginewire.Chunk
@@ -67,24 +67,36 @@
 	})
 }
 
-var _ = Describe("the event reader", func() {
-	It("joins split reads, several data lines and long lines, and skips other fields", func() {
-		long := strings.Repeat("x", 3*eventReaderBytes)
-		input := ": hello\n\nid: 1\r\ndata: a\r\ndata:b\r\n\r\nevent: e\ndata: " + long + "\n\n\ndata: cut"
-		reader := newEventReader(iotest.OneByteReader(strings.NewReader(input)))
-		first, err := reader.next()
-		Expect(err).NotTo(HaveOccurred())
-		Expect(string(first)).To(Equal("a\nb"))
-		second, err := reader.next()
-		Expect(err).NotTo(HaveOccurred())
-		Expect(string(second) == long).To(BeTrue())
-		_, err = reader.next()
-		Expect(err).To(Equal(io.EOF))
+// chunkStream is a response body of an engine.
+func chunkStream(content string) (*streamTask, *http.Response) {
+	events := task.NewMailbox[StreamEvent](16)
+	stream := &streamTask{open: OpenStream{Context: context.Background(), Events: events}}
+	body := io.NopCloser(iotest.HalfReader(strings.NewReader(content)))
+	return stream, &http.Response{Header: http.Header{}, Body: body}
+}
+
+var _ = Describe("the events of a stream", func() {
+	token := `data: {"choices":[{"index":0,"text":"a","token_ids":[1]}]}` + "\n\n"
+	last := `data: {"choices":[{"index":0,"text":"b","token_ids":[2],"finish_reason":"stop"}]}` + "\n\n"
+
+	It("are read across split reads and comments to the end mark", func() {
+		stream, response := chunkStream(": hello\n\n" + token + last + "data: [DONE]\n\n")
+		Expect(stream.relay(response)).To(BeNil())
+		Expect(stream.open.Events.Len()).To(Equal(2))
+	})
+
+	It("are broken when the body ends cleanly but early, which would lose tokens", func() {
+		stream, response := chunkStream(token)
+		Expect(stream.relay(response).Kind).To(Equal(FailureBroken))
+	})
+
+	It("are broken when the end mark comes without a finish reason", func() {
+		stream, response := chunkStream(token + "data: [DONE]\n\n")
+		Expect(stream.relay(response).Kind).To(Equal(FailureBroken))
 	})
 
-	It("refuses an event without end, which would fill the memory", func() {
-		reader := newEventReader(strings.NewReader("data: " + strings.Repeat("x", 2*maxEventBytes)))
-		_, err := reader.next()
-		Expect(err).To(MatchError(ContainSubstring("longer than")))
+	It("are refused beyond the bound of one event, which would fill the memory", func() {
+		stream, response := chunkStream("data: " + strings.Repeat("x", 2*maxEventBytes))
+		Expect(stream.relay(response).Kind).To(Equal(FailureBroken))
 	})
 })
--- a/entryhost/backends/stream.go
+++ b/entryhost/backends/stream.go
@@ -11,6 +11,8 @@
 	"strconv"
 	"strings"
 
+	"github.com/tmaxmax/go-sse"
+
 	"github.com/lentilpoint/lentilpoint/enginewire"
 	"github.com/lentilpoint/lentilpoint/task"
 )
@@ -92,22 +94,17 @@
 	}
 	engineStream := response.Header.Get(enginewire.HeaderStreamID)
 	finished := false
-	events := newEventReader(response.Body)
-	for {
-		data, err := events.next()
-		if err == io.EOF {
-			return &StreamError{Kind: FailureBroken, Message: "the stream ended without its end mark"}
-		}
+	for event, err := range sse.Read(response.Body, &sse.ReadConfig{MaxEventSize: maxEventBytes}) {
 		if err != nil {
 			return s.transportError(err, true)
 		}
-		if string(data) == enginewire.StreamEnd && finished {
+		if event.Data == enginewire.StreamEnd && finished {
 			return nil
 		}
-		if string(data) == enginewire.StreamEnd {
+		if event.Data == enginewire.StreamEnd {
 			return &StreamError{Kind: FailureBroken, Message: "the stream ended without a finish reason"}
 		}
-		update, failure := decodeChunk(data)
+		update, failure := decodeChunk(event.Data)
 		if failure != nil {
 			return failure
 		}
@@ -117,6 +114,7 @@
 			return &StreamError{Kind: FailureCancelled, Message: err.Error()}
 		}
 	}
+	return &StreamError{Kind: FailureBroken, Message: "the stream ended without its end mark"}
 }
 
 func (s *streamTask) transportError(err error, sent bool) *StreamError {
