Commit the steps of a move on the same path as operators' changes

Cause: control had a second commit path of its own, without the validation and the repeated read-back of the first. Change: config.Proposal takes further conditions, and control's committer is an adapter that adds the holder's row.

--- a/cmd/lentilpoint-bench/scenario/control_run.go
+++ b/cmd/lentilpoint-bench/scenario/control_run.go
@@ -7,12 +7,8 @@
 	"math/rand/v2"
 	"time"
 
-	"github.com/jonboulle/clockwork"
-
 	"github.com/lentilpoint/lentilpoint/cmd/lentilpoint-bench/cluster"
 	"github.com/lentilpoint/lentilpoint/entryhost/config"
-	"github.com/lentilpoint/lentilpoint/entryhost/control"
-	"github.com/lentilpoint/lentilpoint/entryhost/platform"
 	"github.com/lentilpoint/lentilpoint/model"
 )
 
@@ -82,15 +78,12 @@
 
 // putMove commits the move as an operator does.
 func (r *moveRun) putMove(ctx context.Context) error {
-	client := platform.NewClient(r.c.Platform.URL(), "")
-	defer client.Close()
 	r.started = time.Now()
 	move := model.Move{
 		ID: moveUnderTest, Service: cluster.ServiceAdvisor, From: cluster.VersionOne, To: versionTwo,
 		Started: r.started, Deadline: r.started.Add(moveTimeLimit), State: model.MoveRunning,
 	}
-	committer := control.TableCommitter{Table: client, Clock: clockwork.NewRealClock()}
-	return committer.Commit(ctx, control.Commit{Base: 1, ID: "move", Author: "operator", Changes: []config.Change{{PutMove: &move}}})
+	return r.c.Commit(ctx, 1, []config.Change{{PutMove: &move}})
 }
 
 // records returns the committed revisions.
--- a/entryhost/config/commit.go
+++ b/entryhost/config/commit.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/jonboulle/clockwork"
+	"github.com/zeebo/errs"
 
 	"github.com/lentilpoint/lentilpoint/entryhost/platform"
 	"github.com/lentilpoint/lentilpoint/model"
@@ -36,8 +37,15 @@
 	Author  string
 	Note    string
 	Changes []Change
+	// Conditions must hold besides those on the head and the revision, such as
+	// the row of a lease holder.
+	Conditions []platform.Condition
 }
 
+// ErrConditionFailed reports that a condition of the proposal did not hold, so
+// that nothing was committed.
+var ErrConditionFailed = errs.Class("a condition of the commit no longer holds; read the rows again")
+
 // Conflict reports that another revision was committed first.
 type Conflict struct {
 	Expected model.Revision
@@ -109,6 +117,7 @@
 	if err != nil {
 		return RevisionRecord{}, err
 	}
+	transaction.Conditions = append(transaction.Conditions, proposal.Conditions...)
 	return c.write(ctx, transaction, record, proposal)
 }
 
@@ -195,7 +204,8 @@
 	}
 }
 
-// readBack tells a commit whose answer was lost from one that another won.
+// readBack tells a commit whose answer was lost from one that another won. A
+// missing revision means that a further condition of the proposal failed.
 func (c Committer) readBack(ctx context.Context, record RevisionRecord, proposal Proposal) (RevisionRecord, error) {
 	for {
 		winner, err := c.Record(ctx, record.Revision)
@@ -204,6 +214,8 @@
 			return winner, nil
 		case err == nil:
 			return RevisionRecord{}, &Conflict{Expected: proposal.Expected, Winner: winner}
+		case platform.ErrNotFound.Has(err) && len(proposal.Conditions) > 0:
+			return RevisionRecord{}, ErrConditionFailed.New("revision %d", record.Revision)
 		}
 		select {
 		case <-ctx.Done():
--- a/entryhost/config/config_test.go
+++ b/entryhost/config/config_test.go
@@ -195,6 +195,18 @@
 		Expect(model.AsFault(err).Kind).To(Equal(model.KindConflict))
 	})
 
+	It("commits nothing once a further condition fails, as when a lease went to another holder", func() {
+		s := newSite()
+		_, err := s.commit(1)
+		Expect(err).NotTo(HaveOccurred())
+		_, err = config.Committer{Table: s.client, Clock: clockwork.NewRealClock()}.Commit(s.ctx, config.Empty(), config.Proposal{
+			Expected: 1, ID: "old holder", Author: "control", Changes: record(2).Changes,
+			Conditions: []platform.Condition{{Key: "control/holder/advisor", Version: 4}},
+		})
+		Expect(config.ErrConditionFailed.Has(err)).To(BeTrue())
+		Expect(s.platform.Rows(config.PrefixRevision)).To(HaveLen(1))
+	})
+
 	It("takes effect once when every answer may be lost, and finds its own outcome", func() {
 		s := newSite()
 		s.platform.SetFaults(standin.PlatformFaults{LoseAnswers: 0.5, LoseRequests: 0.2})
--- a/entryhost/control/fx.go
+++ b/entryhost/control/fx.go
@@ -8,6 +8,7 @@
 
 	"github.com/lentilpoint/lentilpoint/entryhost/admission"
 	"github.com/lentilpoint/lentilpoint/entryhost/backends"
+	"github.com/lentilpoint/lentilpoint/entryhost/config"
 	"github.com/lentilpoint/lentilpoint/entryhost/events"
 	"github.com/lentilpoint/lentilpoint/entryhost/platform"
 	"github.com/lentilpoint/lentilpoint/model"
@@ -22,7 +23,7 @@
 )
 
 func provideCommitter(table platform.Table, clock clockwork.Clock) Committer {
-	return TableCommitter{Table: table, Clock: clock}
+	return RevisionCommitter{Committer: config.Committer{Table: table, Clock: clock}}
 }
 
 // inbox holds the mailboxes of control. They exist apart from the task, because
--- a/entryhost/control/messages.go
+++ b/entryhost/control/messages.go
@@ -42,8 +42,8 @@
 
 // Commit is one configuration revision to be committed.
 type Commit struct {
-	// Base is the revision that the changes were decided on.
-	Base    model.Revision
+	// Current is the configuration that the changes were decided on.
+	Current *model.Configuration
 	ID      string
 	Author  string
 	Note    string
--- a/entryhost/control/moversteps.go
+++ b/entryhost/control/moversteps.go
@@ -62,7 +62,7 @@
 	event := m.apply(&service, &move, evidence, decision)
 	base := m.configuration.Revision
 	err := m.committer.Commit(ctx, Commit{
-		Base: base, ID: m.commitID(base), Author: "control on " + string(m.owner.Host), Note: event.Cause,
+		Current: m.configuration, ID: m.commitID(base), Author: "control on " + string(m.owner.Host), Note: event.Cause,
 		Changes:    []config.Change{{PutService: &service}, {PutMove: &move}},
 		Conditions: m.conditions(),
 	})
