Weigh server deaths by progress and count tokens over a resumed stream

A continuation that had delivered 74 tokens counted like one that died at once, also because the tokens before a resumed stream were not reported. Ruled out: the retry budget (no refusal or deferral was counted) and the silence timeouts. Change: a death under a continuation that delivered 16 tokens counts half; Done reports the tokens of all attempts under one assignment; sockets and the mapping of faults to HTTP have one home each in task and faultwire.

--- a/entryhost/admission/admission_test.go
+++ b/entryhost/admission/admission_test.go
@@ -320,7 +320,7 @@
 	ginkgo.It("come back as they were sent, and malformed ones are refused", func() {
 		rapid.Check(ginkgo.GinkgoT(), func(t *rapid.T) {
 			fingerprint := model.Fingerprint(rapid.Uint64().Draw(t, "fingerprint"))
-			suspicion := Suspicion{Deaths: rapid.IntRange(0, 255).Draw(t, "deaths"), Turn: Turn(rapid.IntRange(0, 3).Draw(t, "turn"))}
+			suspicion := Suspicion{Weight: DeathWeight(rapid.IntRange(0, 255).Draw(t, "weight")), Turn: Turn(rapid.IntRange(0, 3).Draw(t, "turn"))}
 			fact := suspectFact("a/b", fingerprint, suspicion)
 			gotFingerprint, got, err := decodeSuspicion(fact)
 			if err != nil || gotFingerprint != fingerprint || got != suspicion || factService(fact) != "a/b" {
--- a/entryhost/admission/assign.go
+++ b/entryhost/admission/assign.go
@@ -145,7 +145,7 @@
 	})
 	d.recordHealth(flight.server, slots, done.Outcome)
 	if done.Outcome == OutcomeBroken && d.isEngine() {
-		d.recordDeath(now, flight, slots)
+		d.recordDeath(now, flight, slots, done.Tokens)
 	}
 	d.share(now)
 }
--- a/entryhost/admission/isolation.go
+++ b/entryhost/admission/isolation.go
@@ -22,10 +22,10 @@
 )
 
 // recordDeath counts the death of a server against a request that was on it.
-func (d *Dispatcher) recordDeath(now time.Time, flight *flight, slots *serverSlots) {
+func (d *Dispatcher) recordDeath(now time.Time, flight *flight, slots *serverSlots, tokens int) {
 	fingerprint := flight.request.Fingerprint
 	before := d.suspects.Verdict(fingerprint)
-	d.suspects.Death(now, fingerprint, d.noteDeath(slots))
+	d.suspects.Death(now, fingerprint, d.noteDeath(slots), weighDeath(flight.request.Resume, tokens))
 	after := d.suspects.Verdict(fingerprint)
 	if after == before || d.policies.BlindRetry {
 		return
--- a/entryhost/admission/suspects.go
+++ b/entryhost/admission/suspects.go
@@ -9,7 +9,8 @@
 
 const (
 	// suspectDeaths is the number of server deaths from which a request runs
-	// alone; with refuseDeaths it is refused.
+	// alone; with refuseDeaths it is refused. They count whole deaths; a death
+	// that speaks less against the request counts half.
 	suspectDeaths = 2
 	refuseDeaths  = 3
 	// suspectLifetime is how long a suspicion holds after the last death.
@@ -38,6 +39,26 @@
 	VerdictRefuse
 )
 
+// DeathWeight is how much the death of a server speaks against a request, in
+// halves of a death.
+type DeathWeight int
+
+// The weights of a death.
+const (
+	// DeathUnlikely is for a continued attempt that had delivered provenTokens: it
+	// had passed the position at which content that crashes engines does so again.
+	DeathUnlikely DeathWeight = 1
+	DeathLikely   DeathWeight = 2
+)
+
+// weighDeath judges the death of a server under an attempt.
+func weighDeath(continued bool, tokens int) DeathWeight {
+	if continued && tokens >= provenTokens {
+		return DeathUnlikely
+	}
+	return DeathLikely
+}
+
 // Turn is what an entry host does with a suspect; hosts take turns on the
 // server set apart.
 type Turn byte
@@ -58,7 +79,8 @@
 
 // Suspicion is what one entry host shares about a fingerprint.
 type Suspicion struct {
-	Deaths int
+	// Weight is the sum of the weights of the deaths.
+	Weight DeathWeight
 	Turn   Turn
 }
 
@@ -68,19 +90,28 @@
 }
 
 type suspectRecord struct {
-	deaths map[DeathID]bool
+	deaths map[DeathID]DeathWeight
 	remote map[model.HostID]remoteSuspicion
 	last   time.Time
 	turn   Turn
 	shared time.Time
 }
 
-func (r *suspectRecord) total() int {
-	total := len(r.deaths)
+// weight sums up the deaths that all entry hosts saw.
+func (r *suspectRecord) weight() DeathWeight {
+	weight := r.ownWeight()
 	for _, remote := range r.remote {
-		total += remote.Deaths
+		weight += remote.Weight
+	}
+	return weight
+}
+
+func (r *suspectRecord) ownWeight() DeathWeight {
+	var weight DeathWeight
+	for _, death := range r.deaths {
+		weight += death
 	}
-	return total
+	return weight
 }
 
 // SuspectTable counts the server deaths of request fingerprints. Entry hosts
@@ -103,15 +134,15 @@
 // Death records that a request was on a server that died. The deaths of a
 // refused request are explained by it, so they no longer count against the
 // requests that were on the same servers.
-func (t *SuspectTable) Death(now time.Time, fingerprint model.Fingerprint, death DeathID) {
+func (t *SuspectTable) Death(now time.Time, fingerprint model.Fingerprint, death DeathID, weight DeathWeight) {
 	record := t.record(fingerprint)
-	record.deaths[death] = true
+	record.deaths[death] = weight
 	record.last = now
 	if record.turn == TurnCleared {
 		record.turn = TurnNone
 	}
 	t.changed[fingerprint] = true
-	if record.total() < refuseDeaths {
+	if record.weight() < refuseDeaths*DeathLikely {
 		return
 	}
 	for other, neighbour := range t.records {
@@ -132,7 +163,7 @@
 }
 
 func (t *SuspectTable) remove(fingerprint model.Fingerprint, record *suspectRecord, death DeathID) {
-	if record.deaths[death] {
+	if _, counted := record.deaths[death]; counted {
 		delete(record.deaths, death)
 		t.changed[fingerprint] = true
 	}
@@ -177,10 +208,10 @@
 	if record == nil {
 		return VerdictClear
 	}
-	switch total := record.total(); {
-	case total >= refuseDeaths:
+	switch weight := record.weight(); {
+	case weight >= refuseDeaths*DeathLikely:
 		return VerdictRefuse
-	case total >= suspectDeaths:
+	case weight >= suspectDeaths*DeathLikely:
 		return VerdictSuspect
 	default:
 		return VerdictClear
@@ -238,7 +269,7 @@
 	for fingerprint := range t.changed {
 		if record := t.records[fingerprint]; record != nil {
 			record.shared = now
-			changes[fingerprint] = Suspicion{Deaths: len(record.deaths), Turn: record.turn}
+			changes[fingerprint] = Suspicion{Weight: record.ownWeight(), Turn: record.turn}
 		}
 	}
 	clear(t.changed)
@@ -274,7 +305,7 @@
 func (t *SuspectTable) record(fingerprint model.Fingerprint) *suspectRecord {
 	record := t.records[fingerprint]
 	if record == nil {
-		record = &suspectRecord{deaths: make(map[DeathID]bool), remote: make(map[model.HostID]remoteSuspicion)}
+		record = &suspectRecord{deaths: make(map[DeathID]DeathWeight), remote: make(map[model.HostID]remoteSuspicion)}
 		t.records[fingerprint] = record
 	}
 	return record
--- a/entryhost/admission/suspects_test.go
+++ b/entryhost/admission/suspects_test.go
@@ -85,8 +85,8 @@
 		b.handle(Done{ID: (<-third).Assignment.ID, Outcome: OutcomeDone})
 		Expect(b.suspects.Verdict(9)).To(Equal(VerdictClear))
 		table := NewSuspectTable("entry-2")
-		table.Death(start, 9, 1)
-		table.Learn(start, 9, "entry-1", Suspicion{Deaths: 2})
+		table.Death(start, 9, 1, DeathLikely)
+		table.Learn(start, 9, "entry-1", Suspicion{Weight: 2 * DeathLikely})
 		table.Learn(start, 9, "entry-1", Suspicion{Turn: TurnCleared})
 		Expect(table.Verdict(9)).To(Equal(VerdictClear))
 	})
@@ -94,11 +94,11 @@
 	ginkgo.It("frees neighbours of the same crashes once the cause is known", func() {
 		table := NewSuspectTable("entry-1")
 		for death := DeathID(1); death <= 2; death++ {
-			table.Death(start, 7, death)
-			table.Death(start, 8, death)
+			table.Death(start, 7, death, DeathLikely)
+			table.Death(start, 8, death, DeathLikely)
 		}
 		Expect(table.Verdict(8)).To(Equal(VerdictSuspect))
-		table.Death(start, 7, 3)
+		table.Death(start, 7, 3, DeathLikely)
 		Expect(table.Verdict(7)).To(Equal(VerdictRefuse))
 		Expect(table.Verdict(8)).To(Equal(VerdictClear))
 	})
@@ -114,12 +114,12 @@
 
 	ginkgo.It("waits while another host has a suspect on the server set apart", func() {
 		third := twoDeaths(7)
-		b.learn(peers.Fact{Kind: peers.FactSuspect, Key: "advisor/ff", Origin: "entry-9", Value: []byte{2, byte(TurnRunning)}})
+		b.learn(peers.Fact{Kind: peers.FactSuspect, Key: "advisor/ff", Origin: "entry-9", Value: []byte{byte(2 * DeathLikely), byte(TurnRunning)}})
 		b.advance(suspectHold)
 		b.report(nil)
 		b.advance(sweepInterval)
 		Expect(third).To(BeEmpty())
-		b.learn(peers.Fact{Kind: peers.FactSuspect, Key: "advisor/ff", Origin: "entry-9", Value: []byte{2, byte(TurnCleared)}})
+		b.learn(peers.Fact{Kind: peers.FactSuspect, Key: "advisor/ff", Origin: "entry-9", Value: []byte{byte(2 * DeathLikely), byte(TurnCleared)}})
 		b.advance(sweepInterval)
 		Expect(third).To(HaveLen(1))
 	})
@@ -167,3 +167,18 @@
 		Expect(mayEjectAnother(1, 2)).To(BeFalse())
 	})
 })
+
+var _ = ginkgo.Describe("the weight of a death", func() {
+	ginkgo.It("is half for a continuation that got past its start, so that two kills by chance make no suspect", func() {
+		table := NewSuspectTable("entry-1")
+		table.Death(start, 7, 1, weighDeath(false, 200))
+		table.Death(start, 7, 2, weighDeath(true, provenTokens))
+		Expect(table.Verdict(7)).To(Equal(VerdictClear))
+		table.Death(start, 7, 3, weighDeath(true, provenTokens-1))
+		Expect(table.Verdict(7)).To(Equal(VerdictSuspect))
+	})
+
+	ginkgo.It("is whole for a first attempt at any length, as content may crash an engine late", func() {
+		Expect(weighDeath(false, 10_000)).To(Equal(DeathLikely))
+	})
+})
--- a/entryhost/admission/wire.go
+++ b/entryhost/admission/wire.go
@@ -21,7 +21,7 @@
 	return peers.Fact{
 		Kind:       peers.FactSuspect,
 		Key:        fmt.Sprintf("%s/%x", service, uint64(fingerprint)),
-		Value:      []byte{byte(min(suspicion.Deaths, 255)), byte(suspicion.Turn)},
+		Value:      []byte{byte(min(suspicion.Weight, 255)), byte(suspicion.Turn)},
 		Lifetime:   suspectLifetime,
 		Everywhere: true,
 	}
@@ -37,7 +37,7 @@
 	if len(fact.Value) != suspicionBytes || Turn(fact.Value[1]) > TurnCleared {
 		return 0, Suspicion{}, Error.New("malformed suspect fact from %s", fact.Origin)
 	}
-	return model.Fingerprint(fingerprint), Suspicion{Deaths: int(fact.Value[0]), Turn: Turn(fact.Value[1])}, nil
+	return model.Fingerprint(fingerprint), Suspicion{Weight: DeathWeight(fact.Value[0]), Turn: Turn(fact.Value[1])}, nil
 }
 
 // usageFact encodes the usage of this host. Data centres have their own
--- a/entryhost/callers/server.go
+++ b/entryhost/callers/server.go
@@ -23,6 +23,7 @@
 	"github.com/lentilpoint/lentilpoint/entryhost/config"
 	"github.com/lentilpoint/lentilpoint/entryhost/requests"
 	"github.com/lentilpoint/lentilpoint/entryhost/requests/tickets"
+	"github.com/lentilpoint/lentilpoint/faultwire"
 	"github.com/lentilpoint/lentilpoint/model"
 	"github.com/lentilpoint/lentilpoint/task"
 )
@@ -53,9 +54,7 @@
 type Server struct {
 	Parameters
 
-	// listener is the bound socket of the next Serve; nil after it was closed.
-	listener net.Listener
-	address  string
+	socket   task.Socket
 	commands task.Mailbox[command]
 	// draining is closed by the task when a graceful shutdown begins. Caller
 	// tasks only read it.
@@ -77,15 +76,14 @@
 func NewServer(listener net.Listener, parameters Parameters) *Server {
 	return &Server{
 		Parameters: parameters,
-		listener:   listener,
-		address:    listener.Addr().String(),
+		socket:     task.NewSocket(listener),
 		commands:   task.NewMailbox[command](commandsSize),
 		draining:   make(chan struct{}),
 	}
 }
 
 // Address returns the address that callers reach.
-func (s *Server) Address() string { return s.address }
+func (s *Server) Address() string { return s.socket.Address() }
 
 // String names the task in the logs.
 func (s *Server) String() string { return "callers" }
@@ -109,8 +107,9 @@
 // Serve accepts callers until the context ends or a shutdown is done. After a
 // failure the supervisor calls it again and it binds the same address.
 func (s *Server) Serve(ctx context.Context) error {
-	if err := s.bind(); err != nil {
-		return err
+	listener, err := s.socket.Take()
+	if err != nil {
+		return Error.Wrap(err)
 	}
 	server := &http.Server{
 		Handler:           s.handler(),
@@ -119,8 +118,7 @@
 		ErrorLog:          slog.NewLogLogger(s.Logger.Handler(), slog.LevelDebug),
 	}
 	failed := make(chan error, 1)
-	go func(listener net.Listener) { failed <- server.Serve(listener) }(s.listener)
-	s.listener = nil
+	go func() { failed <- server.Serve(listener) }()
 	for {
 		select {
 		case <-ctx.Done():
@@ -139,15 +137,6 @@
 	}
 }
 
-func (s *Server) bind() error {
-	if s.listener != nil {
-		return nil
-	}
-	listener, err := net.Listen("tcp", s.address)
-	s.listener = listener
-	return Error.Wrap(err)
-}
-
 func (s *Server) startDrain() {
 	select {
 	case <-s.draining:
@@ -281,9 +270,9 @@
 func (s *Server) fail(c *gin.Context, id model.RequestID, fault *model.Fault) {
 	s.countRefusal(fault)
 	if fault.RetryAfter > 0 {
-		c.Header("Retry-After", retryAfterSeconds(fault))
+		c.Header("Retry-After", faultwire.RetryAfter(fault))
 	}
-	c.JSON(statusOf(fault.Kind), errorBody(fault, id))
+	c.JSON(faultwire.Status(fault.Kind), errorBody(fault, id))
 }
 
 func (s *Server) countRefusal(fault *model.Fault) {
--- a/entryhost/callers/wire.go
+++ b/entryhost/callers/wire.go
@@ -3,8 +3,6 @@
 import (
 	"encoding/json"
 	"fmt"
-	"net/http"
-	"strconv"
 	"strings"
 
 	"github.com/lentilpoint/lentilpoint/enginewire"
@@ -205,32 +203,3 @@
 		Remedy: fault.Remedy, Field: fault.Field, RequestID: id, Type: fault.Kind, Code: fault.Reason,
 	}}
 }
-
-// statusOf maps a kind of error to an HTTP status.
-func statusOf(kind model.Kind) int {
-	switch kind {
-	case model.KindInvalid:
-		return http.StatusBadRequest
-	case model.KindUnauthorised:
-		return http.StatusUnauthorized
-	case model.KindNotFound:
-		return http.StatusNotFound
-	case model.KindConflict:
-		return http.StatusConflict
-	case model.KindOverloaded:
-		return http.StatusTooManyRequests
-	case model.KindUnavailable:
-		return http.StatusServiceUnavailable
-	case model.KindDeadline:
-		return http.StatusGatewayTimeout
-	case model.KindUnknown:
-		return http.StatusBadGateway
-	default:
-		return http.StatusInternalServerError
-	}
-}
-
-func retryAfterSeconds(fault *model.Fault) string {
-	seconds := int64(fault.RetryAfter.Seconds() + 0.999)
-	return strconv.FormatInt(seconds, 10)
-}
--- a/entryhost/control/control_test.go
+++ b/entryhost/control/control_test.go
@@ -4,12 +4,11 @@
 	"testing"
 	"time"
 
+	"github.com/anishathalye/porcupine"
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 	"pgregory.net/rapid"
 
-	"github.com/anishathalye/porcupine"
-
 	"github.com/lentilpoint/lentilpoint/enginewire"
 	"github.com/lentilpoint/lentilpoint/entryhost/admission"
 	"github.com/lentilpoint/lentilpoint/entryhost/platform"
--- a/entryhost/operators/handlers.go
+++ b/entryhost/operators/handlers.go
@@ -14,6 +14,7 @@
 	"github.com/lentilpoint/lentilpoint/entryhost/config"
 	"github.com/lentilpoint/lentilpoint/entryhost/events"
 	"github.com/lentilpoint/lentilpoint/eventcode"
+	"github.com/lentilpoint/lentilpoint/faultwire"
 	"github.com/lentilpoint/lentilpoint/model"
 	"github.com/lentilpoint/lentilpoint/task"
 )
@@ -57,7 +58,7 @@
 	if errors.As(err, &invalid) {
 		detail.Problems = invalid.Problems
 	}
-	c.AbortWithStatusJSON(statusOf(fault.Kind), ErrorBody{Error: detail})
+	c.AbortWithStatusJSON(faultwire.Status(fault.Kind), ErrorBody{Error: detail})
 }
 
 // decode reads a JSON body. Unknown fields are refused, because a misspelt one
--- a/entryhost/operators/server.go
+++ b/entryhost/operators/server.go
@@ -69,9 +69,7 @@
 	Parameters
 
 	operators []operator
-	// listener is the bound socket of the next Serve; nil after it was closed.
-	listener  net.Listener
-	address   string
+	socket    task.Socket
 	facts     task.Mailbox[peers.Fact]
 	questions task.Mailbox[askRevisions]
 	revisions map[model.HostID]model.Revision
@@ -80,22 +78,18 @@
 // NewServer returns the operator API on a bound socket. A nil listener turns it
 // off.
 func NewServer(listener net.Listener, parameters Parameters) *Server {
-	server := &Server{
+	return &Server{
 		Parameters: parameters,
 		operators:  parseTokens(parameters.Tokens),
-		listener:   listener,
+		socket:     task.NewSocket(listener),
 		facts:      task.NewMailbox[peers.Fact](factsSize),
 		questions:  task.NewMailbox[askRevisions](questionsSize),
 		revisions:  make(map[model.HostID]model.Revision),
 	}
-	if listener != nil {
-		server.address = listener.Addr().String()
-	}
-	return server
 }
 
 // Address returns the address that operators reach, or an empty string.
-func (s *Server) Address() string { return s.address }
+func (s *Server) Address() string { return s.socket.Address() }
 
 // Subscriber receives the revisions that other hosts report.
 func (s *Server) Subscriber() peers.Subscriber {
@@ -108,11 +102,12 @@
 // Serve answers operators until the context ends. After a failure the
 // supervisor calls it again and it binds the same address.
 func (s *Server) Serve(ctx context.Context) error {
-	if s.address == "" {
+	if s.Address() == "" {
 		return suture.ErrDoNotRestart
 	}
-	if err := s.bind(); err != nil {
-		return err
+	listener, err := s.socket.Take()
+	if err != nil {
+		return Error.Wrap(err)
 	}
 	server := &http.Server{
 		Handler:           s.handler(),
@@ -120,8 +115,7 @@
 		ErrorLog:          slog.NewLogLogger(s.Logger.Handler(), slog.LevelDebug),
 	}
 	failed := make(chan error, 1)
-	go func(listener net.Listener) { failed <- server.Serve(listener) }(s.encrypted(s.listener))
-	s.listener = nil
+	go func() { failed <- server.Serve(s.encrypted(listener)) }()
 	for {
 		select {
 		case <-ctx.Done():
@@ -136,15 +130,6 @@
 	}
 }
 
-func (s *Server) bind() error {
-	if s.listener != nil {
-		return nil
-	}
-	listener, err := net.Listen("tcp", s.address)
-	s.listener = listener
-	return Error.Wrap(err)
-}
-
 func (s *Server) encrypted(listener net.Listener) net.Listener {
 	if s.TLS == nil {
 		return listener
--- a/entryhost/operators/wire.go
+++ b/entryhost/operators/wire.go
@@ -1,7 +1,6 @@
 package operators
 
 import (
-	"net/http"
 	"time"
 
 	"github.com/lentilpoint/lentilpoint/entryhost/config"
@@ -136,23 +135,3 @@
 func (d ErrorDetail) Fault() *model.Fault {
 	return &model.Fault{Kind: d.Kind, Reason: d.Reason, Executed: d.Executed, Message: d.Message, Remedy: d.Remedy, Field: d.Field}
 }
-
-// statusOf maps a kind of error to an HTTP status.
-func statusOf(kind model.Kind) int {
-	switch kind {
-	case model.KindInvalid:
-		return http.StatusBadRequest
-	case model.KindUnauthorised:
-		return http.StatusUnauthorized
-	case model.KindNotFound:
-		return http.StatusNotFound
-	case model.KindConflict:
-		return http.StatusConflict
-	case model.KindUnavailable, model.KindOverloaded:
-		return http.StatusServiceUnavailable
-	case model.KindDeadline, model.KindUnknown:
-		return http.StatusGatewayTimeout
-	default:
-		return http.StatusInternalServerError
-	}
-}
--- a/entryhost/peers/listener.go
+++ b/entryhost/peers/listener.go
@@ -17,8 +17,7 @@
 // Listener is the task that owns the socket for other entry hosts. Each
 // connection has a goroutine of its own that serves net/rpc.
 type Listener struct {
-	listener net.Listener
-	address  string
+	socket   task.Socket
 	secret   []byte
 	server   *rpc.Server
 	sent     *metrics.Counter
@@ -48,28 +47,26 @@
 	if err != nil {
 		return nil, Error.New("cannot bind --peer-address: %w; choose a free address of this host", err)
 	}
-	l.listener = listener
-	l.address = listener.Addr().String()
+	l.socket = task.NewSocket(listener)
 	return l, nil
 }
 
 // Address returns the address that peers reach, or "".
-func (l *Listener) Address() string { return l.address }
+func (l *Listener) Address() string { return l.socket.Address() }
 
 // String names the task in the logs.
 func (l *Listener) String() string { return "peer-listener" }
 
 // Serve accepts connections until the context ends.
 func (l *Listener) Serve(ctx context.Context) error {
-	if l.address == "" {
+	if l.Address() == "" {
 		<-ctx.Done()
 		return nil
 	}
-	if err := l.bind(); err != nil {
-		return err
+	listener, err := l.socket.Take()
+	if err != nil {
+		return Error.Wrap(err)
 	}
-	listener := l.listener
-	l.listener = nil
 	stop := context.AfterFunc(ctx, func() { _ = listener.Close() })
 	defer stop()
 	for {
@@ -84,15 +81,6 @@
 	}
 }
 
-func (l *Listener) bind() error {
-	if l.listener != nil {
-		return nil
-	}
-	listener, err := net.Listen("tcp", l.address)
-	l.listener = listener
-	return Error.Wrap(err)
-}
-
 func (l *Listener) serve(ctx context.Context, conn net.Conn) {
 	counted := countedConn{Conn: conn, sent: l.sent, received: l.received}
 	if err := authenticate(counted, l.secret, false); err != nil {
--- a/entryhost/requests/attempt.go
+++ b/entryhost/requests/attempt.go
@@ -20,6 +20,8 @@
 	progress   time.Time
 	firstToken time.Time
 	tokens     int
+	// earlier counts the tokens of earlier attempts under the same assignment.
+	earlier int
 	// base is the position at which the engine's stream begins.
 	base int
 	// prompt is the number of prompt tokens, estimated if it is not known.
@@ -94,7 +96,7 @@
 		Version:  a.assignment.Version,
 		Outcome:  outcome,
 		Duration: now.Sub(a.started),
-		Tokens:   a.tokens,
+		Tokens:   a.earlier + a.tokens,
 	}
 	done.Request.ID = generation.ID
 	done.Request.Organisation = generation.Organisation.ID
--- a/entryhost/requests/attempts.go
+++ b/entryhost/requests/attempts.go
@@ -271,7 +271,7 @@
 	g.countRetry("resume_stream")
 	resumed := &attempt{
 		number: g.ledger.Begin(), assignment: lost.assignment, base: lost.source.Base,
-		resumed: true, cause: failure, source: lost.source,
+		resumed: true, cause: failure, source: lost.source, earlier: lost.earlier + lost.tokens,
 	}
 	g.current = resumed
 	g.note(eventcode.StreamResumed, resumed, "the connection was lost: "+failure.Error())
