Let one piece serve each of three repeated patterns

Cause: the stand-ins, the measurements and the two programs that run an entry host each repeated the same steps. Change: standin/steps.go runs the steps of a stand-in's task, slope.withHost starts a measured entry host, entryhost.Run serves until a signal.

--- a/cmd/lentilpoint-bench/host.go
+++ b/cmd/lentilpoint-bench/host.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"context"
 	"os"
 	"os/signal"
 	"syscall"
@@ -29,17 +28,9 @@
 			}
 			ctx, stop := signal.NotifyContext(cmd.Context(), syscall.SIGTERM, syscall.SIGINT)
 			defer stop()
-			running, err := entryhost.New(values, entryhost.Environment{
+			return entryhost.Run(ctx, values, entryhost.Environment{
 				Clock: clockwork.NewRealClock(), Metrics: metrics.NewSet(), Logger: values.NewLogger(os.Stderr),
 			})
-			if err != nil {
-				return err
-			}
-			if err := running.Start(); err != nil {
-				return err
-			}
-			<-ctx.Done()
-			return running.Stop(context.WithoutCancel(ctx))
 		},
 	}
 	settings.Register(host.Flags(), &values)
--- a/cmd/lentilpoint-bench/slope/process.go
+++ b/cmd/lentilpoint-bench/slope/process.go
@@ -11,6 +11,8 @@
 	"strings"
 	"syscall"
 	"time"
+
+	"github.com/lentilpoint/lentilpoint/cmd/lentilpoint-bench/cluster"
 )
 
 // hostProcess is an entry host in a process of its own.
@@ -43,6 +45,24 @@
 	return process, process.waitReady(ctx)
 }
 
+// withHost starts a cluster without entry hosts and one entry host in a process
+// of its own, and measures that.
+func withHost(ctx context.Context, options cluster.Options, measure func(ctx context.Context, process *hostProcess) (map[string]float64, error)) (map[string]float64, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	c, err := cluster.Start(ctx, options)
+	if err != nil {
+		return nil, err
+	}
+	defer c.Stop()
+	process, err := startHostProcess(ctx, c.Platform.URL(), options.Seed)
+	if err != nil {
+		return nil, err
+	}
+	defer process.stop()
+	return measure(ctx, process)
+}
+
 func freeAddress() (string, error) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
--- a/cmd/lentilpoint-bench/slope/requests.go
+++ b/cmd/lentilpoint-bench/slope/requests.go
@@ -24,33 +24,23 @@
 )
 
 func measureRequests(ctx context.Context, size int, seed uint64) (map[string]float64, error) {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	c, err := cluster.Start(ctx, cluster.Options{Seed: seed, Engines: 8})
-	if err != nil {
-		return nil, err
-	}
-	defer c.Stop()
-	process, err := startHostProcess(ctx, c.Platform.URL(), seed)
-	if err != nil {
-		return nil, err
-	}
-	defer process.stop()
-	client := cluster.NewClient("bubbles")
-	defer client.Close()
-	finished := make(chan cluster.Stream, size*20)
-	go sendAtRate(ctx, client, process.url, size, finished)
-	time.Sleep(requestsSettle)
-	drainStreams(finished)
-	figures, err := process.idleCost(requestsPeriod)
-	if err != nil {
-		return nil, err
-	}
-	done, failed := drainStreams(finished)
-	figures["requests_per_s"] = float64(done) / requestsPeriod.Seconds()
-	figures["requests_failed"] = float64(failed)
-	figures["core_us_per_request"] = 1e4 * figures["core_percent"] / max(figures["requests_per_s"], 1)
-	return figures, nil
+	return withHost(ctx, cluster.Options{Seed: seed, Engines: 8}, func(ctx context.Context, process *hostProcess) (map[string]float64, error) {
+		client := cluster.NewClient("bubbles")
+		defer client.Close()
+		finished := make(chan cluster.Stream, size*20)
+		go sendAtRate(ctx, client, process.url, size, finished)
+		time.Sleep(requestsSettle)
+		drainStreams(finished)
+		figures, err := process.idleCost(requestsPeriod)
+		if err != nil {
+			return nil, err
+		}
+		done, failed := drainStreams(finished)
+		figures["requests_per_s"] = float64(done) / requestsPeriod.Seconds()
+		figures["requests_failed"] = float64(failed)
+		figures["core_us_per_request"] = 1e4 * figures["core_percent"] / max(figures["requests_per_s"], 1)
+		return figures, nil
+	})
 }
 
 // sendAtRate sends generations at a fixed rate until the context ends.
--- a/cmd/lentilpoint-bench/slope/servers.go
+++ b/cmd/lentilpoint-bench/slope/servers.go
@@ -73,32 +73,22 @@
 }
 
 func measureServers(ctx context.Context, size int, seed uint64) (map[string]float64, error) {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
 	counter, address, err := startPollCounter()
 	if err != nil {
 		return nil, err
 	}
 	defer func() { _ = counter.server.Close() }()
-	c, err := cluster.Start(ctx, cluster.Options{Seed: seed, Listed: listServers(size, address)})
-	if err != nil {
-		return nil, err
-	}
-	defer c.Stop()
-	process, err := startHostProcess(ctx, c.Platform.URL(), seed)
-	if err != nil {
-		return nil, err
-	}
-	defer process.stop()
-	time.Sleep(idleSettle)
-	polls, bytes := counter.polls.Load(), counter.bytes.Load()
-	figures, err := process.idleCost(idlePeriod)
-	if err != nil {
-		return nil, err
-	}
-	figures["polls_per_s"] = float64(counter.polls.Load()-polls) / idlePeriod.Seconds()
-	figures["poll_bytes_per_s"] = float64(counter.bytes.Load()-bytes) / idlePeriod.Seconds()
-	return figures, nil
+	return withHost(ctx, cluster.Options{Seed: seed, Listed: listServers(size, address)}, func(ctx context.Context, process *hostProcess) (map[string]float64, error) {
+		time.Sleep(idleSettle)
+		polls, bytes := counter.polls.Load(), counter.bytes.Load()
+		figures, err := process.idleCost(idlePeriod)
+		if err != nil {
+			return nil, err
+		}
+		figures["polls_per_s"] = float64(counter.polls.Load()-polls) / idlePeriod.Seconds()
+		figures["poll_bytes_per_s"] = float64(counter.bytes.Load()-bytes) / idlePeriod.Seconds()
+		return figures, nil
+	})
 }
 
 // idleCost measures the process over a period.
--- a/cmd/lentilpoint-bench/slope/streams.go
+++ b/cmd/lentilpoint-bench/slope/streams.go
@@ -35,35 +35,25 @@
 }
 
 func measureStreams(ctx context.Context, size int, seed uint64) (map[string]float64, error) {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
 	engine := cluster.DefaultEngine()
 	engine.TokenInterval = tokenInterval
 	engine.Capacity = 2 * streamsPerEngine
-	c, err := cluster.Start(ctx, cluster.Options{Seed: seed, Engines: (size + streamsPerEngine - 1) / streamsPerEngine, Engine: engine})
-	if err != nil {
-		return nil, err
-	}
-	defer c.Stop()
-	process, err := startHostProcess(ctx, c.Platform.URL(), seed)
-	if err != nil {
-		return nil, err
-	}
-	defer process.stop()
-	// The host learns of all engines before the streams begin.
-	time.Sleep(time.Second)
-	idle, err := process.metric("process_resident_memory_bytes")
-	if err != nil {
-		return nil, err
-	}
-	var events atomic.Int64
-	streamContext, endStreams := context.WithCancel(ctx)
-	defer endStreams()
-	for i := range size {
-		go readStream(streamContext, process.url, i, &events)
-	}
-	time.Sleep(streamsSettle)
-	return measureHost(process, &events, idle)
+	return withHost(ctx, cluster.Options{Seed: seed, Engines: (size + streamsPerEngine - 1) / streamsPerEngine, Engine: engine}, func(ctx context.Context, process *hostProcess) (map[string]float64, error) {
+		// The host learns of all engines before the streams begin.
+		time.Sleep(time.Second)
+		idle, err := process.metric("process_resident_memory_bytes")
+		if err != nil {
+			return nil, err
+		}
+		var events atomic.Int64
+		streamContext, endStreams := context.WithCancel(ctx)
+		defer endStreams()
+		for i := range size {
+			go readStream(streamContext, process.url, i, &events)
+		}
+		time.Sleep(streamsSettle)
+		return measureHost(process, &events, idle)
+	})
 }
 
 func measureHost(process *hostProcess, events *atomic.Int64, idle float64) (map[string]float64, error) {
--- a/cmd/lentilpoint-bench/standin/plain.go
+++ b/cmd/lentilpoint-bench/standin/plain.go
@@ -65,7 +65,7 @@
 		return nil, err
 	}
 	p.endpoint = endpoint
-	go p.serve(ctx)
+	go serveSteps(ctx, p, endpoint.cut)
 	return p, nil
 }
 
@@ -75,54 +75,31 @@
 // Address returns the server's address; it stays the same after a restart.
 func (p *Plain) Address() string { return p.endpoint.address }
 
-func (p *Plain) serve(ctx context.Context) {
-	for {
-		select {
-		case <-ctx.Done():
-			p.endpoint.cut()
-			return
-		case message := <-p.messages.C():
-			message(p)
-		}
-	}
-}
-
-func callPlain[R any](ctx context.Context, p *Plain, run func(*Plain) R) (R, error) {
-	return task.Call(ctx, p.messages, func(reply task.Reply[R]) func(*Plain) {
-		return func(p *Plain) { reply.Send(run(p)) }
-	})
-}
-
-func controlPlain[R any](p *Plain, run func(*Plain) R) R {
-	ctx, cancel := context.WithTimeout(context.Background(), controlTimeout)
-	defer cancel()
-	result, _ := callPlain(ctx, p, run)
-	return result
-}
+func (p *Plain) steps() task.Mailbox[func(*Plain)] { return p.messages }
 
 // SetFaults replaces the faults in effect.
 func (p *Plain) SetFaults(faults PlainFaults) {
-	controlPlain(p, func(p *Plain) bool { p.faults = faults; return true })
+	control(p, func(p *Plain) bool { p.faults = faults; return true })
 }
 
 // Die cuts all connections.
 func (p *Plain) Die() {
-	controlPlain(p, func(p *Plain) bool { p.endpoint.cut(); return true })
+	control(p, func(p *Plain) bool { p.endpoint.cut(); return true })
 }
 
 // Revive starts the server again after it died.
 func (p *Plain) Revive() {
-	controlPlain(p, func(p *Plain) bool { return p.endpoint.server != nil || p.endpoint.open() == nil })
+	control(p, func(p *Plain) bool { return p.endpoint.server != nil || p.endpoint.open() == nil })
 }
 
 // Silence makes the open connections silent for good; new ones work.
 func (p *Plain) Silence() {
-	controlPlain(p, func(p *Plain) bool { p.endpoint.silence(); return true })
+	control(p, func(p *Plain) bool { p.endpoint.silence(); return true })
 }
 
 // Executions returns the calls that took effect.
 func (p *Plain) Executions() []Execution {
-	return controlPlain(p, func(p *Plain) []Execution { return append([]Execution(nil), p.executions...) })
+	return control(p, func(p *Plain) []Execution { return append([]Execution(nil), p.executions...) })
 }
 
 func (p *Plain) serveLoad(w http.ResponseWriter, _ *http.Request) {
@@ -144,7 +121,7 @@
 	if err != nil {
 		return
 	}
-	faults, err := callPlain(r.Context(), p, func(p *Plain) PlainFaults { return p.faults })
+	faults, err := call(r.Context(), p, func(p *Plain) PlainFaults { return p.faults })
 	if err != nil {
 		return
 	}
@@ -158,7 +135,7 @@
 	}
 	time.Sleep(faults.Delay)
 	execution := Execution{Server: p.id, Method: r.Method, Path: r.URL.Path, Order: r.Header.Get(HeaderOrder), At: time.Now()}
-	number := controlPlain(p, func(p *Plain) int { p.executions = append(p.executions, execution); return len(p.executions) })
+	number := control(p, func(p *Plain) int { p.executions = append(p.executions, execution); return len(p.executions) })
 	if faults.DieAfter {
 		p.dieOnce()
 		return
@@ -178,7 +155,7 @@
 
 // dieOnce cuts all connections and clears the fault, so that a restart works.
 func (p *Plain) dieOnce() {
-	controlPlain(p, func(p *Plain) bool {
+	control(p, func(p *Plain) bool {
 		p.faults.DieBefore, p.faults.DieAfter = false, false
 		p.endpoint.cut()
 		return true
--- a/cmd/lentilpoint-bench/standin/platform.go
+++ b/cmd/lentilpoint-bench/standin/platform.go
@@ -71,38 +71,14 @@
 		return nil, err
 	}
 	p.endpoint = endpoint
-	go p.serve(ctx)
+	go serveSteps(ctx, p, endpoint.cut)
 	return p, nil
 }
 
 // URL returns the base URL of the platform.
 func (p *Platform) URL() string { return "http://" + p.endpoint.address }
 
-func (p *Platform) serve(ctx context.Context) {
-	for {
-		select {
-		case <-ctx.Done():
-			p.endpoint.cut()
-			return
-		case message := <-p.messages.C():
-			message(p)
-		}
-	}
-}
-
-// call runs a step inside the platform task and returns its result.
-func call[R any](ctx context.Context, p *Platform, run func(*Platform) R) (R, error) {
-	return task.Call(ctx, p.messages, func(reply task.Reply[R]) func(*Platform) {
-		return func(p *Platform) { reply.Send(run(p)) }
-	})
-}
-
-func control[R any](p *Platform, run func(*Platform) R) R {
-	ctx, cancel := context.WithTimeout(context.Background(), controlTimeout)
-	defer cancel()
-	result, _ := call(ctx, p, run)
-	return result
-}
+func (p *Platform) steps() task.Mailbox[func(*Platform)] { return p.messages }
 
 // SetFaults replaces the faults in effect.
 func (p *Platform) SetFaults(faults PlatformFaults) {
--- a/cmd/lentilpointd/main.go
+++ b/cmd/lentilpointd/main.go
@@ -56,19 +56,7 @@
 	defer stop()
 	logger := values.NewLogger(os.Stderr)
 	slog.SetDefault(logger)
-	host, err := entryhost.New(values, entryhost.Environment{
+	return entryhost.Run(ctx, values, entryhost.Environment{
 		Clock: clockwork.NewRealClock(), Metrics: metrics.NewSet(), Logger: logger,
 	})
-	if err != nil {
-		return err
-	}
-	if err := host.Start(); err != nil {
-		return err
-	}
-	select {
-	case <-ctx.Done():
-		return host.Stop(context.WithoutCancel(ctx))
-	case <-host.Done():
-		return host.Err()
-	}
 }
--- a/entryhost/host.go
+++ b/entryhost/host.go
@@ -156,3 +156,21 @@
 	defer cancel()
 	return Error.Wrap(h.app.Stop(ctx))
 }
+
+// Run serves until the context ends, which begins a graceful shutdown, or the
+// root supervisor gives up.
+func Run(ctx context.Context, values settings.Settings, environment Environment) error {
+	host, err := New(values, environment)
+	if err != nil {
+		return err
+	}
+	if err := host.Start(); err != nil {
+		return err
+	}
+	select {
+	case <-ctx.Done():
+		return host.Stop(context.WithoutCancel(ctx))
+	case <-host.Done():
+		return host.Err()
+	}
+}
