Share usage between data centres and deliver first tokens at once after a start

Change: usage goes to all data centres; a digest always takes one fact; gateways of small data centres exchange more often; sonic is prepared at start; the first poll of a server comes after a tenth of the interval; the spec interrupts after tokens were decoded instead of after 150 ms; refusals as not run of generations are checked against the engines' logs.

--- a/cmd/lentilpoint-bench/check/orders.go
+++ b/cmd/lentilpoint-bench/check/orders.go
@@ -37,3 +37,20 @@
 	}
 	return violations
 }
+
+// Refusal is a generation that its caller sent once and that was refused as not run.
+type Refusal struct {
+	PromptHash uint64
+	Seed       int64
+}
+
+// Refusals compares refusals as not run with the generations that engines ran.
+func Refusals(refused []Refusal, ran map[Refusal]bool) Violations {
+	violations := Violations{}
+	for _, refusal := range refused {
+		if ran[refusal] {
+			violations[FalseNotRun]++
+		}
+	}
+	return violations
+}
--- a/cmd/lentilpoint-bench/cluster/cursor_test.go
+++ b/cmd/lentilpoint-bench/cluster/cursor_test.go
@@ -16,8 +16,8 @@
 
 var _ = Describe("a reconnecting caller", Ordered, func() {
 	var c *cluster.Cluster
-	body := cluster.GenerationRequest{Model: string(cluster.ServiceAdvisor), Prompt: "a b c", MaxTokens: 60, Seed: 3}
-	expected := standin.Expected(standin.Tokenize("a b c"), 3, cluster.VersionOne, 60)
+	body := cluster.GenerationRequest{Model: string(cluster.ServiceAdvisor), Prompt: "a b c", MaxTokens: 200, Seed: 3}
+	expected := standin.Expected(standin.Tokenize("a b c"), 3, cluster.VersionOne, 200)
 
 	BeforeAll(func() {
 		var err error
@@ -29,12 +29,27 @@
 		DeferCleanup(c.Stop)
 	})
 
-	// interrupted reads a part of the answer and closes the connection.
+	// decoded returns the tokens of the newest attempt.
+	decoded := func() int {
+		attempts := c.Attempts()
+		if len(attempts) == 0 {
+			return 0
+		}
+		return attempts[len(attempts)-1].Decoded
+	}
+
+	// interrupted reads a part of the answer and closes the connection, once the
+	// engine has decoded some tokens.
 	interrupted := func(client *cluster.Client) cluster.Stream {
 		GinkgoHelper()
-		ctx, cancel := context.WithTimeout(context.Background(), 150*time.Millisecond)
+		before := len(c.Attempts())
+		ctx, cancel := context.WithCancel(context.Background())
 		defer cancel()
-		stream := client.Generate(ctx, c.URL(0), body, "")
+		streams := make(chan cluster.Stream, 1)
+		go func() { streams <- client.Generate(ctx, c.URL(0), body, "") }()
+		Eventually(func() bool { return len(c.Attempts()) > before && decoded() >= 20 }, 5*time.Second, 5*time.Millisecond).Should(BeTrue())
+		cancel()
+		stream := <-streams
 		Expect(stream.Finished).To(BeFalse())
 		Expect(stream.Tokens).NotTo(BeEmpty())
 		return stream
--- a/cmd/lentilpoint-bench/scenario/load.go
+++ b/cmd/lentilpoint-bench/scenario/load.go
@@ -134,6 +134,23 @@
 	return violations
 }
 
+// refusalViolations checks that generations which were refused as not run, each
+// sent once, have no attempt in the engines' logs.
+func refusalViolations(c *cluster.Cluster, results []generationResult) check.Violations {
+	ran := make(map[check.Refusal]bool)
+	for _, attempt := range c.Attempts() {
+		ran[check.Refusal{PromptHash: attempt.PromptHash, Seed: attempt.Seed}] = true
+	}
+	var refused []check.Refusal
+	for _, result := range results {
+		if fault := result.stream.Fault; fault != nil && fault.Executed == model.ExecutedNo {
+			prompt := result.plan.body.Prompt
+			refused = append(refused, check.Refusal{PromptHash: standin.PromptHash(prompt), Seed: result.plan.body.Seed})
+		}
+	}
+	return check.Refusals(refused, ran)
+}
+
 // plannedOrder is one non-idempotent order of a load.
 type plannedOrder struct {
 	name         string
--- a/cmd/lentilpoint-bench/scenario/overload.go
+++ b/cmd/lentilpoint-bench/scenario/overload.go
@@ -99,6 +99,7 @@
 	}
 	results, measured := runWindow(ctx, c, load.plan(random))
 	violations := tokenViolations(results, cluster.VersionOne, check.Tokens)
+	violations.Add(refusalViolations(c, results))
 	useful, finished, cut, late := 0, 0, 0, 0
 	var delays, waits []time.Duration
 	for _, result := range results {
@@ -186,6 +187,7 @@
 	}
 	results, measured := runWindow(ctx, c, planned)
 	violations := tokenViolations(results, cluster.VersionOne, check.Tokens)
+	violations.Add(refusalViolations(c, results))
 	tokens := make(map[model.OrganisationID]float64)
 	for _, result := range results {
 		tokens[result.plan.organisation] += float64(measured.useful(result.stream))
--- a/cmd/lentilpoint-bench/standin/tokens.go
+++ b/cmd/lentilpoint-bench/standin/tokens.go
@@ -64,6 +64,9 @@
 	return tokens
 }
 
+// PromptHash is the hash of a text prompt in an Attempt.
+func PromptHash(text string) uint64 { return rollAll(Tokenize(text)) }
+
 func rollAll(ids []enginewire.TokenID) uint64 {
 	var hash uint64
 	for _, id := range ids {
--- a/entryhost/admission/wire.go
+++ b/entryhost/admission/wire.go
@@ -40,15 +40,16 @@
 	return model.Fingerprint(fingerprint), Suspicion{Weight: DeathWeight(fact.Value[0]), Turn: Turn(fact.Value[1])}, nil
 }
 
-// usageFact encodes the usage of this host. Data centres have their own
-// servers, so usage is shared within one.
+// usageFact encodes the usage of this host. It goes to all data centres: work
+// spills over between them, and each has only one or two hosts at today's sizes.
+// The budget of a digest bounds what that costs in a large fleet.
 func usageFact(service model.ServiceName, entries []UsageEntry) peers.Fact {
 	value := make([]byte, 0, usageEntryBytes*len(entries))
 	for _, entry := range entries {
 		value = binary.BigEndian.AppendUint32(value, uint32(entry.Organisation))
 		value = binary.BigEndian.AppendUint16(value, entry.Open)
 	}
-	return peers.Fact{Kind: peers.FactUsage, Key: string(service), Value: value, Lifetime: usageLifetime}
+	return peers.Fact{Kind: peers.FactUsage, Key: string(service), Value: value, Lifetime: usageLifetime, Everywhere: true}
 }
 
 func decodeUsage(fact peers.Fact) ([]UsageEntry, error) {
--- a/entryhost/backends/decode.go
+++ b/entryhost/backends/decode.go
@@ -1,6 +1,8 @@
 package backends
 
 import (
+	"reflect"
+
 	"github.com/bytedance/sonic"
 
 	"github.com/lentilpoint/lentilpoint/enginewire"
@@ -10,6 +12,10 @@
 // time, which counts at 23,000 chunks a second.
 var chunkJSON = sonic.ConfigStd
 
+// sonic compiles a decoder at the first use of a type, which would delay the
+// first token after a start.
+func init() { _ = sonic.Pretouch(reflect.TypeFor[enginewire.Chunk]()) }
+
 // decodeChunk turns one chunk into a stream event.
 func decodeChunk(data string) (StreamEvent, *StreamError) {
 	var chunk enginewire.Chunk
--- a/entryhost/backends/poll.go
+++ b/entryhost/backends/poll.go
@@ -74,13 +74,21 @@
 func (poolSize) command()   {}
 func (PollNow) command()    {}
 
+// firstPollPart of the interval passes before the first poll of a server, which
+// takes no work before its versions are known.
+const firstPollPart = 10
+
 // nextPoll plans the next poll. A server that was never heard of is polled soon,
-// because it takes no work before its versions are known.
+// and from the second time on once per interval.
 func (s *serverTask) nextPoll() plannedPoll {
 	interval := s.polling.intervalFor(s.servers)
 	if s.state.LoadAt.IsZero() {
 		interval = s.polling.Interval
 	}
+	if !s.polled {
+		s.polled = true
+		interval /= firstPollPart
+	}
 	return plannedPoll{
 		interval:  interval,
 		host:      s.state.Host,
--- a/entryhost/backends/server.go
+++ b/entryhost/backends/server.go
@@ -45,6 +45,8 @@
 	pollDue chan struct{}
 	state   ServerState
 	cache   cachePosition
+	// polled tells that the first poll was planned.
+	polled bool
 	// cacheless tells that the server has no cache events.
 	cacheless bool
 	pooled    *http.Transport
--- a/entryhost/peers/facts.go
+++ b/entryhost/peers/facts.go
@@ -154,8 +154,10 @@
 	var selected []Fact
 	for _, row := range waiting {
 		size := factBytes(row.fact)
-		if size > budgetBytes {
-			break
+		// The first fact is sent whatever its size, as one larger than the budget
+		// would never be sent otherwise.
+		if size > budgetBytes && (len(selected) > 0 || budgetBytes <= 0) {
+			continue
 		}
 		budgetBytes -= size
 		row.sends--
--- a/entryhost/peers/policy_test.go
+++ b/entryhost/peers/policy_test.go
@@ -93,6 +93,13 @@
 		Expect(total).To(BeNumerically("<=", maxDigestBytes))
 	})
 
+	It("sends a fact that is larger than the budget alone, instead of never", func() {
+		store := NewFactStore("self", 1)
+		store.Publish(epoch, Fact{Kind: FactUsage, Key: "large", Value: make([]byte, MaxFactBytes)}, 22)
+		Expect(store.Select(maxDigestBytes, false)).To(HaveLen(1))
+		Expect(store.Select(0, false)).To(BeEmpty())
+	})
+
 	It("never exceeds its bound on facts", func() {
 		store := NewFactStore("self", 1)
 		for i := range maxFacts + 10 {
--- a/entryhost/peers/targets.go
+++ b/entryhost/peers/targets.go
@@ -50,9 +50,19 @@
 	return ranked[:min(gatewaysPerDataCentre, len(ranked))]
 }
 
-// remoteRoundPart is the share of rounds, as one in this many, in which a
-// gateway exchanges with another data centre.
-const remoteRoundPart = 4
+// remoteRoundPart returns the share of rounds, as one in this many, in which a
+// gateway exchanges with another data centre. Small data centres exchange more
+// often: their digests are short, and most of their peers are elsewhere.
+func remoteRoundPart(local int) int {
+	switch {
+	case local < 4:
+		return 1
+	case local < 12:
+		return 2
+	default:
+		return 4
+	}
+}
 
 // roundTargets chooses the peers of one gossip round: one of the own data
 // centre, and for a gateway now and then one of another data centre. A silent peer is tried
@@ -76,7 +86,7 @@
 	if len(silent) > 0 && (len(local) == 0 || random.IntN(4) == 0) {
 		targets = append(targets, silent[random.IntN(len(silent))])
 	}
-	if len(remote) > 0 && random.IntN(remoteRoundPart) == 0 && slices.Contains(gateways(self.DataCentre, members, self), self.ID) {
+	if len(remote) > 0 && random.IntN(remoteRoundPart(len(local))) == 0 && slices.Contains(gateways(self.DataCentre, members, self), self.ID) {
 		targets = append(targets, remote[random.IntN(len(remote))])
 	}
 	return targets
