--- a/entryhost/config/commit.go
+++ b/entryhost/config/commit.go
@@ -15,12 +15,6 @@
 	"github.com/lentilpoint/lentilpoint/model"
 )
 
-// Reasons of refused commits.
-const (
-	ReasonRevisionConflict model.Reason = "revision_conflict"
-	ReasonBadChange        model.Reason = "bad_change"
-)
-
 const (
 	// commitTimeout bounds one call of the table during a commit.
 	commitTimeout = 2 * time.Second
@@ -60,7 +54,7 @@
 
 func (c *Conflict) fault() *model.Fault {
 	message := fmt.Sprintf("revision %d was committed first by %s: %s", c.Winner.Revision, c.Winner.Author, Describe(c.Winner.Changes))
-	return model.NotRun(model.KindConflict, ReasonRevisionConflict, message, "read the configuration again and repeat the change on top of it")
+	return model.NotRun(model.KindConflict, model.ReasonRevisionConflict, message, "read the configuration again and repeat the change on top of it")
 }
 
 // Invalid reports all problems of a proposal.
@@ -77,7 +71,7 @@
 	for n, problem := range i.Problems {
 		lines[n] = problem.String()
 	}
-	return model.NotRun(model.KindInvalid, ReasonBadChange, strings.Join(lines, "; "), "correct each problem and send the change again")
+	return model.NotRun(model.KindInvalid, model.ReasonBadChange, strings.Join(lines, "; "), "correct each problem and send the change again")
 }
 
 // Committer commits revisions. It is a stateless value that any goroutine may use.
@@ -134,7 +128,7 @@
 			return nil, err
 		}
 		if applied == 0 {
-			return nil, model.NotRun(model.KindInvalid, ReasonBadChange, fmt.Sprintf("revision %d does not exist", revision),
+			return nil, model.NotRun(model.KindInvalid, model.ReasonBadChange, fmt.Sprintf("revision %d does not exist", revision),
 				"read the configuration again and use its revision")
 		}
 		current = next
@@ -255,7 +249,7 @@
 	winner, err := c.Record(ctx, proposal.Expected+1)
 	switch {
 	case platform.ErrNotFound.Has(err):
-		return RevisionRecord{}, model.NotRun(model.KindInvalid, ReasonBadChange,
+		return RevisionRecord{}, model.NotRun(model.KindInvalid, model.ReasonBadChange,
 			fmt.Sprintf("revision %d is not the newest", proposal.Expected), "read the configuration again and use its revision")
 	case err != nil:
 		return RevisionRecord{}, unreachable(err)
--- a/entryhost/operators/policy.go
+++ b/entryhost/operators/policy.go
@@ -89,7 +89,7 @@
 		return nil, missing("move", string(id))
 	}
 	if move.State != model.MoveRunning {
-		return nil, model.NotRun(model.KindConflict, config.ReasonBadChange,
+		return nil, model.NotRun(model.KindConflict, model.ReasonBadChange,
 			fmt.Sprintf("move %s has ended as %s", id, move.State), "start another move if traffic must move back")
 	}
 	move.State = model.MoveWithdrawn
--- a/model/errors.go
+++ b/model/errors.go
@@ -35,19 +35,17 @@
 // Reason is a stable code for the cause of an error; there is one counter for each.
 type Reason string
 
-// Reasons on the request path.
+// The reasons, on the request path first.
 const (
 	ReasonBadField            Reason = "bad_field"
 	ReasonBodyTooLarge        Reason = "body_too_large"
 	ReasonNoCredentials       Reason = "no_credentials"
 	ReasonUnknownKey          Reason = "unknown_key"
 	ReasonUnknownService      Reason = "unknown_service"
-	ReasonUnknownVersion      Reason = "unknown_version"
 	ReasonQueueFull           Reason = "queue_full"
 	ReasonQuota               Reason = "organisation_quota"
 	ReasonDeadlineUnreachable Reason = "deadline_unreachable"
 	ReasonDeadlinePassed      Reason = "deadline_passed"
-	ReasonNoServer            Reason = "no_server"
 	ReasonVersionGone         Reason = "version_gone"
 	ReasonRetryBudget         Reason = "retry_budget_spent"
 	ReasonRetriesSpent        Reason = "retries_spent"
@@ -65,6 +63,8 @@
 	ReasonBackendFailed       Reason = "backend_failed"
 	ReasonTaskFailed          Reason = "task_failed"
 	ReasonNotReady            Reason = "not_ready"
+	ReasonRevisionConflict    Reason = "revision_conflict"
+	ReasonBadChange           Reason = "bad_change"
 )
 
 // Fault is the typed error that crosses package borders and reaches callers
--- a/model/reason_catalogue.go
+++ b/model/reason_catalogue.go
@@ -22,12 +22,10 @@
 	{ReasonNoCredentials, "The request has no bearer token.", "Send the organisation's API key."},
 	{ReasonUnknownKey, "The API key belongs to no organisation in the configuration in force.", "Check the key; add the organisation if it is new."},
 	{ReasonUnknownService, "No service of this name and kind is in force.", "Compare the name with the services in force."},
-	{ReasonUnknownVersion, "The service has no such version.", "Compare the version with the service's versions."},
 	{ReasonQueueFull, "Too many requests of the service wait on this entry host.", "Add backend servers if it lasts; look for one organisation that sends far more than usual."},
 	{ReasonQuota, "The organisation has as many open requests as its limit allows.", "Raise max_open if the limit is too low."},
 	{ReasonDeadlineUnreachable, "By the present rate the request would not be served before its deadline.", "Add backend servers, or give requests a later deadline."},
 	{ReasonDeadlinePassed, "The deadline passed before the answer was complete.", "Compare the queue and the speed of the servers with the deadline."},
-	{ReasonNoServer, "No backend server of the service can take the request.", "Check that servers are listed, reachable and not leaving."},
 	{ReasonVersionGone, "The generation is bound to a version that no server holds any more.", "The caller sends the request again; check why the version left."},
 	{ReasonRetryBudget, "Too large a part of the traffic consists of continued requests.", "Find out why servers fail; the budget protects the ones that are left."},
 	{ReasonRetriesSpent, "The request failed on several servers.", "Look at the events of the request id."},
@@ -44,6 +42,8 @@
 	{ReasonTicketHostGone, "The entry host that issued the ticket has gone.", "Ask the service whether the request took effect before using a new ticket."},
 	{ReasonBackendFailed, "A backend server failed in a way that does not allow another try.", "Look at the server's logs at the time of the event."},
 	{ReasonTaskFailed, "A task of the entry host failed.", "Report the fault with the log lines of the request id."},
+	{ReasonRevisionConflict, "Another operator's change was committed first; the error names it.", "Read the configuration again and repeat the change."},
+	{ReasonBadChange, "A change of the configuration is invalid; each problem is named with its remedy.", "Correct the change. Nothing was committed."},
 	{ReasonNotReady, "The entry host has no configuration yet.", "Check the platform and the peers if it lasts longer than a few seconds."},
 }
 
