--- a/model/config.go
+++ b/model/config.go
@@ -60,8 +60,8 @@
 	Weight int            `json:"weight" yaml:"weight"`
 	// KeySHA256 lists the hex SHA-256 digests of the organisation's API keys.
 	KeySHA256 []string `json:"key_sha256" yaml:"key_sha256"`
-	// MaxOpen limits the requests to one service that are open at once on the entry
-	// hosts of a data centre, as far as their usage is known; 0 means no limit.
+	// MaxOpen limits the requests to one service that are open at once on all entry
+	// hosts, as far as their usage is known; 0 means no limit.
 	MaxOpen int `json:"max_open,omitempty" yaml:"max_open,omitempty"`
 }
 
--- a/questionnaire/policy.go
+++ b/questionnaire/policy.go
@@ -33,7 +33,7 @@
 		plan.addService(answers, service)
 	}
 	for _, organisation := range answers.Organisations {
-		plan.addOrganisation(answers.Callers.Sites, organisation)
+		plan.addOrganisation(organisation)
 	}
 	return plan, nil
 }
@@ -97,29 +97,13 @@
 	p.set(target, "repeatable_methods", strings.Join(answer.RepeatableMethods, " "), "these calls may run twice; all others run at most once")
 }
 
-func (p *Plan) addOrganisation(sites []Site, answer Organisation) {
+func (p *Plan) addOrganisation(answer Organisation) {
 	target := "organisation " + answer.Name
 	organisation := model.Organisation{ID: model.OrganisationID(answer.Name), Weight: answer.Weight}
 	p.set(target, "weight", answer.Weight, "its part of the servers while several organisations wait")
 	if answer.PeakOpen > 0 {
-		hosts := hostsAfterLoss(sites)
-		organisation.MaxOpen = (answer.PeakOpen + hosts - 1) / hosts
-		p.set(target, "max_open", organisation.MaxOpen,
-			fmt.Sprintf("the peak of %d open requests spread over the %d entry hosts that are left when the largest site is lost", answer.PeakOpen, hosts))
+		organisation.MaxOpen = answer.PeakOpen
+		p.set(target, "max_open", organisation.MaxOpen, "its peak of open requests; entry hosts share their usage, so the limit holds for all together")
 	}
 	p.Organisations = append(p.Organisations, organisation)
 }
-
-// hostsAfterLoss returns the number of entry hosts without the largest site, or
-// of the only site.
-func hostsAfterLoss(sites []Site) int {
-	total, largest := 0, 0
-	for _, site := range sites {
-		total += site.EntryHosts
-		largest = max(largest, site.EntryHosts)
-	}
-	if len(sites) == 1 {
-		return total
-	}
-	return total - largest
-}
