Wait for open requests even when a shutdown cannot be announced

Cause: reading the shutdown path: a full mailbox of the membership task would have ended the drain at once and cut requests. Change: failures to announce are reported after the wait; an unused method is gone.

--- a/entryhost/host.go
+++ b/entryhost/host.go
@@ -128,21 +128,16 @@
 }
 
 // drain refuses new work and waits until open requests ended and their answers
-// were written.
+// were written. A failure to announce the shutdown does not shorten the wait.
 func (h *Host) drain(ctx context.Context) error {
-	if err := h.parts.Callers.Drain(ctx); err != nil {
-		return Error.Wrap(err)
-	}
-	if err := h.parts.Peers.Leave(); err != nil {
-		return Error.Wrap(err)
-	}
+	announced := errors.Join(h.parts.Callers.Drain(ctx), h.parts.Peers.Leave())
 	idle := make(chan struct{})
 	if err := h.parts.Requests.Send(ctx, requests.Drain{Idle: idle}); err != nil {
-		return Error.Wrap(err)
+		return errors.Join(announced, Error.Wrap(err))
 	}
 	select {
 	case <-idle:
-		return Error.Wrap(h.parts.Callers.Shutdown(ctx))
+		return errors.Join(announced, Error.Wrap(h.parts.Callers.Shutdown(ctx)))
 	case <-ctx.Done():
 		return Error.New("requests are still open after the drain timeout; raise --drain-timeout")
 	}
--- a/entryhost/peers/facts.go
+++ b/entryhost/peers/facts.go
@@ -131,13 +131,6 @@
 	}
 }
 
-// Withdraw ends an own fact: it is no longer refreshed and expires.
-func (s *FactStore) Withdraw(kind FactKind, key string) {
-	if row := s.rows[factKey{kind: kind, key: key, origin: s.self}]; row != nil {
-		row.refresh = time.Time{}
-	}
-}
-
 // Select returns facts to pass on within the budget of bytes, those that were
 // passed on least first. For another data centre only facts with Everywhere.
 func (s *FactStore) Select(budgetBytes int, remote bool) []Fact {
