Inject the jitter of polls and the clock of links

Cause: reading the code for clocks and random sources that are not injected. Change: each server task draws its jitter from the host's seed; links use the injected clock. Result: go test -race ./entryhost/backends and ./entryhost/peers pass.

--- a/entryhost/backends/poll.go
+++ b/entryhost/backends/poll.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"errors"
 	"io"
-	"math/rand/v2"
 	"net/http"
 	"strconv"
 	"time"
@@ -33,6 +32,8 @@
 	// not grow with the number of servers. Reports also come with the answers of
 	// engines, so that servers in use are rarely polled.
 	Rate float64
+	// Seed starts the random jitter of the polls.
+	Seed uint64
 }
 
 // intervalFor returns the mean time between polls of one of this many servers.
@@ -45,9 +46,10 @@
 
 // plannedPoll is what the next poll of a server needs.
 type plannedPoll struct {
-	interval time.Duration
-	host     model.Host
-	after    uint64
+	// wait is the time before the poll, spread around the interval.
+	wait  time.Duration
+	host  model.Host
+	after uint64
 	// cacheless skips the cache events of a server that has none.
 	cacheless bool
 }
@@ -90,7 +92,7 @@
 		interval /= firstPollPart
 	}
 	return plannedPoll{
-		interval:  interval,
+		wait:      interval/2 + time.Duration(s.random.Int64N(int64(interval)+1)),
 		host:      s.state.Host,
 		after:     s.cache.sequence,
 		cacheless: s.cacheless,
@@ -108,12 +110,11 @@
 // poll waits, reads load and cache events once and sends the result to the
 // server task, which starts the next poll.
 func (s *serverTask) poll(ctx context.Context, planned plannedPoll) {
-	wait := planned.interval/2 + rand.N(planned.interval)
 	select {
 	case <-ctx.Done():
 		return
 	case <-s.pollDue:
-	case <-s.clock.After(wait):
+	case <-s.clock.After(planned.wait):
 	}
 	// A connection for each poll also tells whether the server accepts new ones.
 	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
--- a/entryhost/backends/server.go
+++ b/entryhost/backends/server.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"encoding/json"
+	"hash/fnv"
 	"io"
 	"log/slog"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"strings"
@@ -37,6 +39,7 @@
 	observers []task.Mailbox[Event]
 	clock     clockwork.Clock
 	polling   Polling
+	random    *rand.Rand
 	logger    *slog.Logger
 
 	// servers is the number of servers that share the poll rate.
@@ -61,12 +64,20 @@
 		observers: observers,
 		clock:     clock,
 		polling:   polling,
+		random:    rand.New(rand.NewPCG(polling.Seed, jitterStream(host.ID))),
 		servers:   1,
 		logger:    logger,
 		state:     ServerState{Host: host, Reachable: true, Commands: commands, Generation: 1},
 	}
 }
 
+// jitterStream gives each server a random stream of its own.
+func jitterStream(id string) uint64 {
+	hash := fnv.New64a()
+	_, _ = hash.Write([]byte(id))
+	return hash.Sum64()
+}
+
 // String names the task in the logs.
 func (s *serverTask) String() string { return "server/" + s.state.Host.ID }
 
--- a/entryhost/peers/fx.go
+++ b/entryhost/peers/fx.go
@@ -81,6 +81,7 @@
 			sent:     in.Metrics.GetOrCreateCounter(metricSent),
 			received: in.Metrics.GetOrCreateCounter(metricReceived),
 			results:  in.Messages,
+			clock:    in.Clock,
 		},
 		random:  rand.New(rand.NewPCG(in.Settings.RandomSeed, 3)),
 		clock:   in.Clock,
--- a/entryhost/peers/link.go
+++ b/entryhost/peers/link.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
+	"github.com/jonboulle/clockwork"
 
 	"github.com/lentilpoint/lentilpoint/model"
 	"github.com/lentilpoint/lentilpoint/task"
@@ -33,6 +34,7 @@
 	received *metrics.Counter
 	// results receives the outcome of each call, for the membership table.
 	results task.Mailbox[Message]
+	clock   clockwork.Clock
 }
 
 // linkTask owns the connection to one peer.
@@ -114,7 +116,7 @@
 		return
 	}
 	call := l.client.Go(invoke.Method, invoke.Arguments, invoke.Result, make(chan *rpc.Call, 1))
-	go l.await(ctx, callEnd{client: l.client, started: time.Now()}, call, invoke)
+	go l.await(ctx, callEnd{client: l.client, started: l.config.clock.Now()}, call, invoke)
 }
 
 // noteEnd closes a connection that failed, or on which nothing was answered
@@ -124,10 +126,10 @@
 		return
 	}
 	if end.answered {
-		l.answered = time.Now()
+		l.answered = l.config.clock.Now()
 		return
 	}
-	silent := l.answered.Before(end.started) && time.Since(end.started) >= silenceTimeout
+	silent := l.answered.Before(end.started) && l.config.clock.Since(end.started) >= silenceTimeout
 	if end.broken || silent {
 		l.close()
 	}
