--- a/entryhost/config/config_test.go
+++ b/entryhost/config/config_test.go
@@ -253,19 +253,27 @@
 		s := newSite()
 		writer := s.store("entry-0", 20*time.Millisecond)
 		const last = config.SnapshotEvery + 4
-		for revision := 1; revision <= last; revision++ {
-			_, err := s.commit(revision)
-			Expect(err).NotTo(HaveOccurred())
+		commitUpTo := func(from, to int) {
+			for revision := from; revision <= to; revision++ {
+				_, err := s.commit(revision)
+				Expect(err).NotTo(HaveOccurred())
+			}
+			Eventually(func() model.Revision { return revisionOf(writer) }, "5s").Should(Equal(model.Revision(to)))
 		}
-		Eventually(func() model.Revision { return revisionOf(writer) }, "5s").Should(Equal(model.Revision(last)))
+		// The snapshot is taken before the last revisions are committed; else it may
+		// hold them, and nothing is left to read.
+		commitUpTo(1, config.SnapshotEvery)
 		Eventually(s.platform.Objects, "5s").Should(ContainElement(config.ObjectSnapshot))
+		commitUpTo(config.SnapshotEvery+1, last)
 		alone := *s
 		alone.exchange = standin.StartExchange(s.ctx, 2)
 		scans := make(chan string, 16)
 		alone.table = scanTable{Table: s.client, scans: scans}
 		cold := alone.store("entry-9", time.Hour)
 		Eventually(func() model.Revision { return revisionOf(cold) }, "5s").Should(Equal(model.Revision(last)))
-		Expect(<-scans > config.RevisionKey(config.SnapshotEvery)).To(BeTrue(), "revisions before the snapshot were read")
+		var from string
+		Eventually(scans, "5s").Should(Receive(&from))
+		Expect(from > config.RevisionKey(config.SnapshotEvery)).To(BeTrue(), "revisions before the snapshot were read")
 		Expect(scans).To(BeEmpty())
 	})
 
