Run as a relay on the users' platform: thin path

The platform has its own way to speak to services, operators and machines. The new tree entryhost/relay forwards opaque requests and streams by route, with its view of the world in the platform's store; platform/ translates.

--- a/cmd/lentilpointd/main.go
+++ b/cmd/lentilpointd/main.go
@@ -47,6 +47,7 @@
 		},
 	}
 	settings.Register(daemon.Flags(), &values)
+	daemon.AddCommand(relayCommand())
 	return daemon
 }
 
--- /dev/null
+++ b/entryhost/relay/dispatch/messages.go
@@ -0,0 +1,146 @@
+// Package dispatch chooses the server of each attempt. One task owns what this
+// host knows of the servers: work in flight, idle connections, failures, and
+// the budget for retries.
+package dispatch
+
+import (
+	"context"
+	"time"
+
+	"github.com/zeebo/errs"
+
+	"github.com/lentilpoint/lentilpoint/entryhost/relay/exchange"
+	"github.com/lentilpoint/lentilpoint/entryhost/relay/routing"
+	"github.com/lentilpoint/lentilpoint/task"
+)
+
+// Error is the class of errors of this package.
+var Error = errs.Class("dispatch")
+
+// Lease names one use of a server until it is released.
+type Lease uint64
+
+// Message is what the dispatcher's mailbox takes.
+type Message interface{ isMessage() }
+
+// Acquire asks for a server and a connection to it.
+type Acquire struct {
+	Service string
+	// Route is the name of the route, for evidence on versions.
+	Route string
+	// Exclude are ids of servers that this request is done with.
+	Exclude map[string]bool
+	// Prefer is the id of the server to take if it is usable, or "".
+	Prefer string
+	// OnlyPreferred refuses instead of taking another server than Prefer.
+	OnlyPreferred bool
+	// Backup asks for a second server that receives a copy of the run's cache.
+	Backup bool
+	// Repeat tells that the request was sent to a server before, so that the
+	// attempt is paid from the retry budget.
+	Repeat bool
+	// Once tells that the request must not be lost with a stale connection.
+	Once bool
+	// Until is when the dispatcher refuses if no server can be had.
+	Until time.Time
+	Reply task.Reply[Assignment]
+}
+
+// Refusal says why no server was assigned.
+type Refusal string
+
+// The refusals; there is one counter for each.
+const (
+	RefusedNoServer Refusal = "no_server"
+	RefusedBudget   Refusal = "retry_budget_spent"
+	RefusedCopyGone Refusal = "copy_holder_unusable"
+)
+
+// Assignment is the answer to Acquire. Server is nil if it was refused.
+type Assignment struct {
+	Lease      Lease
+	Server     *routing.Server
+	Connection *exchange.Connection
+	// Reused tells that the connection served a request before.
+	Reused bool
+	// Backup receives the copy of the run's cache, or is nil.
+	Backup  *routing.Server
+	Refusal Refusal
+	// Candidates is the number of servers that were considered.
+	Candidates int
+}
+
+// Outcome is what an attempt showed of its server.
+type Outcome int
+
+// The outcomes of attempts.
+const (
+	// OutcomeNone says nothing about the server; the caller left, for example.
+	OutcomeNone Outcome = iota
+	OutcomeSuccess
+	// OutcomeFailed is an answer of the server's own that reports a failure.
+	OutcomeFailed
+	// OutcomeRejected is a statement that the request did not run.
+	OutcomeRejected
+	// OutcomeMisdirected is a statement of another server at the address.
+	OutcomeMisdirected
+	// OutcomeUnreachable means that no connection could be made.
+	OutcomeUnreachable
+	// OutcomeBroken means that the answer broke off or was no answer.
+	OutcomeBroken
+	// OutcomeSilent means that the server stopped answering.
+	OutcomeSilent
+)
+
+var outcomeNames = [...]string{"none", "success", "failed", "rejected", "misdirected", "unreachable", "broken", "silent"}
+
+// String names the outcome in logs and metrics.
+func (o Outcome) String() string { return outcomeNames[o] }
+
+// Release ends the use of a server.
+type Release struct {
+	Lease   Lease
+	Outcome Outcome
+	// Took is the time to the answer, or to the first event; 0 if there is none.
+	Took time.Duration
+}
+
+// Verdict is the result of a question to a server about its runs.
+type Verdict struct {
+	Alive bool
+	// Runs are the events made so far by each run, by request id.
+	Runs map[string]int
+	// At is when the question was asked.
+	At time.Time
+}
+
+// Check asks whether a server is alive; many requests share one question.
+type Check struct {
+	Server string
+	Reply  task.Reply[Verdict]
+}
+
+type probed struct {
+	server  string
+	verdict Verdict
+}
+
+func (Acquire) isMessage() {}
+func (Release) isMessage() {}
+func (Check) isMessage()   {}
+func (probed) isMessage()  {}
+
+// Prober asks an engine for the state of its runs on a connection of its own.
+type Prober interface {
+	Probe(ctx context.Context, address string) (map[string]int, error)
+}
+
+const (
+	// mailboxSize bounds waiting messages; 70 requests a second for each host
+	// need a few messages each, so a full mailbox means a stalled task.
+	mailboxSize = 1024
+	// reportsSize bounds waiting reports of connections, which wait for room.
+	reportsSize = 256
+	// viewsSize bounds waiting views; the catalog waits for room.
+	viewsSize = 8
+)
--- /dev/null
+++ b/entryhost/relay/dispatch/policy.go
@@ -0,0 +1,189 @@
+package dispatch
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/lentilpoint/lentilpoint/entryhost/relay/routing"
+)
+
+// candidate is what the plugins read of a server.
+type candidate struct {
+	server *routing.Server
+	// inFlight counts the attempts of this host on the server, and copies the
+	// cache copies that it holds for this host.
+	inFlight int
+	copies   int
+	// warm tells that an idle connection is at hand.
+	warm bool
+	// full tells that this host's share of the server's connections is in use.
+	full bool
+	// paused servers failed recently; recovering ones have not succeeded since.
+	paused     bool
+	recovering bool
+	// stale registrations were contradicted by the server at the address.
+	stale bool
+	// failureRate is the smoothed share of attempts that failed.
+	failureRate float64
+}
+
+// filter removes candidates. It returns a subset in the same order.
+type filter func(request *Acquire, candidates []candidate) []candidate
+
+// scorer returns the cost of a candidate; the lowest sum is picked.
+type scorer func(zone string, candidate *candidate) float64
+
+const (
+	// inFlightCost is the cost of one attempt in flight and the unit of the others.
+	inFlightCost = 1.0
+	// copyCost is that of a held cache copy, which takes memory but no steps.
+	copyCost = 0.3
+	// remoteCost keeps work in the own zone until its servers have two attempts
+	// more than those elsewhere; bytes between zones have a price.
+	remoteCost = 2.0
+	// coldCost is that of a new connection.
+	coldCost = 0.4
+	// failureCost weighs a server that fails every attempt.
+	failureCost = 12.0
+	// jitterCost spreads equal candidates, since other hosts see the same ones.
+	jitterCost = 0.2
+	// failureExcess is how far a failure rate may lie above the lowest of the
+	// service before the server is left out.
+	failureExcess = 0.3
+)
+
+var filters = []filter{usable, excluded, rested, healthy}
+
+var scorers = []scorer{
+	func(_ string, c *candidate) float64 {
+		return inFlightCost*float64(c.inFlight) + copyCost*float64(c.copies)
+	},
+	func(zone string, c *candidate) float64 { return remoteCost * indicator(c.server.Zone != zone) },
+	func(_ string, c *candidate) float64 { return coldCost * indicator(!c.warm) },
+	func(_ string, c *candidate) float64 { return failureCost * c.failureRate },
+}
+
+func indicator(condition bool) float64 {
+	if condition {
+		return 1
+	}
+	return 0
+}
+
+// usable keeps servers that may take work at all.
+func usable(_ *Acquire, candidates []candidate) []candidate {
+	return keep(candidates, func(c *candidate) bool { return !c.server.Draining && !c.stale && !c.full })
+}
+
+// excluded removes the servers that the request is done with.
+func excluded(request *Acquire, candidates []candidate) []candidate {
+	return keep(candidates, func(c *candidate) bool { return !request.Exclude[c.server.ID] })
+}
+
+// rested removes servers that failed a moment ago, and lets one attempt at a
+// time try a server that has not succeeded since. It removes none if none remain.
+func rested(_ *Acquire, candidates []candidate) []candidate {
+	return preferred(candidates, func(c *candidate) bool { return !c.paused && !(c.recovering && c.inFlight > 0) })
+}
+
+// healthy removes servers that fail far more often than the best one.
+func healthy(_ *Acquire, candidates []candidate) []candidate {
+	lowest := 1.0
+	for i := range candidates {
+		lowest = min(lowest, candidates[i].failureRate)
+	}
+	return preferred(candidates, func(c *candidate) bool { return c.failureRate <= lowest+failureExcess })
+}
+
+func keep(candidates []candidate, accept func(*candidate) bool) []candidate {
+	kept := make([]candidate, 0, len(candidates))
+	for i := range candidates {
+		if accept(&candidates[i]) {
+			kept = append(kept, candidates[i])
+		}
+	}
+	return kept
+}
+
+// preferred keeps the accepted candidates, or all if none is accepted.
+func preferred(candidates []candidate, accept func(*candidate) bool) []candidate {
+	if kept := keep(candidates, accept); len(kept) > 0 {
+		return kept
+	}
+	return candidates
+}
+
+// choose returns the candidate with the lowest cost after the filters, or nil.
+func choose(random *rand.Rand, zone string, request *Acquire, candidates []candidate) *candidate {
+	for _, apply := range filters {
+		candidates = apply(request, candidates)
+	}
+	return cheapest(random, zone, candidates)
+}
+
+// chooseBackup returns where the copy of a run's cache goes: to another zone
+// than the run, since the engines of one zone fail together.
+func chooseBackup(random *rand.Rand, request *Acquire, candidates []candidate, chosen *routing.Server) *candidate {
+	candidates = keep(excluded(request, usable(request, candidates)), func(c *candidate) bool {
+		return c.server.ID != chosen.ID && !c.paused && !c.recovering
+	})
+	candidates = preferred(candidates, func(c *candidate) bool { return c.server.Zone != chosen.Zone })
+	return cheapest(random, "", candidates)
+}
+
+func cheapest(random *rand.Rand, zone string, candidates []candidate) *candidate {
+	var best *candidate
+	var lowest float64
+	for i := range candidates {
+		cost := jitterCost * random.Float64()
+		for _, score := range scorers {
+			cost += score(zone, &candidates[i])
+		}
+		if best == nil || cost < lowest {
+			best, lowest = &candidates[i], cost
+		}
+	}
+	return best
+}
+
+const (
+	// pauseFirst and pauseLongest bound the time that a server is left alone
+	// after it could not be reached; it doubles with each failure. A crashed
+	// server is back after about a second.
+	pauseFirst   = 200 * time.Millisecond
+	pauseLongest = 1600 * time.Millisecond
+	// pauseBroken is that after a broken answer, which a live server may give.
+	pauseBroken = 100 * time.Millisecond
+	// failureWeight is the weight of one attempt in the smoothed failure rate.
+	failureWeight = 0.15
+)
+
+// standing is what this host's attempts showed of one server.
+type standing struct {
+	failureRate float64
+	pause       time.Duration
+	pausedUntil time.Time
+	stale       bool
+}
+
+// learn returns the standing after an outcome.
+func (s standing) learn(outcome Outcome, now time.Time) standing {
+	switch outcome {
+	case OutcomeSuccess:
+		s.failureRate *= 1 - failureWeight
+		s.pause, s.pausedUntil = 0, time.Time{}
+	case OutcomeFailed, OutcomeRejected:
+		s.failureRate += failureWeight * (1 - s.failureRate)
+		s.pause, s.pausedUntil = 0, time.Time{}
+	case OutcomeBroken:
+		s.failureRate += failureWeight * (1 - s.failureRate)
+		s.pausedUntil = now.Add(pauseBroken)
+	case OutcomeUnreachable, OutcomeSilent:
+		s.pause = min(max(2*s.pause, pauseFirst), pauseLongest)
+		s.pausedUntil = now.Add(s.pause)
+	case OutcomeMisdirected:
+		s.stale = true
+	case OutcomeNone:
+	}
+	return s
+}
--- /dev/null
+++ b/entryhost/relay/dispatch/task.go
@@ -0,0 +1,422 @@
+package dispatch
+
+import (
+	"context"
+	"log/slog"
+	"math/rand/v2"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/jonboulle/clockwork"
+
+	"github.com/lentilpoint/lentilpoint/entryhost/relay/catalog"
+	"github.com/lentilpoint/lentilpoint/entryhost/relay/exchange"
+	"github.com/lentilpoint/lentilpoint/entryhost/relay/routing"
+	"github.com/lentilpoint/lentilpoint/eventcode"
+	"github.com/lentilpoint/lentilpoint/task"
+)
+
+const (
+	// waiterInterval is how often requests that wait for a server look again.
+	waiterInterval = 25 * time.Millisecond
+	// probeTimeout bounds a question to an engine, which answers without a slot.
+	probeTimeout = 200 * time.Millisecond
+	// onceIdle is the longest idle time of a connection that carries a request
+	// that must not be lost with it.
+	onceIdle = 3 * time.Second
+	// keepMargin is taken off the time that a server keeps idle connections.
+	keepMargin = 500 * time.Millisecond
+	// connectionShare is this host's part of the connections that its fair share
+	// of a server's limit allows; the rest absorbs uneven load of hosts.
+	connectionShare = 0.8
+	// sharersMin is the number of entry hosts that is assumed until the list of
+	// hosts was read; the smallest installation has six.
+	sharersMin = 6
+	// connectionsMin is the number that a host may always have.
+	connectionsMin = 2
+)
+
+// Parameters are what the dispatcher is built from.
+type Parameters struct {
+	// Zone is that of this host.
+	Zone     string
+	Protocol exchange.Protocol
+	Prober   Prober
+	Budget   BudgetTerms
+	Clock    clockwork.Clock
+	Random   *rand.Rand
+	Metrics  *metrics.Set
+	Logger   *slog.Logger
+}
+
+// idleConnection may be used until the server closes it.
+type idleConnection struct {
+	connection *exchange.Connection
+	since      time.Time
+	until      time.Time
+}
+
+// serverState is what the dispatcher knows of one server.
+type serverState struct {
+	server   *routing.Server
+	standing standing
+	inFlight int
+	copies   int
+	open     int
+	idle     []idleConnection
+	// checks wait for the running question; nil if none runs.
+	checks []task.Reply[Verdict]
+}
+
+// use is one lease.
+type use struct {
+	server *serverState
+	backup *serverState
+	// service is that of the request.
+	service string
+}
+
+// Task is the dispatcher.
+type Task struct {
+	Parameters
+
+	mailbox task.Mailbox[Message]
+	views   task.Mailbox[*catalog.View]
+	hosts   task.Mailbox[[]routing.Host]
+	reports task.Mailbox[exchange.Report]
+
+	view *catalog.View
+	// sharers is the number of entry hosts, which share budgets and limits.
+	sharers int
+	servers map[string]*serverState
+	leases  map[Lease]use
+	last    Lease
+	budgets map[string]*budget
+	waiting []Acquire
+}
+
+// NewTask returns the dispatcher.
+func NewTask(parameters Parameters) *Task {
+	return &Task{
+		Parameters: parameters,
+		mailbox:    task.NewMailbox[Message](mailboxSize),
+		views:      task.NewMailbox[*catalog.View](viewsSize),
+		hosts:      task.NewMailbox[[]routing.Host](viewsSize),
+		sharers:    sharersMin,
+		reports:    task.NewMailbox[exchange.Report](reportsSize),
+		view:       &catalog.View{},
+		servers:    map[string]*serverState{},
+		leases:     map[Lease]use{},
+		budgets:    map[string]*budget{},
+	}
+}
+
+// Mailbox takes messages of requests.
+func (t *Task) Mailbox() task.Mailbox[Message] { return t.mailbox }
+
+// Views takes views of the catalog.
+func (t *Task) Views() task.Mailbox[*catalog.View] { return t.views }
+
+// Hosts takes lists of the other entry hosts.
+func (t *Task) Hosts() task.Mailbox[[]routing.Host] { return t.hosts }
+
+// String names the task in the logs.
+func (t *Task) String() string { return "dispatcher" }
+
+// Serve dispatches until the context ends.
+func (t *Task) Serve(ctx context.Context) error {
+	for {
+		var look <-chan time.Time
+		if len(t.waiting) > 0 {
+			look = t.Clock.After(waiterInterval)
+		}
+		select {
+		case <-ctx.Done():
+			return nil
+		case message := <-t.mailbox.C():
+			t.handle(ctx, message)
+		case view := <-t.views.C():
+			t.takeView(view)
+			t.retryWaiting(ctx)
+		case hosts := <-t.hosts.C():
+			t.sharers = max(sharersMin, len(hosts)+1)
+		case report := <-t.reports.C():
+			t.takeReport(report)
+		case <-look:
+			t.retryWaiting(ctx)
+		}
+	}
+}
+
+func (t *Task) handle(ctx context.Context, message Message) {
+	switch message := message.(type) {
+	case Acquire:
+		if !t.assign(ctx, message) {
+			t.waiting = append(t.waiting, message)
+		}
+	case Release:
+		t.release(message)
+	case Check:
+		t.check(ctx, message)
+	case probed:
+		t.finishCheck(message)
+	}
+}
+
+// takeView follows the registrations. A server that is gone keeps its state
+// while attempts run on it.
+func (t *Task) takeView(view *catalog.View) {
+	t.view = view
+	for id, server := range view.Servers {
+		state, found := t.servers[id]
+		if !found || !state.server.SameStart(server) {
+			if found {
+				state.closeIdle()
+			}
+			state = &serverState{}
+			t.servers[id] = state
+		}
+		state.server = server
+	}
+	for id, state := range t.servers {
+		if _, found := view.Servers[id]; found {
+			continue
+		}
+		state.closeIdle()
+		if state.checks == nil {
+			delete(t.servers, id)
+		}
+	}
+}
+
+func (s *serverState) closeIdle() {
+	for _, idle := range s.idle {
+		idle.connection.Close()
+	}
+	s.idle = nil
+}
+
+// takeReport follows the connections of a server.
+func (t *Task) takeReport(report exchange.Report) {
+	state, found := t.servers[report.Connection.Server()]
+	if !found {
+		report.Connection.Close()
+		return
+	}
+	if report.Idle {
+		now := t.Clock.Now()
+		state.idle = append(state.idle, idleConnection{connection: report.Connection, since: now, until: now.Add(report.KeepFor - keepMargin)})
+		return
+	}
+	state.open = max(state.open-1, 0)
+	for i, idle := range state.idle {
+		if idle.connection == report.Connection {
+			state.idle = append(state.idle[:i], state.idle[i+1:]...)
+			break
+		}
+	}
+}
+
+func (t *Task) retryWaiting(ctx context.Context) {
+	waiting := t.waiting
+	t.waiting = nil
+	for _, request := range waiting {
+		if !t.assign(ctx, request) {
+			t.waiting = append(t.waiting, request)
+		}
+	}
+}
+
+// assign answers the request, or reports that it has to wait.
+func (t *Task) assign(ctx context.Context, request Acquire) bool {
+	now := t.Clock.Now()
+	candidates := t.candidates(request.Service, now)
+	chosen := t.pick(&request, candidates)
+	if chosen == nil {
+		if request.OnlyPreferred {
+			t.refuse(request, RefusedCopyGone)
+			return true
+		}
+		if now.Before(request.Until) {
+			return false
+		}
+		t.refuse(request, RefusedNoServer)
+		return true
+	}
+	ledger := t.budgetOf(request.Service)
+	if request.Repeat && !ledger.spend(now, t.sharers) {
+		t.refuse(request, RefusedBudget)
+		return true
+	}
+	if !request.Repeat {
+		ledger.earn(now)
+	}
+	t.grant(ctx, request, chosen, candidates, now)
+	return true
+}
+
+// pick returns the preferred server if it is usable, else the best one.
+func (t *Task) pick(request *Acquire, candidates []candidate) *candidate {
+	if request.Prefer != "" {
+		for _, c := range usable(request, candidates) {
+			if c.server.ID == request.Prefer && !c.paused {
+				return &c
+			}
+		}
+	}
+	if request.OnlyPreferred {
+		return nil
+	}
+	return choose(t.Random, t.Zone, request, candidates)
+}
+
+func (t *Task) grant(ctx context.Context, request Acquire, chosen *candidate, candidates []candidate, now time.Time) {
+	state := t.servers[chosen.server.ID]
+	granted := use{server: state, service: request.Service}
+	answer := Assignment{Server: state.server, Candidates: len(candidates)}
+	if request.Backup {
+		if backup := chooseBackup(t.Random, &request, candidates, chosen.server); backup != nil {
+			granted.backup = t.servers[backup.server.ID]
+			granted.backup.copies++
+			answer.Backup = backup.server
+		}
+	}
+	answer.Connection, answer.Reused = t.connection(ctx, state, request.Once, now)
+	t.last++
+	answer.Lease = t.last
+	state.inFlight++
+	t.leases[answer.Lease] = granted
+	request.Reply.Send(answer)
+}
+
+// connection returns the idle connection that was used last, or a new one.
+func (t *Task) connection(ctx context.Context, state *serverState, once bool, now time.Time) (*exchange.Connection, bool) {
+	for len(state.idle) > 0 {
+		last := state.idle[len(state.idle)-1]
+		if once && now.Sub(last.since) > onceIdle && now.Before(last.until) {
+			break
+		}
+		state.idle = state.idle[:len(state.idle)-1]
+		if now.Before(last.until) {
+			return last.connection, true
+		}
+		last.connection.Close()
+	}
+	state.open++
+	t.Metrics.GetOrCreateCounter(`lentilpoint_relay_connections_opened_total{service="` + state.server.Service + `"}`).Inc()
+	return exchange.Open(ctx, state.server.ID, state.server.Address, t.Protocol, t.reports), false
+}
+
+func (t *Task) refuse(request Acquire, refusal Refusal) {
+	t.Metrics.GetOrCreateCounter(`lentilpoint_relay_dispatch_refusals_total{reason="` + string(refusal) + `"}`).Inc()
+	request.Reply.Send(Assignment{Refusal: refusal})
+}
+
+func (t *Task) candidates(service string, now time.Time) []candidate {
+	var list []candidate
+	limit := t.connectionLimit(service)
+	for id, server := range t.view.Servers {
+		if server.Service != service {
+			continue
+		}
+		state := t.servers[id]
+		list = append(list, candidate{
+			server: state.server, inFlight: state.inFlight, copies: state.copies,
+			warm: len(state.idle) > 0, full: len(state.idle) == 0 && state.open >= limit,
+			paused: now.Before(state.standing.pausedUntil), recovering: state.standing.pause > 0,
+			stale: state.standing.stale, failureRate: state.standing.failureRate,
+		})
+	}
+	return list
+}
+
+// connectionLimit is this host's share of the connections to one server.
+func (t *Task) connectionLimit(service string) int {
+	var most int
+	if t.view.Config != nil {
+		most = t.view.Config.Services[service].MaxConnections
+	}
+	if most == 0 {
+		return int(^uint(0) >> 1)
+	}
+	return max(connectionsMin, int(connectionShare*float64(most)/float64(t.sharers)))
+}
+
+func (t *Task) budgetOf(service string) *budget {
+	ledger, found := t.budgets[service]
+	if !found {
+		ledger = &budget{terms: t.Budget}
+		t.budgets[service] = ledger
+	}
+	return ledger
+}
+
+func (t *Task) release(message Release) {
+	granted, found := t.leases[message.Lease]
+	if !found {
+		return
+	}
+	delete(t.leases, message.Lease)
+	granted.server.inFlight--
+	if granted.backup != nil {
+		granted.backup.copies--
+	}
+	t.learn(granted.server, message.Outcome)
+	t.Metrics.GetOrCreateCounter(`lentilpoint_relay_attempts_total{service="` + granted.service + `",outcome="` + message.Outcome.String() + `"}`).Inc()
+}
+
+// learn updates the standing of a server and logs when it turns.
+func (t *Task) learn(state *serverState, outcome Outcome) {
+	before := state.standing
+	state.standing = before.learn(outcome, t.Clock.Now())
+	if outcome == OutcomeUnreachable || outcome == OutcomeSilent || outcome == OutcomeMisdirected {
+		state.closeIdle()
+	}
+	wasGood := before.pause == 0 && !before.stale
+	isGood := state.standing.pause == 0 && !state.standing.stale
+	if wasGood != isGood {
+		t.Logger.Info("server standing changed", eventcode.ServerStanding.Attr(), "server", state.server.ID, "service", state.server.Service,
+			"address", state.server.Address, "usable", isGood, "outcome", outcome.String(), "pause_ms", state.standing.pause.Milliseconds())
+	}
+}
+
+// check asks the server about its runs, once for all who ask meanwhile.
+func (t *Task) check(ctx context.Context, message Check) {
+	state, found := t.servers[message.Server]
+	if !found {
+		message.Reply.Send(Verdict{})
+		return
+	}
+	running := state.checks != nil
+	state.checks = append(state.checks, message.Reply)
+	if running {
+		return
+	}
+	server, now := state.server, t.Clock.Now()
+	go func() {
+		probeContext, cancel := context.WithTimeout(ctx, probeTimeout)
+		defer cancel()
+		runs, err := t.Prober.Probe(probeContext, server.Address)
+		if err != nil {
+			t.Logger.Info("server does not answer questions about its runs", eventcode.ServerSilent.Attr(), "server", server.ID, "error", err)
+		}
+		_ = t.mailbox.Send(ctx, probed{server: server.ID, verdict: Verdict{Alive: err == nil, Runs: runs, At: now}})
+	}()
+}
+
+func (t *Task) finishCheck(message probed) {
+	state, found := t.servers[message.server]
+	if !found {
+		return
+	}
+	for _, reply := range state.checks {
+		reply.Send(message.verdict)
+	}
+	state.checks = nil
+	if !message.verdict.Alive {
+		t.learn(state, OutcomeSilent)
+	}
+	if _, registered := t.view.Servers[message.server]; !registered {
+		delete(t.servers, message.server)
+	}
+}
--- /dev/null
+++ b/entryhost/relay/fx.go
@@ -0,0 +1,164 @@
+package relay
+
+import (
+	"context"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/jonboulle/clockwork"
+	"github.com/thejerf/suture/v4"
+	"go.uber.org/fx"
+
+	"github.com/lentilpoint/lentilpoint/entryhost/relay/catalog"
+	"github.com/lentilpoint/lentilpoint/entryhost/relay/dispatch"
+	"github.com/lentilpoint/lentilpoint/entryhost/relay/exchange"
+	"github.com/lentilpoint/lentilpoint/entryhost/relay/forward"
+	"github.com/lentilpoint/lentilpoint/entryhost/relay/ingress"
+	"github.com/lentilpoint/lentilpoint/entryhost/relay/mirror"
+	"github.com/lentilpoint/lentilpoint/entryhost/relay/peering"
+	"github.com/lentilpoint/lentilpoint/entryhost/relay/roster"
+	"github.com/lentilpoint/lentilpoint/entryhost/relay/routing"
+	"github.com/lentilpoint/lentilpoint/task"
+)
+
+// Adapter is the translation between the relay and the platform it runs on.
+type Adapter struct {
+	Store    mirror.Store
+	Roster   roster.Store
+	Decoder  catalog.Decoder
+	Callers  ingress.Protocol
+	Servers  exchange.Protocol
+	Prober   dispatch.Prober
+	Codec    forward.Codec
+	OrdersIn string
+	// RegistrationsIn is the table that servers register in, OrdersIn the one
+	// that the operator writes.
+	RegistrationsIn string
+}
+
+// Module provides the tree of a relay. It needs settings, an adapter, a clock,
+// a metrics set and a logger.
+var Module = fx.Module("relay",
+	fx.Provide(
+		provideSockets, provideDispatcher, provideCatalog, provideRoster, provideMirrors,
+		provideForwarder, provideFront, provideRoot,
+	),
+)
+
+// sockets are the listening sockets, bound before any task runs.
+type sockets struct {
+	front, ready, peers, metrics net.Listener
+}
+
+func provideSockets(settings Settings) (sockets, error) {
+	var bound sockets
+	for _, socket := range []struct {
+		address string
+		target  *net.Listener
+	}{
+		{settings.FrontAddress, &bound.front}, {settings.ReadyAddress, &bound.ready},
+		{settings.PeerAddress, &bound.peers}, {settings.MetricsAddress, &bound.metrics},
+	} {
+		if socket.address == "" {
+			continue
+		}
+		listener, err := net.Listen("tcp", socket.address)
+		if err != nil {
+			return bound, Error.New("cannot listen on %s: %w; free the port or correct the settings", socket.address, err)
+		}
+		*socket.target = listener
+	}
+	return bound, nil
+}
+
+func provideDispatcher(settings Settings, adapter Adapter, clock clockwork.Clock, set *metrics.Set, logger *slog.Logger) *dispatch.Task {
+	return dispatch.NewTask(dispatch.Parameters{
+		Zone: settings.Zone, Protocol: adapter.Servers, Prober: adapter.Prober, Budget: settings.Budget, Clock: clock,
+		Random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), Metrics: set, Logger: logger,
+	})
+}
+
+func provideCatalog(adapter Adapter, clock clockwork.Clock, set *metrics.Set, logger *slog.Logger, dispatcher *dispatch.Task) *catalog.Task {
+	return catalog.NewTask(adapter.Decoder, clock, set, logger, dispatcher.Views())
+}
+
+func provideRoster(settings Settings, adapter Adapter, clock clockwork.Clock, logger *slog.Logger, dispatcher *dispatch.Task) *roster.Task {
+	self := routing.Host{Name: settings.HostName, Address: settings.PeerAddress, Zone: settings.Zone}
+	return roster.NewTask(self, adapter.Roster, clock, logger, dispatcher.Hosts())
+}
+
+// mirrors are the followers of the two tables that the relay reads.
+type mirrors struct {
+	orders, registrations *mirror.Follower
+}
+
+// rosterTimeout bounds the wait for the list of entry hosts.
+const rosterTimeout = 100 * time.Millisecond
+
+func provideMirrors(settings Settings, adapter Adapter, clock clockwork.Clock, set *metrics.Set, logger *slog.Logger, view *catalog.Task, hosts *roster.Task) mirrors {
+	peers := &peering.Peers{
+		Zone: settings.Zone, Self: settings.PeerAddress, Seeds: settings.Seeds,
+		Hosts: func(ctx context.Context) []routing.Host {
+			ctx, cancel := context.WithTimeout(ctx, rosterTimeout)
+			defer cancel()
+			// Without an answer the seeds are asked.
+			known, _ := task.Call(ctx, hosts.Mailbox(), func(reply task.Reply[[]routing.Host]) roster.Current {
+				return roster.Current{Reply: reply}
+			})
+			return known
+		},
+	}
+	return mirrors{
+		orders:        mirror.NewFollower(adapter.OrdersIn, adapter.Store, peers, clock, set, logger, view.Orders()),
+		registrations: mirror.NewFollower(adapter.RegistrationsIn, adapter.Store, peers, clock, set, logger, view.Registrations()),
+	}
+}
+
+func provideForwarder(adapter Adapter, clock clockwork.Clock, set *metrics.Set, logger *slog.Logger, dispatcher *dispatch.Task) *forward.Forwarder {
+	return &forward.Forwarder{Dispatcher: dispatcher.Mailbox(), Codec: adapter.Codec, Clock: clock, Metrics: set, Logger: logger}
+}
+
+func provideFront(bound sockets, adapter Adapter, clock clockwork.Clock, set *metrics.Set, logger *slog.Logger, view *catalog.Task, forwarder *forward.Forwarder) (*ingress.Front, ingress.Parameters) {
+	parameters := ingress.Parameters{Protocol: adapter.Callers, Catalog: view.Mailbox(), Forwarder: forwarder, Clock: clock, Metrics: set, Logger: logger}
+	return ingress.NewFront(bound.front, parameters), parameters
+}
+
+type rootIn struct {
+	fx.In
+
+	Adapter    Adapter
+	Sockets    sockets
+	Dispatcher *dispatch.Task
+	Catalog    *catalog.Task
+	Roster     *roster.Task
+	Mirrors    mirrors
+	Front      *ingress.Front
+	Parameters ingress.Parameters
+	Logger     *slog.Logger
+}
+
+// provideRoot builds the supervisor with all tasks. A task that fails restarts
+// alone; requests in flight keep their connections.
+func provideRoot(in rootIn) *suture.Supervisor {
+	root := task.NewSupervisor("relay", task.DefaultRestartPolicy, in.Logger)
+	root.Add(in.Dispatcher)
+	root.Add(in.Catalog)
+	root.Add(in.Roster)
+	root.Add(in.Mirrors.orders)
+	root.Add(in.Mirrors.registrations)
+	root.Add(in.Front)
+	root.Add(ingress.NewStatus("readiness", in.Sockets.ready, in.Parameters, in.Front.Draining()))
+	if in.Sockets.metrics != nil {
+		root.Add(ingress.NewStatus("metrics", in.Sockets.metrics, in.Parameters, in.Front.Draining()))
+	}
+	if in.Sockets.peers != nil {
+		root.Add(peering.NewListener(in.Sockets.peers, map[string]task.Mailbox[mirror.Current]{
+			in.Adapter.OrdersIn:        in.Mirrors.orders.Mailbox(),
+			in.Adapter.RegistrationsIn: in.Mirrors.registrations.Mailbox(),
+		}))
+	}
+	return root
+}
--- /dev/null
+++ b/entryhost/relay/host.go
@@ -0,0 +1,77 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/jonboulle/clockwork"
+	"github.com/thejerf/suture/v4"
+	"github.com/zeebo/errs"
+	"go.uber.org/fx"
+	"go.uber.org/fx/fxevent"
+
+	"github.com/lentilpoint/lentilpoint/entryhost/relay/ingress"
+	"github.com/lentilpoint/lentilpoint/eventcode"
+)
+
+// Error is the class of errors of this package.
+var Error = errs.Class("relay")
+
+const (
+	// stopMargin is kept between the end of a drain and the platform's kill.
+	stopMargin = 300 * time.Millisecond
+	// treeTimeout bounds the wait for the tasks after a drain.
+	treeTimeout = 200 * time.Millisecond
+)
+
+// Environment is what a relay needs besides its settings.
+type Environment struct {
+	Adapter Adapter
+	Clock   clockwork.Clock
+	Metrics *metrics.Set
+	Logger  *slog.Logger
+}
+
+// Run serves until the context ends, which begins a graceful shutdown, or the
+// root supervisor gives up.
+func Run(ctx context.Context, settings Settings, environment Environment) error {
+	var root *suture.Supervisor
+	var front *ingress.Front
+	app := fx.New(
+		Module,
+		fx.Supply(settings, environment.Adapter, environment.Metrics, environment.Logger),
+		fx.Provide(func() clockwork.Clock { return environment.Clock }),
+		fx.Populate(&root, &front),
+		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
+	)
+	if err := app.Err(); err != nil {
+		return Error.Wrap(err)
+	}
+	tree, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	done := root.ServeBackground(tree)
+	environment.Logger.Info("relay started", eventcode.RelayStarted.Attr(), "host", settings.HostName, "zone", settings.Zone,
+		"front", settings.FrontAddress, "store", settings.StoreAddress)
+	select {
+	case <-ctx.Done():
+	case err := <-done:
+		return Error.Wrap(err)
+	}
+	environment.Logger.Info("relay drains", eventcode.RelayDrains.Attr(), "host", settings.HostName)
+	drain, cancel := context.WithTimeout(tree, settings.StopTime-stopMargin)
+	defer cancel()
+	err := front.Drain(drain)
+	stop()
+	select {
+	case failure := <-done:
+		if !errors.Is(failure, context.Canceled) {
+			err = errors.Join(err, failure)
+		}
+	case <-environment.Clock.After(treeTimeout):
+	}
+	environment.Logger.Info("relay stopped", eventcode.RelayStopped.Attr(), "host", settings.HostName, "error", err)
+	return nil
+}
--- /dev/null
+++ b/entryhost/relay/ingress/status.go
@@ -0,0 +1,81 @@
+package ingress
+
+import (
+	"context"
+	"log/slog"
+	"net"
+	"net/http"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/gin-gonic/gin"
+
+	"github.com/lentilpoint/lentilpoint/entryhost/relay/catalog"
+	"github.com/lentilpoint/lentilpoint/task"
+)
+
+// Status is the task that answers the balancer and readers of metrics.
+type Status struct {
+	name     string
+	socket   task.Socket
+	protocol Protocol
+	catalog  task.Mailbox[catalog.Current]
+	draining <-chan struct{}
+	metrics  *metrics.Set
+	logger   *slog.Logger
+}
+
+// NewStatus returns a status server with the name on the bound socket.
+func NewStatus(name string, listener net.Listener, parameters Parameters, draining <-chan struct{}) *Status {
+	return &Status{
+		name: name, socket: task.NewSocket(listener), protocol: parameters.Protocol, catalog: parameters.Catalog,
+		draining: draining, metrics: parameters.Metrics, logger: parameters.Logger,
+	}
+}
+
+// String names the task in the logs.
+func (s *Status) String() string { return s.name }
+
+// Serve answers until the context ends.
+func (s *Status) Serve(ctx context.Context) error {
+	listener, err := s.socket.Take()
+	if err != nil {
+		return Error.Wrap(err)
+	}
+	router := gin.New()
+	router.GET(s.protocol.ReadyPath(), s.ready)
+	router.GET("/metrics", s.writeMetrics)
+	server := &http.Server{Handler: router, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, ErrorLog: slog.NewLogLogger(s.logger.Handler(), slog.LevelDebug)}
+	release := context.AfterFunc(ctx, func() { _ = server.Close() })
+	defer release()
+	err = server.Serve(listener)
+	if ctx.Err() != nil {
+		return nil
+	}
+	return Error.Wrap(err)
+}
+
+// ready answers 200 once a configuration is in force and until a drain begins.
+func (s *Status) ready(c *gin.Context) {
+	select {
+	case <-s.draining:
+		c.Status(http.StatusServiceUnavailable)
+		return
+	default:
+	}
+	ctx, cancel := context.WithTimeout(c.Request.Context(), lookupTimeout)
+	defer cancel()
+	view, err := task.Call(ctx, s.catalog, func(reply task.Reply[*catalog.View]) catalog.Current {
+		return catalog.Current{Reply: reply}
+	})
+	if err != nil || view.Config == nil || len(view.Servers) == 0 {
+		c.Status(http.StatusServiceUnavailable)
+		return
+	}
+	c.Status(http.StatusOK)
+}
+
+func (s *Status) writeMetrics(c *gin.Context) {
+	c.Header("Content-Type", "text/plain; version=0.0.4")
+	s.metrics.WritePrometheus(c.Writer)
+	metrics.WriteProcessMetrics(c.Writer)
+}
--- /dev/null
+++ b/entryhost/relay/routing/server.go
@@ -0,0 +1,46 @@
+package routing
+
+import "time"
+
+// Server is one start of a backend server, as registered.
+type Server struct {
+	// ID names this start of the server; a restart mostly registers another id.
+	ID      string
+	Service string
+	Address string
+	Zone    string
+	// Version is that of the server's software.
+	Version string
+	Slots   int
+	// Draining servers finish what they have and take no new work.
+	Draining bool
+	// StartedAt is the server's own time of day at its start; 0 if unknown. It
+	// orders the starts of servers on one address.
+	StartedAt time.Duration
+}
+
+// SameStart reports whether both registrations are of the same process.
+func (s *Server) SameStart(other *Server) bool {
+	return s.ID == other.ID && s.StartedAt == other.StartedAt && s.Address == other.Address
+}
+
+// Servers is an immutable set of registrations by id.
+type Servers map[string]*Server
+
+// Newest removes registrations whose address was taken over by a later start,
+// so that a server that crashed and returned is not tried under its old id.
+func (s Servers) Newest() Servers {
+	byAddress := make(map[string]*Server, len(s))
+	for _, server := range s {
+		other, found := byAddress[server.Address]
+		if !found || server.StartedAt > other.StartedAt ||
+			server.StartedAt == other.StartedAt && server.ID > other.ID {
+			byAddress[server.Address] = server
+		}
+	}
+	newest := make(Servers, len(byAddress))
+	for _, server := range byAddress {
+		newest[server.ID] = server
+	}
+	return newest
+}
--- a/eventcode/eventcode.go
+++ b/eventcode/eventcode.go
@@ -30,7 +30,7 @@
 // Catalogue returns all events in order of their codes.
 func Catalogue() []Entry {
 	all := slices.Concat(rootEvents, platformEvents, backendEvents, requestEvents, atMostOnceEvents, recoveryEvents,
-		configEvents, callerEvents, admissionEvents, peerEvents, controlEvents, operatorEvents, journalEvents)
+		configEvents, callerEvents, admissionEvents, peerEvents, controlEvents, operatorEvents, journalEvents, relayEvents)
 	slices.SortFunc(all, func(a, b Entry) int { return int(a.Code - b.Code) })
 	return all
 }
--- /dev/null
+++ b/eventcode/relay.go
@@ -0,0 +1,54 @@
+package eventcode
+
+// Events of the relay, which forwards requests by route, 2000 to 2099.
+const (
+	RelayStarted         Code = 2001
+	RelayDrains          Code = 2002
+	RelayStopped         Code = 2003
+	SettingsReloaded     Code = 2004
+	SettingsRejected     Code = 2005
+	StoreLost            Code = 2010
+	StoreRegained        Code = 2011
+	StoreHistoryGone     Code = 2012
+	PeerCopyTaken        Code = 2013
+	PeerCopyFailed       Code = 2014
+	RosterNotRead        Code = 2015
+	RelayConfigInForce   Code = 2020
+	ConfigRejected       Code = 2021
+	MoveRejected         Code = 2022
+	RegistrationRejected Code = 2023
+	ServerRegistered     Code = 2024
+	ServerGone           Code = 2025
+	ServerStanding       Code = 2030
+	ServerSilent         Code = 2031
+	ReleaseLost          Code = 2032
+	RelayRequestDone     Code = 2040
+	RelayRequestRefused  Code = 2041
+	RequestRerouted      Code = 2042
+)
+
+var relayEvents = []Entry{
+	{RelayStarted, "relay started", "The relay runs and binds its sockets.", "Nothing."},
+	{RelayDrains, "relay drains", "A graceful shutdown began; open requests finish.", "Nothing."},
+	{RelayStopped, "relay stopped", "All tasks stopped. With an error, requests were still open.", "With an error: compare the stop time with the longest requests."},
+	{SettingsReloaded, "settings reloaded", "The settings file was read again and is in force as far as it can change at run time.", "Nothing."},
+	{SettingsRejected, "settings rejected", "The settings file could not be read again; the settings in force stay.", "Correct the fields that the line names."},
+	{StoreLost, "store lost", "The store does not serve this host; copies of its tables stay in use and peers are asked for newer ones.", "Check the store if it stays away."},
+	{StoreRegained, "store regained", "The store serves this host again.", "Nothing."},
+	{StoreHistoryGone, "store history gone", "The change feed no longer reaches back to this host's copy; the table is read again.", "Nothing unless it repeats."},
+	{PeerCopyTaken, "peer copy taken", "A newer copy of a table came from another entry host.", "Nothing."},
+	{PeerCopyFailed, "peer copy failed", "No entry host that was asked has a copy of the table.", "Check the links between entry hosts if it repeats."},
+	{RosterNotRead, "roster not read", "The list of entry hosts was not read or not delivered; the last one stays in use.", "Check the store if it repeats."},
+	{RelayConfigInForce, "relay configuration in force", "A newer configuration decides requests from now on.", "Nothing."},
+	{ConfigRejected, "configuration rejected", "The operator's configuration could not be read; the one in force stays.", "Correct the configuration."},
+	{MoveRejected, "move rejected", "An order for a version move could not be read and is ignored.", "Correct the order."},
+	{RegistrationRejected, "registration rejected", "A registration could not be read and names no server.", "Find its writer if the key is that of a server."},
+	{ServerRegistered, "server registered", "A server was registered, changed its state or started again.", "Nothing."},
+	{ServerGone, "server gone", "A registration ended.", "Nothing unless the server should run."},
+	{ServerStanding, "server standing", "This host stopped or resumed sending new work to a server because of what attempts showed.", "Look at the server if it repeats."},
+	{ServerSilent, "server silent", "A server did not answer a question about its runs; its streams go on elsewhere.", "Look at the server if it repeats."},
+	{ReleaseLost, "release lost", "The dispatcher did not take the outcome of an attempt in time.", "Report it with the line."},
+	{RelayRequestDone, "request done", "A request ended; the line lists its attempts with their outcomes and causes.", "For a failed request, read the attempts."},
+	{RelayRequestRefused, "request refused", "A request was refused before it reached a server.", "Read the reason."},
+	{RequestRerouted, "request rerouted", "An attempt failed and the request goes to another server.", "Look at the server if it repeats."},
+}
