Let a live engine finish reading a prompt

Cause: a stream without an event after 0.55 of its objective went to another engine, although the first one answered questions. When a zone's engines have crashed the others read several prompts at once and need longer than 2.5 s; each move threw the part away that was read, and the load grew. Ruled out: silent engines, which the question to the server finds. Conclusion: only silence of the server itself is a reason to leave early.

--- a/entryhost/relay/forward/policy.go
+++ b/entryhost/relay/forward/policy.go
@@ -159,9 +159,10 @@
 	gapCheckMax = 350 * time.Millisecond
 	// checkPause is the time between two questions about one silence.
 	checkPause = 250 * time.Millisecond
-	// firstShare is the part of the latency objective after which the first
-	// event is expected from another server.
-	firstShare = 0.55
+	// firstShare is the multiple of the latency objective after which a live
+	// server that has sent no event is left. Leaving earlier throws away the part
+	// of the prompt that it has read, which overloaded the remaining engines.
+	firstShare = 1.6
 	// gapShare is the multiple of the gap objective after which a live server
 	// that sends nothing is left.
 	gapShare = 2.0
