--- a/entryhost/relay/dispatch/budget.go
+++ b/entryhost/relay/dispatch/budget.go
@@ -64,3 +64,10 @@
 	b.repeats[b.slot%budgetSlots]++
 	return true
 }
+
+// refund takes a repeat back that did not reach a server.
+func (b *budget) refund(now time.Time) {
+	b.advance(now)
+	slot := b.slot % budgetSlots
+	b.repeats[slot] = max(b.repeats[slot]-1, 0)
+}
--- a/entryhost/relay/dispatch/task.go
+++ b/entryhost/relay/dispatch/task.go
@@ -74,6 +74,8 @@
 	backup *serverState
 	// service is that of the request.
 	service string
+	// repeat tells that the attempt was paid from the retry budget.
+	repeat bool
 }
 
 // Task is the dispatcher.
@@ -272,7 +274,7 @@
 
 func (t *Task) grant(ctx context.Context, request Acquire, chosen *candidate, candidates []candidate, now time.Time) {
 	state := t.servers[chosen.server.ID]
-	granted := use{server: state, service: request.Service}
+	granted := use{server: state, service: request.Service, repeat: request.Repeat}
 	answer := Assignment{Server: state.server, Candidates: len(candidates)}
 	if request.Backup {
 		if backup := chooseBackup(t.Random, &request, candidates, chosen.server); backup != nil {
@@ -361,6 +363,9 @@
 	if granted.backup != nil {
 		granted.backup.copies--
 	}
+	if granted.repeat && message.Outcome == OutcomeUnreachable {
+		t.budgetOf(granted.service).refund(t.Clock.Now())
+	}
 	t.learn(granted.server, message.Outcome)
 	t.Metrics.GetOrCreateCounter(`lentilpoint_relay_attempts_total{service="` + granted.service + `",outcome="` + message.Outcome.String() + `"}`).Inc()
 }
