Judge a run that is missing from a report by its first event

Cause: a report lags by some 100 ms, and a run appears in it with its first event. The age of the attempt was compared instead, so a stream that paused after its first event was taken for lost and its prompt was read again. Ruled out: runs that were gone; the traces show them running on.

--- a/entryhost/relay/forward/monitor.go
+++ b/entryhost/relay/forward/monitor.go
@@ -16,8 +16,10 @@
 	state    *streamState
 	timer    clockwork.Timer
 	verdicts chan dispatch.Verdict
-	quiet    time.Time
-	asked    bool
+	// quiet is when the last event arrived, first when the first one did.
+	quiet time.Time
+	first time.Time
+	asked bool
 }
 
 func newMonitor(r *run, l *live, s *streamState) *monitor {
@@ -34,6 +36,9 @@
 // heard notes that the attempt made progress.
 func (m *monitor) heard() {
 	m.quiet = m.run.Clock.Now()
+	if m.first.IsZero() {
+		m.first = m.quiet
+	}
 	m.again(silenceLimit(m.started(), m.state.longestGap))
 }
 
@@ -72,7 +77,11 @@
 	if m.quiet.After(verdict.At) {
 		return nil
 	}
-	if isLost(verdict, m.run.request.ID, m.live.note.Events, m.run.Clock.Since(m.live.started)) {
+	known := progress{
+		id: m.run.request.ID, started: m.started(), running: m.run.Clock.Since(m.first),
+		received: max(m.live.note.Events, int(m.state.ledger.last)),
+	}
+	if isLost(verdict, known) {
 		if !verdict.Alive {
 			return Error.New("the server does not answer after %d ms without an event", m.run.Clock.Since(m.quiet).Milliseconds())
 		}
--- a/entryhost/relay/forward/policy.go
+++ b/entryhost/relay/forward/policy.go
@@ -190,16 +190,25 @@
 	return time.Duration(gapShare * float64(route.GapObjective))
 }
 
-// isLost decides from the server's report whether the attempt is lost. Received
-// is the number of events of this run that arrived, age that of the attempt.
-func isLost(verdict dispatch.Verdict, id string, received int, age time.Duration) bool {
+// progress is what the caller's side knows of a run.
+type progress struct {
+	id string
+	// started tells that this attempt sent an event, running how long ago.
+	started bool
+	running time.Duration
+	// received is the number of events of the stream that arrived.
+	received int
+}
+
+// isLost decides from the server's report whether the attempt is lost.
+func isLost(verdict dispatch.Verdict, p progress) bool {
 	if !verdict.Alive {
 		return true
 	}
-	made, running := verdict.Runs[id]
-	if !running {
+	made, found := verdict.Runs[p.id]
+	if !found {
 		// A run is reported once it has made its first event.
-		return received > 0 && age > settleTime
+		return p.started && p.running > settleTime
 	}
-	return made > received+eventsAhead
+	return made > p.received+eventsAhead
 }
