Use a restarted engine before its registration arrives

Cause: engines come back under another id. While the store is away the view keeps the former ids, every attempt gets 421, and after a few crashes most engines of a zone are out of use. Ruled out: overload; the engines were idle and answered 421 within 7 ms. The answer names the present id. It is used only for the one service with engines, after the server reports models, since addresses are used again.

--- a/entryhost/relay/dispatch/messages.go
+++ b/entryhost/relay/dispatch/messages.go
@@ -103,6 +103,9 @@
 	Outcome Outcome
 	// Took is the time to the answer, or to the first event; 0 if there is none.
 	Took time.Duration
+	// Instance is the id of the server that has the address, for a misdirected
+	// attempt.
+	Instance string
 }
 
 // Verdict is the result of a question to a server about its runs.
@@ -125,14 +128,33 @@
 	verdict Verdict
 }
 
-func (Acquire) isMessage() {}
-func (Release) isMessage() {}
-func (Check) isMessage()   {}
-func (probed) isMessage()  {}
+// identified is the result of a question whether an engine has the address of
+// a server that was restarted.
+type identified struct {
+	// former is the registration that was contradicted, instance the id that the
+	// server at its address gave.
+	former   *routing.Server
+	instance string
+	engine   bool
+}
+
+func (Acquire) isMessage()    {}
+func (Release) isMessage()    {}
+func (Check) isMessage()      {}
+func (probed) isMessage()     {}
+func (identified) isMessage() {}
+
+// Report is what an engine says of itself.
+type Report struct {
+	// Runs are the events made so far by each run, by request id.
+	Runs map[string]int
+	// Engine tells that the server serves models.
+	Engine bool
+}
 
-// Prober asks an engine for the state of its runs on a connection of its own.
+// Prober asks an engine for its report on a connection of its own.
 type Prober interface {
-	Probe(ctx context.Context, address string) (map[string]int, error)
+	Probe(ctx context.Context, address string) (Report, error)
 }
 
 const (
--- a/entryhost/relay/dispatch/task.go
+++ b/entryhost/relay/dispatch/task.go
@@ -88,6 +88,8 @@
 	reports task.Mailbox[exchange.Report]
 
 	view *catalog.View
+	// adopted are restarted engines that are not registered yet, by id.
+	adopted map[string]adoption
 	// sharers is the number of entry hosts, which share budgets and limits.
 	sharers int
 	servers map[string]*serverState
@@ -105,6 +107,7 @@
 		views:      task.NewMailbox[*catalog.View](viewsSize),
 		hosts:      task.NewMailbox[[]routing.Host](viewsSize),
 		sharers:    sharersMin,
+		adopted:    map[string]adoption{},
 		reports:    task.NewMailbox[exchange.Report](reportsSize),
 		view:       &catalog.View{},
 		servers:    map[string]*serverState{},
@@ -157,11 +160,13 @@
 			t.waiting = append(t.waiting, message)
 		}
 	case Release:
-		t.release(message)
+		t.release(ctx, message)
 	case Check:
 		t.check(ctx, message)
 	case probed:
 		t.finishCheck(message)
+	case identified:
+		t.adopt(message)
 	}
 }
 
@@ -180,8 +185,9 @@
 		}
 		state.server = server
 	}
+	t.dropAdopted()
 	for id, state := range t.servers {
-		if _, found := view.Servers[id]; found {
+		if t.known(id) {
 			continue
 		}
 		state.closeIdle()
@@ -317,11 +323,10 @@
 func (t *Task) candidates(service string, now time.Time) []candidate {
 	var list []candidate
 	limit := t.connectionLimit(service)
-	for id, server := range t.view.Servers {
-		if server.Service != service {
+	for id, state := range t.servers {
+		if state.server.Service != service || !t.known(id) {
 			continue
 		}
-		state := t.servers[id]
 		list = append(list, candidate{
 			server: state.server, inFlight: state.inFlight, copies: state.copies,
 			warm: len(state.idle) > 0, full: len(state.idle) == 0 && state.open >= limit,
@@ -353,7 +358,7 @@
 	return ledger
 }
 
-func (t *Task) release(message Release) {
+func (t *Task) release(ctx context.Context, message Release) {
 	granted, found := t.leases[message.Lease]
 	if !found {
 		return
@@ -367,6 +372,9 @@
 		t.budgetOf(granted.service).refund(t.Clock.Now())
 	}
 	t.learn(granted.server, message.Outcome)
+	if message.Outcome == OutcomeMisdirected && message.Instance != "" {
+		t.identify(ctx, granted.server.server, message.Instance)
+	}
 	t.Metrics.GetOrCreateCounter(`lentilpoint_relay_attempts_total{service="` + granted.service + `",outcome="` + message.Outcome.String() + `"}`).Inc()
 }
 
@@ -401,11 +409,11 @@
 	go func() {
 		probeContext, cancel := context.WithTimeout(ctx, probeTimeout)
 		defer cancel()
-		runs, err := t.Prober.Probe(probeContext, server.Address)
+		report, err := t.Prober.Probe(probeContext, server.Address)
 		if err != nil {
 			t.Logger.Info("server does not answer questions about its runs", eventcode.ServerSilent.Attr(), "server", server.ID, "error", err)
 		}
-		_ = t.mailbox.Send(ctx, probed{server: server.ID, verdict: Verdict{Alive: err == nil, Runs: runs, At: now}})
+		_ = t.mailbox.Send(ctx, probed{server: server.ID, verdict: Verdict{Alive: err == nil, Runs: report.Runs, At: now}})
 	}()
 }
 
@@ -421,7 +429,7 @@
 	if !message.verdict.Alive {
 		t.learn(state, OutcomeSilent)
 	}
-	if _, registered := t.view.Servers[message.server]; !registered {
+	if !t.known(message.server) {
 		delete(t.servers, message.server)
 	}
 }
--- a/entryhost/relay/forward/plain.go
+++ b/entryhost/relay/forward/plain.go
@@ -40,11 +40,11 @@
 		l := r.start(ctx, assignment, &exchange.Attempt{})
 		got, outcome, cause := r.collect(ctx, l)
 		if ctx.Err() != nil && got == nil {
-			r.finish(l, dispatch.OutcomeNone, context.Cause(ctx), 0)
+			r.finish(l, nil, dispatch.OutcomeNone, context.Cause(ctx), 0)
 			r.endedEarly(ctx, true)
 			return
 		}
-		r.finish(l, outcome, cause, r.Clock.Since(l.started))
+		r.finish(l, got, outcome, cause, r.Clock.Since(l.started))
 		r.exclude[assignment.Server.ID] = true
 		if outcome == dispatch.OutcomeFailed {
 			fallback = got
--- a/entryhost/relay/forward/stream.go
+++ b/entryhost/relay/forward/stream.go
@@ -49,15 +49,15 @@
 		l := r.start(ctx, assignment, attempt)
 		got, outcome, cause := r.pass(ctx, l, s)
 		if outcome == dispatch.OutcomeSuccess {
-			r.finish(l, outcome, nil, l.firstEvent())
+			r.finish(l, got, outcome, nil, l.firstEvent())
 			return
 		}
 		if ctx.Err() != nil {
-			r.finish(l, dispatch.OutcomeNone, context.Cause(ctx), 0)
+			r.finish(l, nil, dispatch.OutcomeNone, context.Cause(ctx), 0)
 			r.streamEnded(ctx, s)
 			return
 		}
-		r.finish(l, outcome, cause, 0)
+		r.finish(l, got, outcome, cause, 0)
 		if !r.prepareNext(l, s, got, outcome, cause) {
 			return
 		}
--- a/entryhost/relay/forward/task.go
+++ b/entryhost/relay/forward/task.go
@@ -95,7 +95,7 @@
 }
 
 // finish ends the attempt and tells the dispatcher its outcome.
-func (r *run) finish(l *live, outcome dispatch.Outcome, cause error, took time.Duration) {
+func (r *run) finish(l *live, got *answer, outcome dispatch.Outcome, cause error, took time.Duration) {
 	l.end()
 	l.note.Outcome = outcome.String()
 	l.note.TookMS = r.Clock.Since(l.started).Milliseconds()
@@ -109,7 +109,11 @@
 	// The dispatcher always drains its mailbox; waiting keeps its counts right.
 	ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
 	defer cancel()
-	if err := r.Dispatcher.Send(ctx, dispatch.Release{Lease: l.assignment.Lease, Outcome: outcome, Took: took}); err != nil {
+	release := dispatch.Release{Lease: l.assignment.Lease, Outcome: outcome, Took: took}
+	if got != nil {
+		release.Instance = got.head.Instance
+	}
+	if err := r.Dispatcher.Send(ctx, release); err != nil {
 		r.Logger.Error("outcome of an attempt is lost", eventcode.ReleaseLost.Attr(), "request", r.request.ID, "server", l.note.Server, "error", err)
 	}
 }
--- a/eventcode/relay.go
+++ b/eventcode/relay.go
@@ -22,6 +22,7 @@
 	ServerStanding       Code = 2030
 	ServerSilent         Code = 2031
 	ReleaseLost          Code = 2032
+	ServerAdopted        Code = 2033
 	RelayRequestDone     Code = 2040
 	RelayRequestRefused  Code = 2041
 	RequestRerouted      Code = 2042
@@ -48,6 +49,7 @@
 	{ServerStanding, "server standing", "This host stopped or resumed sending new work to a server because of what attempts showed.", "Look at the server if it repeats."},
 	{ServerSilent, "server silent", "A server did not answer a question about its runs; its streams go on elsewhere.", "Look at the server if it repeats."},
 	{ReleaseLost, "release lost", "The dispatcher did not take the outcome of an attempt in time.", "Report it with the line."},
+	{ServerAdopted, "server adopted", "An engine restarted under another id and takes work before its registration arrives.", "Nothing."},
 	{RelayRequestDone, "request done", "A request ended; the line lists its attempts with their outcomes and causes.", "For a failed request, read the attempts."},
 	{RelayRequestRefused, "request refused", "A request was refused before it reached a server.", "Read the reason."},
 	{RequestRerouted, "request rerouted", "An attempt failed and the request goes to another server.", "Look at the server if it repeats."},
