Take no request in the last two seconds of a drain

Ruled out: streams, which are refused from 2.5 s on. Idle connections are closed once the balancer has taken the host out, and requests in the last 2 s get a refusal that they have not run.

--- a/entryhost/relay/fx.go
+++ b/entryhost/relay/fx.go
@@ -121,8 +121,8 @@
 	return &forward.Forwarder{Dispatcher: dispatcher.Mailbox(), Codec: adapter.Codec, Clock: clock, Metrics: set, Logger: logger}
 }
 
-func provideFront(bound sockets, adapter Adapter, clock clockwork.Clock, set *metrics.Set, logger *slog.Logger, view *catalog.Task, forwarder *forward.Forwarder) (*ingress.Front, ingress.Parameters) {
-	parameters := ingress.Parameters{Protocol: adapter.Callers, Catalog: view.Mailbox(), Forwarder: forwarder, Clock: clock, Metrics: set, Logger: logger}
+func provideFront(settings Settings, bound sockets, adapter Adapter, clock clockwork.Clock, set *metrics.Set, logger *slog.Logger, view *catalog.Task, forwarder *forward.Forwarder) (*ingress.Front, ingress.Parameters) {
+	parameters := ingress.Parameters{Protocol: adapter.Callers, StopTime: settings.StopTime, Catalog: view.Mailbox(), Forwarder: forwarder, Clock: clock, Metrics: set, Logger: logger}
 	return ingress.NewFront(bound.front, parameters), parameters
 }
 
--- a/entryhost/relay/ingress/front.go
+++ b/entryhost/relay/ingress/front.go
@@ -39,6 +39,9 @@
 	// drainStreams is how long streams are accepted in a drain; they take about
 	// five of the eight seconds that a stop may take.
 	drainStreams = 2500 * time.Millisecond
+	// lastPlain is the time before the kill from which no request is taken; plain
+	// requests end within 1.5 s.
+	lastPlain = 2 * time.Second
 	// drainLook is how often a drain looks whether requests are open.
 	drainLook = 50 * time.Millisecond
 	// lookupTimeout bounds the wait for the catalog.
@@ -51,7 +54,9 @@
 
 // Parameters are what the caller API is built from.
 type Parameters struct {
-	Protocol  Protocol
+	Protocol Protocol
+	// StopTime is how long the host may run after a drain began.
+	StopTime  time.Duration
 	Catalog   task.Mailbox[catalog.Current]
 	Forwarder *forward.Forwarder
 	Clock     clockwork.Clock
@@ -67,8 +72,10 @@
 	commands task.Mailbox[command]
 	// draining is closed by the task when a graceful shutdown begins.
 	draining chan struct{}
-	// refusing is closed by the task once streams have no time left to finish.
+	// refusing is closed by the task once streams have no time left to finish,
+	// and ending once no request has.
 	refusing chan struct{}
+	ending   chan struct{}
 	open     *metrics.Counter
 }
 
@@ -76,7 +83,7 @@
 func NewFront(listener net.Listener, parameters Parameters) *Front {
 	return &Front{
 		Parameters: parameters, socket: task.NewSocket(listener),
-		commands: task.NewMailbox[command](commandsSize), draining: make(chan struct{}), refusing: make(chan struct{}),
+		commands: task.NewMailbox[command](commandsSize), draining: make(chan struct{}), refusing: make(chan struct{}), ending: make(chan struct{}),
 		open: parameters.Metrics.GetOrCreateCounter("lentilpoint_relay_open_requests"),
 	}
 }
@@ -131,7 +138,7 @@
 	}
 	failed := make(chan error, 1)
 	go func() { failed <- server.Serve(listener) }()
-	var refuse <-chan time.Time
+	var refuse, quiet, end <-chan time.Time
 	for {
 		select {
 		case <-ctx.Done():
@@ -140,10 +147,16 @@
 			return Error.Wrap(err)
 		case <-refuse:
 			close(f.refusing)
+		case <-quiet:
+			// Idle connections are closed; a request that crosses that is not read.
+			server.SetKeepAlivesEnabled(false)
+		case <-end:
+			close(f.ending)
 		case command := <-f.commands.C():
 			if command.kind == commandDrain {
 				close(f.draining)
-				refuse = f.Clock.After(drainStreams)
+				refuse, quiet = f.Clock.After(drainStreams), f.Clock.After(drainQuiet)
+				end = f.Clock.After(f.StopTime - lastPlain)
 				command.reply.Send(nil)
 				continue
 			}
@@ -214,7 +227,7 @@
 	if err != nil {
 		return nil, model.NotRun(model.KindInvalid, model.ReasonBodyTooLarge, err.Error(), "send a body within the limit of the configuration")
 	}
-	if route.Kind == routing.Streaming && closed(f.refusing) {
+	if closed(f.ending) || route.Kind == routing.Streaming && closed(f.refusing) {
 		return nil, model.NotRun(model.KindUnavailable, model.ReasonDraining, "this host stops", "send the request again on a new connection").After(retryAfter)
 	}
 	service := view.Config.Services[route.Service(rand.Float64())]
