Avoid the servers of a zone of which three were just lost

Cause: behind a cut, or when a zone's engines go dark together, a request tried one server after another of the same zone, 250 ms each, and was refused as not run after eight of them. Ruled out: the pause of each server, which one host learns for each separately. Three lost servers of a zone in a second put the zone last for a second, and a connect may take 120 ms; links are 1.4 ms long.

--- a/entryhost/relay/dispatch/policy.go
+++ b/entryhost/relay/dispatch/policy.go
@@ -21,6 +21,8 @@
 	// paused servers failed recently; recovering ones have not succeeded since.
 	paused     bool
 	recovering bool
+	// zoneLost tells that several servers of its zone were lost a moment ago.
+	zoneLost bool
 	// stale registrations were contradicted by the server at the address.
 	stale bool
 	// failureRate is the smoothed share of attempts that failed.
@@ -52,7 +54,7 @@
 	failureExcess = 0.3
 )
 
-var filters = []filter{usable, excluded, rested, healthy}
+var filters = []filter{usable, excluded, reachable, rested, healthy}
 
 var scorers = []scorer{
 	func(_ string, c *candidate) float64 {
@@ -80,6 +82,12 @@
 	return keep(candidates, func(c *candidate) bool { return !request.Exclude[c.server.ID] })
 }
 
+// reachable removes the servers of zones that seem cut off or down. It removes
+// none if none remain.
+func reachable(_ *Acquire, candidates []candidate) []candidate {
+	return preferred(candidates, func(c *candidate) bool { return !c.zoneLost })
+}
+
 // rested removes servers that failed a moment ago, and lets one attempt at a
 // time try a server that has not succeeded since. It removes none if none remain.
 func rested(_ *Acquire, candidates []candidate) []candidate {
@@ -127,6 +135,7 @@
 	candidates = keep(excluded(request, usable(request, candidates)), func(c *candidate) bool {
 		return c.server.ID != chosen.ID && !c.paused && !c.recovering
 	})
+	candidates = reachable(request, candidates)
 	candidates = preferred(candidates, func(c *candidate) bool { return c.server.Zone != chosen.Zone })
 	return cheapest(random, "", candidates)
 }
--- a/entryhost/relay/dispatch/task.go
+++ b/entryhost/relay/dispatch/task.go
@@ -88,6 +88,8 @@
 	reports task.Mailbox[exchange.Report]
 
 	view *catalog.View
+	// losses are what attempts showed of whole zones, by service and zone.
+	losses map[place]loss
 	// adopted are restarted engines that are not registered yet, by id.
 	adopted map[string]adoption
 	// sharers is the number of entry hosts, which share budgets and limits.
@@ -108,6 +110,7 @@
 		hosts:      task.NewMailbox[[]routing.Host](viewsSize),
 		sharers:    sharersMin,
 		adopted:    map[string]adoption{},
+		losses:     map[place]loss{},
 		reports:    task.NewMailbox[exchange.Report](reportsSize),
 		view:       &catalog.View{},
 		servers:    map[string]*serverState{},
@@ -330,7 +333,7 @@
 		list = append(list, candidate{
 			server: state.server, inFlight: state.inFlight, copies: state.copies,
 			warm: len(state.idle) > 0, full: len(state.idle) == 0 && state.open >= limit,
-			paused: now.Before(state.standing.pausedUntil), recovering: state.standing.pause > 0,
+			paused: now.Before(state.standing.pausedUntil), zoneLost: t.losses[placeOf(state.server)].lost(now), recovering: state.standing.pause > 0,
 			stale: state.standing.stale, failureRate: state.standing.failureRate,
 		})
 	}
@@ -381,7 +384,9 @@
 // learn updates the standing of a server and logs when it turns.
 func (t *Task) learn(state *serverState, outcome Outcome) {
 	before := state.standing
-	state.standing = before.learn(outcome, t.Clock.Now())
+	now := t.Clock.Now()
+	state.standing = before.learn(outcome, now)
+	t.losses[placeOf(state.server)] = t.losses[placeOf(state.server)].learn(state.server.ID, outcome, now)
 	if outcome == OutcomeUnreachable || outcome == OutcomeSilent || outcome == OutcomeMisdirected {
 		state.closeIdle()
 	}
--- a/entryhost/relay/exchange/messages.go
+++ b/entryhost/relay/exchange/messages.go
@@ -133,7 +133,7 @@
 const (
 	// dialTimeout bounds a connect. Servers are at most 1.4 ms away; a longer
 	// wait means that the host is silent or drops connections.
-	dialTimeout = 250 * time.Millisecond
+	dialTimeout = 120 * time.Millisecond
 	// keepAliveIdle and keepAliveInterval make the kernel notice a silent host
 	// within about 2 s.
 	keepAliveIdle     = time.Second
