--- a/entryhost/relay/dispatch/messages.go
+++ b/entryhost/relay/dispatch/messages.go
@@ -108,6 +108,12 @@
 	Instance string
 }
 
+// Started tells that an attempt has sent its first event, so that its prompt
+// takes no more time of the engine.
+type Started struct {
+	Lease Lease
+}
+
 // Verdict is the result of a question to a server about its runs.
 type Verdict struct {
 	Alive bool
@@ -140,6 +146,7 @@
 
 func (Acquire) isMessage()    {}
 func (Release) isMessage()    {}
+func (Started) isMessage()    {}
 func (Check) isMessage()      {}
 func (probed) isMessage()     {}
 func (identified) isMessage() {}
--- a/entryhost/relay/dispatch/policy.go
+++ b/entryhost/relay/dispatch/policy.go
@@ -10,10 +10,13 @@
 // candidate is what the plugins read of a server.
 type candidate struct {
 	server *routing.Server
-	// inFlight counts the attempts of this host on the server, and copies the
-	// cache copies that it holds for this host.
+	// inFlight counts the attempts of this host on the server, decoding those
+	// that have sent an event, and copies the cache copies that it holds.
 	inFlight int
+	decoding int
 	copies   int
+	// own servers are those that this host prefers in its zone.
+	own bool
 	// warm tells that an idle connection is at hand.
 	warm bool
 	// full tells that this host's share of the server's connections is in use.
@@ -36,13 +39,19 @@
 type scorer func(zone string, candidate *candidate) float64
 
 const (
-	// inFlightCost is the cost of one attempt in flight and the unit of the others.
-	inFlightCost = 1.0
+	// readingCost is the cost of an attempt that has sent no event yet and the
+	// unit of the others: a prompt takes about a second of an engine's time.
+	readingCost = 1.0
+	// decodingCost is that of an attempt that sends events, which lengthens the
+	// steps of the others a little.
+	decodingCost = 0.2
 	// copyCost is that of a held cache copy, which takes memory but no steps.
-	copyCost = 0.3
-	// remoteCost keeps work in the own zone until its servers have two attempts
-	// more than those elsewhere; bytes between zones have a price.
-	remoteCost = 2.0
+	copyCost = 0.1
+	// foreignCost keeps work on the servers that this host prefers until they
+	// read a prompt each, since other hosts send work to the others.
+	foreignCost = 0.6
+	// remoteCost is that of another zone, beside foreignCost.
+	remoteCost = 0.3
 	// coldCost is that of a new connection.
 	coldCost = 0.4
 	// failureCost weighs a server that fails every attempt.
@@ -58,8 +67,9 @@
 
 var scorers = []scorer{
 	func(_ string, c *candidate) float64 {
-		return inFlightCost*float64(c.inFlight) + copyCost*float64(c.copies)
+		return readingCost*float64(c.inFlight-c.decoding) + decodingCost*float64(c.decoding) + copyCost*float64(c.copies)
 	},
+	func(_ string, c *candidate) float64 { return foreignCost * indicator(!c.own) },
 	func(zone string, c *candidate) float64 { return remoteCost * indicator(c.server.Zone != zone) },
 	func(_ string, c *candidate) float64 { return coldCost * indicator(!c.warm) },
 	func(_ string, c *candidate) float64 { return failureCost * c.failureRate },
--- a/entryhost/relay/dispatch/task.go
+++ b/entryhost/relay/dispatch/task.go
@@ -38,7 +38,8 @@
 
 // Parameters are what the dispatcher is built from.
 type Parameters struct {
-	// Zone is that of this host.
+	// Self is the address of this host among the entry hosts, Zone its zone.
+	Self     string
 	Zone     string
 	Protocol exchange.Protocol
 	Prober   Prober
@@ -61,6 +62,8 @@
 	server   *routing.Server
 	standing standing
 	inFlight int
+	// decoding are the attempts in flight that have sent an event.
+	decoding int
 	copies   int
 	open     int
 	idle     []idleConnection
@@ -74,8 +77,10 @@
 	backup *serverState
 	// service is that of the request.
 	service string
-	// repeat tells that the attempt was paid from the retry budget.
-	repeat bool
+	// repeat tells that the attempt was paid from the retry budget, decoding
+	// that it has sent an event.
+	repeat   bool
+	decoding bool
 }
 
 // Task is the dispatcher.
@@ -92,6 +97,8 @@
 	losses map[place]loss
 	// adopted are restarted engines that are not registered yet, by id.
 	adopted map[string]adoption
+	// owners tells which servers of the zone this host prefers.
+	owners ownership
 	// sharers is the number of entry hosts, which share budgets and limits.
 	sharers int
 	servers map[string]*serverState
@@ -148,6 +155,7 @@
 			t.retryWaiting(ctx)
 		case hosts := <-t.hosts.C():
 			t.sharers = max(sharersMin, len(hosts)+1)
+			t.owners = newOwnership(t.Self, t.Zone, hosts)
 		case report := <-t.reports.C():
 			t.takeReport(report)
 		case <-look:
@@ -164,6 +172,8 @@
 		}
 	case Release:
 		t.release(ctx, message)
+	case Started:
+		t.started(message)
 	case Check:
 		t.check(ctx, message)
 	case probed:
@@ -331,7 +341,8 @@
 			continue
 		}
 		list = append(list, candidate{
-			server: state.server, inFlight: state.inFlight, copies: state.copies,
+			server: state.server, inFlight: state.inFlight, decoding: state.decoding, copies: state.copies,
+			own:  t.owners.owns(state.server),
 			warm: len(state.idle) > 0, full: len(state.idle) == 0 && state.open >= limit,
 			paused: now.Before(state.standing.pausedUntil), zoneLost: t.losses[placeOf(state.server)].lost(now), recovering: state.standing.pause > 0,
 			stale: state.standing.stale, failureRate: state.standing.failureRate,
@@ -368,6 +379,9 @@
 	}
 	delete(t.leases, message.Lease)
 	granted.server.inFlight--
+	if granted.decoding {
+		granted.server.decoding--
+	}
 	if granted.backup != nil {
 		granted.backup.copies--
 	}
@@ -381,6 +395,17 @@
 	t.Metrics.GetOrCreateCounter(`lentilpoint_relay_attempts_total{service="` + granted.service + `",outcome="` + message.Outcome.String() + `"}`).Inc()
 }
 
+// started moves an attempt from reading its prompt to sending events.
+func (t *Task) started(message Started) {
+	granted, found := t.leases[message.Lease]
+	if !found || granted.decoding {
+		return
+	}
+	granted.decoding = true
+	granted.server.decoding++
+	t.leases[message.Lease] = granted
+}
+
 // learn updates the standing of a server and logs when it turns.
 func (t *Task) learn(state *serverState, outcome Outcome) {
 	before := state.standing
--- a/entryhost/relay/forward/stream.go
+++ b/entryhost/relay/forward/stream.go
@@ -236,6 +236,12 @@
 	if l.note.Events > 0 {
 		s.longestGap = max(s.longestGap, now.Sub(s.lastEvent))
 	}
+	if l.note.Events == 0 {
+		// A full mailbox costs only a less exact load.
+		if r.Dispatcher.TrySend(dispatch.Started{Lease: l.assignment.Lease}) != nil {
+			r.Metrics.GetOrCreateCounter("lentilpoint_relay_starts_dropped_total").Inc()
+		}
+	}
 	s.lastEvent = now
 	l.note.Events++
 	r.summary.Events++
--- a/entryhost/relay/fx.go
+++ b/entryhost/relay/fx.go
@@ -76,7 +76,7 @@
 
 func provideDispatcher(settings Settings, adapter Adapter, clock clockwork.Clock, set *metrics.Set, logger *slog.Logger) *dispatch.Task {
 	return dispatch.NewTask(dispatch.Parameters{
-		Zone: settings.Zone, Protocol: adapter.Servers, Prober: adapter.Prober, Budget: settings.Budget, Clock: clock,
+		Self: settings.PeerAddress, Zone: settings.Zone, Protocol: adapter.Servers, Prober: adapter.Prober, Budget: settings.Budget, Clock: clock,
 		Random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), Metrics: set, Logger: logger,
 	})
 }
--- a/entryhost/relay/ingress/front.go
+++ b/entryhost/relay/ingress/front.go
@@ -36,9 +36,10 @@
 	// drainQuiet is how long new connections may still arrive after a drain
 	// began: the balancer asks once a second and acts on the second miss.
 	drainQuiet = 3 * time.Second
-	// drainStreams is how long streams are accepted in a drain; they take about
-	// five of the eight seconds that a stop may take.
-	drainStreams = 2500 * time.Millisecond
+	// drainStreams is how long streams are accepted in a drain. They take five
+	// seconds and more of the eight that a stop may take, and one that is cut
+	// costs another reading of its prompt.
+	drainStreams = 200 * time.Millisecond
 	// lastPlain is the time before the kill from which no request is taken; plain
 	// requests end within 1.5 s.
 	lastPlain = 2 * time.Second
@@ -262,7 +263,7 @@
 	attributes := []any{
 		eventcode.RelayRequestDone.Attr(), "request", request.ID, "route", request.Route.Name, "service", request.Service.Name,
 		"status", summary.Status, "took_ms", took.Milliseconds(), "first_ms", summary.FirstEvent.Milliseconds(),
-		"events", summary.Events, "gap_ms", summary.LongestGap.Milliseconds(), "caller_left", summary.CallerLeft,
+		"resumed_after", request.LastEvent, "events", summary.Events, "gap_ms", summary.LongestGap.Milliseconds(), "caller_left", summary.CallerLeft,
 		"broken", summary.Broken, "attempts", summary.Attempts,
 	}
 	if summary.Fault != nil {
