--- a/entryhost/relay/dispatch/policy.go
+++ b/entryhost/relay/dispatch/policy.go
@@ -49,9 +49,9 @@
 	copyCost = 0.1
 	// foreignCost keeps work on the servers that this host prefers until they
 	// read a prompt each, since other hosts send work to the others.
-	foreignCost = 0.6
+	foreignCost = 0.3
 	// remoteCost is that of another zone, beside foreignCost.
-	remoteCost = 0.3
+	remoteCost = 1.7
 	// coldCost is that of a new connection.
 	coldCost = 0.4
 	// failureCost weighs a server that fails every attempt.
