Let one entry host of a zone read the store for the others

The host with the highest rendezvous hash of a zone reads the store, the others ask it by net/rpc and get changes only. A host goes to the store itself at once when its reader fails, is silent for 1.25 s or is not served.

--- a/entryhost/relay/fx.go
+++ b/entryhost/relay/fx.go
@@ -155,7 +155,7 @@
 		root.Add(ingress.NewStatus("metrics", in.Sockets.metrics, in.Parameters, in.Front.Draining()))
 	}
 	if in.Sockets.peers != nil {
-		root.Add(peering.NewListener(in.Sockets.peers, map[string]task.Mailbox[mirror.Current]{
+		root.Add(peering.NewListener(in.Sockets.peers, map[string]task.Mailbox[mirror.Question]{
 			in.Adapter.OrdersIn:        in.Mirrors.orders.Mailbox(),
 			in.Adapter.RegistrationsIn: in.Mirrors.registrations.Mailbox(),
 		}))
--- a/entryhost/relay/mirror/messages.go
+++ b/entryhost/relay/mirror/messages.go
@@ -1,6 +1,8 @@
 // Package mirror keeps copies of tables of the platform's store. One follower
-// task for each table owns its copy, follows the change feed, and falls back to
-// the copies of other entry hosts while the store does not serve this one.
+// task for each table owns its copy. In each zone one entry host follows the
+// store's change feed and the others follow that host, since each call to the
+// store has a price; while the store does not serve a host, it takes newer
+// copies from any peer.
 package mirror
 
 import (
@@ -41,32 +43,54 @@
 type Changes struct {
 	Version uint64
 	Rows    []Row
+	// Whole tells that Rows are all rows of the table, not only changed ones.
+	Whole bool
 }
 
 // Store reads tables of the platform's store.
 type Store interface {
 	// ReadTable returns all rows of the table's empty partition.
-	ReadTable(ctx context.Context, table string) (Snapshot, error)
+	ReadTable(ctx context.Context, table string) (Changes, error)
 	// ReadChanges waits until rows changed after the version, at most for wait.
 	ReadChanges(ctx context.Context, table string, after uint64, wait time.Duration) (Changes, error)
 }
 
+// Query asks for what changed in a table after a version.
+type Query struct {
+	Table string
+	After uint64
+	// Wait is how long the answer may be held until there is a change.
+	Wait time.Duration
+}
+
+// Answer is what a follower knows after the version of a query.
+type Answer struct {
+	Changes Changes
+	// StoreAge is the time since the store last served the answering host.
+	StoreAge time.Duration
+}
+
 // Peers reads the copies that other entry hosts hold.
 type Peers interface {
-	// FetchNewer returns a copy that is newer than the version, or one with the
-	// same version when no peer has a newer one.
-	FetchNewer(ctx context.Context, table string, after uint64) (Snapshot, error)
+	// Reader returns the host that reads the store for this one, or "" if this
+	// host reads it itself. Hosts in the set are passed over.
+	Reader(ctx context.Context, avoid map[string]time.Time) string
+	// Ask puts the query to one host.
+	Ask(ctx context.Context, host string, query Query) (Answer, error)
+	// AskAny puts the query to some hosts and returns the newest answer.
+	AskAny(ctx context.Context, query Query) (Answer, error)
 }
 
-// Current asks a follower for its copy.
-type Current struct {
-	Reply task.Reply[Snapshot]
+// Question asks a follower for what changed.
+type Question struct {
+	Query Query
+	Reply task.Reply[Answer]
 }
 
-// currentSize is the capacity of a follower's mailbox; a full one makes peers
-// ask another host.
-const currentSize = 16
+// questionsSize is the capacity of a follower's mailbox; a full one makes peers
+// ask the store or another host.
+const questionsSize = 64
 
-// Subscriber receives each new copy. A full mailbox loses the copy; the
-// follower sends the latest one again after subscriberRetry.
+// Subscriber receives each new copy. A full mailbox is tried again after
+// subscriberRetry.
 type Subscriber = task.Mailbox[Snapshot]
--- a/entryhost/relay/mirror/policy.go
+++ b/entryhost/relay/mirror/policy.go
@@ -15,19 +15,32 @@
 	// feedPause gathers changes that come close together into one call; each
 	// call to the store has a price.
 	feedPause = 100 * time.Millisecond
+	// peerWait is how long a peer may hold its answer, and peerSlack what is
+	// added for the deadline. A frozen peer is left after their sum, within the
+	// 2 s in which configuration has to come into force.
+	peerWait  = time.Second
+	peerSlack = 250 * time.Millisecond
+	// peerAgeMax is the age of a peer's last contact with the store from which
+	// this host reads the store itself; a feed call takes feedWait at most.
+	peerAgeMax = feedWait + 2*feedSlack
+	// avoidTime is how long a peer that failed is passed over.
+	avoidTime = 5 * time.Second
 	// retryPause is the wait after a failed call.
 	retryPause = 300 * time.Millisecond
 	// probeTimeout bounds a call during an outage, so that peers are asked again
 	// soon; configuration has 2 s to come into force.
 	probeTimeout = 500 * time.Millisecond
-	// peerTimeout bounds one round of questions to peers.
-	peerTimeout = 800 * time.Millisecond
+	// anyTimeout bounds one round of questions to several peers.
+	anyTimeout = 800 * time.Millisecond
 	// outageMin is the shortest outage after which registrations may have
 	// lapsed; servers register every 1.2 s and lapse after three misses.
 	outageMin = time.Second
 	// subscriberRetry is the wait before a copy is sent again to a subscriber
 	// whose mailbox was full.
 	subscriberRetry = 20 * time.Millisecond
+	// removalsKept bounds the removed rows that a follower remembers for peers;
+	// peers that are further behind get the whole table.
+	removalsKept = 256
 )
 
 // timing is how long one call may take and how long the store may hold it.
@@ -53,15 +66,15 @@
 // differs. Changes that are older than a row of the copy are ignored.
 func apply(old Snapshot, changes Changes) (Snapshot, bool) {
 	next := old
-	if changes.Version > next.Version {
-		next.Version = changes.Version
-	}
-	if len(changes.Rows) == 0 {
+	next.Version = max(next.Version, changes.Version)
+	if len(changes.Rows) == 0 && !changes.Whole {
 		return next, false
 	}
 	next.Rows = make(map[string]Row, len(old.Rows)+len(changes.Rows))
-	for key, row := range old.Rows {
-		next.Rows[key] = row
+	if !changes.Whole {
+		for key, row := range old.Rows {
+			next.Rows[key] = row
+		}
 	}
 	for _, row := range changes.Rows {
 		if present, found := next.Rows[row.Key]; found && present.Version > row.Version {
@@ -75,3 +88,50 @@
 	}
 	return next, true
 }
+
+// removals remembers which rows were removed, oldest first, so that peers get
+// changes instead of whole tables.
+type removals struct {
+	rows []Row
+	// floor is the version up to which removals were forgotten.
+	floor uint64
+}
+
+// note returns the removals with those between two copies added.
+func (r removals) note(old, next Snapshot) removals {
+	rows := r.rows
+	for key := range old.Rows {
+		if _, found := next.Rows[key]; !found {
+			rows = append(rows, Row{Key: key, Version: next.Version, Removed: true})
+		}
+	}
+	floor := r.floor
+	if excess := len(rows) - removalsKept; excess > 0 {
+		floor = rows[excess-1].Version
+		rows = rows[excess:]
+	}
+	return removals{rows: rows, floor: floor}
+}
+
+// since returns what a peer with a copy of the version lacks.
+func since(copy Snapshot, gone removals, after uint64) Changes {
+	if copy.Version <= after {
+		return Changes{Version: copy.Version}
+	}
+	changes := Changes{Version: copy.Version, Whole: after < gone.floor || after == 0}
+	for _, row := range copy.Rows {
+		if changes.Whole || row.Version > after {
+			changes.Rows = append(changes.Rows, row)
+		}
+	}
+	if changes.Whole {
+		return changes
+	}
+	for _, row := range gone.rows {
+		// The row may have been written again after it was removed.
+		if _, present := copy.Rows[row.Key]; row.Version > after && !present {
+			changes.Rows = append(changes.Rows, row)
+		}
+	}
+	return changes
+}
--- a/entryhost/relay/mirror/task.go
+++ b/entryhost/relay/mirror/task.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"log/slog"
+	"maps"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -21,29 +22,45 @@
 	clock       clockwork.Clock
 	logger      *slog.Logger
 	subscribers []Subscriber
-	mailbox     task.Mailbox[Current]
+	mailbox     task.Mailbox[Question]
+	storeCalls  *metrics.Counter
 	failures    *metrics.Counter
 	fromPeers   *metrics.Counter
 
 	// The task alone touches the fields below.
 	copy Snapshot
 	have bool
-	// outage is when the store stopped serving this host; zero while it serves.
+	gone removals
+	// served is when the store last served this host, and outage when it
+	// stopped; outage is zero while it serves.
+	served time.Time
 	outage time.Time
+	// avoid are peers that failed, until the time given.
+	avoid   map[string]time.Time
+	waiting []held
 }
 
-// NewFollower returns a follower of the table. Peers may be nil.
+// held is a question that waits for a change.
+type held struct {
+	question Question
+	until    time.Time
+}
+
+// NewFollower returns a follower of the table.
 func NewFollower(table string, store Store, peers Peers, clock clockwork.Clock, set *metrics.Set, logger *slog.Logger, subscribers ...Subscriber) *Follower {
 	return &Follower{
 		table: table, store: store, peers: peers, clock: clock, logger: logger, subscribers: subscribers,
-		mailbox:   task.NewMailbox[Current](currentSize),
-		failures:  set.GetOrCreateCounter(`lentilpoint_store_failures_total{table="` + table + `"}`),
-		fromPeers: set.GetOrCreateCounter(`lentilpoint_store_peer_copies_total{table="` + table + `"}`),
+		mailbox:    task.NewMailbox[Question](questionsSize),
+		storeCalls: set.GetOrCreateCounter(`lentilpoint_store_reads_total{table="` + table + `"}`),
+		failures:   set.GetOrCreateCounter(`lentilpoint_store_failures_total{table="` + table + `"}`),
+		fromPeers:  set.GetOrCreateCounter(`lentilpoint_store_peer_copies_total{table="` + table + `"}`),
+		copy:       Snapshot{Table: table},
+		avoid:      map[string]time.Time{},
 	}
 }
 
-// Mailbox is where other tasks ask for the copy.
-func (f *Follower) Mailbox() task.Mailbox[Current] { return f.mailbox }
+// Mailbox is where other tasks ask for changes.
+func (f *Follower) Mailbox() task.Mailbox[Question] { return f.mailbox }
 
 // String names the task in the logs.
 func (f *Follower) String() string { return "mirror-" + f.table }
@@ -52,16 +69,22 @@
 type attempt struct {
 	copy Snapshot
 	have bool
-	// outage tells that the last round failed; the store is then only probed.
+	// outage tells that the store did not serve the last round; it is then only
+	// probed.
 	outage bool
+	avoid  map[string]time.Time
 }
 
-// result is what one round brought. A failed round may hold a peer's copy.
+// result is what one round brought.
 type result struct {
-	snapshot Snapshot
-	changed  bool
-	err      error
-	peer     bool
+	changes Changes
+	// reader is the peer that was asked instead of the store, or "".
+	reader string
+	// readerErr is why the reader was no use.
+	readerErr error
+	// asked tells that the store was called, err how that failed.
+	asked bool
+	err   error
 }
 
 // Serve follows the table until the context ends. One round runs at a time; the
@@ -69,13 +92,19 @@
 func (f *Follower) Serve(ctx context.Context) error {
 	results := make(chan result, 1)
 	for {
-		go f.read(ctx, attempt{copy: f.copy, have: f.have, outage: !f.outage.IsZero()}, results)
+		go func(from attempt) { results <- f.read(ctx, from) }(f.nextAttempt())
 		if err := f.wait(ctx, results); err != nil {
 			return nil
 		}
 	}
 }
 
+func (f *Follower) nextAttempt() attempt {
+	now := f.clock.Now()
+	maps.DeleteFunc(f.avoid, func(_ string, until time.Time) bool { return now.After(until) })
+	return attempt{copy: f.copy, have: f.have, outage: !f.outage.IsZero(), avoid: maps.Clone(f.avoid)}
+}
+
 // wait answers questions until the running round ended and its pause is over.
 func (f *Follower) wait(ctx context.Context, results <-chan result) error {
 	var pause <-chan time.Time
@@ -84,7 +113,9 @@
 		case <-ctx.Done():
 			return ctx.Err()
 		case question := <-f.mailbox.C():
-			question.Reply.Send(f.copy)
+			f.take(question)
+		case <-f.nextExpiry():
+			f.answerWaiting(false)
 		case got := <-results:
 			pause = f.clock.After(f.accept(ctx, got))
 		case <-pause:
@@ -93,81 +124,139 @@
 	}
 }
 
-// read runs one round beside the task, with copies of what it needs.
-func (f *Follower) read(ctx context.Context, from attempt, results chan<- result) {
-	got := f.readStore(ctx, from)
-	if got.err != nil && !errors.Is(got.err, ErrHistoryGone) && f.peers != nil {
-		got = f.readPeers(ctx, from, got)
+// take answers a question, or holds it until there is a change.
+func (f *Follower) take(question Question) {
+	if f.copy.Version > question.Query.After || question.Query.Wait <= 0 {
+		f.answer(question)
+		return
+	}
+	f.waiting = append(f.waiting, held{question: question, until: f.clock.Now().Add(question.Query.Wait)})
+}
+
+func (f *Follower) answer(question Question) {
+	question.Reply.Send(Answer{Changes: since(f.copy, f.gone, question.Query.After), StoreAge: f.clock.Since(f.served)})
+}
+
+// nextExpiry fires when the question that was held first has waited long enough.
+func (f *Follower) nextExpiry() <-chan time.Time {
+	if len(f.waiting) == 0 {
+		return nil
+	}
+	return f.clock.After(f.waiting[0].until.Sub(f.clock.Now()))
+}
+
+// answerWaiting answers the held questions, all of them after a change.
+func (f *Follower) answerWaiting(changed bool) {
+	now := f.clock.Now()
+	kept := f.waiting[:0]
+	for _, waiting := range f.waiting {
+		if changed || !now.Before(waiting.until) {
+			f.answer(waiting.question)
+			continue
+		}
+		kept = append(kept, waiting)
+	}
+	f.waiting = kept
+}
+
+// read runs one round beside the task: by the zone's reader if that is another
+// host, else by the store, and by any peer if the store does not serve.
+func (f *Follower) read(ctx context.Context, from attempt) result {
+	var got result
+	if from.have && !from.outage {
+		if got.reader = f.peers.Reader(ctx, from.avoid); got.reader != "" {
+			got.changes, got.readerErr = f.readPeer(ctx, got.reader, from.copy.Version)
+			if got.readerErr == nil {
+				return got
+			}
+		}
+	}
+	got.asked = true
+	got.changes, got.err = f.readStore(ctx, from)
+	if got.err != nil && !errors.Is(got.err, ErrHistoryGone) {
+		got.changes = f.readAny(ctx, from.copy.Version)
+	}
+	return got
+}
+
+func (f *Follower) readPeer(ctx context.Context, host string, after uint64) (Changes, error) {
+	ctx, cancel := context.WithTimeout(ctx, peerWait+peerSlack)
+	defer cancel()
+	answer, err := f.peers.Ask(ctx, host, Query{Table: f.table, After: after, Wait: peerWait})
+	if err == nil && answer.StoreAge > peerAgeMax {
+		err = Error.New("%s was last served by the store %d ms ago", host, answer.StoreAge.Milliseconds())
 	}
-	results <- got
+	return answer.Changes, err
 }
 
-func (f *Follower) readStore(ctx context.Context, from attempt) result {
+func (f *Follower) readStore(ctx context.Context, from attempt) (Changes, error) {
+	f.storeCalls.Inc()
 	timing := timingOf(from.have, from.outage)
 	ctx, cancel := context.WithTimeout(ctx, timing.timeout)
 	defer cancel()
 	if !from.have {
-		snapshot, err := f.store.ReadTable(ctx, f.table)
-		return result{snapshot: snapshot, changed: true, err: err}
+		return f.store.ReadTable(ctx, f.table)
 	}
-	changes, err := f.store.ReadChanges(ctx, f.table, from.copy.Version, timing.wait)
-	snapshot, changed := apply(from.copy, changes)
-	return result{snapshot: snapshot, changed: changed, err: err}
+	return f.store.ReadChanges(ctx, f.table, from.copy.Version, timing.wait)
 }
 
-// readPeers adds a newer copy of a peer to a failed round.
-func (f *Follower) readPeers(ctx context.Context, from attempt, failed result) result {
-	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
+// readAny returns what peers know, or nothing.
+func (f *Follower) readAny(ctx context.Context, after uint64) Changes {
+	ctx, cancel := context.WithTimeout(ctx, anyTimeout)
 	defer cancel()
-	snapshot, err := f.peers.FetchNewer(ctx, f.table, from.copy.Version)
+	answer, err := f.peers.AskAny(ctx, Query{Table: f.table, After: after})
 	if err != nil {
 		f.logger.Debug("no peer has a copy", eventcode.PeerCopyFailed.Attr(), "table", f.table, "error", err)
-		return failed
+		return Changes{}
 	}
-	failed.snapshot, failed.peer = snapshot, true
-	return failed
+	return answer.Changes
 }
 
 // accept takes the outcome of a round over and returns the pause before the next.
 func (f *Follower) accept(ctx context.Context, got result) time.Duration {
+	if got.readerErr != nil {
+		f.avoid[got.reader] = f.clock.Now().Add(avoidTime)
+		f.logger.Info("peer does not read the store for this host", eventcode.ReaderLeft.Attr(), "table", f.table, "peer", got.reader, "error", got.readerErr)
+	}
 	switch {
-	case got.err == nil:
-		f.regained()
-		// A read of the whole table never takes the copy back.
-		if got.snapshot.Version < f.copy.Version {
-			return retryPause
-		}
-		f.take(ctx, got.snapshot, got.changed)
-		return feedPause
 	case errors.Is(got.err, ErrHistoryGone):
 		f.logger.Warn("history of the store is gone", eventcode.StoreHistoryGone.Attr(), "table", f.table, "version", f.copy.Version)
 		f.have = false
 		return 0
-	default:
+	case got.err != nil:
 		f.lost(got.err)
-		f.takePeer(ctx, got)
+		f.fromPeer(ctx, got.changes)
+		return retryPause
+	case got.asked:
+		f.regained()
+	}
+	// A read of the whole table never takes the copy back.
+	if got.changes.Version < f.copy.Version {
 		return retryPause
 	}
+	f.update(ctx, got.changes)
+	return feedPause
 }
 
-func (f *Follower) take(ctx context.Context, snapshot Snapshot, changed bool) {
-	returned := f.copy.StoreReturned
-	f.copy = snapshot
-	f.copy.StoreReturned = returned
-	f.have = true
+// update applies changes and passes the new copy on.
+func (f *Follower) update(ctx context.Context, changes Changes) {
+	next, changed := apply(f.copy, changes)
+	f.gone = f.gone.note(f.copy, next)
+	f.copy, f.have = next, true
 	if changed {
 		f.publish(ctx)
+		f.answerWaiting(true)
 	}
 }
 
-// takePeer takes a newer copy of a peer over.
-func (f *Follower) takePeer(ctx context.Context, got result) {
-	if !got.peer || got.snapshot.Version <= f.copy.Version {
+// fromPeer takes what a peer knows while the store does not serve this host.
+func (f *Follower) fromPeer(ctx context.Context, changes Changes) {
+	if changes.Version <= f.copy.Version {
 		return
 	}
 	f.fromPeers.Inc()
-	f.logger.Info("copy of the table taken from a peer", eventcode.PeerCopyTaken.Attr(), "table", f.table, "version", got.snapshot.Version, "before", f.copy.Version)
-	f.take(ctx, got.snapshot, true)
+	f.logger.Info("changes of the table taken from a peer", eventcode.PeerCopyTaken.Attr(), "table", f.table, "version", changes.Version, "before", f.copy.Version, "rows", len(changes.Rows))
+	f.update(ctx, changes)
 }
 
 func (f *Follower) lost(err error) {
@@ -180,10 +269,11 @@
 
 // regained ends an outage and remembers its end if rows may have lapsed in it.
 func (f *Follower) regained() {
+	now := f.clock.Now()
+	f.served = now
 	if f.outage.IsZero() {
 		return
 	}
-	now := f.clock.Now()
 	lasted := now.Sub(f.outage)
 	f.outage = time.Time{}
 	if lasted >= outageMin {
--- a/entryhost/relay/peering/peering.go
+++ b/entryhost/relay/peering/peering.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"hash/fnv"
 	"math/rand/v2"
 	"net"
 	"net/rpc"
@@ -23,50 +24,42 @@
 	serviceName = "Copies"
 	// callTimeout bounds the question to one peer, at most 3 ms away.
 	callTimeout = 200 * time.Millisecond
+	// longestWait bounds how long an answer is held.
+	longestWait = 2 * time.Second
 	// peersAsked is the number of peers that one round asks.
 	peersAsked = 3
 )
 
-// Query names a table and the version that the asking host has.
-type Query struct {
-	Table string
-	After uint64
-}
-
 // Copies is the net/rpc service.
 type Copies struct {
-	followers map[string]task.Mailbox[mirror.Current]
+	followers map[string]task.Mailbox[mirror.Question]
 }
 
-// Fetch returns the copy of a table, without rows if it is not newer.
-func (c *Copies) Fetch(query Query, reply *mirror.Snapshot) error {
+// Changes returns what this host knows of a table after a version. It holds the
+// answer until there is a change, for as long as the query says.
+func (c *Copies) Changes(query mirror.Query, answer *mirror.Answer) error {
 	mailbox, found := c.followers[query.Table]
 	if !found {
 		return Error.New("table %q is not followed here", query.Table)
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+	query.Wait = min(query.Wait, longestWait)
+	ctx, cancel := context.WithTimeout(context.Background(), query.Wait+callTimeout)
 	defer cancel()
-	snapshot, err := task.Call(ctx, mailbox, func(reply task.Reply[mirror.Snapshot]) mirror.Current {
-		return mirror.Current{Reply: reply}
+	got, err := task.Call(ctx, mailbox, func(reply task.Reply[mirror.Answer]) mirror.Question {
+		return mirror.Question{Query: query, Reply: reply}
 	})
-	if err != nil {
-		return err
-	}
-	*reply = mirror.Snapshot{Table: snapshot.Table, Version: snapshot.Version}
-	if snapshot.Version > query.After {
-		reply.Rows = snapshot.Rows
-	}
-	return nil
+	*answer = got
+	return err
 }
 
 // Listener is the task that owns the socket for other entry hosts.
 type Listener struct {
 	socket    task.Socket
-	followers map[string]task.Mailbox[mirror.Current]
+	followers map[string]task.Mailbox[mirror.Question]
 }
 
 // NewListener serves the followers' copies, by table, on a bound socket.
-func NewListener(listener net.Listener, followers map[string]task.Mailbox[mirror.Current]) *Listener {
+func NewListener(listener net.Listener, followers map[string]task.Mailbox[mirror.Question]) *Listener {
 	return &Listener{socket: task.NewSocket(listener), followers: followers}
 }
 
@@ -94,7 +87,7 @@
 		if err != nil {
 			return Error.Wrap(err)
 		}
-		if err := conn.SetDeadline(time.Now().Add(10 * callTimeout)); err != nil {
+		if err := conn.SetDeadline(time.Now().Add(longestWait + 2*callTimeout)); err != nil {
 			_ = conn.Close()
 			continue
 		}
@@ -113,20 +106,48 @@
 	Hosts func(ctx context.Context) []routing.Host
 }
 
-// FetchNewer implements mirror.Peers.
-func (p *Peers) FetchNewer(ctx context.Context, table string, after uint64) (mirror.Snapshot, error) {
-	var newest mirror.Snapshot
+// Reader implements mirror.Peers. The host with the highest rendezvous hash of
+// the zone reads the store for the zone.
+func (p *Peers) Reader(ctx context.Context, avoid map[string]time.Time) string {
+	reader, highest := "", p.weight(p.Self)
+	for _, host := range p.Hosts(ctx) {
+		if _, avoided := avoid[host.Address]; avoided || host.Zone != p.Zone || host.Address == p.Self {
+			continue
+		}
+		if weight := p.weight(host.Address); weight > highest {
+			reader, highest = host.Address, weight
+		}
+	}
+	return reader
+}
+
+func (p *Peers) weight(address string) uint64 {
+	hash := fnv.New64a()
+	_, _ = hash.Write([]byte(p.Zone + "/" + address))
+	return hash.Sum64()
+}
+
+// Ask implements mirror.Peers.
+func (p *Peers) Ask(ctx context.Context, host string, query mirror.Query) (mirror.Answer, error) {
+	return fetch(ctx, host, query)
+}
+
+// AskAny implements mirror.Peers.
+func (p *Peers) AskAny(ctx context.Context, query mirror.Query) (mirror.Answer, error) {
+	var newest mirror.Answer
 	err := Error.New("no other entry host is known")
 	for _, address := range targets(p.Zone, p.Self, p.Hosts(ctx), p.Seeds) {
-		snapshot, failure := fetch(ctx, address, Query{Table: table, After: after})
+		callContext, cancel := context.WithTimeout(ctx, callTimeout)
+		answer, failure := fetch(callContext, address, query)
+		cancel()
 		if failure != nil {
 			err = failure
 			continue
 		}
-		if snapshot.Version > after {
-			return snapshot, nil
+		if answer.Changes.Version > query.After {
+			return answer, nil
 		}
-		newest, err = snapshot, nil
+		newest, err = answer, nil
 	}
 	return newest, err
 }
@@ -157,20 +178,21 @@
 	return all[:min(len(all), peersAsked)]
 }
 
-func fetch(ctx context.Context, address string, query Query) (mirror.Snapshot, error) {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	var dialer net.Dialer
+// fetch puts one query to a host on a connection of its own, since an open one
+// may go silent unnoticed.
+func fetch(ctx context.Context, address string, query mirror.Query) (mirror.Answer, error) {
+	dialer := net.Dialer{Timeout: callTimeout}
 	conn, err := dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
-		return mirror.Snapshot{}, Error.Wrap(err)
+		return mirror.Answer{}, Error.Wrap(err)
 	}
 	deadline, _ := ctx.Deadline()
 	if err := conn.SetDeadline(deadline); err != nil {
-		return mirror.Snapshot{}, Error.Wrap(err)
+		_ = conn.Close()
+		return mirror.Answer{}, Error.Wrap(err)
 	}
 	client := rpc.NewClient(conn)
 	defer func() { _ = client.Close() }()
-	var snapshot mirror.Snapshot
-	return snapshot, Error.Wrap(client.Call(serviceName+".Fetch", query, &snapshot))
+	var answer mirror.Answer
+	return answer, Error.Wrap(client.Call(serviceName+".Changes", query, &answer))
 }
--- a/eventcode/relay.go
+++ b/eventcode/relay.go
@@ -13,6 +13,7 @@
 	PeerCopyTaken        Code = 2013
 	PeerCopyFailed       Code = 2014
 	RosterNotRead        Code = 2015
+	ReaderLeft           Code = 2016
 	RelayConfigInForce   Code = 2020
 	ConfigRejected       Code = 2021
 	MoveRejected         Code = 2022
@@ -40,6 +41,7 @@
 	{PeerCopyTaken, "peer copy taken", "A newer copy of a table came from another entry host.", "Nothing."},
 	{PeerCopyFailed, "peer copy failed", "No entry host that was asked has a copy of the table.", "Check the links between entry hosts if it repeats."},
 	{RosterNotRead, "roster not read", "The list of entry hosts was not read or not delivered; the last one stays in use.", "Check the store if it repeats."},
+	{ReaderLeft, "reader left", "The entry host that reads the store for this one failed or is not served; this host reads the store itself for a while.", "Look at the peer if it repeats."},
 	{RelayConfigInForce, "relay configuration in force", "A newer configuration decides requests from now on.", "Nothing."},
 	{ConfigRejected, "configuration rejected", "The operator's configuration could not be read; the one in force stays.", "Correct the configuration."},
 	{MoveRejected, "move rejected", "An order for a version move could not be read and is ignored.", "Correct the order."},
