--- /dev/null
+++ b/entryhost/relay/relay_test.go
@@ -0,0 +1,423 @@
+package relay_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/jonboulle/clockwork"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/lentilpoint/lentilpoint/cmd/lentilpoint-bench/standin"
+	"github.com/lentilpoint/lentilpoint/entryhost/relay"
+	"github.com/lentilpoint/lentilpoint/entryhost/relay/dispatch"
+	"github.com/lentilpoint/lentilpoint/platform"
+)
+
+func TestRelay(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "relay")
+}
+
+const (
+	streamEvents = 20
+	key          = "key-1"
+	organisation = "members"
+)
+
+// site is a small deployment of the users' platform on loopback.
+type site struct {
+	ctx     context.Context
+	store   *standin.Store
+	engines []*standin.Server
+	plain   []*standin.Server
+	relay   relay.Settings
+	stop    context.CancelFunc
+	done    chan error
+}
+
+func newSite() *site {
+	ctx, cancel := context.WithCancel(context.Background())
+	DeferCleanup(cancel)
+	s := &site{ctx: ctx}
+	var err error
+	s.store, err = standin.StartStore(ctx)
+	Expect(err).NotTo(HaveOccurred())
+	for i := range 3 {
+		s.engines = append(s.engines, s.server("engine", i, streamEvents))
+	}
+	for i := range 2 {
+		s.plain = append(s.plain, s.server("shop", i, 0))
+	}
+	s.configure(1)
+	s.relay, s.stop, s.done = s.start(s.store.Address())
+	return s
+}
+
+func (s *site) server(service string, number, events int) *standin.Server {
+	server, err := standin.StartServer(s.ctx, standin.ServerShape{
+		Name: fmt.Sprintf("%s-%d", service, number), Service: service, Zone: fmt.Sprintf("zone-%d", number), Version: "v1",
+		Events: events, EventTime: 10 * time.Millisecond, PromptTime: 20 * time.Millisecond,
+	}, s.store)
+	Expect(err).NotTo(HaveOccurred())
+	return server
+}
+
+// configure writes a configuration; routes are added to the usual ones.
+func (s *site) configure(version int, routes ...map[string]any) {
+	all := append([]map[string]any{
+		{"name": "advice", "host": "site.example", "prefix": "/advice/", "route_type": "streaming", "timeout_ms": 10000, "target_latency_ms": 2000, "gap_aim_ms": 400, "service": "engine", "max_attempts": 5, "stream_resume": true},
+		{"name": "stock", "host": "site.example", "prefix": "/stock/", "route_type": "idempotent", "timeout_ms": 2000, "target_latency_ms": 500, "service": "shop", "max_attempts": 2},
+		{"name": "order", "host": "site.example", "prefix": "/order/", "route_type": "non_idempotent", "timeout_ms": 2000, "target_latency_ms": 500, "service": "shop", "max_attempts": 1},
+	}, routes...)
+	Expect(s.store.Put(platform.TableOrders, platform.KeyConfig, map[string]any{
+		"version": version, "routes": all,
+		"services": []map[string]any{{"name": "engine", "max_connections": 100, "engine": map[string]any{"backups": true}}, {"name": "shop", "max_connections": 100}},
+		"limits":   map[string]any{"max_body_bytes": 1000},
+		"tenants":  []map[string]any{{"name": organisation, "api_keys": []string{key}}},
+	})).To(Succeed())
+}
+
+func freeAddress() string {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	defer func() { _ = listener.Close() }()
+	return listener.Addr().String()
+}
+
+// start runs a relay that reads the store at the address.
+func (s *site) start(store string, seeds ...string) (relay.Settings, context.CancelFunc, chan error) {
+	settings := relay.Settings{
+		HostName: "edge", Zone: "zone-0", FrontAddress: freeAddress(), ReadyAddress: freeAddress(), PeerAddress: freeAddress(),
+		MetricsAddress: freeAddress(), Seeds: seeds, StoreAddress: store, StopTime: 5 * time.Second,
+		Budget: dispatch.BudgetTerms{Ratio: 0.8, Window: 10 * time.Second, Extra: 150},
+	}
+	ctx, stop := context.WithCancel(s.ctx)
+	done := make(chan error, 1)
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		done <- relay.Run(ctx, settings, relay.Environment{
+			Adapter: platform.NewAdapter(settings), Clock: clockwork.NewRealClock(), Metrics: metrics.NewSet(),
+			Logger: slog.New(slog.NewTextHandler(io.Discard, nil)),
+		})
+	}()
+	DeferCleanup(func() {
+		stop()
+		Eventually(ended, 2*settings.StopTime).Should(BeClosed())
+	})
+	return settings, stop, done
+}
+
+func ready(settings relay.Settings) func() int {
+	return func() int {
+		response, err := http.Get("http://" + settings.ReadyAddress + platform.PathReady)
+		if err != nil {
+			return 0
+		}
+		_ = response.Body.Close()
+		return response.StatusCode
+	}
+}
+
+// answer is what a caller received.
+type answer struct {
+	status int
+	header http.Header
+	body   string
+	err    error
+}
+
+// caller sends a request to the relay on a connection of its own.
+type caller struct {
+	settings relay.Settings
+	header   http.Header
+}
+
+func (s *site) caller() caller {
+	return caller{settings: s.relay, header: http.Header{platform.HeaderKey: {key}}}
+}
+
+var requests int
+
+func (c caller) send(method, path, body string) answer {
+	requests++
+	request, err := http.NewRequest(method, "http://"+c.settings.FrontAddress+path, strings.NewReader(body))
+	Expect(err).NotTo(HaveOccurred())
+	request.Host = "site.example"
+	request.Header = c.header.Clone()
+	request.Header.Set(platform.HeaderRequestID, fmt.Sprintf("request-%d", requests))
+	client := http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	response, err := client.Do(request)
+	if err != nil {
+		return answer{err: err}
+	}
+	defer func() { _ = response.Body.Close() }()
+	content, err := io.ReadAll(response.Body)
+	return answer{status: response.StatusCode, header: response.Header, body: string(content), err: err}
+}
+
+// events returns the data of the events in the body.
+func events(body string) []string {
+	var data []string
+	lines := bufio.NewScanner(strings.NewReader(body))
+	for lines.Scan() {
+		if value, found := strings.CutPrefix(lines.Text(), "data: "); found {
+			data = append(data, value)
+		}
+	}
+	return data
+}
+
+func wholeStream(body string) []string {
+	var data []string
+	for number := 1; number <= streamEvents; number++ {
+		data = append(data, standin.EventData(body, number))
+	}
+	return data
+}
+
+// runsOf returns the runs of a request body at the servers.
+func runsOf(servers []*standin.Server, body string) []standin.Run {
+	var runs []standin.Run
+	for _, server := range servers {
+		for _, run := range server.Runs() {
+			if run.Body == body {
+				runs = append(runs, run)
+			}
+		}
+	}
+	return runs
+}
+
+var _ = Describe("a relay on the users' platform", func() {
+	var s *site
+
+	BeforeEach(func() {
+		s = newSite()
+		Eventually(ready(s.relay), 5*time.Second).Should(Equal(http.StatusOK))
+	})
+
+	It("passes a whole stream on, with the server's signature", func() {
+		got := s.caller().send("POST", "/advice/1", "one")
+		Expect(got.err).NotTo(HaveOccurred())
+		Expect(got.status).To(Equal(http.StatusOK))
+		Expect(got.header.Get(platform.HeaderSeal)).NotTo(BeEmpty())
+		Expect(events(got.body)).To(Equal(wholeStream("one")))
+	})
+
+	It("names the organisation to servers and passes neither the key nor reserved headers on", func() {
+		c := s.caller()
+		c.header.Set(platform.HeaderOrganisation, "forged")
+		c.header.Set(platform.HeaderCacheCopy, "10.0.0.1:1/forged")
+		c.header.Set("X-Other", "kept")
+		Expect(c.send("POST", "/order/1", "two").status).To(Equal(http.StatusOK))
+		runs := runsOf(s.plain, "two")
+		Expect(runs).To(HaveLen(1))
+		Expect(runs[0].Header.Get(platform.HeaderOrganisation)).To(Equal(organisation))
+		Expect(runs[0].Header.Get("X-Other")).To(Equal("kept"))
+		Expect(runs[0].Header).NotTo(HaveKey(platform.HeaderKey))
+		Expect(runs[0].Header).NotTo(HaveKey(platform.HeaderCacheCopy))
+	})
+
+	DescribeTable("refuses what the configuration does not allow before any server sees it",
+		func(path, usedKey string, size, status int) {
+			c := s.caller()
+			c.header.Set(platform.HeaderKey, usedKey)
+			body := strings.Repeat("x", size)
+			Expect(c.send("POST", path, body).status).To(Equal(status))
+			Expect(runsOf(s.plain, body)).To(BeEmpty())
+		},
+		Entry("an unknown route", "/nothing/1", key, 5, http.StatusNotFound),
+		Entry("an unknown key", "/order/1", "forged", 5, http.StatusUnauthorized),
+		Entry("a body over the limit", "/order/1", key, 2000, http.StatusRequestEntityTooLarge),
+	)
+
+	It("goes on with a stream at another engine without a missing or repeated event when the engine dies", func() {
+		for _, engine := range s.engines {
+			engine.SetFaults(standin.ServerFaults{CutAfter: 8})
+		}
+		got := s.caller().send("POST", "/advice/1", "three")
+		Expect(got.err).NotTo(HaveOccurred())
+		Expect(events(got.body)).To(Equal(wholeStream("three")))
+		Expect(len(runsOf(s.engines, "three"))).To(BeNumerically(">", 1))
+	})
+
+	It("goes on with a stream from the copy of the cache where there is one", func() {
+		for _, engine := range s.engines {
+			engine.HoldCopy(fmt.Sprintf("request-%d", requests+1))
+			engine.SetFaults(standin.ServerFaults{CutAfter: 12})
+		}
+		got := s.caller().send("POST", "/advice/1", "copy")
+		Expect(events(got.body)).To(Equal(wholeStream("copy")))
+		runs := runsOf(s.engines, "copy")
+		Expect(runs).To(HaveLen(2))
+		var copied int
+		for _, run := range runs {
+			if run.Header.Get(platform.HeaderCacheCopy) != "" {
+				copied++
+			}
+		}
+		Expect(copied).To(Equal(1))
+	})
+
+	It("leaves an engine whose stream goes silent although the engine lives", func() {
+		s.engines[0].SetFaults(standin.ServerFaults{HangAfter: 5})
+		s.engines[1].SetFaults(standin.ServerFaults{HangAfter: 5})
+		started := time.Now()
+		got := s.caller().send("POST", "/advice/1", "four")
+		Expect(got.err).NotTo(HaveOccurred())
+		Expect(events(got.body)).To(Equal(wholeStream("four")))
+		// The brief allows 5 s until output goes on.
+		Expect(time.Since(started)).To(BeNumerically("<", 5*time.Second))
+	})
+
+	It("breaks a stream off visibly when no engine can go on with it", func() {
+		for _, engine := range s.engines {
+			engine.SetFaults(standin.ServerFaults{CutAfter: 1})
+		}
+		got := s.caller().send("POST", "/advice/1", "five")
+		Expect(got.err).To(HaveOccurred(), "an answer that ends early must not look complete")
+	})
+
+	It("does not repeat a request that may have run and says that its outcome is unknown", func() {
+		for _, server := range s.plain {
+			server.SetFaults(standin.ServerFaults{LoseAnswer: true})
+		}
+		Expect(s.caller().send("POST", "/order/1", "six").status).To(Equal(http.StatusBadGateway))
+		Expect(runsOf(s.plain, "six")).To(HaveLen(1))
+	})
+
+	It("repeats an idempotent request whose answer was lost", func() {
+		s.plain[0].SetFaults(standin.ServerFaults{LoseAnswer: true})
+		for range 5 {
+			Expect(s.caller().send("GET", "/stock/1", "").status).To(Equal(http.StatusOK))
+		}
+	})
+
+	It("takes a request to another server when one states that it did not run it", func() {
+		s.plain[0].SetFaults(standin.ServerFaults{Refuse: true})
+		for number := range 5 {
+			body := fmt.Sprintf("seven-%d", number)
+			Expect(s.caller().send("POST", "/order/1", body).status).To(Equal(http.StatusOK))
+			Expect(runsOf(s.plain, body)).To(HaveLen(1))
+		}
+	})
+
+	It("promises that nothing ran only when every server stated it", func() {
+		for _, server := range s.plain {
+			server.SetFaults(standin.ServerFaults{Refuse: true})
+		}
+		got := s.caller().send("POST", "/order/1", "eight")
+		Expect(got.status).To(Equal(http.StatusServiceUnavailable))
+		Expect(got.header.Get("Retry-After")).NotTo(BeEmpty())
+		Expect(runsOf(s.plain, "eight")).To(BeEmpty())
+	})
+
+	It("never gives a caller an answer that nobody asked for", func() {
+		for _, server := range s.plain {
+			server.SetFaults(standin.ServerFaults{Extra: true})
+		}
+		for number := range 6 {
+			body := fmt.Sprintf("nine-%d", number)
+			Expect(s.caller().send("POST", "/order/1", body).body).To(Equal("answer to " + body))
+		}
+	})
+
+	It("puts a new configuration in force within 2 s and ignores registrations that it cannot read", func() {
+		Expect(s.store.Put(platform.TableServers, "forged", map[string]any{"service": 7})).To(Succeed())
+		s.configure(2, map[string]any{"name": "new", "host": "site.example", "prefix": "/new/", "route_type": "idempotent", "timeout_ms": 2000, "target_latency_ms": 500, "service": "shop", "max_attempts": 2})
+		Eventually(func() int { return s.caller().send("GET", "/new/1", "").status }, 2*time.Second).Should(Equal(http.StatusOK))
+	})
+
+	It("reads the table again when the store dropped the history or a connection went silent", func() {
+		s.store.DropHistory()
+		s.store.Silence()
+		s.configure(3, map[string]any{"name": "new", "host": "site.example", "prefix": "/late/", "route_type": "idempotent", "timeout_ms": 2000, "target_latency_ms": 500, "service": "shop", "max_attempts": 2})
+		// A silent connection counts as a reset: 3 s later the host is in touch
+		// again and has 2 s.
+		Eventually(func() int { return s.caller().send("GET", "/late/1", "").status }, 5*time.Second).Should(Equal(http.StatusOK))
+	})
+
+	It("sends no new work to a server that drains", func() {
+		Expect(s.plain[0].Register(s.store, "draining")).To(Succeed())
+		time.Sleep(500 * time.Millisecond)
+		before := len(s.plain[0].Runs())
+		for range 6 {
+			Expect(s.caller().send("GET", "/stock/1", "").status).To(Equal(http.StatusOK))
+		}
+		Expect(s.plain[0].Runs()).To(HaveLen(before))
+	})
+
+	It("uses an engine that restarted under another id before its registration arrives", func() {
+		for _, engine := range s.engines[1:] {
+			engine.Crash()
+		}
+		s.engines[0].Crash()
+		Expect(s.engines[0].Restart()).To(Succeed())
+		Eventually(func() int { return s.caller().send("POST", "/advice/1", "ten").status }, 5*time.Second).Should(Equal(http.StatusOK))
+	})
+
+	It("learns a configuration from a peer while the store does not serve it", func() {
+		other, _, _ := s.start("127.0.0.1:1", s.relay.PeerAddress)
+		Eventually(ready(other), 5*time.Second).Should(Equal(http.StatusOK))
+		c := s.caller()
+		c.settings = other
+		Expect(c.send("GET", "/stock/1", "").status).To(Equal(http.StatusOK))
+	})
+
+	It("finishes open streams in a drain and is not ready meanwhile", func() {
+		result := make(chan answer, 1)
+		c := s.caller()
+		go func() { result <- c.send("POST", "/advice/1", "eleven") }()
+		Eventually(func() []standin.Run { return runsOf(s.engines, "eleven") }).ShouldNot(BeEmpty())
+		s.stop()
+		Eventually(ready(s.relay), time.Second).Should(Equal(http.StatusServiceUnavailable))
+		var got answer
+		Eventually(result, 5*time.Second).Should(Receive(&got))
+		Expect(got.err).NotTo(HaveOccurred())
+		Expect(events(got.body)).To(Equal(wholeStream("eleven")))
+		Eventually(s.done, 6*time.Second).Should(Receive(BeNil()))
+	})
+
+	It("ends the work at the server when the caller leaves", func() {
+		ctx, cancel := context.WithCancel(context.Background())
+		request, err := http.NewRequestWithContext(ctx, "POST", "http://"+s.relay.FrontAddress+"/advice/1", strings.NewReader("twelve"))
+		Expect(err).NotTo(HaveOccurred())
+		request.Host = "site.example"
+		request.Header = http.Header{platform.HeaderKey: {key}, platform.HeaderRequestID: {"leaver"}}
+		go func() {
+			if response, err := http.DefaultClient.Do(request); err == nil {
+				_ = response.Body.Close()
+			}
+		}()
+		Eventually(func() []standin.Run { return runsOf(s.engines, "twelve") }).ShouldNot(BeEmpty())
+		cancel()
+		Eventually(func() int {
+			var open int
+			for _, engine := range s.engines {
+				open += engine.Open()
+			}
+			return open
+		}, 500*time.Millisecond).Should(BeZero())
+	})
+
+	It("serves metrics with a counter for each reason", func() {
+		Expect(s.caller().send("GET", "/nothing/1", "").status).To(Equal(http.StatusNotFound))
+		response, err := http.Get("http://" + s.relay.MetricsAddress + "/metrics")
+		Expect(err).NotTo(HaveOccurred())
+		defer func() { _ = response.Body.Close() }()
+		content, err := io.ReadAll(response.Body)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(string(content)).To(ContainSubstring(`lentilpoint_relay_refusals_total{reason="unknown_service"} 1`))
+	})
+})
