Read the settings again on SIGHUP and when their file changes

Ruled out: crashes; the exits came at the times of the signals only. The store's address and the terms of the retry budget change at run time; unusable settings are logged and those in force stay.

--- a/cmd/lentilpointd/relay.go
+++ b/cmd/lentilpointd/relay.go
@@ -7,6 +7,7 @@
 	"os"
 	"os/signal"
 	"syscall"
+	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/jonboulle/clockwork"
@@ -14,6 +15,7 @@
 
 	"github.com/lentilpoint/lentilpoint/entryhost/relay"
 	"github.com/lentilpoint/lentilpoint/entryhost/relay/logs"
+	"github.com/lentilpoint/lentilpoint/entryhost/relay/reload"
 	"github.com/lentilpoint/lentilpoint/platform"
 )
 
@@ -25,16 +27,17 @@
 		Args:    cobra.NoArgs,
 		Example: "  " + platform.SettingsVariable + "=/etc/lentilpoint/node.toml lentilpointd relay",
 		RunE: func(cmd *cobra.Command, _ []string) error {
-			settings, err := platform.ReadSettings(os.Getenv(platform.SettingsVariable))
+			path := os.Getenv(platform.SettingsVariable)
+			settings, err := platform.ReadSettings(path)
 			if err != nil {
 				return err
 			}
-			return runRelay(cmd.Context(), settings)
+			return runRelay(cmd.Context(), path, settings)
 		},
 	}
 }
 
-func runRelay(ctx context.Context, settings relay.Settings) error {
+func runRelay(ctx context.Context, path string, settings relay.Settings) error {
 	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	clock, set := clockwork.NewRealClock(), metrics.NewSet()
@@ -43,6 +46,11 @@
 	logDone := make(chan error, 1)
 	go func() { logDone <- writer.Serve(logContext) }()
 	err := relay.Run(ctx, settings, relay.Environment{
+		Reload: reload.Source[relay.Settings]{
+			Read:    func() (relay.Settings, error) { return platform.ReadSettings(path) },
+			Changed: func() (time.Time, error) { return platform.SettingsChanged(path) },
+			Signals: hangups(ctx),
+		},
 		Adapter: platform.NewAdapter(settings), Clock: clock, Metrics: set, Logger: writer.Logger(slog.LevelInfo),
 	})
 	endLog()
@@ -51,3 +59,26 @@
 	}
 	return err
 }
+
+// hangups returns a channel that receives for each SIGHUP; signals that come
+// while one waits ask for the same read.
+func hangups(ctx context.Context) <-chan struct{} {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGHUP)
+	reads := make(chan struct{}, 1)
+	go func() {
+		defer signal.Stop(signals)
+		for {
+			select {
+			case <-ctx.Done():
+				return
+			case <-signals:
+				select {
+				case reads <- struct{}{}:
+				default:
+				}
+			}
+		}
+	}()
+	return reads
+}
--- a/entryhost/relay/dispatch/messages.go
+++ b/entryhost/relay/dispatch/messages.go
@@ -108,6 +108,11 @@
 	Instance string
 }
 
+// Terms replaces the terms of the retry budget.
+type Terms struct {
+	Budget BudgetTerms
+}
+
 // Started tells that an attempt has sent its first event, so that its prompt
 // takes no more time of the engine.
 type Started struct {
@@ -146,6 +151,7 @@
 
 func (Acquire) isMessage()    {}
 func (Release) isMessage()    {}
+func (Terms) isMessage()      {}
 func (Started) isMessage()    {}
 func (Check) isMessage()      {}
 func (probed) isMessage()     {}
--- a/entryhost/relay/dispatch/task.go
+++ b/entryhost/relay/dispatch/task.go
@@ -172,6 +172,9 @@
 		}
 	case Release:
 		t.release(ctx, message)
+	case Terms:
+		t.Budget = message.Budget
+		t.budgets = map[string]*budget{}
 	case Started:
 		t.started(message)
 	case Check:
--- a/entryhost/relay/fx.go
+++ b/entryhost/relay/fx.go
@@ -19,8 +19,10 @@
 	"github.com/lentilpoint/lentilpoint/entryhost/relay/ingress"
 	"github.com/lentilpoint/lentilpoint/entryhost/relay/mirror"
 	"github.com/lentilpoint/lentilpoint/entryhost/relay/peering"
+	"github.com/lentilpoint/lentilpoint/entryhost/relay/reload"
 	"github.com/lentilpoint/lentilpoint/entryhost/relay/roster"
 	"github.com/lentilpoint/lentilpoint/entryhost/relay/routing"
+	"github.com/lentilpoint/lentilpoint/eventcode"
 	"github.com/lentilpoint/lentilpoint/task"
 )
 
@@ -37,6 +39,8 @@
 	// RegistrationsIn is the table that servers register in, OrdersIn the one
 	// that the operator writes.
 	RegistrationsIn string
+	// MoveStore makes the clients of the store use another address.
+	MoveStore func(address string)
 }
 
 // Module provides the tree of a relay. It needs settings, an adapter, a clock,
@@ -100,7 +104,7 @@
 
 func provideMirrors(settings Settings, adapter Adapter, clock clockwork.Clock, set *metrics.Set, logger *slog.Logger, view *catalog.Task, hosts *roster.Task) mirrors {
 	peers := &peering.Peers{
-		Zone: settings.Zone, Self: settings.PeerAddress, Seeds: settings.Seeds,
+		Zone: settings.Zone, Self: settings.PeerAddress, Seeds: settings.SeedList(),
 		Hosts: func(ctx context.Context) []routing.Host {
 			ctx, cancel := context.WithTimeout(ctx, rosterTimeout)
 			defer cancel()
@@ -122,7 +126,7 @@
 }
 
 func provideFront(settings Settings, bound sockets, adapter Adapter, clock clockwork.Clock, set *metrics.Set, logger *slog.Logger, view *catalog.Task, forwarder *forward.Forwarder) (*ingress.Front, ingress.Parameters) {
-	parameters := ingress.Parameters{Protocol: adapter.Callers, StopTime: settings.StopTime, Catalog: view.Mailbox(), Forwarder: forwarder, Clock: clock, Metrics: set, Logger: logger}
+	parameters := ingress.Parameters{Protocol: adapter.Callers, StopTime: settings.StopTime, ArrivalTime: settings.ArrivalTime, Catalog: view.Mailbox(), Forwarder: forwarder, Clock: clock, Metrics: set, Logger: logger}
 	return ingress.NewFront(bound.front, parameters), parameters
 }
 
@@ -137,6 +141,9 @@
 	Mirrors    mirrors
 	Front      *ingress.Front
 	Parameters ingress.Parameters
+	Settings   Settings
+	Reload     reload.Source[Settings]
+	Clock      clockwork.Clock
 	Logger     *slog.Logger
 }
 
@@ -150,6 +157,7 @@
 	root.Add(in.Mirrors.orders)
 	root.Add(in.Mirrors.registrations)
 	root.Add(in.Front)
+	root.Add(reload.NewTask(in.Settings, in.Reload, in.applySettings, in.Clock, in.Logger))
 	root.Add(ingress.NewStatus("readiness", in.Sockets.ready, in.Parameters, in.Front.Draining()))
 	if in.Sockets.metrics != nil {
 		root.Add(ingress.NewStatus("metrics", in.Sockets.metrics, in.Parameters, in.Front.Draining()))
@@ -162,3 +170,12 @@
 	}
 	return root
 }
+
+// applySettings hands out the settings that can change while the host runs.
+// Addresses of its own sockets need a restart.
+func (in rootIn) applySettings(ctx context.Context, settings Settings) {
+	in.Adapter.MoveStore(settings.StoreAddress)
+	if err := in.Dispatcher.Mailbox().Send(ctx, dispatch.Terms{Budget: settings.Budget}); err != nil {
+		in.Logger.Warn("new retry budget not delivered", eventcode.SettingsRejected.Attr(), "error", err)
+	}
+}
--- a/entryhost/relay/host.go
+++ b/entryhost/relay/host.go
@@ -14,6 +14,7 @@
 	"go.uber.org/fx/fxevent"
 
 	"github.com/lentilpoint/lentilpoint/entryhost/relay/ingress"
+	"github.com/lentilpoint/lentilpoint/entryhost/relay/reload"
 	"github.com/lentilpoint/lentilpoint/eventcode"
 )
 
@@ -30,6 +31,8 @@
 // Environment is what a relay needs besides its settings.
 type Environment struct {
 	Adapter Adapter
+	// Reload reads the settings again while the host runs.
+	Reload  reload.Source[Settings]
 	Clock   clockwork.Clock
 	Metrics *metrics.Set
 	Logger  *slog.Logger
@@ -42,7 +45,7 @@
 	var front *ingress.Front
 	app := fx.New(
 		Module,
-		fx.Supply(settings, environment.Adapter, environment.Metrics, environment.Logger),
+		fx.Supply(settings, environment.Adapter, environment.Reload, environment.Metrics, environment.Logger),
 		fx.Provide(func() clockwork.Clock { return environment.Clock }),
 		fx.Populate(&root, &front),
 		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
--- a/entryhost/relay/ingress/front.go
+++ b/entryhost/relay/ingress/front.go
@@ -33,9 +33,6 @@
 	// answerMargin is kept between the final answer and the caller's deadline,
 	// for the way back.
 	answerMargin = 15 * time.Millisecond
-	// drainQuiet is how long new connections may still arrive after a drain
-	// began: the balancer asks once a second and acts on the second miss.
-	drainQuiet = 3 * time.Second
 	// drainStreams is how long streams are accepted in a drain. They take five
 	// seconds and more of the eight that a stop may take, and one that is cut
 	// costs another reading of its prompt.
@@ -57,12 +54,14 @@
 type Parameters struct {
 	Protocol Protocol
 	// StopTime is how long the host may run after a drain began.
-	StopTime  time.Duration
-	Catalog   task.Mailbox[catalog.Current]
-	Forwarder *forward.Forwarder
-	Clock     clockwork.Clock
-	Metrics   *metrics.Set
-	Logger    *slog.Logger
+	StopTime time.Duration
+	// ArrivalTime is how long new connections may arrive after a drain began.
+	ArrivalTime time.Duration
+	Catalog     task.Mailbox[catalog.Current]
+	Forwarder   *forward.Forwarder
+	Clock       clockwork.Clock
+	Metrics     *metrics.Set
+	Logger      *slog.Logger
 }
 
 // Front is the task that owns the listening socket for callers.
@@ -104,7 +103,7 @@
 	if err := f.tell(ctx, commandDrain); err != nil {
 		return err
 	}
-	quiet := f.Clock.After(drainQuiet)
+	quiet := f.Clock.After(f.ArrivalTime)
 	for waiting := true; waiting || f.open.Get() > 0; {
 		select {
 		case <-ctx.Done():
@@ -156,7 +155,7 @@
 		case command := <-f.commands.C():
 			if command.kind == commandDrain {
 				close(f.draining)
-				refuse, quiet = f.Clock.After(drainStreams), f.Clock.After(drainQuiet)
+				refuse, quiet = f.Clock.After(drainStreams), f.Clock.After(f.ArrivalTime)
 				end = f.Clock.After(f.StopTime - lastPlain)
 				command.reply.Send(nil)
 				continue
--- a/entryhost/relay/relay_test.go
+++ b/entryhost/relay/relay_test.go
@@ -20,6 +20,7 @@
 	"github.com/lentilpoint/lentilpoint/cmd/lentilpoint-bench/standin"
 	"github.com/lentilpoint/lentilpoint/entryhost/relay"
 	"github.com/lentilpoint/lentilpoint/entryhost/relay/dispatch"
+	"github.com/lentilpoint/lentilpoint/entryhost/relay/reload"
 	"github.com/lentilpoint/lentilpoint/platform"
 )
 
@@ -98,7 +99,7 @@
 func (s *site) start(store string, seeds ...string) (relay.Settings, context.CancelFunc, chan error) {
 	settings := relay.Settings{
 		HostName: "edge", Zone: "zone-0", FrontAddress: freeAddress(), ReadyAddress: freeAddress(), PeerAddress: freeAddress(),
-		MetricsAddress: freeAddress(), Seeds: seeds, StoreAddress: store, StopTime: 5 * time.Second,
+		MetricsAddress: freeAddress(), Seeds: strings.Join(seeds, ","), StoreAddress: store, StopTime: 5 * time.Second, ArrivalTime: 100 * time.Millisecond,
 		Budget: dispatch.BudgetTerms{Ratio: 0.8, Window: 10 * time.Second, Extra: 150},
 	}
 	ctx, stop := context.WithCancel(s.ctx)
@@ -107,6 +108,10 @@
 	go func() {
 		defer close(ended)
 		done <- relay.Run(ctx, settings, relay.Environment{
+			Reload: reload.Source[relay.Settings]{
+				Read:    func() (relay.Settings, error) { return settings, nil },
+				Changed: func() (time.Time, error) { return time.Time{}, nil },
+			},
 			Adapter: platform.NewAdapter(settings), Clock: clockwork.NewRealClock(), Metrics: metrics.NewSet(),
 			Logger: slog.New(slog.NewTextHandler(io.Discard, nil)),
 		})
--- a/entryhost/relay/settings.go
+++ b/entryhost/relay/settings.go
@@ -3,6 +3,7 @@
 package relay
 
 import (
+	"strings"
 	"time"
 
 	"github.com/lentilpoint/lentilpoint/entryhost/relay/dispatch"
@@ -20,12 +21,20 @@
 	ReadyAddress   string
 	PeerAddress    string
 	MetricsAddress string
-	// Seeds are peer addresses of up to three hosts, which may be stale.
-	Seeds []string
+	// Seeds are peer addresses of hosts, which may be stale, joined by commas.
+	Seeds string
 	// StoreAddress is that of the platform's store.
 	StoreAddress string
 	// StopTime is how long the platform waits after SIGTERM before it kills.
 	StopTime time.Duration
+	// ArrivalTime is how long the balancer may still send new connections after
+	// this host stopped being ready.
+	ArrivalTime time.Duration
 	// Budget bounds the repeated arrivals at a service.
 	Budget dispatch.BudgetTerms
 }
+
+// SeedList returns the seeds one by one.
+func (s Settings) SeedList() []string {
+	return strings.FieldsFunc(s.Seeds, func(r rune) bool { return r == ',' })
+}
