--- a/entryhost/relay/dispatch/messages.go
+++ b/entryhost/relay/dispatch/messages.go
@@ -157,8 +157,8 @@
 func (probed) isMessage()     {}
 func (identified) isMessage() {}
 
-// Report is what an engine says of itself.
-type Report struct {
+// EngineReport is what an engine says of itself.
+type EngineReport struct {
 	// Runs are the events made so far by each run, by request id.
 	Runs map[string]int
 	// Engine tells that the server serves models.
@@ -167,7 +167,7 @@
 
 // Prober asks an engine for its report on a connection of its own.
 type Prober interface {
-	Probe(ctx context.Context, address string) (Report, error)
+	Probe(ctx context.Context, address string) (EngineReport, error)
 }
 
 const (
--- /dev/null
+++ b/entryhost/relay/mirror/mirror_test.go
@@ -0,0 +1,78 @@
+package mirror
+
+import (
+	"fmt"
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+)
+
+func TestMirror(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "mirror")
+}
+
+var _ = Describe("a copy of a table", func() {
+	It("ignores changes that are older than its rows, so that it never goes back", func() {
+		copy := Snapshot{Version: 9, Rows: map[string]Row{"a": {Key: "a", Value: []byte("new"), Version: 9}}}
+		next, _ := apply(copy, Changes{Version: 7, Rows: []Row{{Key: "a", Value: []byte("old"), Version: 7}, {Key: "a", Version: 8, Removed: true}}})
+		Expect(next.Version).To(Equal(uint64(9)))
+		Expect(string(next.Rows["a"].Value)).To(Equal("new"))
+	})
+
+	It("does not change a copy that was handed out", func() {
+		copy := Snapshot{Version: 1, Rows: map[string]Row{"a": {Key: "a", Version: 1}}}
+		apply(copy, Changes{Version: 2, Rows: []Row{{Key: "b", Version: 2}}})
+		Expect(copy.Rows).To(HaveLen(1))
+	})
+
+	It("reaches a peer by changes as it would by a read of the whole table", func() {
+		rapid.Check(GinkgoT(), func(t *rapid.T) {
+			source, peer := Snapshot{Rows: map[string]Row{}}, Snapshot{Rows: map[string]Row{}}
+			var gone removals
+			version := uint64(0)
+			for range rapid.IntRange(1, 400).Draw(t, "steps") {
+				version += rapid.Uint64Range(1, 3).Draw(t, "gap")
+				row := Row{
+					Key: fmt.Sprint(rapid.IntRange(0, 300).Draw(t, "key")), Version: version,
+					Removed: rapid.Bool().Draw(t, "removed"), Value: []byte(fmt.Sprint(version)),
+				}
+				next, _ := apply(source, Changes{Version: version, Rows: []Row{row}})
+				gone = gone.note(source, next)
+				source = next
+				if rapid.IntRange(0, 20).Draw(t, "asks") == 0 {
+					peer, _ = apply(peer, since(source, gone, peer.Version))
+					if !sameRows(peer, source) {
+						t.Fatalf("the peer has %d rows at version %d, the source %d", len(peer.Rows), peer.Version, len(source.Rows))
+					}
+				}
+			}
+		})
+	})
+})
+
+func sameRows(a, b Snapshot) bool {
+	if len(a.Rows) != len(b.Rows) || a.Version != b.Version {
+		return false
+	}
+	for key, row := range a.Rows {
+		if b.Rows[key].Version != row.Version {
+			return false
+		}
+	}
+	return true
+}
+
+var _ = Describe("the timing of calls", func() {
+	It("notices a silent connection to the store within 3 s", func() {
+		// A host whose connections were reset counts as in touch after 3 s.
+		Expect(timingOf(true, false).timeout.Seconds()).To(BeNumerically("<", 3))
+		Expect(timingOf(true, true).timeout).To(BeNumerically("<", timingOf(true, false).timeout))
+	})
+
+	It("leaves a frozen peer within the 2 s that a configuration has", func() {
+		Expect((peerWait + peerSlack + feedPause).Seconds()).To(BeNumerically("<", 2))
+	})
+})
