Carry out version moves on the platform

The operator orders a move in the store and reads its state there. The hosts report what they saw of both versions, and one holds the move by a conditional row: the target starts with 5 in 100, grows to 20 after 20 good answers, is withdrawn when its failures or times stand out, and completed after three quarters of the time. A request stays on one version for its whole life.

--- a/entryhost/relay/dispatch/messages.go
+++ b/entryhost/relay/dispatch/messages.go
@@ -41,6 +41,9 @@
 	Repeat bool
 	// Once tells that the request must not be lost with a stale connection.
 	Once bool
+	// Point is uniform in [0, 1) and stays the same for the life of a request; it
+	// decides which version the request uses in a version move.
+	Point float64
 	// Until is when the dispatcher refuses if no server can be had.
 	Until time.Time
 	Reply task.Reply[Assignment]
--- a/entryhost/relay/dispatch/task.go
+++ b/entryhost/relay/dispatch/task.go
@@ -105,7 +105,9 @@
 	leases  map[Lease]use
 	last    Lease
 	budgets map[string]*budget
-	waiting []Acquire
+	// versions are the moves that a stage was set for, by service.
+	versions map[string]*versions
+	waiting  []Acquire
 }
 
 // NewTask returns the dispatcher.
@@ -123,6 +125,7 @@
 		servers:    map[string]*serverState{},
 		leases:     map[Lease]use{},
 		budgets:    map[string]*budget{},
+		versions:   map[string]*versions{},
 	}
 }
 
@@ -177,6 +180,10 @@
 		t.budgets = map[string]*budget{}
 	case Started:
 		t.started(message)
+	case SetStage:
+		t.setStage(message)
+	case Samples:
+		t.answerSamples(message)
 	case Check:
 		t.check(ctx, message)
 	case probed:
@@ -255,6 +262,9 @@
 func (t *Task) assign(ctx context.Context, request Acquire) bool {
 	now := t.Clock.Now()
 	candidates := t.candidates(request.Service, now)
+	if stage, moving := t.stageOf(request.Service); moving {
+		candidates = versionsAllowed(stage, request.Point, candidates)
+	}
 	chosen := t.pick(&request, candidates)
 	if chosen == nil {
 		if request.OnlyPreferred {
@@ -331,6 +341,14 @@
 	return exchange.Open(ctx, state.server.ID, state.server.Address, t.Protocol, t.reports), false
 }
 
+func (t *Task) answerSamples(message Samples) {
+	var samples VersionSamples
+	if known := t.versions[message.Service]; known != nil {
+		samples = known.samples
+	}
+	message.Reply.Send(samples)
+}
+
 func (t *Task) refuse(request Acquire, refusal Refusal) {
 	t.Metrics.GetOrCreateCounter(`lentilpoint_relay_dispatch_refusals_total{reason="` + string(refusal) + `"}`).Inc()
 	request.Reply.Send(Assignment{Refusal: refusal})
@@ -392,6 +410,7 @@
 		t.budgetOf(granted.service).refund(t.Clock.Now())
 	}
 	t.learn(granted.server, message.Outcome)
+	t.sample(granted.server.server, message.Outcome, message.Took)
 	if message.Outcome == OutcomeMisdirected && message.Instance != "" {
 		t.identify(ctx, granted.server.server, message.Instance)
 	}
--- a/entryhost/relay/forward/stream.go
+++ b/entryhost/relay/forward/stream.go
@@ -49,7 +49,7 @@
 		l := r.start(ctx, assignment, attempt)
 		got, outcome, cause := r.pass(ctx, l, s)
 		if outcome == dispatch.OutcomeSuccess {
-			r.finish(l, got, outcome, nil, l.firstEvent())
+			r.finish(l, got, outcome, nil, l.firstEvent)
 			return
 		}
 		if ctx.Err() != nil {
@@ -64,8 +64,6 @@
 	}
 }
 
-func (l *live) firstEvent() time.Duration { return time.Duration(l.note.TookMS) * time.Millisecond }
-
 // streamAttempt gets a server for the next attempt: the holder of the copy of
 // the run's cache if there is one, else the best server.
 func (r *run) streamAttempt(ctx context.Context, s *streamState) (dispatch.Assignment, *exchange.Attempt, error) {
@@ -237,6 +235,7 @@
 		s.longestGap = max(s.longestGap, now.Sub(s.lastEvent))
 	}
 	if l.note.Events == 0 {
+		l.firstEvent = now.Sub(l.started)
 		// A full mailbox costs only a less exact load.
 		if r.Dispatcher.TrySend(dispatch.Started{Lease: l.assignment.Lease}) != nil {
 			r.Metrics.GetOrCreateCounter("lentilpoint_relay_starts_dropped_total").Inc()
--- a/entryhost/relay/forward/task.go
+++ b/entryhost/relay/forward/task.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"log/slog"
+	"math/rand/v2"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -35,7 +36,7 @@
 func (f *Forwarder) Run(ctx context.Context, request *Request, caller Caller) Summary {
 	ctx, cancel := context.WithTimeoutCause(ctx, request.Deadline.Sub(f.Clock.Now()), errDeadline)
 	defer cancel()
-	run := &run{Forwarder: f, request: request, caller: caller, exclude: map[string]bool{}}
+	run := &run{Forwarder: f, request: request, caller: caller, exclude: map[string]bool{}, point: rand.Float64()}
 	if request.Route.Kind == routing.Streaming {
 		run.stream(ctx)
 	} else {
@@ -56,6 +57,8 @@
 	summary Summary
 	counts  tally
 	exclude map[string]bool
+	// point is the place of the request in the split of a version move.
+	point float64
 }
 
 // live is a running attempt.
@@ -66,7 +69,9 @@
 	// end closes the connection if the answer is not complete.
 	end     context.CancelFunc
 	started time.Time
-	note    AttemptNote
+	// firstEvent is the time from the start to the first event of a stream.
+	firstEvent time.Duration
+	note       AttemptNote
 }
 
 // start sends the attempt to the assigned server.
@@ -127,6 +132,7 @@
 	order.Route = r.request.Route.Name
 	order.Exclude = cloneSet(r.exclude)
 	order.Repeat = r.counts.sent()
+	order.Point = r.point
 	order.Until = r.Clock.Now().Add(r.holdTime())
 	return task.Call(ctx, r.Dispatcher, func(reply task.Reply[dispatch.Assignment]) dispatch.Message {
 		order.Reply = reply
--- a/entryhost/relay/fx.go
+++ b/entryhost/relay/fx.go
@@ -18,6 +18,7 @@
 	"github.com/lentilpoint/lentilpoint/entryhost/relay/forward"
 	"github.com/lentilpoint/lentilpoint/entryhost/relay/ingress"
 	"github.com/lentilpoint/lentilpoint/entryhost/relay/mirror"
+	"github.com/lentilpoint/lentilpoint/entryhost/relay/moves"
 	"github.com/lentilpoint/lentilpoint/entryhost/relay/peering"
 	"github.com/lentilpoint/lentilpoint/entryhost/relay/reload"
 	"github.com/lentilpoint/lentilpoint/entryhost/relay/roster"
@@ -30,6 +31,7 @@
 type Adapter struct {
 	Store    mirror.Store
 	Roster   roster.Store
+	Moves    moves.Store
 	Decoder  catalog.Decoder
 	Callers  ingress.Protocol
 	Servers  exchange.Protocol
@@ -47,7 +49,7 @@
 // a metrics set and a logger.
 var Module = fx.Module("relay",
 	fx.Provide(
-		provideSockets, provideDispatcher, provideCatalog, provideRoster, provideMirrors,
+		provideSockets, provideDispatcher, provideMover, provideCatalog, provideRoster, provideMirrors,
 		provideForwarder, provideFront, provideRoot,
 	),
 )
@@ -85,8 +87,15 @@
 	})
 }
 
-func provideCatalog(adapter Adapter, clock clockwork.Clock, set *metrics.Set, logger *slog.Logger, dispatcher *dispatch.Task) *catalog.Task {
-	return catalog.NewTask(adapter.Decoder, clock, set, logger, dispatcher.Views())
+func provideMover(settings Settings, adapter Adapter, clock clockwork.Clock, set *metrics.Set, logger *slog.Logger, dispatcher *dispatch.Task) *moves.Mover {
+	return moves.NewMover(moves.Parameters{
+		Self: settings.PeerAddress, Store: adapter.Moves, Traffic: dispatch.Traffic{Dispatcher: dispatcher.Mailbox()},
+		Terms: settings.Exposure, Clock: clock, Metrics: set, Logger: logger,
+	})
+}
+
+func provideCatalog(adapter Adapter, clock clockwork.Clock, set *metrics.Set, logger *slog.Logger, dispatcher *dispatch.Task, mover *moves.Mover) *catalog.Task {
+	return catalog.NewTask(adapter.Decoder, clock, set, logger, dispatcher.Views(), mover.Views())
 }
 
 func provideRoster(settings Settings, adapter Adapter, clock clockwork.Clock, logger *slog.Logger, dispatcher *dispatch.Task) *roster.Task {
@@ -136,6 +145,7 @@
 	Adapter    Adapter
 	Sockets    sockets
 	Dispatcher *dispatch.Task
+	Mover      *moves.Mover
 	Catalog    *catalog.Task
 	Roster     *roster.Task
 	Mirrors    mirrors
@@ -152,6 +162,7 @@
 func provideRoot(in rootIn) *suture.Supervisor {
 	root := task.NewSupervisor("relay", task.DefaultRestartPolicy, in.Logger)
 	root.Add(in.Dispatcher)
+	root.Add(in.Mover)
 	root.Add(in.Catalog)
 	root.Add(in.Roster)
 	root.Add(in.Mirrors.orders)
--- a/entryhost/relay/relay_test.go
+++ b/entryhost/relay/relay_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"encoding/json"
 	"fmt"
 	"io"
 	"log/slog"
@@ -20,6 +21,7 @@
 	"github.com/lentilpoint/lentilpoint/cmd/lentilpoint-bench/standin"
 	"github.com/lentilpoint/lentilpoint/entryhost/relay"
 	"github.com/lentilpoint/lentilpoint/entryhost/relay/dispatch"
+	"github.com/lentilpoint/lentilpoint/entryhost/relay/moves"
 	"github.com/lentilpoint/lentilpoint/entryhost/relay/reload"
 	"github.com/lentilpoint/lentilpoint/platform"
 )
@@ -100,7 +102,7 @@
 	settings := relay.Settings{
 		HostName: "edge", Zone: "zone-0", FrontAddress: freeAddress(), ReadyAddress: freeAddress(), PeerAddress: freeAddress(),
 		MetricsAddress: freeAddress(), Seeds: strings.Join(seeds, ","), StoreAddress: store, StopTime: 5 * time.Second, ArrivalTime: 100 * time.Millisecond,
-		Budget: dispatch.BudgetTerms{Ratio: 0.8, Window: 10 * time.Second, Extra: 150},
+		Budget: dispatch.BudgetTerms{Ratio: 0.8, Window: 10 * time.Second, Extra: 150}, Exposure: moves.Terms{Share: 0.1, Slack: 50},
 	}
 	ctx, stop := context.WithCancel(s.ctx)
 	done := make(chan error, 1)
@@ -416,6 +418,57 @@
 		}, 500*time.Millisecond).Should(BeZero())
 	})
 
+	// moveTo starts a server of another version and orders the move to it.
+	moveTo := func(faults standin.ServerFaults) *standin.Server {
+		fresh, err := standin.StartServer(s.ctx, standin.ServerShape{Name: "fresh", Service: "shop", Zone: "zone-0", Version: "v2"}, s.store)
+		Expect(err).NotTo(HaveOccurred())
+		fresh.SetFaults(faults)
+		Expect(s.store.Put(platform.TableOrders, platform.PrefixMove+"shop", map[string]any{"service": "shop", "target": "v2", "duration_s": 6})).To(Succeed())
+		return fresh
+	}
+	// load sends orders until the move has ended, and returns its state.
+	load := func() string {
+		var status struct{ State string }
+		deadline := time.Now().Add(8 * time.Second)
+		for number := 0; time.Now().Before(deadline); number++ {
+			s.caller().send("POST", "/order/1", fmt.Sprintf("load-%d", number))
+			if row := s.store.Row(platform.TableStatus, platform.PrefixMove+"shop"); row != nil {
+				Expect(json.Unmarshal(row, &status)).To(Succeed())
+			}
+			if status.State == "completed" || status.State == "rolled_back" {
+				return status.State
+			}
+		}
+		return status.State
+	}
+
+	It("completes the move to a good version in its time and then uses no other", func() {
+		fresh := moveTo(standin.ServerFaults{})
+		Expect(load()).To(Equal("completed"))
+		time.Sleep(1500 * time.Millisecond)
+		before := len(fresh.Runs())
+		for number := range 5 {
+			Expect(s.caller().send("POST", "/order/1", fmt.Sprintf("after-%d", number)).status).To(Equal(http.StatusOK))
+		}
+		Expect(fresh.Runs()).To(HaveLen(before + 5))
+	})
+
+	It("withdraws the move to a bad version, which gets a small share and then nothing", func() {
+		fresh := moveTo(standin.ServerFaults{Fail: true})
+		Expect(load()).To(Equal("rolled_back"))
+		time.Sleep(1500 * time.Millisecond)
+		exposed := len(fresh.Runs())
+		var total int
+		for _, server := range append(s.plain, fresh) {
+			total += len(server.Runs())
+		}
+		Expect(float64(exposed)).To(BeNumerically("<=", 0.1*float64(total)+50))
+		for number := range 10 {
+			Expect(s.caller().send("POST", "/order/1", fmt.Sprintf("after-%d", number)).status).To(Equal(http.StatusOK))
+		}
+		Expect(fresh.Runs()).To(HaveLen(exposed))
+	})
+
 	It("serves metrics with a counter for each reason", func() {
 		Expect(s.caller().send("GET", "/nothing/1", "").status).To(Equal(http.StatusNotFound))
 		response, err := http.Get("http://" + s.relay.MetricsAddress + "/metrics")
--- a/entryhost/relay/routing/move.go
+++ b/entryhost/relay/routing/move.go
@@ -20,3 +20,38 @@
 	Address string
 	Zone    string
 }
+
+// Phase is how far a version move has come.
+type Phase int
+
+// The phases of a version move.
+const (
+	// PhaseNone means that no host has begun; the target gets no traffic.
+	PhaseNone Phase = iota
+	PhaseActive
+	PhaseCompleted
+	PhaseWithdrawn
+)
+
+// Stage is the part of a service's traffic that goes to a version now.
+type Stage struct {
+	Service string
+	Target  string
+	Order   uint64
+	Phase   Phase
+	Share   float64
+}
+
+// Allows reports whether a request may go to a server of the version. Point is
+// uniform in [0, 1) and stays the same for the life of the request.
+func (s Stage) Allows(version string, point float64) bool {
+	target := version == s.Target
+	switch s.Phase {
+	case PhaseCompleted:
+		return target
+	case PhaseActive:
+		return target == (point < s.Share)
+	default:
+		return !target
+	}
+}
--- a/entryhost/relay/settings.go
+++ b/entryhost/relay/settings.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/lentilpoint/lentilpoint/entryhost/relay/dispatch"
+	"github.com/lentilpoint/lentilpoint/entryhost/relay/moves"
 )
 
 // Settings are the checked settings of one relay.
@@ -32,6 +33,8 @@
 	ArrivalTime time.Duration
 	// Budget bounds the repeated arrivals at a service.
 	Budget dispatch.BudgetTerms
+	// Exposure bounds what a bad version may get in a version move.
+	Exposure moves.Terms
 }
 
 // SeedList returns the seeds one by one.
--- a/eventcode/relay.go
+++ b/eventcode/relay.go
@@ -24,6 +24,9 @@
 	ServerSilent         Code = 2031
 	ReleaseLost          Code = 2032
 	ServerAdopted        Code = 2033
+	RelayMoveOrdered     Code = 2034
+	RelayMoveDecided     Code = 2035
+	RelayMoveRound       Code = 2036
 	RelayRequestDone     Code = 2040
 	RelayRequestRefused  Code = 2041
 	RequestRerouted      Code = 2042
@@ -52,6 +55,9 @@
 	{ServerSilent, "server silent", "A server did not answer a question about its runs; its streams go on elsewhere.", "Look at the server if it repeats."},
 	{ReleaseLost, "release lost", "The dispatcher did not take the outcome of an attempt in time.", "Report it with the line."},
 	{ServerAdopted, "server adopted", "An engine restarted under another id and takes work before its registration arrives.", "Nothing."},
+	{RelayMoveOrdered, "version move ordered", "The operator ordered a version move; this host takes part.", "Nothing."},
+	{RelayMoveDecided, "version move decided", "The host that holds the move wrote its next state from the evidence of all hosts.", "For a withdrawn move, compare the failures and times of both versions in the line."},
+	{RelayMoveRound, "version move round", "A round of a version move failed; the stage in force stays.", "Check the store if it repeats."},
 	{RelayRequestDone, "request done", "A request ended; the line lists its attempts with their outcomes and causes.", "For a failed request, read the attempts."},
 	{RelayRequestRefused, "request refused", "A request was refused before it reached a server.", "Read the reason."},
 	{RequestRerouted, "request rerouted", "An attempt failed and the request goes to another server.", "Look at the server if it repeats."},
