--- a/entryhost/relay/dispatch/dispatch_test.go
+++ b/entryhost/relay/dispatch/dispatch_test.go
@@ -63,14 +63,22 @@
 	It("puts the copy of a cache into another zone, since the engines of one fail together", func() {
 		chosen := server("a", "here")
 		for range 50 {
-			backup := chooseBackup(random, &Acquire{}, []candidate{{server: chosen}, {server: server("b", "here")}, {server: server("c", "there"), inFlight: 5}}, chosen)
+			backup := chooseBackup(random, "here", &Acquire{}, []candidate{{server: chosen}, {server: server("b", "here")}, {server: server("c", "there"), inFlight: 5}}, chosen)
 			Expect(backup.server.ID).To(Equal("c"))
 		}
 	})
 
+	It("puts the copy of a run elsewhere into the own zone, which is reached behind a cut", func() {
+		chosen := server("a", "there")
+		for range 50 {
+			backup := chooseBackup(random, "here", &Acquire{}, []candidate{{server: chosen}, {server: server("b", "here")}, {server: server("c", "third")}}, chosen)
+			Expect(backup.server.ID).To(Equal("b"))
+		}
+	})
+
 	It("has no backup where there is one server only", func() {
 		chosen := server("a", "here")
-		Expect(chooseBackup(random, &Acquire{}, []candidate{{server: chosen}}, chosen)).To(BeNil())
+		Expect(chooseBackup(random, "here", &Acquire{}, []candidate{{server: chosen}}, chosen)).To(BeNil())
 	})
 })
 
--- a/entryhost/relay/dispatch/policy.go
+++ b/entryhost/relay/dispatch/policy.go
@@ -44,7 +44,7 @@
 	readingCost = 1.0
 	// decodingCost is that of an attempt that sends events, which lengthens the
 	// steps of the others a little.
-	decodingCost = 0.2
+	decodingCost = 0.5
 	// copyCost is that of a held cache copy, which takes memory but no steps.
 	copyCost = 0.1
 	// foreignCost keeps work on the servers that this host prefers until they
@@ -140,14 +140,15 @@
 }
 
 // chooseBackup returns where the copy of a run's cache goes: to another zone
-// than the run, since the engines of one zone fail together.
-func chooseBackup(random *rand.Rand, request *Acquire, candidates []candidate, chosen *routing.Server) *candidate {
+// than the run, since the engines of one zone fail together, and then to the
+// host's own zone, which it reaches when the zones are cut off from each other.
+func chooseBackup(random *rand.Rand, zone string, request *Acquire, candidates []candidate, chosen *routing.Server) *candidate {
 	candidates = keep(excluded(request, usable(request, candidates)), func(c *candidate) bool {
 		return c.server.ID != chosen.ID && !c.paused && !c.recovering
 	})
 	candidates = reachable(request, candidates)
 	candidates = preferred(candidates, func(c *candidate) bool { return c.server.Zone != chosen.Zone })
-	return cheapest(random, "", candidates)
+	return cheapest(random, zone, candidates)
 }
 
 func cheapest(random *rand.Rand, zone string, candidates []candidate) *candidate {
--- a/entryhost/relay/dispatch/task.go
+++ b/entryhost/relay/dispatch/task.go
@@ -309,7 +309,7 @@
 	granted := use{server: state, service: request.Service, repeat: request.Repeat}
 	answer := Assignment{Server: state.server, Candidates: len(candidates)}
 	if request.Backup {
-		if backup := chooseBackup(t.Random, &request, candidates, chosen.server); backup != nil {
+		if backup := chooseBackup(t.Random, t.Zone, &request, candidates, chosen.server); backup != nil {
 			granted.backup = t.servers[backup.server.ID]
 			granted.backup.copies++
 			answer.Backup = backup.server
