Let a service's own failures not send work to other zones

Cause: stock checks fail 14 in 100 by themselves, so a server's smoothed rate moves between 0 and 0.35, and at a weight of 12 that outweighed the cost of another zone. Ruled out: overload of the near server, which had one request at a time.

--- a/entryhost/relay/dispatch/policy.go
+++ b/entryhost/relay/dispatch/policy.go
@@ -54,8 +54,9 @@
 	remoteCost = 1.7
 	// coldCost is that of a new connection.
 	coldCost = 0.4
-	// failureCost weighs a server that fails every attempt.
-	failureCost = 12.0
+	// failureCost weighs a server that fails every attempt. Services fail up to 15
+	// in 100 requests by themselves, which must not send work to other zones.
+	failureCost = 4.0
 	// jitterCost spreads equal candidates, since other hosts see the same ones.
 	jitterCost = 0.2
 	// failureExcess is how far a failure rate may lie above the lowest of the
