Ask an engine less often while it reads a prompt

Cause: a stream asked its engine after 0.5 s and then every 0.25 s until its first event, four times for a prompt, each on a new connection.

--- a/entryhost/relay/forward/monitor.go
+++ b/entryhost/relay/forward/monitor.go
@@ -66,7 +66,11 @@
 		}
 		m.asked = true
 	}
-	m.again(checkPause)
+	if m.started() {
+		m.again(checkPause)
+	} else {
+		m.again(firstPause)
+	}
 	return nil
 }
 
--- a/entryhost/relay/forward/policy.go
+++ b/entryhost/relay/forward/policy.go
@@ -148,8 +148,11 @@
 
 const (
 	// firstCheck is the silence before the first event after which the server
-	// is asked whether it is alive; a prompt takes about a second to read.
-	firstCheck = 500 * time.Millisecond
+	// is asked whether it is alive, and firstPause the time between two such
+	// questions; a prompt takes about a second to read, and each question costs
+	// a connection.
+	firstCheck = 800 * time.Millisecond
+	firstPause = 700 * time.Millisecond
 	// gapCheckMin bounds the silence between events after which it is asked; an
 	// event takes 30 to 160 ms, depending on prompts that are read meanwhile.
 	gapCheckMin = 180 * time.Millisecond
@@ -157,7 +160,8 @@
 	gapFactor = 1.6
 	// gapCheckMax leaves time to go on elsewhere within a gap objective of 700 ms.
 	gapCheckMax = 350 * time.Millisecond
-	// checkPause is the time between two questions about one silence.
+	// checkPause is the time between two questions about one silence between
+	// events.
 	checkPause = 250 * time.Millisecond
 	// firstShare is the multiple of the latency objective after which a live
 	// server that has sent no event is left. Leaving earlier throws away the part
