Soak real processes with faults from outside

Relay processes, a store and servers on one machine; loopback proxies delay, reset, cut one way or silence the links to the store and to servers, signals pause, kill, stop and reload the processes, servers crash, lose, spoil and cut answers. The soak checks from what callers and servers see: whole streams, one run for an order, true refusals, no foreign answer, ready again after the end.

--- a/cmd/lentilpoint-bench/main.go
+++ b/cmd/lentilpoint-bench/main.go
@@ -48,7 +48,7 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
-	root.AddCommand(demoCommand(), runCommand(), listCommand(), serveCommand(), slopeCommand(), hostCommand(), pagesCommand(), eventsCommand())
+	root.AddCommand(demoCommand(), runCommand(), listCommand(), serveCommand(), slopeCommand(), hostCommand(), pagesCommand(), eventsCommand(), soakCommand())
 	return root
 }
 
--- a/cmd/lentilpoint-bench/standin/server.go
+++ b/cmd/lentilpoint-bench/standin/server.go
@@ -1,6 +1,7 @@
 package standin
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -44,12 +45,14 @@
 
 	messages task.Mailbox[func(*Server)]
 	endpoint *endpoint
-	id       string
-	starts   int
-	faults   ServerFaults
-	runs     []Run
-	made     map[string]int
-	open     int
+	// through is the address of a proxy in front of the server, or "".
+	through string
+	id      string
+	starts  int
+	faults  ServerFaults
+	runs    []Run
+	made    map[string]int
+	open    int
 	// copies are the ids of runs whose cache this server holds a copy of.
 	copies map[string]bool
 }
@@ -88,6 +91,11 @@
 // Address returns the server's address; it stays the same after a restart.
 func (s *Server) Address() string { return s.endpoint.address }
 
+// Through makes the server register the address of a proxy in front of it.
+func (s *Server) Through(address string) {
+	control(s, func(s *Server) bool { s.through = address; return true })
+}
+
 // ID returns the id of the present start.
 func (s *Server) ID() string { return control(s, func(s *Server) string { return s.id }) }
 
@@ -121,8 +129,9 @@
 // Register writes the registration of the present start.
 func (s *Server) Register(store *Store, state string) error {
 	id := s.ID()
+	address := control(s, func(s *Server) string { return cmp.Or(s.through, s.endpoint.address) })
 	return store.Put(platform.TableServers, id, map[string]any{
-		"service": s.Service, "address": s.Address(), "zone": s.Zone, "version": s.Version, "slots": 8,
+		"service": s.Service, "address": address, "zone": s.Zone, "version": s.Version, "slots": 8,
 		"state": state, "cold_remaining_ms": 0, "call_seq": 0, "born": time.Now().UnixMilli(),
 	})
 }
