--- a/cmd/lentilpoint-bench/soak.go
+++ b/cmd/lentilpoint-bench/soak.go
@@ -4,6 +4,8 @@
 	"encoding/json"
 	"io"
 	"os"
+	"os/signal"
+	"syscall"
 	"time"
 
 	"github.com/spf13/cobra"
@@ -48,10 +50,13 @@
 
 // runSoaks plays the seeds and prints one JSON line for each.
 func runSoaks(cmd *cobra.Command, options soak.Options, seeds int) error {
+	// An interrupted soak ends the processes that it started.
+	ctx, stop := signal.NotifyContext(cmd.Context(), syscall.SIGINT, syscall.SIGTERM)
+	defer stop()
 	output := json.NewEncoder(cmd.OutOrStdout())
 	broken := false
 	for range seeds {
-		findings, err := soak.Run(cmd.Context(), options)
+		findings, err := soak.Run(ctx, options)
 		if err != nil {
 			return err
 		}
