--- a/entryhost/relay/catalog/task.go
+++ b/entryhost/relay/catalog/task.go
@@ -150,7 +150,7 @@
 		before, found := old[id]
 		if !found || before.Draining != server.Draining || !before.SameStart(server) {
 			t.logger.Info("server registered", eventcode.ServerRegistered.Attr(), "server", id, "service", server.Service,
-				"address", server.Address, "zone", server.Zone, "version", server.Version, "draining", server.Draining)
+				"address", server.Address, "data_centre", server.DataCentre, "version", server.Version, "draining", server.Draining)
 		}
 	}
 	for id, server := range old {
--- a/entryhost/relay/dispatch/zones.go
+++ b/entryhost/relay/dispatch/datacentres.go
@@ -7,22 +7,22 @@
 )
 
 const (
-	// lossServers is the number of servers of a zone that must be lost in a row
-	// before the others of the zone are avoided; two may fail by chance.
+	// lossServers is the number of servers of a data centre that must be lost in a row
+	// before the others of the data centre are avoided; two may fail by chance.
 	lossServers = 3
-	// lossMemory is how long a loss counts, and how long the zone is avoided
-	// after the last one; a crashed zone is back after about a second.
+	// lossMemory is how long a loss counts, and how long the data centre is avoided
+	// after the last one; a crashed data centre is back after about a second.
 	lossMemory = time.Second
 )
 
 // place is where the servers of a service stand.
 type place struct {
-	service string
-	zone    string
+	service    string
+	dataCentre string
 }
 
 func placeOf(server *routing.Server) place {
-	return place{service: server.Service, zone: server.Zone}
+	return place{service: server.Service, dataCentre: server.DataCentre}
 }
 
 // loss is the servers of a place that were lost since one last answered.
--- a/entryhost/relay/dispatch/dispatch_test.go
+++ b/entryhost/relay/dispatch/dispatch_test.go
@@ -18,8 +18,8 @@
 	RunSpecs(t, "dispatch")
 }
 
-func server(id, zone string) *routing.Server {
-	return &routing.Server{ID: id, Zone: zone, Service: "engine", Address: id}
+func server(id, dataCentre string) *routing.Server {
+	return &routing.Server{ID: id, DataCentre: dataCentre, Service: "engine", Address: id}
 }
 
 var _ = Describe("the choice of a server", func() {
@@ -57,7 +57,7 @@
 	})
 
 	It("avoids a zone whose servers were lost together", func() {
-		Expect(pick(Acquire{}, candidate{server: server("near", "here"), zoneLost: true}, candidate{server: server("far", "there"), inFlight: 3})).To(Equal("far"))
+		Expect(pick(Acquire{}, candidate{server: server("near", "here"), dataCentreLost: true}, candidate{server: server("far", "there"), inFlight: 3})).To(Equal("far"))
 	})
 
 	It("puts the copy of a cache into another zone, since the engines of one fail together", func() {
@@ -188,11 +188,11 @@
 	It("gives each server of a zone to exactly one host, and all hosts some of many servers", func() {
 		var hosts []routing.Host
 		for i := range 5 {
-			hosts = append(hosts, routing.Host{Address: fmt.Sprintf("10.0.0.%d:7", i), Zone: "here"})
+			hosts = append(hosts, routing.Host{Address: fmt.Sprintf("10.0.0.%d:7", i), DataCentre: "here"})
 		}
 		owned := map[string]int{}
 		for i := range 100 {
-			candidate := &routing.Server{Address: fmt.Sprintf("10.0.64.%d:8", i), Zone: "here"}
+			candidate := &routing.Server{Address: fmt.Sprintf("10.0.64.%d:8", i), DataCentre: "here"}
 			owners := 0
 			for _, host := range hosts {
 				if newOwnership(host.Address, "here", hosts).owns(candidate) {
--- a/entryhost/relay/dispatch/ownership.go
+++ b/entryhost/relay/dispatch/ownership.go
@@ -6,19 +6,19 @@
 	"github.com/lentilpoint/lentilpoint/entryhost/relay/routing"
 )
 
-// ownership divides the servers of a zone among its entry hosts by rendezvous
+// ownership divides the servers of a data centre among its entry hosts by rendezvous
 // hashing. A host sends work to its own servers first, so that it knows most of
 // what they have to do and hosts do not pick the same server at the same time.
 type ownership struct {
-	self  string
-	zone  string
-	peers []string
+	self       string
+	dataCentre string
+	peers      []string
 }
 
-func newOwnership(self, zone string, hosts []routing.Host) ownership {
-	o := ownership{self: self, zone: zone}
+func newOwnership(self, dataCentre string, hosts []routing.Host) ownership {
+	o := ownership{self: self, dataCentre: dataCentre}
 	for _, host := range hosts {
-		if host.Zone == zone {
+		if host.DataCentre == dataCentre {
 			o.peers = append(o.peers, host.Address)
 		}
 	}
@@ -27,7 +27,7 @@
 
 // owns reports whether this host prefers the server.
 func (o ownership) owns(server *routing.Server) bool {
-	if server.Zone != o.zone {
+	if server.DataCentre != o.dataCentre {
 		return false
 	}
 	own := rendezvous(o.self, server.Address)
--- a/entryhost/relay/dispatch/policy.go
+++ b/entryhost/relay/dispatch/policy.go
@@ -15,7 +15,7 @@
 	inFlight int
 	decoding int
 	copies   int
-	// own servers are those that this host prefers in its zone.
+	// own servers are those that this host prefers in its data centre.
 	own bool
 	// warm tells that an idle connection is at hand.
 	warm bool
@@ -24,8 +24,8 @@
 	// paused servers failed recently; recovering ones have not succeeded since.
 	paused     bool
 	recovering bool
-	// zoneLost tells that several servers of its zone were lost a moment ago.
-	zoneLost bool
+	// dataCentreLost tells that several servers of its data centre were lost a moment ago.
+	dataCentreLost bool
 	// stale registrations were contradicted by the server at the address.
 	stale bool
 	// failureRate is the smoothed share of attempts that failed.
@@ -36,7 +36,7 @@
 type filter func(request *Acquire, candidates []candidate) []candidate
 
 // scorer returns the cost of a candidate; the lowest sum is picked.
-type scorer func(zone string, candidate *candidate) float64
+type scorer func(dataCentre string, candidate *candidate) float64
 
 const (
 	// readingCost is the cost of an attempt that has sent no event yet and the
@@ -50,12 +50,12 @@
 	// foreignCost keeps work on the servers that this host prefers until they
 	// read a prompt each, since other hosts send work to the others.
 	foreignCost = 0.3
-	// remoteCost is that of another zone, beside foreignCost.
+	// remoteCost is that of another data centre, beside foreignCost.
 	remoteCost = 1.7
 	// coldCost is that of a new connection.
 	coldCost = 0.4
 	// failureCost weighs a server that fails every attempt. Services fail up to 15
-	// in 100 requests by themselves, which must not send work to other zones.
+	// in 100 requests by themselves, which must not send work to other data centres.
 	failureCost = 4.0
 	// jitterCost spreads equal candidates, since other hosts see the same ones.
 	jitterCost = 0.2
@@ -71,7 +71,9 @@
 		return readingCost*float64(c.inFlight-c.decoding) + decodingCost*float64(c.decoding) + copyCost*float64(c.copies)
 	},
 	func(_ string, c *candidate) float64 { return foreignCost * indicator(!c.own) },
-	func(zone string, c *candidate) float64 { return remoteCost * indicator(c.server.Zone != zone) },
+	func(dataCentre string, c *candidate) float64 {
+		return remoteCost * indicator(c.server.DataCentre != dataCentre)
+	},
 	func(_ string, c *candidate) float64 { return coldCost * indicator(!c.warm) },
 	func(_ string, c *candidate) float64 { return failureCost * c.failureRate },
 }
@@ -93,10 +95,10 @@
 	return keep(candidates, func(c *candidate) bool { return !request.Exclude[c.server.ID] })
 }
 
-// reachable removes the servers of zones that seem cut off or down. It removes
+// reachable removes the servers of data centres that seem cut off or down. It removes
 // none if none remain.
 func reachable(_ *Acquire, candidates []candidate) []candidate {
-	return preferred(candidates, func(c *candidate) bool { return !c.zoneLost })
+	return preferred(candidates, func(c *candidate) bool { return !c.dataCentreLost })
 }
 
 // rested removes servers that failed a moment ago, and lets one attempt at a
@@ -133,32 +135,32 @@
 }
 
 // choose returns the candidate with the lowest cost after the filters, or nil.
-func choose(random *rand.Rand, zone string, request *Acquire, candidates []candidate) *candidate {
+func choose(random *rand.Rand, dataCentre string, request *Acquire, candidates []candidate) *candidate {
 	for _, apply := range filters {
 		candidates = apply(request, candidates)
 	}
-	return cheapest(random, zone, candidates)
+	return cheapest(random, dataCentre, candidates)
 }
 
-// chooseBackup returns where the copy of a run's cache goes: to another zone
-// than the run, since the engines of one zone fail together, and then to the
-// host's own zone, which it reaches when the zones are cut off from each other.
-func chooseBackup(random *rand.Rand, zone string, request *Acquire, candidates []candidate, chosen *routing.Server) *candidate {
+// chooseBackup returns where the copy of a run's cache goes: to another data centre
+// than the run, since the engines of one data centre fail together, and then to the
+// host's own data centre, which it reaches when the data centres are cut off from each other.
+func chooseBackup(random *rand.Rand, dataCentre string, request *Acquire, candidates []candidate, chosen *routing.Server) *candidate {
 	candidates = keep(excluded(request, usable(request, candidates)), func(c *candidate) bool {
 		return c.server.ID != chosen.ID && !c.paused && !c.recovering
 	})
 	candidates = reachable(request, candidates)
-	candidates = preferred(candidates, func(c *candidate) bool { return c.server.Zone != chosen.Zone })
-	return cheapest(random, zone, candidates)
+	candidates = preferred(candidates, func(c *candidate) bool { return c.server.DataCentre != chosen.DataCentre })
+	return cheapest(random, dataCentre, candidates)
 }
 
-func cheapest(random *rand.Rand, zone string, candidates []candidate) *candidate {
+func cheapest(random *rand.Rand, dataCentre string, candidates []candidate) *candidate {
 	var best *candidate
 	var lowest float64
 	for i := range candidates {
 		cost := jitterCost * random.Float64()
 		for _, score := range scorers {
-			cost += score(zone, &candidates[i])
+			cost += score(dataCentre, &candidates[i])
 		}
 		if best == nil || cost < lowest {
 			best, lowest = &candidates[i], cost
--- a/entryhost/relay/dispatch/task.go
+++ b/entryhost/relay/dispatch/task.go
@@ -38,16 +38,16 @@
 
 // Parameters are what the dispatcher is built from.
 type Parameters struct {
-	// Self is the address of this host among the entry hosts, Zone its zone.
-	Self     string
-	Zone     string
-	Protocol exchange.Protocol
-	Prober   Prober
-	Budget   BudgetTerms
-	Clock    clockwork.Clock
-	Random   *rand.Rand
-	Metrics  *metrics.Set
-	Logger   *slog.Logger
+	// Self is the address of this host among the entry hosts, DataCentre its data centre.
+	Self       string
+	DataCentre string
+	Protocol   exchange.Protocol
+	Prober     Prober
+	Budget     BudgetTerms
+	Clock      clockwork.Clock
+	Random     *rand.Rand
+	Metrics    *metrics.Set
+	Logger     *slog.Logger
 }
 
 // idleConnection may be used until the server closes it.
@@ -93,11 +93,11 @@
 	reports task.Mailbox[exchange.Report]
 
 	view *catalog.View
-	// losses are what attempts showed of whole zones, by service and zone.
+	// losses are what attempts showed of whole data centres, by service and data centre.
 	losses map[place]loss
 	// adopted are restarted engines that are not registered yet, by id.
 	adopted map[string]adoption
-	// owners tells which servers of the zone this host prefers.
+	// owners tells which servers of the data centre this host prefers.
 	owners ownership
 	// sharers is the number of entry hosts, which share budgets and limits.
 	sharers int
@@ -158,7 +158,7 @@
 			t.retryWaiting(ctx)
 		case hosts := <-t.hosts.C():
 			t.sharers = max(sharersMin, len(hosts)+1)
-			t.owners = newOwnership(t.Self, t.Zone, hosts)
+			t.owners = newOwnership(t.Self, t.DataCentre, hosts)
 		case report := <-t.reports.C():
 			t.takeReport(report)
 		case <-look:
@@ -301,7 +301,7 @@
 	if request.OnlyPreferred {
 		return nil
 	}
-	return choose(t.Random, t.Zone, request, candidates)
+	return choose(t.Random, t.DataCentre, request, candidates)
 }
 
 func (t *Task) grant(ctx context.Context, request Acquire, chosen *candidate, candidates []candidate, now time.Time) {
@@ -309,7 +309,7 @@
 	granted := use{server: state, service: request.Service, repeat: request.Repeat}
 	answer := Assignment{Server: state.server, Candidates: len(candidates)}
 	if request.Backup {
-		if backup := chooseBackup(t.Random, t.Zone, &request, candidates, chosen.server); backup != nil {
+		if backup := chooseBackup(t.Random, t.DataCentre, &request, candidates, chosen.server); backup != nil {
 			granted.backup = t.servers[backup.server.ID]
 			granted.backup.copies++
 			answer.Backup = backup.server
@@ -365,7 +365,7 @@
 			server: state.server, inFlight: state.inFlight, decoding: state.decoding, copies: state.copies,
 			own:  t.owners.owns(state.server),
 			warm: len(state.idle) > 0, full: len(state.idle) == 0 && state.open >= limit,
-			paused: now.Before(state.standing.pausedUntil), zoneLost: t.losses[placeOf(state.server)].lost(now), recovering: state.standing.pause > 0,
+			paused: now.Before(state.standing.pausedUntil), dataCentreLost: t.losses[placeOf(state.server)].lost(now), recovering: state.standing.pause > 0,
 			stale: state.standing.stale, failureRate: state.standing.failureRate,
 		})
 	}
--- a/entryhost/relay/forward/messages.go
+++ b/entryhost/relay/forward/messages.go
@@ -75,11 +75,11 @@
 
 // AttemptNote describes one attempt in a log line.
 type AttemptNote struct {
-	Server  string
-	Zone    string
-	Outcome string
-	Cause   string
-	TookMS  int64
+	Server     string
+	DataCentre string
+	Outcome    string
+	Cause      string
+	TookMS     int64
 	// FromCopy tells that the attempt went on from a copy of the run's cache.
 	FromCopy bool
 	Reused   bool
--- a/entryhost/relay/forward/task.go
+++ b/entryhost/relay/forward/task.go
@@ -89,7 +89,7 @@
 	started := &live{
 		assignment: assignment, attempt: attempt, events: events, end: end, started: now,
 		note: AttemptNote{
-			Server: assignment.Server.ID, Zone: assignment.Server.Zone, Reused: assignment.Reused,
+			Server: assignment.Server.ID, DataCentre: assignment.Server.DataCentre, Reused: assignment.Reused,
 			FromCopy: attempt.CacheCopy != "",
 		},
 	}
@@ -157,7 +157,7 @@
 func (r *run) logAgain(l *live, outcome dispatch.Outcome, cause error, lastEvent string) {
 	r.Metrics.GetOrCreateCounter(`lentilpoint_relay_retries_total{service="` + r.request.Service.Name + `",reason="` + outcome.String() + `"}`).Inc()
 	r.Logger.Info("request goes to another server", eventcode.RequestRerouted.Attr(), "request", r.request.ID, "route", r.request.Route.Name,
-		"server", l.note.Server, "zone", l.note.Zone, "outcome", outcome.String(), "cause", cause, "runs", r.counts.runs,
+		"server", l.note.Server, "data_centre", l.note.DataCentre, "outcome", outcome.String(), "cause", cause, "runs", r.counts.runs,
 		"rejections", r.counts.rejections, "unsent", r.counts.unsent, "last_event", lastEvent,
 		"left_ms", r.request.Deadline.Sub(r.Clock.Now()).Milliseconds())
 }
--- a/entryhost/relay/fx.go
+++ b/entryhost/relay/fx.go
@@ -82,7 +82,7 @@
 
 func provideDispatcher(settings Settings, adapter Adapter, clock clockwork.Clock, set *metrics.Set, logger *slog.Logger) *dispatch.Task {
 	return dispatch.NewTask(dispatch.Parameters{
-		Self: settings.PeerAddress, Zone: settings.Zone, Protocol: adapter.Servers, Prober: adapter.Prober, Budget: settings.Budget, Clock: clock,
+		Self: settings.PeerAddress, DataCentre: settings.DataCentre, Protocol: adapter.Servers, Prober: adapter.Prober, Budget: settings.Budget, Clock: clock,
 		Random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), Metrics: set, Logger: logger,
 	})
 }
@@ -99,7 +99,7 @@
 }
 
 func provideRoster(settings Settings, adapter Adapter, clock clockwork.Clock, logger *slog.Logger, dispatcher *dispatch.Task) *roster.Task {
-	self := routing.Host{Name: settings.HostName, Address: settings.PeerAddress, Zone: settings.Zone}
+	self := routing.Host{Name: settings.HostName, Address: settings.PeerAddress, DataCentre: settings.DataCentre}
 	return roster.NewTask(self, adapter.Roster, clock, logger, dispatcher.Hosts())
 }
 
@@ -113,7 +113,7 @@
 
 func provideMirrors(settings Settings, adapter Adapter, clock clockwork.Clock, set *metrics.Set, logger *slog.Logger, view *catalog.Task, hosts *roster.Task) mirrors {
 	peers := &peering.Peers{
-		Zone: settings.Zone, Self: settings.PeerAddress, Seeds: settings.SeedList(),
+		DataCentre: settings.DataCentre, Self: settings.PeerAddress, Seeds: settings.SeedList(),
 		Hosts: func(ctx context.Context) []routing.Host {
 			ctx, cancel := context.WithTimeout(ctx, rosterTimeout)
 			defer cancel()
--- a/entryhost/relay/host.go
+++ b/entryhost/relay/host.go
@@ -56,7 +56,7 @@
 	tree, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	done := root.ServeBackground(tree)
-	environment.Logger.Info("relay started", eventcode.RelayStarted.Attr(), "host", settings.HostName, "zone", settings.Zone,
+	environment.Logger.Info("relay started", eventcode.RelayStarted.Attr(), "host", settings.HostName, "data_centre", settings.DataCentre,
 		"front", settings.FrontAddress, "store", settings.StoreAddress)
 	select {
 	case <-ctx.Done():
--- a/entryhost/relay/mirror/messages.go
+++ b/entryhost/relay/mirror/messages.go
@@ -1,5 +1,5 @@
 // Package mirror keeps copies of tables of the platform's store. One follower
-// task for each table owns its copy. In each zone one entry host follows the
+// task for each table owns its copy. In each data centre one entry host follows the
 // store's change feed and the others follow that host, since each call to the
 // store has a price; while the store does not serve a host, it takes newer
 // copies from any peer.
--- a/entryhost/relay/mirror/task.go
+++ b/entryhost/relay/mirror/task.go
@@ -159,7 +159,7 @@
 	f.waiting = kept
 }
 
-// read runs one round beside the task: by the zone's reader if that is another
+// read runs one round beside the task: by the data centre's reader if that is another
 // host, else by the store, and by any peer if the store does not serve.
 func (f *Follower) read(ctx context.Context, from attempt) result {
 	var got result
--- a/entryhost/relay/peering/peering.go
+++ b/entryhost/relay/peering/peering.go
@@ -97,9 +97,9 @@
 
 // Peers asks other entry hosts for their copies. It implements mirror.Peers.
 type Peers struct {
-	// Zone and Self are those of this host.
-	Zone string
-	Self string
+	// DataCentre and Self are those of this host.
+	DataCentre string
+	Self       string
 	// Seeds are addresses from the settings, used while no host is known.
 	Seeds []string
 	// Hosts returns the known entry hosts.
@@ -107,11 +107,11 @@
 }
 
 // Reader implements mirror.Peers. The host with the highest rendezvous hash of
-// the zone reads the store for the zone.
+// the data centre reads the store for the data centre.
 func (p *Peers) Reader(ctx context.Context, avoid map[string]time.Time) string {
 	reader, highest := "", p.weight(p.Self)
 	for _, host := range p.Hosts(ctx) {
-		if _, avoided := avoid[host.Address]; avoided || host.Zone != p.Zone || host.Address == p.Self {
+		if _, avoided := avoid[host.Address]; avoided || host.DataCentre != p.DataCentre || host.Address == p.Self {
 			continue
 		}
 		if weight := p.weight(host.Address); weight > highest {
@@ -123,7 +123,7 @@
 
 func (p *Peers) weight(address string) uint64 {
 	hash := fnv.New64a()
-	_, _ = hash.Write([]byte(p.Zone + "/" + address))
+	_, _ = hash.Write([]byte(p.DataCentre + "/" + address))
 	return hash.Sum64()
 }
 
@@ -136,7 +136,7 @@
 func (p *Peers) AskAny(ctx context.Context, query mirror.Query) (mirror.Answer, error) {
 	var newest mirror.Answer
 	err := Error.New("no other entry host is known")
-	for _, address := range targets(p.Zone, p.Self, p.Hosts(ctx), p.Seeds) {
+	for _, address := range targets(p.DataCentre, p.Self, p.Hosts(ctx), p.Seeds) {
 		callContext, cancel := context.WithTimeout(ctx, callTimeout)
 		answer, failure := fetch(callContext, address, query)
 		cancel()
@@ -152,14 +152,14 @@
 	return newest, err
 }
 
-// targets returns the peers to ask: one of the own zone first, since zones may
+// targets returns the peers to ask: one of the own data centre first, since data centres may
 // be cut off from each other, then others.
-func targets(zone, self string, hosts []routing.Host, seeds []string) []string {
+func targets(dataCentre, self string, hosts []routing.Host, seeds []string) []string {
 	var near, far []string
 	for _, host := range hosts {
 		switch {
 		case host.Address == self:
-		case host.Zone == zone:
+		case host.DataCentre == dataCentre:
 			near = append(near, host.Address)
 		default:
 			far = append(far, host.Address)
--- a/entryhost/relay/relay_test.go
+++ b/entryhost/relay/relay_test.go
@@ -100,7 +100,7 @@
 // start runs a relay that reads the store at the address.
 func (s *site) start(store string, seeds ...string) (relay.Settings, context.CancelFunc, chan error) {
 	settings := relay.Settings{
-		HostName: "edge", Zone: "zone-0", FrontAddress: freeAddress(), ReadyAddress: freeAddress(), PeerAddress: freeAddress(),
+		HostName: "edge", DataCentre: "zone-0", FrontAddress: freeAddress(), ReadyAddress: freeAddress(), PeerAddress: freeAddress(),
 		MetricsAddress: freeAddress(), Seeds: strings.Join(seeds, ","), StoreAddress: store, StopTime: 5 * time.Second, ArrivalTime: 100 * time.Millisecond,
 		Budget: dispatch.BudgetTerms{Ratio: 0.8, Window: 10 * time.Second, Extra: 150}, Exposure: moves.Terms{Share: 0.1, Slack: 50},
 	}
--- a/entryhost/relay/routing/move.go
+++ b/entryhost/relay/routing/move.go
@@ -16,9 +16,9 @@
 
 // Host is another entry host.
 type Host struct {
-	Name    string
-	Address string
-	Zone    string
+	Name       string
+	Address    string
+	DataCentre string
 }
 
 // Phase is how far a version move has come.
--- a/entryhost/relay/routing/server.go
+++ b/entryhost/relay/routing/server.go
@@ -5,10 +5,10 @@
 // Server is one start of a backend server, as registered.
 type Server struct {
 	// ID names this start of the server; a restart mostly registers another id.
-	ID      string
-	Service string
-	Address string
-	Zone    string
+	ID         string
+	Service    string
+	Address    string
+	DataCentre string
 	// Version is that of the server's software.
 	Version string
 	Slots   int
--- a/entryhost/relay/settings.go
+++ b/entryhost/relay/settings.go
@@ -13,8 +13,8 @@
 // Settings are the checked settings of one relay.
 type Settings struct {
 	HostName string
-	// Zone is the data centre of this host.
-	Zone string
+	// DataCentre is the data centre of this host.
+	DataCentre string
 	// FrontAddress is where callers connect, ReadyAddress where the balancer
 	// asks, PeerAddress where other entry hosts do, and MetricsAddress where
 	// metrics are read.
