Serve the product's own API from the platform's store with one client

Cause: the product had a client, a protocol and a stand-in for a table service, object store and host list that it had to guess before the platform was known. The interfaces stay; the platform's client implements them on the store's rows and objects, and the stand-in speaks the platform's protocol. The invented protocol and the bearer token for it are removed. The list of hosts is a table with a partition for each data centre; its tag covers keys and versions.

--- a/cmd/lentilpoint-bench/cluster/cluster.go
+++ b/cmd/lentilpoint-bench/cluster/cluster.go
@@ -22,8 +22,8 @@
 	"github.com/lentilpoint/lentilpoint/cmd/lentilpoint-bench/standin"
 	"github.com/lentilpoint/lentilpoint/entryhost"
 	"github.com/lentilpoint/lentilpoint/entryhost/config"
-	"github.com/lentilpoint/lentilpoint/entryhost/platform"
 	"github.com/lentilpoint/lentilpoint/model"
+	usersplatform "github.com/lentilpoint/lentilpoint/platform"
 	"github.com/lentilpoint/lentilpoint/settings"
 )
 
@@ -208,7 +208,7 @@
 // Commit commits the changes as the revision after the expected one, the way
 // the operator API does.
 func (c *Cluster) Commit(ctx context.Context, expected model.Revision, changes []config.Change) error {
-	client := platform.NewClient(c.Platform.URL(), "")
+	client := usersplatform.NewServices(c.Platform.URL())
 	defer client.Close()
 	committer := config.Committer{Table: client, Clock: clockwork.NewRealClock()}
 	_, err := committer.Commit(ctx, config.Empty(), config.Proposal{
@@ -239,7 +239,7 @@
 	}
 	set := metrics.NewSet()
 	host, err := entryhost.New(values, entryhost.Environment{
-		Clock: clockwork.NewRealClock(), Metrics: set, Logger: c.options.Logger.With("host", values.HostID),
+		Clock: clockwork.NewRealClock(), Metrics: set, Logger: c.options.Logger.With("host", values.HostID), Platform: usersplatform.NewServices(values.PlatformURL),
 		Options: c.options.HostOptions,
 	})
 	if err != nil {
--- a/cmd/lentilpoint-bench/host.go
+++ b/cmd/lentilpoint-bench/host.go
@@ -10,6 +10,7 @@
 	"github.com/spf13/cobra"
 
 	"github.com/lentilpoint/lentilpoint/entryhost"
+	usersplatform "github.com/lentilpoint/lentilpoint/platform"
 	"github.com/lentilpoint/lentilpoint/settings"
 )
 
@@ -29,7 +30,7 @@
 			ctx, stop := signal.NotifyContext(cmd.Context(), syscall.SIGTERM, syscall.SIGINT)
 			defer stop()
 			return entryhost.Run(ctx, values, entryhost.Environment{
-				Clock: clockwork.NewRealClock(), Metrics: metrics.NewSet(), Logger: values.NewLogger(os.Stderr),
+				Clock: clockwork.NewRealClock(), Metrics: metrics.NewSet(), Logger: values.NewLogger(os.Stderr), Platform: usersplatform.NewServices(values.PlatformURL),
 			})
 		},
 	}
--- a/cmd/lentilpoint-bench/scenario/config.go
+++ b/cmd/lentilpoint-bench/scenario/config.go
@@ -16,6 +16,7 @@
 	"github.com/lentilpoint/lentilpoint/entryhost/peers"
 	"github.com/lentilpoint/lentilpoint/entryhost/platform"
 	"github.com/lentilpoint/lentilpoint/model"
+	usersplatform "github.com/lentilpoint/lentilpoint/platform"
 	"github.com/lentilpoint/lentilpoint/task"
 )
 
@@ -92,7 +93,7 @@
 	policy   string
 	seed     uint64
 	platform *standin.Platform
-	client   *platform.Client
+	client   platform.Services
 	exchange *standin.Exchange
 	list     []model.Host
 	hosts    []*configHost
@@ -115,7 +116,7 @@
 	}
 	s := &configSite{
 		ctx: ctx, policy: parameters.Policy, seed: parameters.Seed, platform: stand,
-		client:   platform.NewClient(stand.URL(), ""),
+		client:   usersplatform.NewServices(stand.URL()),
 		exchange: standin.StartExchange(ctx, parameters.Seed),
 		hosts:    make([]*configHost, hosts),
 		observed: make(chan observation, observedSize),
@@ -166,7 +167,7 @@
 	parameters := config.Parameters{
 		Messages: config.NewMailbox(),
 		Self:     configHostID(host.number), Home: configDataCentre(host.number),
-		Table: s.client, Objects: platform.ObjectStore{Client: s.client}, Peers: mailbox,
+		Table: s.client, Objects: s.client.Objects, Peers: mailbox,
 		PeersOn:   s.policy != BaselinePollOnly && s.policy != BaselineNoPeers,
 		Intervals: configIntervals, Seed: s.seed + uint64(host.life),
 		Clock: clockwork.NewRealClock(), Metrics: metrics.NewSet(), Logger: slog.New(slog.NewTextHandler(io.Discard, nil)),
--- a/cmd/lentilpoint-bench/scenario/operators_race.go
+++ b/cmd/lentilpoint-bench/scenario/operators_race.go
@@ -16,6 +16,7 @@
 	"github.com/lentilpoint/lentilpoint/entryhost/config"
 	"github.com/lentilpoint/lentilpoint/entryhost/platform"
 	"github.com/lentilpoint/lentilpoint/model"
+	usersplatform "github.com/lentilpoint/lentilpoint/platform"
 )
 
 const (
@@ -99,7 +100,7 @@
 
 // raceOperator tries to commit on top of the newest revision that it knows.
 func raceOperator(ctx context.Context, parameters Parameters, url string, operator int) []porcupine.Operation {
-	client := platform.NewClient(url, "")
+	client := usersplatform.NewServices(url)
 	defer client.Close()
 	committer := config.Committer{Table: client, Clock: clockwork.NewRealClock()}
 	if parameters.Policy == BaselineBlindWrite {
--- a/cmd/lentilpoint-bench/soak/process.go
+++ b/cmd/lentilpoint-bench/soak/process.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"os"
 	"os/exec"
@@ -54,13 +55,23 @@
 // graceSeconds is the time that a host has to stop after SIGTERM.
 const graceSeconds = 8
 
+// Ports of hosts lie below those that the kernel gives to outgoing connections,
+// so that no connection takes one between the choice and the start of a host.
+const (
+	firstPort = 12000
+	lastPort  = 32000
+)
+
+// freePort returns a port that nobody listens on.
 func freePort() (int, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return 0, Error.Wrap(err)
+	for range 100 {
+		port := firstPort + rand.IntN(lastPort-firstPort)
+		listener, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port))
+		if err == nil {
+			return port, Error.Wrap(listener.Close())
+		}
 	}
-	defer func() { _ = listener.Close() }()
-	return listener.Addr().(*net.TCPAddr).Port, nil
+	return 0, Error.New("no free port between %d and %d", firstPort, lastPort)
 }
 
 // newHost writes the settings of a relay whose store is at the address.
--- a/cmd/lentilpoint-bench/standin/platform.go
+++ b/cmd/lentilpoint-bench/standin/platform.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"hash/fnv"
 	"io"
 	"math/rand/v2"
 	"net/http"
@@ -14,6 +13,7 @@
 
 	"github.com/lentilpoint/lentilpoint/entryhost/platform"
 	"github.com/lentilpoint/lentilpoint/model"
+	usersplatform "github.com/lentilpoint/lentilpoint/platform"
 	"github.com/lentilpoint/lentilpoint/task"
 )
 
@@ -50,6 +50,7 @@
 	hosts   []hostsAt
 	faults  PlatformFaults
 	counts  PlatformCounts
+	version uint64
 }
 
 // hostsAt is the host list from a time on.
@@ -103,7 +104,7 @@
 
 // Rows returns the rows whose keys start with the prefix, in order.
 func (p *Platform) Rows(prefix string) []platform.Row {
-	return control(p, func(p *Platform) []platform.Row { return p.scan(prefix, "", 1<<30) })
+	return control(p, func(p *Platform) []platform.Row { return p.scan(prefix) })
 }
 
 // Objects returns the names of all stored objects.
@@ -111,42 +112,77 @@
 	return control(p, func(p *Platform) []string { return p.names("") })
 }
 
-func (p *Platform) transact(transaction platform.Transaction) platform.TransactResult {
-	var result platform.TransactResult
-	for _, condition := range transaction.Conditions {
-		if row := p.rows[condition.Key]; row.Version != condition.Version {
-			result.Conflicts = append(result.Conflicts, platform.Row{Key: condition.Key, Value: row.Value, Version: row.Version})
+// transact carries a transaction out, or returns the rows of its conditions.
+func (p *Platform) transact(change storeTransaction) (answer storeAnswer, committed bool) {
+	for _, condition := range change.Conditions {
+		if row := p.rows[condition.Key]; uint64(row.Version) != condition.Version {
+			return p.answer(p.conditionRows(change.Conditions)), false
 		}
 	}
-	if len(result.Conflicts) > 0 {
-		return result
+	p.version++
+	for _, put := range change.Puts {
+		p.rows[put.Key] = platform.Row{Key: put.Key, Value: put.Value, Version: platform.RowVersion(p.version)}
 	}
-	result.Committed = true
-	for _, write := range transaction.Writes {
-		result.Versions = append(result.Versions, p.write(write))
+	for _, removed := range change.Remove {
+		delete(p.rows, removed.Key)
 	}
-	return result
+	return p.answer(nil), true
 }
 
-func (p *Platform) write(write platform.Write) platform.RowVersion {
-	if write.Delete {
-		delete(p.rows, write.Key)
-		return 0
+func (p *Platform) conditionRows(conditions []storeRow) []storeRow {
+	var rows []storeRow
+	for _, condition := range conditions {
+		if row, found := p.rows[condition.Key]; found {
+			rows = append(rows, storeRowOf(row))
+		}
 	}
-	version := p.rows[write.Key].Version + 1
-	p.rows[write.Key] = platform.Row{Key: write.Key, Value: write.Value, Version: version}
-	return version
+	return rows
+}
+
+func storeRowOf(row platform.Row) storeRow {
+	return storeRow{Table: usersplatform.TableProduct, Key: row.Key, Value: row.Value, Version: uint64(row.Version)}
 }
 
-func (p *Platform) scan(prefix, from string, limit int) []platform.Row {
+func (p *Platform) answer(rows []storeRow) storeAnswer {
+	return storeAnswer{Rows: rows, Version: p.version}
+}
+
+// scan returns the rows with the prefix in order.
+func (p *Platform) scan(prefix string) []platform.Row {
 	rows := make([]platform.Row, 0)
 	for key, row := range p.rows {
-		if strings.HasPrefix(key, prefix) && key >= from {
+		if strings.HasPrefix(key, prefix) {
 			rows = append(rows, row)
 		}
 	}
 	slices.SortFunc(rows, func(a, b platform.Row) int { return strings.Compare(a.Key, b.Key) })
-	return rows[:min(limit, len(rows))]
+	return rows
+}
+
+// rowRange is a query for rows.
+type rowRange struct {
+	table, part, from, to string
+	limit                 int
+}
+
+// read returns the rows of a range.
+func (p *Platform) read(query rowRange) storeAnswer {
+	rows := make([]storeRow, 0)
+	if query.table == usersplatform.TableHostList {
+		rows = p.hostRows(model.DataCentre(query.part))
+	} else {
+		for _, row := range p.scan("") {
+			rows = append(rows, storeRowOf(row))
+		}
+	}
+	rows = slices.DeleteFunc(rows, func(row storeRow) bool {
+		return row.Key < query.from || query.to != "" && row.Key >= query.to
+	})
+	answer := p.answer(rows)
+	if query.limit > 0 && len(rows) > query.limit {
+		answer.Rows, answer.Truncated = rows[:query.limit], true
+	}
+	return answer
 }
 
 func (p *Platform) names(prefix string) []string {
@@ -160,26 +196,56 @@
 	return names
 }
 
-// listHosts returns the host list as it was before the lag.
-func (p *Platform) listHosts() []model.Host {
-	hosts := []model.Host{}
+// listHosts returns the host list as it was before the lag, and its number.
+func (p *Platform) listHosts() ([]model.Host, int) {
+	hosts, number := []model.Host{}, 0
 	for i, entry := range p.hosts {
 		if i == 0 || time.Since(entry.at) >= p.faults.HostLag {
-			hosts = entry.hosts
+			hosts, number = entry.hosts, i+1
 		}
 	}
-	return hosts
+	return hosts, number
+}
+
+// hostRows returns a row for each host of the data centre. All rows have the
+// number of the list as their version.
+func (p *Platform) hostRows(dataCentre model.DataCentre) []storeRow {
+	hosts, number := p.listHosts()
+	rows := make([]storeRow, 0, len(hosts))
+	for _, host := range hosts {
+		if host.DataCentre != dataCentre {
+			continue
+		}
+		value, err := json.Marshal(host)
+		if err != nil {
+			continue
+		}
+		rows = append(rows, storeRow{Table: usersplatform.TableHostList, Part: string(dataCentre), Key: host.ID, Value: value, Version: uint64(number)})
+	}
+	return rows
+}
+
+// partitions returns the data centres of the host list, in order.
+func (p *Platform) partitions() []string {
+	hosts, _ := p.listHosts()
+	parts := make([]string, 0)
+	for _, host := range hosts {
+		if !slices.Contains(parts, string(host.DataCentre)) {
+			parts = append(parts, string(host.DataCentre))
+		}
+	}
+	slices.Sort(parts)
+	return parts
 }
 
 func (p *Platform) handler() http.Handler {
 	mux := http.NewServeMux()
-	mux.HandleFunc("POST "+platform.PathTransact, p.serveTransact)
-	mux.HandleFunc("GET "+platform.PathRow, p.serveRow)
-	mux.HandleFunc("GET "+platform.PathScan, p.serveScan)
-	mux.HandleFunc("PUT "+platform.PathObjects+"{name...}", p.servePut)
-	mux.HandleFunc("GET "+platform.PathObjects+"{name...}", p.serveGet)
-	mux.HandleFunc("GET "+platform.PathList, p.serveNames)
-	mux.HandleFunc("GET "+platform.PathHosts, p.serveHosts)
+	mux.HandleFunc("POST "+usersplatform.PathTransact, p.serveTransact)
+	mux.HandleFunc("GET "+usersplatform.PathRows, p.serveRows)
+	mux.HandleFunc("GET "+usersplatform.PathParts, p.serveParts)
+	mux.HandleFunc("PUT "+usersplatform.PathObjectPut+"{name...}", p.servePut)
+	mux.HandleFunc("GET "+usersplatform.PathObjectGet+"{name...}", p.serveGet)
+	mux.HandleFunc("GET "+usersplatform.PathObjectList, p.serveNames)
 	return mux
 }
 
@@ -234,39 +300,49 @@
 }
 
 func (p *Platform) serveTransact(w http.ResponseWriter, r *http.Request) {
-	var transaction platform.Transaction
-	if err := json.NewDecoder(r.Body).Decode(&transaction); err != nil {
+	var change storeTransaction
+	if err := json.NewDecoder(r.Body).Decode(&change); err != nil {
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
-	if result, ok := respond(p, w, r, func(p *Platform) platform.TransactResult { return p.transact(transaction) }); ok {
-		writeAnswer(w, result, nil)
+	type outcome struct {
+		answer    storeAnswer
+		committed bool
 	}
-}
-
-func (p *Platform) serveRow(w http.ResponseWriter, r *http.Request) {
-	key := r.URL.Query().Get("key")
-	row, ok := respond(p, w, r, func(p *Platform) platform.Row { return p.rows[key] })
+	result, ok := respond(p, w, r, func(p *Platform) outcome {
+		answer, committed := p.transact(change)
+		return outcome{answer: answer, committed: committed}
+	})
 	if !ok {
 		return
 	}
-	if row.Version == 0 {
-		w.WriteHeader(http.StatusNotFound)
-		return
+	if !result.committed {
+		w.WriteHeader(http.StatusPreconditionFailed)
 	}
-	writeAnswer(w, row, nil)
+	writeAnswer(w, result.answer, nil)
 }
 
-func (p *Platform) serveScan(w http.ResponseWriter, r *http.Request) {
+func (p *Platform) serveRows(w http.ResponseWriter, r *http.Request) {
 	query := r.URL.Query()
 	limit, err := strconv.Atoi(query.Get("limit"))
 	if err != nil {
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
-	rows, ok := respond(p, w, r, func(p *Platform) []platform.Row { return p.scan(query.Get("prefix"), query.Get("from"), limit) })
-	if ok {
-		writeAnswer(w, platform.RowsBody{Rows: rows}, nil)
+	wanted := rowRange{table: query.Get("table"), part: query.Get("part"), from: query.Get("from"), to: query.Get("target"), limit: limit}
+	if answer, ok := respond(p, w, r, func(p *Platform) storeAnswer { return p.read(wanted) }); ok {
+		writeAnswer(w, answer, nil)
+	}
+}
+
+// partsAnswer is the answer to a listing of partitions.
+type partsAnswer struct {
+	Parts []string `json:"parts"`
+}
+
+func (p *Platform) serveParts(w http.ResponseWriter, r *http.Request) {
+	if parts, ok := respond(p, w, r, (*Platform).partitions); ok {
+		writeAnswer(w, partsAnswer{Parts: parts}, nil)
 	}
 }
 
@@ -296,37 +372,14 @@
 	_, _ = w.Write(content)
 }
 
+// namesAnswer is the answer to a listing of objects.
+type namesAnswer struct {
+	Names []string `json:"names"`
+}
+
 func (p *Platform) serveNames(w http.ResponseWriter, r *http.Request) {
 	prefix := r.URL.Query().Get("prefix")
 	if names, ok := respond(p, w, r, func(p *Platform) []string { return p.names(prefix) }); ok {
-		writeAnswer(w, platform.NamesBody{Names: names}, nil)
-	}
-}
-
-func (p *Platform) serveHosts(w http.ResponseWriter, r *http.Request) {
-	hosts, ok := respond(p, w, r, (*Platform).listHosts)
-	if !ok {
-		return
-	}
-	if wanted := model.DataCentre(r.URL.Query().Get("data_centre")); wanted != "" {
-		hosts = slices.DeleteFunc(slices.Clone(hosts), func(host model.Host) bool { return host.DataCentre != wanted })
-	}
-	content, err := json.Marshal(platform.HostsBody{Hosts: hosts})
-	if err != nil {
-		w.WriteHeader(http.StatusInternalServerError)
-		return
-	}
-	tag := hostsTag(content)
-	if r.Header.Get("If-None-Match") == tag {
-		w.WriteHeader(http.StatusNotModified)
-		return
+		writeAnswer(w, namesAnswer{Names: names}, nil)
 	}
-	w.Header().Set("ETag", tag)
-	_, _ = w.Write(content)
-}
-
-func hostsTag(content []byte) string {
-	hash := fnv.New64a()
-	_, _ = hash.Write(content)
-	return strconv.Quote(strconv.FormatUint(hash.Sum64(), 16))
 }
--- a/cmd/lentilpointd/main.go
+++ b/cmd/lentilpointd/main.go
@@ -14,6 +14,7 @@
 	"github.com/spf13/cobra"
 
 	"github.com/lentilpoint/lentilpoint/entryhost"
+	usersplatform "github.com/lentilpoint/lentilpoint/platform"
 	"github.com/lentilpoint/lentilpoint/settings"
 	"github.com/lentilpoint/lentilpoint/version"
 )
@@ -58,6 +59,6 @@
 	logger := values.NewLogger(os.Stderr)
 	slog.SetDefault(logger)
 	return entryhost.Run(ctx, values, entryhost.Environment{
-		Clock: clockwork.NewRealClock(), Metrics: metrics.NewSet(), Logger: logger,
+		Clock: clockwork.NewRealClock(), Metrics: metrics.NewSet(), Logger: logger, Platform: usersplatform.NewServices(values.PlatformURL),
 	})
 }
--- a/entryhost/config/config_test.go
+++ b/entryhost/config/config_test.go
@@ -22,6 +22,7 @@
 	"github.com/lentilpoint/lentilpoint/entryhost/peers"
 	"github.com/lentilpoint/lentilpoint/entryhost/platform"
 	"github.com/lentilpoint/lentilpoint/model"
+	usersplatform "github.com/lentilpoint/lentilpoint/platform"
 	"github.com/lentilpoint/lentilpoint/task"
 )
 
@@ -101,7 +102,7 @@
 type site struct {
 	ctx      context.Context
 	platform *standin.Platform
-	client   *platform.Client
+	client   platform.Services
 	table    platform.Table
 	exchange *standin.Exchange
 }
@@ -124,7 +125,7 @@
 	DeferCleanup(cancel)
 	stand, err := standin.StartPlatform(ctx, 1)
 	Expect(err).NotTo(HaveOccurred())
-	client := platform.NewClient(stand.URL(), "")
+	client := usersplatform.NewServices(stand.URL())
 	DeferCleanup(client.Close)
 	return &site{ctx: ctx, platform: stand, client: client, table: client, exchange: standin.StartExchange(ctx, 1)}
 }
@@ -143,7 +144,7 @@
 	mailbox := task.NewMailbox[peers.Message](64)
 	store := config.NewStore(config.Parameters{
 		Messages: config.NewMailbox(),
-		Self:     model.HostID(id), Home: "jkt", Table: s.table, Objects: platform.ObjectStore{Client: s.client},
+		Self:     model.HostID(id), Home: "jkt", Table: s.table, Objects: s.client.Objects,
 		Peers: mailbox, PeersOn: true, Intervals: config.Intervals{Reader: interval},
 		Clock: clockwork.NewRealClock(), Metrics: metrics.NewSet(), Logger: slog.New(slog.NewTextHandler(io.Discard, nil)),
 	})
--- a/entryhost/host.go
+++ b/entryhost/host.go
@@ -17,6 +17,7 @@
 	"github.com/lentilpoint/lentilpoint/entryhost/callers"
 	"github.com/lentilpoint/lentilpoint/entryhost/operators"
 	"github.com/lentilpoint/lentilpoint/entryhost/peers"
+	"github.com/lentilpoint/lentilpoint/entryhost/platform"
 	"github.com/lentilpoint/lentilpoint/entryhost/requests"
 	"github.com/lentilpoint/lentilpoint/eventcode"
 	"github.com/lentilpoint/lentilpoint/settings"
@@ -60,6 +61,8 @@
 	Clock   clockwork.Clock
 	Metrics *metrics.Set
 	Logger  *slog.Logger
+	// Platform are the clients of the platform's services.
+	Platform platform.Services
 	// Options replace or decorate parts of the tree, for tests.
 	Options []fx.Option
 }
@@ -72,7 +75,7 @@
 	host := &Host{settings: values, logger: environment.Logger}
 	host.app = fx.New(
 		Module,
-		fx.Supply(values, environment.Metrics, environment.Logger),
+		fx.Supply(values, environment.Metrics, environment.Logger, environment.Platform),
 		fx.Provide(func() clockwork.Clock { return environment.Clock }),
 		fx.Options(environment.Options...),
 		fx.Invoke(func(in parts) { host.parts = in }),
--- a/entryhost/operators/operators_test.go
+++ b/entryhost/operators/operators_test.go
@@ -23,6 +23,7 @@
 	"github.com/lentilpoint/lentilpoint/entryhost/peers"
 	"github.com/lentilpoint/lentilpoint/entryhost/platform"
 	"github.com/lentilpoint/lentilpoint/model"
+	usersplatform "github.com/lentilpoint/lentilpoint/platform"
 	"github.com/lentilpoint/lentilpoint/task"
 )
 
@@ -43,20 +44,20 @@
 	GinkgoHelper()
 	logger := slog.New(slog.NewTextHandler(io.Discard, nil))
 	clock := clockwork.NewRealClock()
-	client := platform.NewClient(stand.URL(), "")
+	client := usersplatform.NewServices(stand.URL())
 	DeferCleanup(client.Close)
 	links := task.NewMailbox[peers.Message](256)
 	store := config.NewStore(config.Parameters{
 		Messages: config.NewMailbox(),
-		Self:     id, Home: "jkt", Table: client, Objects: platform.ObjectStore{Client: client}, Peers: links, PeersOn: true,
+		Self:     id, Home: "jkt", Table: client, Objects: client.Objects, Peers: links, PeersOn: true,
 		Intervals: config.Intervals{Reader: time.Hour}, Clock: clock, Metrics: metrics.NewSet(), Logger: logger,
 	})
-	journal := events.NewJournal(id, platform.ObjectStore{Client: client}, clock, metrics.NewSet(), logger)
+	journal := events.NewJournal(id, client.Objects, clock, metrics.NewSet(), logger)
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	Expect(err).NotTo(HaveOccurred())
 	server := operators.NewServer(listener, operators.Parameters{
 		Self: id, Home: "jkt", Tokens: []string{"maria=m-token", "plain=="}, Config: store.Messages, Commits: config.Committer{Table: client, Clock: clock},
-		Events: journal.Messages(), Recorder: journal, Objects: platform.ObjectStore{Client: client}, Peers: links, PeersOn: true, Clock: clock, Metrics: metrics.NewSet(), Logger: logger,
+		Events: journal.Messages(), Recorder: journal, Objects: client.Objects, Peers: links, PeersOn: true, Clock: clock, Metrics: metrics.NewSet(), Logger: logger,
 	})
 	var receivers []peers.Receiver
 	if !deaf {
@@ -100,9 +101,9 @@
 		DeferCleanup(cancel)
 		stand, err := standin.StartPlatform(ctx, 1)
 		Expect(err).NotTo(HaveOccurred())
-		client := platform.NewClient(stand.URL(), "")
+		client := usersplatform.NewServices(stand.URL())
 		DeferCleanup(client.Close)
-		objects = platform.ObjectStore{Client: client}
+		objects = client.Objects
 		exchange = standin.StartExchange(ctx, 1)
 		first = startHost(ctx, stand, exchange, "entry-1", false)
 		second = startHost(ctx, stand, exchange, "entry-2", false)
--- a/entryhost/platform/fx.go
+++ b/entryhost/platform/fx.go
@@ -11,20 +11,15 @@
 	"github.com/lentilpoint/lentilpoint/task"
 )
 
-// Module provides the platform's clients and the host list task.
+// Module provides the host list task. It needs the services of the platform.
 var Module = fx.Module("platform",
-	fx.Provide(provideClient, provideInterfaces, provideHostList),
+	fx.Provide(provideInterfaces, provideHostList),
 	task.AsChild[*HostListTask](),
 )
 
-func provideClient(values settings.Settings, lifecycle fx.Lifecycle) *Client {
-	client := NewClient(values.PlatformURL, string(values.PlatformToken))
-	lifecycle.Append(fx.StopHook(client.Close))
-	return client
-}
-
-func provideInterfaces(client *Client) (Table, Objects, Hosts) {
-	return client, ObjectStore{Client: client}, HostList{Client: client}
+func provideInterfaces(services Services, lifecycle fx.Lifecycle) (Table, Objects, Hosts) {
+	lifecycle.Append(fx.StopHook(services.Close))
+	return services.Table, services.Objects, services.Hosts
 }
 
 type hostListIn struct {
--- a/entryhost/platform/messages.go
+++ b/entryhost/platform/messages.go
@@ -23,37 +23,37 @@
 
 // Row is one row of the table service.
 type Row struct {
-	Key     string     `json:"key"`
-	Value   []byte     `json:"value"`
-	Version RowVersion `json:"version"`
+	Key     string
+	Value   []byte
+	Version RowVersion
 }
 
 // Condition holds when the row has exactly this version.
 type Condition struct {
-	Key     string     `json:"key"`
-	Version RowVersion `json:"version"`
+	Key     string
+	Version RowVersion
 }
 
 // Write sets or deletes a row.
 type Write struct {
-	Key    string `json:"key"`
-	Value  []byte `json:"value,omitempty"`
-	Delete bool   `json:"delete,omitempty"`
+	Key    string
+	Value  []byte
+	Delete bool
 }
 
 // Transaction applies all writes if all conditions hold, else none.
 type Transaction struct {
-	Conditions []Condition `json:"conditions"`
-	Writes     []Write     `json:"writes"`
+	Conditions []Condition
+	Writes     []Write
 }
 
 // TransactResult says whether the transaction was committed. If it was not,
 // Conflicts holds the present rows of the failed conditions.
 type TransactResult struct {
-	Committed bool  `json:"committed"`
-	Conflicts []Row `json:"conflicts,omitempty"`
+	Committed bool
+	Conflicts []Row
 	// Versions are the new versions of the written rows, in order.
-	Versions []RowVersion `json:"versions,omitempty"`
+	Versions []RowVersion
 }
 
 // Table is the transactional table service. All methods observe the context's
@@ -100,3 +100,12 @@
 type Hosts interface {
 	List(ctx context.Context, query HostQuery) (HostAnswer, error)
 }
+
+// Services are the services of the platform. It is a Table itself.
+type Services struct {
+	Table
+	Objects Objects
+	Hosts   Hosts
+	// Close closes idle connections.
+	Close func()
+}
--- a/eventcode/relay.go
+++ b/eventcode/relay.go
@@ -1,35 +1,35 @@
 package eventcode
 
-// Events of the relay, which forwards requests by route, 2000 to 2099.
+// Events of the relay, which forwards requests by route, 2100 to 2199.
 const (
-	RelayStarted         Code = 2001
-	RelayDrains          Code = 2002
-	RelayStopped         Code = 2003
-	SettingsReloaded     Code = 2004
-	SettingsRejected     Code = 2005
-	StoreLost            Code = 2010
-	StoreRegained        Code = 2011
-	StoreHistoryGone     Code = 2012
-	PeerCopyTaken        Code = 2013
-	PeerCopyFailed       Code = 2014
-	RosterNotRead        Code = 2015
-	ReaderLeft           Code = 2016
-	RelayConfigInForce   Code = 2020
-	ConfigRejected       Code = 2021
-	MoveRejected         Code = 2022
-	RegistrationRejected Code = 2023
-	ServerRegistered     Code = 2024
-	ServerGone           Code = 2025
-	ServerStanding       Code = 2030
-	ServerSilent         Code = 2031
-	ReleaseLost          Code = 2032
-	ServerAdopted        Code = 2033
-	RelayMoveOrdered     Code = 2034
-	RelayMoveDecided     Code = 2035
-	RelayMoveRound       Code = 2036
-	RelayRequestDone     Code = 2040
-	RelayRequestRefused  Code = 2041
-	RequestRerouted      Code = 2042
+	RelayStarted         Code = 2101
+	RelayDrains          Code = 2102
+	RelayStopped         Code = 2103
+	SettingsReloaded     Code = 2104
+	SettingsRejected     Code = 2105
+	StoreLost            Code = 2110
+	StoreRegained        Code = 2111
+	StoreHistoryGone     Code = 2112
+	PeerCopyTaken        Code = 2113
+	PeerCopyFailed       Code = 2114
+	RosterNotRead        Code = 2115
+	ReaderLeft           Code = 2116
+	RelayConfigInForce   Code = 2120
+	ConfigRejected       Code = 2121
+	MoveRejected         Code = 2122
+	RegistrationRejected Code = 2123
+	ServerRegistered     Code = 2124
+	ServerGone           Code = 2125
+	ServerStanding       Code = 2130
+	ServerSilent         Code = 2131
+	ReleaseLost          Code = 2132
+	ServerAdopted        Code = 2133
+	RelayMoveOrdered     Code = 2134
+	RelayMoveDecided     Code = 2135
+	RelayMoveRound       Code = 2136
+	RelayRequestDone     Code = 2140
+	RelayRequestRefused  Code = 2141
+	RequestRerouted      Code = 2142
 )
 
 var relayEvents = []Entry{
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -44,7 +44,6 @@
 	PeerAddress     string
 	OperatorAddress string
 	PlatformURL     string
-	PlatformToken   Secret
 	// CursorKeys are the keys that authenticate resume cursors, newest first.
 	CursorKeys []string
 	// PeerSecret authenticates entry hosts to each other.
@@ -77,8 +76,7 @@
 	flags.StringVar(&target.CallerAddress, "caller-address", "0.0.0.0:8080", "IP address and port for callers")
 	flags.StringVar(&target.PeerAddress, "peer-address", "", "IP address and port for other entry hosts; empty turns peers off")
 	flags.StringVar(&target.OperatorAddress, "operator-address", "", "IP address and port for operators; empty turns the operator API off")
-	flags.StringVar(&target.PlatformURL, "platform-url", "", "base URL of the platform's services")
-	flags.StringVar((*string)(&target.PlatformToken), "platform-token", "", "bearer token for the platform (secret)")
+	flags.StringVar(&target.PlatformURL, "platform-url", "", "URL of the platform's store")
 	flags.StringSliceVar(&target.CursorKeys, "cursor-keys", nil, "keys that authenticate resume cursors as id=hex, newest first (secret)")
 	flags.StringVar((*string)(&target.PeerSecret), "peer-secret", "", "secret shared by all entry hosts (secret)")
 	flags.StringSliceVar(&target.OperatorTokens, "operator-tokens", nil, "bearer tokens of operators, as token or name=token; the name is recorded as the author of changes (secret)")
