Read the host list by the change feed and split the dispatcher's file

The list of hosts was read whole each second, 41 kB at the target size, where the former protocol answered 'not modified'. The feed tells whether it changed. The dispatcher's task file held assignment and questions too; both have files of their own.

--- a/cmd/lentilpoint-bench/standin/platform.go
+++ b/cmd/lentilpoint-bench/standin/platform.go
@@ -179,6 +179,10 @@
 		return row.Key < query.from || query.to != "" && row.Key >= query.to
 	})
 	answer := p.answer(rows)
+	if query.table == usersplatform.TableHostList {
+		_, number := p.listHosts()
+		answer.Version = uint64(number)
+	}
 	if query.limit > 0 && len(rows) > query.limit {
 		answer.Rows, answer.Truncated = rows[:query.limit], true
 	}
@@ -225,6 +229,19 @@
 	return rows
 }
 
+// hostChanges returns the hosts of a newer list than the one of the number. The
+// host list has its own counter, since it takes effect after the lag.
+func (p *Platform) hostChanges(after uint64) storeAnswer {
+	_, number := p.listHosts()
+	answer := storeAnswer{Rows: []storeRow{}, Version: uint64(number)}
+	if uint64(number) > after {
+		for _, part := range p.partitions() {
+			answer.Rows = append(answer.Rows, p.hostRows(model.DataCentre(part))...)
+		}
+	}
+	return answer
+}
+
 // partitions returns the data centres of the host list, in order.
 func (p *Platform) partitions() []string {
 	hosts, _ := p.listHosts()
@@ -242,6 +259,7 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST "+usersplatform.PathTransact, p.serveTransact)
 	mux.HandleFunc("GET "+usersplatform.PathRows, p.serveRows)
+	mux.HandleFunc("GET "+usersplatform.PathFeed, p.serveHostChanges)
 	mux.HandleFunc("GET "+usersplatform.PathParts, p.serveParts)
 	mux.HandleFunc("PUT "+usersplatform.PathObjectPut+"{name...}", p.servePut)
 	mux.HandleFunc("GET "+usersplatform.PathObjectGet+"{name...}", p.serveGet)
@@ -335,6 +353,17 @@
 	}
 }
 
+func (p *Platform) serveHostChanges(w http.ResponseWriter, r *http.Request) {
+	after, err := strconv.ParseUint(r.URL.Query().Get("after"), 10, 64)
+	if err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	if answer, ok := respond(p, w, r, func(p *Platform) storeAnswer { return p.hostChanges(after) }); ok {
+		writeAnswer(w, answer, nil)
+	}
+}
+
 // partsAnswer is the answer to a listing of partitions.
 type partsAnswer struct {
 	Parts []string `json:"parts"`
--- a/entryhost/relay/dispatch/versions.go
+++ b/entryhost/relay/dispatch/versions.go
@@ -77,6 +77,15 @@
 	known.stage = message.Stage
 }
 
+// answerSamples answers the mover.
+func (t *Task) answerSamples(message Samples) {
+	var samples VersionSamples
+	if known := t.versions[message.Service]; known != nil {
+		samples = known.samples
+	}
+	message.Reply.Send(samples)
+}
+
 // sample counts the outcome of an attempt for the version of its server.
 func (t *Task) sample(server *routing.Server, outcome Outcome, took time.Duration) {
 	known := t.versions[server.Service]
