Rank streams by their organisation or route and drop unused fields

The configuration's priorities were read and not used. Engines now get the rank of the organisation, or else of the route; a stream that lost its engine goes first as before. Fields that nothing reads are removed.

--- a/entryhost/relay/dispatch/assign.go
+++ b/entryhost/relay/dispatch/assign.go
@@ -56,7 +56,7 @@
 func (t *Task) grant(ctx context.Context, request Acquire, chosen *candidate, candidates []candidate, now time.Time) {
 	state := t.servers[chosen.server.ID]
 	granted := use{server: state, service: request.Service, repeat: request.Repeat}
-	answer := Assignment{Server: state.server, Candidates: len(candidates)}
+	answer := Assignment{Server: state.server}
 	if request.Backup {
 		if backup := chooseBackup(t.Random, t.DataCentre, &request, candidates, chosen.server); backup != nil {
 			granted.backup = t.servers[backup.server.ID]
--- a/entryhost/relay/dispatch/messages.go
+++ b/entryhost/relay/dispatch/messages.go
@@ -69,8 +69,6 @@
 	// Backup receives the copy of the run's cache, or is nil.
 	Backup  *routing.Server
 	Refusal Refusal
-	// Candidates is the number of servers that were considered.
-	Candidates int
 }
 
 // Outcome is what an attempt showed of its server.
--- a/entryhost/relay/exchange/messages.go
+++ b/entryhost/relay/exchange/messages.go
@@ -54,8 +54,9 @@
 	CacheBackup string
 	// CacheCopy is the address of the server that holds a copy to go on from, or "".
 	CacheCopy string
-	// Urgent attempts are admitted before others at an engine.
-	Urgent bool
+	// Rank orders attempts at an engine; 0 is admitted first. Plain services get
+	// Unranked.
+	Rank int
 
 	Method string
 	Target string
@@ -86,6 +87,9 @@
 	Header http.Header
 }
 
+// Unranked is the rank of attempts that no engine orders.
+const Unranked = -1
+
 // Protocol translates attempts and answers to and from HTTP heads.
 type Protocol interface {
 	// Encode returns the header of the attempt.
--- a/entryhost/relay/forward/messages.go
+++ b/entryhost/relay/forward/messages.go
@@ -29,7 +29,9 @@
 	Route        *routing.Route
 	Service      routing.Service
 	Organisation string
-	Arrived      time.Time
+	// Rank is the urgency of the request; 0 is the most urgent.
+	Rank    int
+	Arrived time.Time
 	// Deadline is when the caller has its final answer at the latest.
 	Deadline time.Time
 }
--- a/entryhost/relay/forward/plain.go
+++ b/entryhost/relay/forward/plain.go
@@ -37,7 +37,7 @@
 			r.refused(assignment.Refusal)
 			return
 		}
-		l := r.start(ctx, assignment, &exchange.Attempt{})
+		l := r.start(ctx, assignment, &exchange.Attempt{Rank: exchange.Unranked})
 		got, outcome, cause := r.collect(ctx, l)
 		if ctx.Err() != nil && got == nil {
 			r.finish(l, nil, dispatch.OutcomeNone, context.Cause(ctx), 0)
--- a/entryhost/relay/forward/policy.go
+++ b/entryhost/relay/forward/policy.go
@@ -21,8 +21,6 @@
 	// holdShare is the part of the latency objective for which a request waits
 	// for a server; a refusal after an eighth of it counts as late.
 	holdShare = 0.12
-	// answerMargin is kept between the final answer and the deadline.
-	answerMargin = 20 * time.Millisecond
 	// retryAfterMin is the pause that refusals ask for; a crashed server is back
 	// after about a second.
 	retryAfterMin = 500 * time.Millisecond
--- a/entryhost/relay/forward/stream.go
+++ b/entryhost/relay/forward/stream.go
@@ -68,7 +68,7 @@
 // the run's cache if there is one, else the best server.
 func (r *run) streamAttempt(ctx context.Context, s *streamState) (dispatch.Assignment, *exchange.Attempt, error) {
 	order := dispatch.Acquire{Backup: r.request.Service.Engine != nil && r.request.Service.Engine.CacheBackup && r.request.Route.Resumable}
-	attempt := &exchange.Attempt{LastEvent: s.ledger.lastEvent(), Urgent: r.counts.sent()}
+	attempt := &exchange.Attempt{LastEvent: s.ledger.lastEvent(), Rank: r.rank()}
 	if s.copyHolder != nil {
 		order.Prefer, order.OnlyPreferred = s.copyHolder.ID, true
 		assignment, err := r.acquire(ctx, order)
@@ -83,6 +83,15 @@
 	return r.withBackup(assignment, attempt, s), attempt, err
 }
 
+// rank puts streams that lost an engine first, since their callers wait already;
+// others have the rank of their organisation or route.
+func (r *run) rank() int {
+	if r.counts.sent() {
+		return 0
+	}
+	return r.request.Rank
+}
+
 func (r *run) withBackup(assignment dispatch.Assignment, attempt *exchange.Attempt, s *streamState) dispatch.Assignment {
 	s.copyHolder = nil
 	if assignment.Backup != nil {
--- a/entryhost/relay/ingress/front.go
+++ b/entryhost/relay/ingress/front.go
@@ -237,11 +237,19 @@
 	}
 	return &forward.Request{
 		ID: head.ID, Method: incoming.Method, Target: incoming.RequestURI, Host: incoming.Host, Header: head.Header,
-		Body: body, LastEvent: head.LastEvent, Route: route, Service: service, Organisation: organisation.Name,
+		Body: body, LastEvent: head.LastEvent, Route: route, Service: service, Organisation: organisation.Name, Rank: rankOf(route, organisation),
 		Arrived: arrived, Deadline: arrived.Add(wait - answerMargin),
 	}, nil
 }
 
+// rankOf returns the urgency of a request. That of the organisation goes first.
+func rankOf(route *routing.Route, organisation routing.Organisation) int {
+	if organisation.Priority != nil {
+		return *organisation.Priority
+	}
+	return route.Priority
+}
+
 func match(config *routing.Config, incoming *http.Request, head Head) (*routing.Route, routing.Organisation, *model.Fault) {
 	route, found := config.Match(incoming.Host, incoming.URL.EscapedPath())
 	if !found {
--- a/entryhost/relay/routing/config.go
+++ b/entryhost/relay/routing/config.go
@@ -99,8 +99,7 @@
 
 // Service is a group of interchangeable servers.
 type Service struct {
-	Name       string
-	HealthPath string
+	Name string
 	// MaxConnections bounds the connections of all callers to one server.
 	MaxConnections int
 	// Engine is nil for plain services.
--- a/entryhost/relay/routing/server.go
+++ b/entryhost/relay/routing/server.go
@@ -11,7 +11,6 @@
 	DataCentre string
 	// Version is that of the server's software.
 	Version string
-	Slots   int
 	// Draining servers finish what they have and take no new work.
 	Draining bool
 	// StartedAt is the server's own time of day at its start; 0 if unknown. It
