Answer a request that crosses the end of a connection

Cause: a server may close an idle connection while the dispatcher hands it out. The same tests showed two more faults: a connection that its owner closed was not always counted off, so that a server's share of connections filled up with time, and the last event let the request's task end a connection that was fit for the next request. An ended connection refuses a late exchange as unsent for a second, reports its end by its owner's context, and sends the last event when it is free. The test of each failed first.

--- a/entryhost/relay/exchange/connection.go
+++ b/entryhost/relay/exchange/connection.go
@@ -32,13 +32,13 @@
 // Open starts a connection to the server's address. It connects with its first
 // exchange. Reports go to the owner's mailbox.
 func Open(ctx context.Context, server, address string, protocol Protocol, reports task.Mailbox[Report]) *Connection {
-	ctx, stop := context.WithCancel(ctx)
+	own, stop := context.WithCancel(ctx)
 	c := &Connection{
 		server: server, address: address, protocol: protocol, reports: reports, stop: stop,
 		// One exchange runs at a time; the owner hands out idle connections only.
 		mailbox: task.NewMailbox[Exchange](1),
 	}
-	go c.serve(ctx)
+	go c.serve(own, ctx)
 	return c
 }
 
@@ -51,14 +51,18 @@
 // Close ends the connection.
 func (c *Connection) Close() { c.stop() }
 
-func (c *Connection) serve(ctx context.Context) {
+// serve runs until the connection's own context ends. The owner's context bounds
+// its last report, so that a connection that the owner closed is counted off too.
+func (c *Connection) serve(ctx, owner context.Context) {
 	defer c.stop()
 	ending := Report{Connection: c}
 	defer func() {
 		if c.conn != nil {
 			_ = c.conn.Close()
 		}
-		_ = c.reports.Send(ctx, ending)
+		// The owner may be gone; then nobody hands the connection out any more.
+		_ = c.reports.Send(owner, ending)
+		c.refuseLate()
 	}()
 	for {
 		exchange, reset, ok := c.next(ctx)
@@ -94,7 +98,6 @@
 	case <-ctx.Done():
 		return Exchange{}, false, false
 	case err := <-readable:
-		c.refuse()
 		return Exchange{}, err != nil && !errors.Is(err, io.EOF), false
 	case exchange = <-c.mailbox.C():
 	}
@@ -112,15 +115,23 @@
 	return exchange, false, true
 }
 
-// refuse answers an exchange that crossed the end of the connection.
-func (c *Connection) refuse() {
+// lateTime is how long the owner may take to learn that a connection has ended.
+const lateTime = time.Second
+
+// refuseLate answers an exchange that crossed the end of the connection. Without
+// it the request would wait for an answer that nobody sends.
+func (c *Connection) refuseLate() {
 	select {
 	case exchange := <-c.mailbox.C():
 		send(exchange, Event{Failed: &Failure{Phase: Unsent, Err: Error.New("the idle connection was closed")}})
-	default:
+	case <-time.After(lateTime):
 	}
 }
 
+// writeSettle is how long the write may outlast the answer: the time in which a
+// goroutine that has written everything says so.
+const writeSettle = 5 * time.Millisecond
+
 // run carries out one exchange and reports whether the connection can be used
 // again and for how long.
 func (c *Connection) run(ctx context.Context, exchange Exchange) (time.Duration, bool) {
@@ -147,18 +158,20 @@
 		release()
 		return 0, false
 	}
-	send(exchange, Event{End: true})
 	// A server may answer before it has read the whole body; the connection
 	// is clean only when the body is out.
 	select {
 	case err := <-written:
 		reusable = reusable && err == nil
-	default:
+	case <-time.After(writeSettle):
 		reusable = false
 	}
+	// The request's task ends its context after the last event, which must not
+	// close a connection that is fit for the next request.
 	if !release() {
-		return 0, false
+		reusable = false
 	}
+	send(exchange, Event{End: true})
 	return keep, reusable
 }
 
--- /dev/null
+++ b/entryhost/relay/exchange/exchange_test.go
@@ -0,0 +1,141 @@
+package exchange_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/lentilpoint/lentilpoint/entryhost/relay/exchange"
+	"github.com/lentilpoint/lentilpoint/task"
+)
+
+func TestExchange(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "exchange")
+}
+
+// plainProtocol passes heads on as they are.
+type plainProtocol struct{}
+
+// Encode implements Protocol.
+func (plainProtocol) Encode(*exchange.Attempt) http.Header { return http.Header{} }
+
+// Decode implements Protocol.
+func (plainProtocol) Decode(response *http.Response) exchange.AnswerHead {
+	return exchange.AnswerHead{Status: response.StatusCode, RequestID: response.Header.Get("Id"), Header: response.Header}
+}
+
+// answering starts a server that sends the answer to each request.
+func answering(answer string, then func(net.Conn)) string {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(listener.Close)
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				reader := bufio.NewReader(conn)
+				for {
+					if _, err := http.ReadRequest(reader); err != nil {
+						return
+					}
+					_, _ = fmt.Fprint(conn, answer)
+					then(conn)
+				}
+			}()
+		}
+	}()
+	return listener.Addr().String()
+}
+
+// run sends one request on the connection and returns its last event.
+func run(connection *exchange.Connection) exchange.Event {
+	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+	defer cancel()
+	events := make(chan exchange.Event, 16)
+	Expect(connection.Run(exchange.Exchange{Context: ctx, Attempt: &exchange.Attempt{RequestID: "a", Method: "GET", Target: "/", Host: "h", Header: http.Header{}}, Events: events})).To(Succeed())
+	for {
+		select {
+		case event := <-events:
+			if event.End || event.Failed != nil {
+				return event
+			}
+		case <-ctx.Done():
+			return exchange.Event{}
+		}
+	}
+}
+
+var _ = Describe("a connection to a server", func() {
+	var reports task.Mailbox[exchange.Report]
+	open := func(address string) *exchange.Connection {
+		ctx, cancel := context.WithCancel(context.Background())
+		DeferCleanup(cancel)
+		reports = task.NewMailbox[exchange.Report](4)
+		return exchange.Open(ctx, "s", address, plainProtocol{}, reports)
+	}
+	stay := func(net.Conn) {}
+
+	It("is used again after a whole answer", func() {
+		connection := open(answering("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", stay))
+		Expect(run(connection).End).To(BeTrue())
+		Expect((<-reports.C()).Idle).To(BeTrue())
+		Expect(run(connection).End).To(BeTrue())
+	})
+
+	It("refuses as unsent a request that crosses the end of the connection, instead of leaving it unanswered", func() {
+		connection := open(answering("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", func(conn net.Conn) {
+			time.Sleep(20 * time.Millisecond)
+			_ = conn.Close()
+		}))
+		Expect(run(connection).End).To(BeTrue())
+		Expect((<-reports.C()).Idle).To(BeTrue())
+		Expect((<-reports.C()).Idle).To(BeFalse())
+		// The owner has not read the report yet and hands the connection out.
+		event := run(connection)
+		Expect(event.Failed).NotTo(BeNil())
+		Expect(event.Failed.Phase).To(Equal(exchange.Unsent))
+	})
+
+	DescribeTable("ends after an answer that it must not build on",
+		func(answer string) {
+			connection := open(answering(answer, stay))
+			run(connection)
+			Eventually(func() bool { return (<-reports.C()).Idle }, time.Second).Should(BeFalse())
+		},
+		Entry("surplus bytes", "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nokHTTP/1.1 200 OK\r\n"),
+		Entry("a close that was announced", "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 2\r\n\r\nok"),
+		Entry("an answer to another request", "HTTP/1.1 200 OK\r\nId: b\r\nContent-Length: 2\r\n\r\nok"),
+		Entry("no answer of the protocol", "nonsense\r\n\r\n"),
+	)
+
+	It("reports its end also when its owner closed it, so that the count of connections stays right", func() {
+		for range 20 {
+			connection := open(answering("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", stay))
+			Expect(run(connection).End).To(BeTrue())
+			Expect((<-reports.C()).Idle).To(BeTrue())
+			connection.Close()
+			var ended exchange.Report
+			Eventually(reports.C(), time.Second).Should(Receive(&ended))
+			Expect(ended.Idle).To(BeFalse())
+		}
+	})
+
+	It("tells a request that was not sent from one that may have run", func() {
+		Expect(run(open("127.0.0.1:1")).Failed.Phase).To(Equal(exchange.Unsent))
+		broken := open(answering("HTTP/1.1 200 OK\r\nContent-Length: 20\r\n\r\nok", func(conn net.Conn) { _ = conn.Close() }))
+		Expect(run(broken).Failed.Phase).To(Equal(exchange.Answering))
+		silent := open(answering("", func(conn net.Conn) { _ = conn.Close() }))
+		Expect(run(silent).Failed.Phase).To(Equal(exchange.Sent))
+	})
+})
