Let calls in an outage take longer with each failed round

A host that had lost the store probed it with 500 ms and peers with 200 ms each; the configuration of a large site takes longer over a link of 10 Mbit/s, so every round failed and the outage never ended. Ruled out: a reader that was trusted too long. The times double with each failed round up to those of a calm feed.

--- a/entryhost/relay/mirror/mirror_test.go
+++ b/entryhost/relay/mirror/mirror_test.go
@@ -68,8 +68,13 @@
 var _ = Describe("the timing of calls", func() {
 	It("notices a silent connection to the store within 3 s", func() {
 		// A host whose connections were reset counts as in touch after 3 s.
-		Expect(timingOf(true, false).timeout.Seconds()).To(BeNumerically("<", 3))
-		Expect(timingOf(true, true).timeout).To(BeNumerically("<", timingOf(true, false).timeout))
+		Expect(timingOf(true, 0).timeout.Seconds()).To(BeNumerically("<", 3))
+		Expect(timingOf(true, 1).timeout).To(BeNumerically("<", timingOf(true, 0).timeout))
+	})
+
+	It("grows during an outage, so that a configuration that takes longer than a probe gets through", func() {
+		Expect(timingOf(true, 2).timeout).To(BeNumerically(">", timingOf(true, 1).timeout))
+		Expect(timingOf(true, 9).timeout).To(Equal(timingOf(true, 0).timeout))
 	})
 
 	It("leaves a frozen peer within the 2 s that a configuration has", func() {
--- a/entryhost/relay/mirror/policy.go
+++ b/entryhost/relay/mirror/policy.go
@@ -27,11 +27,14 @@
 	avoidTime = 5 * time.Second
 	// retryPause is the wait after a failed call.
 	retryPause = 300 * time.Millisecond
-	// probeTimeout bounds a call during an outage, so that peers are asked again
-	// soon; configuration has 2 s to come into force.
+	// probeTimeout bounds the first call of an outage, so that peers are asked
+	// soon; configuration has 2 s to come into force. It doubles with each round,
+	// since a large configuration takes longer over a link of 10 Mbit/s.
 	probeTimeout = 500 * time.Millisecond
-	// anyTimeout bounds one round of questions to several peers.
+	// anyTimeout bounds the first round of questions to several peers, and
+	// doubles with each round up to anyLongest.
 	anyTimeout = 800 * time.Millisecond
+	anyLongest = 2400 * time.Millisecond
 	// outageMin is the shortest outage after which registrations may have
 	// lapsed; servers register every 1.2 s and lapse after three misses.
 	outageMin = time.Second
@@ -49,12 +52,12 @@
 	wait    time.Duration
 }
 
-// timingOf returns the timing of a call. During an outage the feed is only
-// probed.
-func timingOf(have, outage bool) timing {
+// timingOf returns the timing of a call after a number of failed rounds. During
+// an outage the feed is only probed.
+func timingOf(have bool, failed int) timing {
 	switch {
-	case outage:
-		return timing{timeout: probeTimeout}
+	case failed > 0:
+		return timing{timeout: doubled(probeTimeout, failed-1, feedWait+feedSlack)}
 	case !have:
 		return timing{timeout: readTimeout}
 	default:
@@ -62,6 +65,16 @@
 	}
 }
 
+// doubled returns the time doubled so many times, up to the longest.
+func doubled(first time.Duration, times int, longest time.Duration) time.Duration {
+	for range times {
+		if first *= 2; first >= longest {
+			return longest
+		}
+	}
+	return first
+}
+
 // apply returns the snapshot with the changes applied, and whether any row
 // differs. Changes that are older than a row of the copy are ignored.
 func apply(old Snapshot, changes Changes) (Snapshot, bool) {
--- a/entryhost/relay/mirror/task.go
+++ b/entryhost/relay/mirror/task.go
@@ -35,6 +35,7 @@
 	// stopped; outage is zero while it serves.
 	served time.Time
 	outage time.Time
+	failed int
 	// avoid are peers that failed, until the time given.
 	avoid   map[string]time.Time
 	waiting []held
@@ -69,9 +70,9 @@
 type attempt struct {
 	copy Snapshot
 	have bool
-	// outage tells that the store did not serve the last round; it is then only
-	// probed.
-	outage bool
+	// failed is the number of rounds in a row that the store did not serve; it is
+	// then only probed.
+	failed int
 	avoid  map[string]time.Time
 }
 
@@ -102,7 +103,7 @@
 func (f *Follower) nextAttempt() attempt {
 	now := f.clock.Now()
 	maps.DeleteFunc(f.avoid, func(_ string, until time.Time) bool { return now.After(until) })
-	return attempt{copy: f.copy, have: f.have, outage: !f.outage.IsZero(), avoid: maps.Clone(f.avoid)}
+	return attempt{copy: f.copy, have: f.have, failed: f.failed, avoid: maps.Clone(f.avoid)}
 }
 
 // wait answers questions until the running round ended and its pause is over.
@@ -163,7 +164,7 @@
 // host, else by the store, and by any peer if the store does not serve.
 func (f *Follower) read(ctx context.Context, from attempt) result {
 	var got result
-	if from.have && !from.outage {
+	if from.have && from.failed == 0 {
 		if got.reader = f.peers.Reader(ctx, from.avoid); got.reader != "" {
 			got.changes, got.readerErr = f.readPeer(ctx, got.reader, from.copy.Version)
 			if got.readerErr == nil {
@@ -174,7 +175,7 @@
 	got.asked = true
 	got.changes, got.err = f.readStore(ctx, from)
 	if got.err != nil && !errors.Is(got.err, ErrHistoryGone) {
-		got.changes = f.readAny(ctx, from.copy.Version)
+		got.changes = f.readAny(ctx, from)
 	}
 	return got
 }
@@ -191,7 +192,7 @@
 
 func (f *Follower) readStore(ctx context.Context, from attempt) (Changes, error) {
 	f.storeCalls.Inc()
-	timing := timingOf(from.have, from.outage)
+	timing := timingOf(from.have, from.failed)
 	ctx, cancel := context.WithTimeout(ctx, timing.timeout)
 	defer cancel()
 	if !from.have {
@@ -201,10 +202,10 @@
 }
 
 // readAny returns what peers know, or nothing.
-func (f *Follower) readAny(ctx context.Context, after uint64) Changes {
-	ctx, cancel := context.WithTimeout(ctx, anyTimeout)
+func (f *Follower) readAny(ctx context.Context, from attempt) Changes {
+	ctx, cancel := context.WithTimeout(ctx, doubled(anyTimeout, from.failed, anyLongest))
 	defer cancel()
-	answer, err := f.peers.AskAny(ctx, Query{Table: f.table, After: after})
+	answer, err := f.peers.AskAny(ctx, Query{Table: f.table, After: from.copy.Version})
 	if err != nil {
 		f.logger.Debug("no peer has a copy", eventcode.PeerCopyFailed.Attr(), "table", f.table, "error", err)
 		return Changes{}
@@ -261,6 +262,7 @@
 
 func (f *Follower) lost(err error) {
 	f.failures.Inc()
+	f.failed++
 	if f.outage.IsZero() {
 		f.outage = f.clock.Now()
 		f.logger.Warn("store does not serve this host", eventcode.StoreLost.Attr(), "table", f.table, "version", f.copy.Version, "error", err)
@@ -271,6 +273,7 @@
 func (f *Follower) regained() {
 	now := f.clock.Now()
 	f.served = now
+	f.failed = 0
 	if f.outage.IsZero() {
 		return
 	}
--- a/entryhost/relay/peering/peering.go
+++ b/entryhost/relay/peering/peering.go
@@ -136,8 +136,10 @@
 func (p *Peers) AskAny(ctx context.Context, query mirror.Query) (mirror.Answer, error) {
 	var newest mirror.Answer
 	err := Error.New("no other entry host is known")
-	for _, address := range targets(p.DataCentre, p.Self, p.Hosts(ctx), p.Seeds) {
-		callContext, cancel := context.WithTimeout(ctx, callTimeout)
+	addresses := targets(p.DataCentre, p.Self, p.Hosts(ctx), p.Seeds)
+	for i, address := range addresses {
+		// Each peer gets its part of the time that is left.
+		callContext, cancel := context.WithTimeout(ctx, share(ctx, len(addresses)-i))
 		answer, failure := fetch(callContext, address, query)
 		cancel()
 		if failure != nil {
@@ -152,6 +154,15 @@
 	return newest, err
 }
 
+// share returns the time for the next of so many peers.
+func share(ctx context.Context, peers int) time.Duration {
+	deadline, bounded := ctx.Deadline()
+	if !bounded {
+		return callTimeout
+	}
+	return max(callTimeout, time.Until(deadline)/time.Duration(peers))
+}
+
 // targets returns the peers to ask: one of the own data centre first, since data centres may
 // be cut off from each other, then others.
 func targets(dataCentre, self string, hosts []routing.Host, seeds []string) []string {
