Take a resumed stream to the engine that holds its prompt

Cause: after the loss of an entry host its callers resume at another one, which reads the whole prompt again.

Change: the engines of the own zone, and then others, are asked what their caches hold; the answer of an engine serves all searches of a second.

--- a/cmd/lentilpoint-bench/standin/server.go
+++ b/cmd/lentilpoint-bench/standin/server.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"encoding/json"
 	"fmt"
 	"io"
 	"net/http"
@@ -53,6 +54,8 @@
 	runs    []Run
 	made    map[string]int
 	open    int
+	// prompts are the parts of prompts that this start has read.
+	prompts map[string]bool
 	// copies are the ids of runs whose cache this server holds a copy of.
 	copies map[string]bool
 }
@@ -72,9 +75,10 @@
 
 // StartServer starts a stand-in server and registers it in the store.
 func StartServer(ctx context.Context, shape ServerShape, store *Store) (*Server, error) {
-	s := &Server{ServerShape: shape, messages: task.NewMailbox[func(*Server)](1024), made: map[string]int{}, copies: map[string]bool{}}
+	s := &Server{ServerShape: shape, messages: task.NewMailbox[func(*Server)](1024), made: map[string]int{}, copies: map[string]bool{}, prompts: map[string]bool{}}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+platform.PathReport, s.serveReport)
+	mux.HandleFunc("GET "+platform.PathCacheList, s.serveCacheList)
 	mux.HandleFunc("/", s.serveRequest)
 	endpoint, err := newEndpoint(mux)
 	if err != nil {
@@ -123,7 +127,7 @@
 func (s *Server) restarted() {
 	s.starts++
 	s.id = fmt.Sprintf("%s-%d", s.Name, s.starts)
-	s.made, s.copies = map[string]int{}, map[string]bool{}
+	s.made, s.copies, s.prompts = map[string]int{}, map[string]bool{}, map[string]bool{}
 }
 
 // Register writes the registration of the present start.
@@ -154,6 +158,18 @@
 	_, _ = fmt.Fprintf(w, `{"models":[{"name":"m","version":1}],"running":%d,"queued":0,"runs":[%s]}`, len(runs), strings.Join(runs, ","))
 }
 
+// serveCacheList lists the prompts that were read, with a length of 100 tokens.
+func (s *Server) serveCacheList(w http.ResponseWriter, _ *http.Request) {
+	held := control(s, func(s *Server) [][]any {
+		list := make([][]any, 0, len(s.prompts))
+		for id := range s.prompts {
+			list = append(list, []any{"", id, 100, "m"})
+		}
+		return list
+	})
+	_ = json.NewEncoder(w).Encode(map[string]any{"epoch": 1, "next": 1, "held": held})
+}
+
 // admission is how a server receives a request.
 type admission struct {
 	id     string
@@ -184,6 +200,11 @@
 	}
 	control(s, func(s *Server) bool {
 		s.open++
+		for _, part := range strings.Split(r.Header.Get(platform.HeaderPrompt), ",") {
+			if id, _, found := strings.Cut(part, ":"); found {
+				s.prompts[id] = true
+			}
+		}
 		s.runs = append(s.runs, Run{Server: s.id, Request: request, Body: string(body), Header: r.Header.Clone()})
 		return true
 	})
--- a/entryhost/relay/dispatch/messages.go
+++ b/entryhost/relay/dispatch/messages.go
@@ -135,6 +135,13 @@
 	Reply  task.Reply[Verdict]
 }
 
+// Locate asks for the id of an engine that holds the prompt; "" if none does.
+type Locate struct {
+	Service string
+	Prompt  string
+	Reply   task.Reply[string]
+}
+
 type probed struct {
 	server  string
 	verdict Verdict
@@ -150,6 +157,14 @@
 	engine   bool
 }
 
+// listed is an engine's answer to the question what its cache holds.
+type listed struct {
+	server string
+	parts  map[string]int
+}
+
+func (Locate) isMessage()     {}
+func (listed) isMessage()     {}
 func (Acquire) isMessage()    {}
 func (Release) isMessage()    {}
 func (Terms) isMessage()      {}
@@ -166,9 +181,12 @@
 	Engine bool
 }
 
-// Prober asks an engine for its report on a connection of its own.
+// Prober asks an engine about itself, each time on a connection of its own.
 type Prober interface {
 	Probe(ctx context.Context, address string) (EngineReport, error)
+	// Cached returns the number of tokens that the engine's cache holds of each
+	// part of a prompt, by the id of the part.
+	Cached(ctx context.Context, address string) (map[string]int, error)
 }
 
 const (
--- a/entryhost/relay/dispatch/task.go
+++ b/entryhost/relay/dispatch/task.go
@@ -69,6 +69,7 @@
 	idle     []idleConnection
 	// checks wait for the running question; nil if none runs.
 	checks []task.Reply[Verdict]
+	list   cacheList
 }
 
 // use is one lease.
@@ -108,6 +109,8 @@
 	// versions are the moves that a stage was set for, by service.
 	versions map[string]*versions
 	waiting  []Acquire
+	// searches are the prompts that are being looked for.
+	searches []*search
 }
 
 // NewTask returns the dispatcher.
@@ -184,6 +187,10 @@
 		t.setStage(message)
 	case Samples:
 		t.answerSamples(message)
+	case Locate:
+		t.locate(ctx, message)
+	case listed:
+		t.takeList(ctx, message)
 	case Check:
 		t.check(ctx, message)
 	case probed:
--- a/entryhost/relay/forward/messages.go
+++ b/entryhost/relay/forward/messages.go
@@ -19,13 +19,16 @@
 // Request is a request that was matched to a route.
 type Request struct {
 	// ID is the caller's id of this request.
-	ID           string
-	Method       string
-	Target       string
-	Host         string
-	Header       http.Header
-	Body         []byte
-	LastEvent    string
+	ID        string
+	Method    string
+	Target    string
+	Host      string
+	Header    http.Header
+	Body      []byte
+	LastEvent string
+	// Prompt is the id of the part of the prompt that only this request or its
+	// session has, or "".
+	Prompt       string
 	Route        *routing.Route
 	Service      routing.Service
 	Organisation string
--- a/entryhost/relay/forward/stream.go
+++ b/entryhost/relay/forward/stream.go
@@ -7,6 +7,7 @@
 	"github.com/lentilpoint/lentilpoint/entryhost/relay/dispatch"
 	"github.com/lentilpoint/lentilpoint/entryhost/relay/exchange"
 	"github.com/lentilpoint/lentilpoint/entryhost/relay/routing"
+	"github.com/lentilpoint/lentilpoint/eventcode"
 	"github.com/lentilpoint/lentilpoint/model"
 	"github.com/lentilpoint/lentilpoint/task"
 )
@@ -18,6 +19,8 @@
 	begun bool
 	// copyHolder holds a copy of the run's cache, or is nil.
 	copyHolder *routing.Server
+	// prefer is the id of an engine that holds the request's prompt, or "".
+	prefer     string
 	lastEvent  time.Time
 	longestGap time.Duration
 }
@@ -30,7 +33,7 @@
 		r.give(model.BadField("Last-Event-Id", err.Error()))
 		return
 	}
-	s := &streamState{ledger: entries}
+	s := &streamState{ledger: entries, prefer: r.locate(ctx)}
 	for {
 		assignment, attempt, err := r.streamAttempt(ctx, s)
 		if err != nil {
@@ -77,12 +80,29 @@
 			return r.withBackup(assignment, attempt, s), attempt, err
 		}
 		s.copyHolder = nil
-		order.Prefer, order.OnlyPreferred = "", false
+		order.OnlyPreferred = false
 	}
+	order.Prefer, s.prefer = s.prefer, ""
 	assignment, err := r.acquire(ctx, order)
 	return r.withBackup(assignment, attempt, s), attempt, err
 }
 
+// locate returns the id of an engine that holds the prompt of a stream that the
+// caller resumes after the loss of an entry host, or "". Such a prompt was read
+// a moment ago, and reading it again takes about a second of an engine's time.
+func (r *run) locate(ctx context.Context) string {
+	if r.request.LastEvent == "" || r.request.Prompt == "" || r.request.Service.Engine == nil {
+		return ""
+	}
+	before := r.Clock.Now()
+	holder, err := task.Call(ctx, r.Dispatcher, func(reply task.Reply[string]) dispatch.Message {
+		return dispatch.Locate{Service: r.request.Service.Name, Prompt: r.request.Prompt, Reply: reply}
+	})
+	r.Logger.Info("prompt of a resumed stream looked for", eventcode.PromptLocated.Attr(), "request", r.request.ID, "server", holder,
+		"took_ms", r.Clock.Since(before).Milliseconds(), "error", err)
+	return holder
+}
+
 // rank puts streams that lost an engine first, since their callers wait already;
 // others have the rank of their organisation or route.
 func (r *run) rank() int {
--- a/entryhost/relay/ingress/front.go
+++ b/entryhost/relay/ingress/front.go
@@ -237,7 +237,7 @@
 	}
 	return &forward.Request{
 		ID: head.ID, Method: incoming.Method, Target: incoming.RequestURI, Host: incoming.Host, Header: head.Header,
-		Body: body, LastEvent: head.LastEvent, Route: route, Service: service, Organisation: organisation.Name, Rank: rankOf(route, organisation),
+		Body: body, LastEvent: head.LastEvent, Prompt: head.Prompt, Route: route, Service: service, Organisation: organisation.Name, Rank: rankOf(route, organisation),
 		Arrived: arrived, Deadline: arrived.Add(wait - answerMargin),
 	}, nil
 }
--- a/entryhost/relay/ingress/messages.go
+++ b/entryhost/relay/ingress/messages.go
@@ -24,6 +24,9 @@
 	// Wait is how long the caller waits; 0 if it does not say.
 	Wait      time.Duration
 	LastEvent string
+	// Prompt is the id of the part of the prompt that only this request or its
+	// session has, or "".
+	Prompt string
 	// Header is what servers receive of the caller's header.
 	Header http.Header
 }
--- a/entryhost/relay/relay_test.go
+++ b/entryhost/relay/relay_test.go
@@ -277,6 +277,35 @@
 		Expect(copied).To(Equal(1))
 	})
 
+	It("takes a stream that a caller resumes to the engine that holds its prompt, which is not read again", func() {
+		c := s.caller()
+		c.header.Set(platform.HeaderPrompt, "aa:20,bb:100")
+		s.engines[0].SetFaults(standin.ServerFaults{Refuse: true})
+		c.send("POST", "/advice/1", "prompt")
+		first := runsOf(s.engines, "prompt")
+		Expect(first).To(HaveLen(1))
+		s.engines[0].SetFaults(standin.ServerFaults{})
+		Eventually(func() []standin.Run {
+			s.caller().send("POST", "/advice/1", "other")
+			return runsOf(s.engines[:1], "other")
+		}).ShouldNot(BeEmpty(), "the engine of the own zone takes new streams again")
+		c.header.Set(platform.HeaderLastEvent, "7")
+		for range 3 {
+			Expect(events(c.send("POST", "/advice/1", "prompt").body)).To(Equal(wholeStream("prompt")[7:]))
+		}
+		for _, run := range runsOf(s.engines, "prompt")[1:] {
+			Expect(run.Server).To(Equal(first[0].Server))
+		}
+	})
+
+	It("serves a resumed stream whose prompt no engine holds", func() {
+		c := s.caller()
+		c.header.Set(platform.HeaderPrompt, "cc:100")
+		c.header.Set(platform.HeaderLastEvent, "3")
+		s.engines[1].Crash()
+		Expect(events(c.send("POST", "/advice/1", "unheld").body)).To(Equal(wholeStream("unheld")[3:]))
+	})
+
 	It("leaves an engine whose stream goes silent although the engine lives", func() {
 		s.engines[0].SetFaults(standin.ServerFaults{HangAfter: 5})
 		s.engines[1].SetFaults(standin.ServerFaults{HangAfter: 5})
--- a/eventcode/relay.go
+++ b/eventcode/relay.go
@@ -27,9 +27,11 @@
 	RelayMoveOrdered     Code = 2134
 	RelayMoveDecided     Code = 2135
 	RelayMoveRound       Code = 2136
+	CacheListFailed      Code = 2137
 	RelayRequestDone     Code = 2140
 	RelayRequestRefused  Code = 2141
 	RequestRerouted      Code = 2142
+	PromptLocated        Code = 2143
 )
 
 var relayEvents = []Entry{
@@ -58,7 +60,9 @@
 	{RelayMoveOrdered, "version move ordered", "The operator ordered a version move; this host takes part.", "Nothing."},
 	{RelayMoveDecided, "version move decided", "The host that holds the move wrote its next state from the evidence of all hosts.", "For a withdrawn move, compare the failures and times of both versions in the line."},
 	{RelayMoveRound, "version move round", "A round of a version move failed; the stage in force stays.", "Check the store if it repeats."},
+	{CacheListFailed, "cache list failed", "An engine did not say which prompts its cache holds; resumed streams may read a prompt again elsewhere.", "Look at the engine if it repeats."},
 	{RelayRequestDone, "request done", "A request ended; the line lists its attempts with their outcomes and causes.", "For a failed request, read the attempts."},
 	{RelayRequestRefused, "request refused", "A request was refused before it reached a server.", "Read the reason."},
 	{RequestRerouted, "request rerouted", "An attempt failed and the request goes to another server.", "Look at the server if it repeats."},
+	{PromptLocated, "prompt located", "A caller resumed a stream and the engines were asked which of them holds its prompt; the stream goes to that one first.", "Nothing. Without a server the prompt is read again."},
 }
