Give test hosts ports that no outgoing connection can take

A spec of the relay failed once in its set-up: the relay was not ready within 5 s. Six runs of the suite side by side showed the cause in one of them: bind, address already in use. The address had been chosen by listening on port 0 and closing again, and a connection of another test took the port before the relay bound it.

The choice is now one function of the stand-ins, below the kernel's range of ports for outgoing connections and never the same port twice in a process. The specs print why a relay ended.

--- a/cmd/lentilpoint-bench/slope/process.go
+++ b/cmd/lentilpoint-bench/slope/process.go
@@ -3,7 +3,6 @@
 import (
 	"bufio"
 	"context"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -13,6 +12,7 @@
 	"time"
 
 	"github.com/lentilpoint/lentilpoint/cmd/lentilpoint-bench/cluster"
+	"github.com/lentilpoint/lentilpoint/cmd/lentilpoint-bench/standin"
 )
 
 // hostProcess is an entry host in a process of its own.
@@ -28,7 +28,7 @@
 	if err != nil {
 		return nil, Error.Wrap(err)
 	}
-	address, err := freeAddress()
+	address, err := standin.FreeAddress()
 	if err != nil {
 		return nil, err
 	}
@@ -63,15 +63,6 @@
 	return measure(ctx, process)
 }
 
-func freeAddress() (string, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", Error.Wrap(err)
-	}
-	defer func() { _ = listener.Close() }()
-	return listener.Addr().String(), nil
-}
-
 // readyTimeout bounds the start of an entry host process.
 const readyTimeout = 10 * time.Second
 
--- a/cmd/lentilpoint-bench/soak/process.go
+++ b/cmd/lentilpoint-bench/soak/process.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"io"
-	"math/rand/v2"
 	"net"
 	"os"
 	"os/exec"
@@ -12,6 +11,7 @@
 	"syscall"
 	"time"
 
+	"github.com/lentilpoint/lentilpoint/cmd/lentilpoint-bench/standin"
 	"github.com/lentilpoint/lentilpoint/platform"
 )
 
@@ -35,7 +35,7 @@
 const settingsText = `node_name = %q
 zone = %q
 ip = "127.0.0.1"
-internal_ports = [%d, %d]
+internal_ports = [%s, %s]
 seeds = [%q]
 [listen]
 front = %q
@@ -55,43 +55,27 @@
 // graceSeconds is the time that a host has to stop after SIGTERM.
 const graceSeconds = 8
 
-// Ports of hosts lie below those that the kernel gives to outgoing connections,
-// so that no connection takes one between the choice and the start of a host.
-const (
-	firstPort = 12000
-	lastPort  = 32000
-)
-
-// freePort returns a port that nobody listens on.
-func freePort() (int, error) {
-	for range 100 {
-		port := firstPort + rand.IntN(lastPort-firstPort)
-		listener, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port))
-		if err == nil {
-			return port, Error.Wrap(listener.Close())
-		}
-	}
-	return 0, Error.New("no free port between %d and %d", firstPort, lastPort)
-}
-
 // newHost writes the settings of a relay whose store is at the address.
 func newHost(folder, daemon, name, zone, store, seed string, log io.Writer) (*host, string, error) {
-	var ports [4]int
-	for i := range ports {
-		port, err := freePort()
+	var addresses [4]string
+	for i := range addresses {
+		address, err := standin.FreeAddress()
 		if err != nil {
 			return nil, "", err
 		}
-		ports[i] = port
+		addresses[i] = address
 	}
-	address := func(port int) string { return fmt.Sprintf("127.0.0.1:%d", port) }
-	h := &host{name: name, zone: zone, front: address(ports[0]), ready: address(ports[1]), daemon: daemon, log: log,
+	h := &host{name: name, zone: zone, front: addresses[0], ready: addresses[1], daemon: daemon, log: log,
 		settings: filepath.Join(folder, name+".toml")}
-	peer := address(ports[2])
+	peer := addresses[2]
 	if seed == "" {
 		seed = peer
 	}
-	text := fmt.Sprintf(settingsText, name, zone, ports[3], ports[3], seed, h.front, h.ready, peer, graceSeconds, store)
+	_, metricsPort, err := net.SplitHostPort(addresses[3])
+	if err != nil {
+		return nil, "", Error.Wrap(err)
+	}
+	text := fmt.Sprintf(settingsText, name, zone, metricsPort, metricsPort, seed, h.front, h.ready, peer, graceSeconds, store)
 	return h, peer, Error.Wrap(os.WriteFile(h.settings, []byte(text), 0o600))
 }
 
--- a/cmd/lentilpointd/main_test.go
+++ b/cmd/lentilpointd/main_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"net/http"
 	"os/exec"
 	"syscall"
@@ -25,10 +24,9 @@
 
 func freeAddress() string {
 	GinkgoHelper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	address, err := standin.FreeAddress()
 	Expect(err).NotTo(HaveOccurred())
-	defer func() { _ = listener.Close() }()
-	return listener.Addr().String()
+	return address
 }
 
 var _ = Describe("the daemon as a process of its own", Ordered, func() {
--- a/entryhost/relay/relay_test.go
+++ b/entryhost/relay/relay_test.go
@@ -7,7 +7,6 @@
 	"fmt"
 	"io"
 	"log/slog"
-	"net"
 	"net/http"
 	"strings"
 	"testing"
@@ -91,10 +90,10 @@
 }
 
 func freeAddress() string {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	GinkgoHelper()
+	address, err := standin.FreeAddress()
 	Expect(err).NotTo(HaveOccurred())
-	defer func() { _ = listener.Close() }()
-	return listener.Addr().String()
+	return address
 }
 
 // start runs a relay that reads the store at the address.
@@ -109,7 +108,7 @@
 	ended := make(chan struct{})
 	go func() {
 		defer close(ended)
-		done <- relay.Run(ctx, settings, relay.Environment{
+		err := relay.Run(ctx, settings, relay.Environment{
 			Reload: reload.Source[relay.Settings]{
 				Read:    func() (relay.Settings, error) { return settings, nil },
 				Changed: func() (time.Time, error) { return time.Time{}, nil },
@@ -117,6 +116,10 @@
 			Adapter: platform.NewAdapter(settings), Clock: clockwork.NewRealClock(), Metrics: metrics.NewSet(),
 			Logger: slog.New(slog.NewTextHandler(io.Discard, nil)),
 		})
+		if err != nil {
+			GinkgoWriter.Println("the relay ended:", err)
+		}
+		done <- err
 	}()
 	DeferCleanup(func() {
 		stop()
