Replace the copy of a run's cache when its holder is lost

Ruled out: copies that were refused or never made (each had an assigned holder whose registration had ended); copies in a less likely zone, which cannot be known in advance.

Change: the dispatcher tells a request when the holder of its copy is lost. The request orders another one, which the run's engine makes while the run goes on, and orders it again after 0.6 of its lifetime.

--- a/cmd/lentilpoint-bench/standin/server.go
+++ b/cmd/lentilpoint-bench/standin/server.go
@@ -79,6 +79,8 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+platform.PathReport, s.serveReport)
 	mux.HandleFunc("GET "+platform.PathCacheList, s.serveCacheList)
+	mux.HandleFunc("POST "+platform.PathCacheMove, s.serveCacheMove)
+	mux.HandleFunc("POST "+takeCopyPath+"{request}", s.serveTakeCopy)
 	mux.HandleFunc("/", s.serveRequest)
 	endpoint, err := newEndpoint(mux)
 	if err != nil {
@@ -116,6 +118,11 @@
 	control(s, func(s *Server) bool { s.faults = faults; return true })
 }
 
+// SetEventTime changes the pause before each event.
+func (s *Server) SetEventTime(pause time.Duration) {
+	control(s, func(s *Server) bool { s.EventTime = pause; return true })
+}
+
 // Crash closes the socket and all connections.
 func (s *Server) Crash() { control(s, func(s *Server) bool { s.endpoint.cut(); return true }) }
 
@@ -170,6 +177,38 @@
 	_ = json.NewEncoder(w).Encode(map[string]any{"epoch": 1, "next": 1, "held": held})
 }
 
+// takeCopyPath is where stand-in engines hand copies of caches to each other,
+// which engines do by means of their own.
+const takeCopyPath = "/stand-in/copies/"
+
+// serveCacheMove copies the cache of a run to another engine. The copy is named
+// by the request, so that the name shows whose cache it is.
+func (s *Server) serveCacheMove(w http.ResponseWriter, r *http.Request) {
+	var order struct {
+		ID     string `json:"id"`
+		Target string `json:"target"`
+	}
+	if err := json.NewDecoder(r.Body).Decode(&order); err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	if made := control(s, func(s *Server) int { return s.made[order.ID] }); made == 0 {
+		w.WriteHeader(http.StatusNotFound)
+		return
+	}
+	response, err := http.Post("http://"+order.Target+takeCopyPath+order.ID, "", nil)
+	if err != nil {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	_ = response.Body.Close()
+	_ = json.NewEncoder(w).Encode(map[string]any{"handle": "copy-" + order.ID, "create_rev": 1})
+}
+
+func (s *Server) serveTakeCopy(_ http.ResponseWriter, r *http.Request) {
+	s.HoldCopy(r.PathValue("request"))
+}
+
 // admission is how a server receives a request.
 type admission struct {
 	id     string
@@ -275,7 +314,7 @@
 			<-r.Context().Done()
 			return
 		}
-		if !sleepFor(r.Context(), s.EventTime) {
+		if !sleepFor(r.Context(), control(s, func(s *Server) time.Duration { return s.EventTime })) {
 			return
 		}
 		_, _ = fmt.Fprintf(w, "id: %d\ndata: %s\n\n", number, EventData(order.body, number))
--- a/entryhost/relay/dispatch/adopt.go
+++ b/entryhost/relay/dispatch/adopt.go
@@ -99,6 +99,7 @@
 	delete(t.adopted, id)
 	if state, found := t.servers[id]; found {
 		state.closeIdle()
+		t.tellCopyLost(state)
 		delete(t.servers, id)
 	}
 }
--- a/entryhost/relay/dispatch/assign.go
+++ b/entryhost/relay/dispatch/assign.go
@@ -59,7 +59,7 @@
 	answer := Assignment{Server: state.server}
 	if request.Backup {
 		if backup := chooseBackup(t.Random, t.DataCentre, &request, candidates, chosen.server); backup != nil {
-			granted.backup = t.servers[backup.server.ID]
+			granted.backup, granted.copyLost = t.servers[backup.server.ID], request.CopyLost
 			granted.backup.copies++
 			answer.Backup = backup.server
 		}
--- /dev/null
+++ b/entryhost/relay/dispatch/copies_test.go
@@ -0,0 +1,108 @@
+package dispatch
+
+import (
+	"context"
+	"errors"
+	"io"
+	"log/slog"
+	"math/rand/v2"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/jonboulle/clockwork"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/lentilpoint/lentilpoint/entryhost/relay/catalog"
+	"github.com/lentilpoint/lentilpoint/entryhost/relay/exchange"
+	"github.com/lentilpoint/lentilpoint/entryhost/relay/routing"
+	"github.com/lentilpoint/lentilpoint/task"
+)
+
+// engines answers questions to engines; copies fail while refuse is set.
+type engines struct{ refuse bool }
+
+func (engines) Probe(context.Context, string) (EngineReport, error) { return EngineReport{}, nil }
+
+func (engines) Cached(context.Context, string) (map[string]int, error) { return nil, nil }
+
+func (e engines) Copy(_ context.Context, _, request, target string) (string, error) {
+	if e.refuse {
+		return "", errors.New("no room")
+	}
+	return request + " at " + target, nil
+}
+
+func viewOf(servers ...*routing.Server) *catalog.View {
+	view := &catalog.View{Servers: map[string]*routing.Server{}}
+	for _, server := range servers {
+		view.Servers[server.ID] = server
+	}
+	return view
+}
+
+var _ = Describe("the holder of a copy of a run's cache", func() {
+	var dispatcher *Task
+	var lost chan struct{}
+	var assigned Assignment
+
+	BeforeEach(func(ctx SpecContext) {
+		dispatcher = NewTask(Parameters{
+			Self: "self", DataCentre: "here", Prober: engines{}, Budget: BudgetTerms{Ratio: 1, Window: time.Second, Extra: 10}, Clock: clockwork.NewFakeClock(),
+			Random: rand.New(rand.NewPCG(1, 2)), Metrics: metrics.NewSet(), Logger: slog.New(slog.NewTextHandler(io.Discard, nil)),
+		})
+		dispatcher.takeView(viewOf(server("a", "here"), server("b", "there"), server("c", "third")))
+		lost = make(chan struct{}, 1)
+		reply := make(chan Assignment, 1)
+		dispatcher.handle(ctx, Acquire{Service: "engine", Backup: true, CopyLost: lost, Reply: task.Reply[Assignment](reply)})
+		Expect(reply).To(Receive(&assigned))
+		Expect(assigned.Server.ID).To(Equal("a"))
+		assigned.Connection.Close()
+	})
+
+	moved := func(ctx context.Context, keep bool) CopyMade {
+		reply := make(chan CopyMade, 1)
+		dispatcher.handle(ctx, MoveCopy{Lease: assigned.Lease, Request: "r", Keep: keep, Reply: task.Reply[CopyMade](reply)})
+		var made CopyMade
+		Eventually(reply).Should(Receive(&made))
+		return made
+	}
+
+	It("is reported once when its registration ends, without waiting for the request", func() {
+		Expect(lost).NotTo(Receive())
+		remaining := server("c", "third")
+		if assigned.Backup.ID == "c" {
+			remaining = server("b", "there")
+		}
+		dispatcher.takeView(viewOf(assigned.Server, remaining))
+		dispatcher.takeView(viewOf(assigned.Server, remaining))
+		Expect(lost).To(Receive())
+	})
+
+	It("is reported when it cannot be reached, before its registration ends", func() {
+		dispatcher.learn(dispatcher.servers[assigned.Backup.ID], OutcomeUnreachable)
+		Expect(lost).To(Receive())
+	})
+
+	It("is another server than the lost one and the run's own after a move", func(ctx SpecContext) {
+		former := assigned.Backup.ID
+		made := moved(ctx, false)
+		Expect(made.Err).NotTo(HaveOccurred())
+		Expect(made.Holder.ID).NotTo(BeElementOf(former, assigned.Server.ID))
+		Expect(made.Copy).To(Equal(exchange.CacheCopy{Address: assigned.Server.Address, Name: "r at " + made.Holder.Address}))
+		Expect(dispatcher.servers[former].copies).To(BeZero())
+		Expect(dispatcher.servers[made.Holder.ID].copies).To(Equal(1))
+	})
+
+	It("stays when a copy is only made again", func(ctx SpecContext) {
+		first := moved(ctx, false)
+		Expect(moved(ctx, true).Holder).To(Equal(first.Holder))
+	})
+
+	It("is none when the engine refuses the copy or the attempt has ended", func(ctx SpecContext) {
+		dispatcher.Prober = engines{refuse: true}
+		Expect(moved(ctx, false).Err).To(MatchError("no room"))
+		dispatcher.handle(ctx, Release{Lease: assigned.Lease})
+		Expect(moved(ctx, false).Err).To(HaveOccurred())
+	})
+})
--- a/entryhost/relay/dispatch/messages.go
+++ b/entryhost/relay/dispatch/messages.go
@@ -36,6 +36,9 @@
 	OnlyPreferred bool
 	// Backup asks for a second server that receives a copy of the run's cache.
 	Backup bool
+	// CopyLost receives a message when the server with the copy is lost. It has
+	// room for one.
+	CopyLost chan<- struct{}
 	// Repeat tells that the request was sent to a server before, so that the
 	// attempt is paid from the retry budget.
 	Repeat bool
@@ -135,6 +138,30 @@
 	Reply  task.Reply[Verdict]
 }
 
+// MoveCopy asks for a copy of a run's cache at another server than before, or
+// with Keep for a newer copy at the same one.
+type MoveCopy struct {
+	Lease   Lease
+	Request string
+	Keep    bool
+	Reply   task.Reply[CopyMade]
+}
+
+// CopyMade is a copy of a run's cache, or the reason why there is none.
+type CopyMade struct {
+	Holder *routing.Server
+	Copy   exchange.CacheCopy
+	Err    error
+}
+
+// HolderID returns the id of the holder, or "" without a copy.
+func (c CopyMade) HolderID() string {
+	if c.Holder == nil {
+		return ""
+	}
+	return c.Holder.ID
+}
+
 // Locate asks for the id of an engine that holds the prompt; "" if none does.
 type Locate struct {
 	Service string
@@ -163,6 +190,7 @@
 	parts  map[string]int
 }
 
+func (MoveCopy) isMessage()   {}
 func (Locate) isMessage()     {}
 func (listed) isMessage()     {}
 func (Acquire) isMessage()    {}
@@ -187,6 +215,9 @@
 	// Cached returns the number of tokens that the engine's cache holds of each
 	// part of a prompt, by the id of the part.
 	Cached(ctx context.Context, address string) (map[string]int, error)
+	// Copy makes the engine copy the cache of a run to another engine, and returns
+	// the name under which the source made the copy.
+	Copy(ctx context.Context, source, request, target string) (string, error)
 }
 
 const (
--- a/entryhost/relay/dispatch/task.go
+++ b/entryhost/relay/dispatch/task.go
@@ -76,6 +76,8 @@
 type use struct {
 	server *serverState
 	backup *serverState
+	// copyLost is told when the backup is lost, or nil.
+	copyLost chan<- struct{}
 	// service is that of the request.
 	service string
 	// repeat tells that the attempt was paid from the retry budget, decoding
@@ -187,6 +189,8 @@
 		t.setStage(message)
 	case Samples:
 		t.answerSamples(message)
+	case MoveCopy:
+		t.moveCopy(ctx, message)
 	case Locate:
 		t.locate(ctx, message)
 	case listed:
@@ -209,6 +213,7 @@
 		if !found || !state.server.SameStart(server) {
 			if found {
 				state.closeIdle()
+				t.tellCopyLost(state)
 			}
 			state = &serverState{}
 			t.servers[id] = state
@@ -221,6 +226,7 @@
 			continue
 		}
 		state.closeIdle()
+		t.tellCopyLost(state)
 		if state.checks == nil {
 			delete(t.servers, id)
 		}
@@ -298,6 +304,7 @@
 	t.losses[placeOf(state.server)] = t.losses[placeOf(state.server)].learn(state.server.ID, outcome, now)
 	if outcome == OutcomeUnreachable || outcome == OutcomeSilent || outcome == OutcomeMisdirected {
 		state.closeIdle()
+		t.tellCopyLost(state)
 	}
 	wasGood := before.pause == 0 && !before.stale
 	isGood := state.standing.pause == 0 && !state.standing.stale
--- a/entryhost/relay/exchange/messages.go
+++ b/entryhost/relay/exchange/messages.go
@@ -52,8 +52,8 @@
 	LastEvent string
 	// CacheBackup is the address that receives a copy of the run's cache, or "".
 	CacheBackup string
-	// CacheCopy is the address of the server that holds a copy to go on from, or "".
-	CacheCopy string
+	// CacheCopy is the copy of the run's cache to go on from, or zero.
+	CacheCopy CacheCopy
 	// Rank orders attempts at an engine; 0 is admitted first. Plain services get
 	// Unranked.
 	Rank int
@@ -66,6 +66,14 @@
 	Body   []byte
 }
 
+// CacheCopy names the copy of a run's cache that an engine holds.
+type CacheCopy struct {
+	// Address is that of the engine that gave the copy its name: the holder for
+	// copies made while the run goes on, the source for copies made on demand.
+	Address string
+	Name    string
+}
+
 // AnswerHead is the head of a server's answer.
 type AnswerHead struct {
 	Status int
--- a/entryhost/relay/forward/stream.go
+++ b/entryhost/relay/forward/stream.go
@@ -6,7 +6,6 @@
 
 	"github.com/lentilpoint/lentilpoint/entryhost/relay/dispatch"
 	"github.com/lentilpoint/lentilpoint/entryhost/relay/exchange"
-	"github.com/lentilpoint/lentilpoint/entryhost/relay/routing"
 	"github.com/lentilpoint/lentilpoint/eventcode"
 	"github.com/lentilpoint/lentilpoint/model"
 	"github.com/lentilpoint/lentilpoint/task"
@@ -16,9 +15,8 @@
 type streamState struct {
 	ledger *ledger
 	// begun tells that the head was sent to the caller.
-	begun bool
-	// copyHolder holds a copy of the run's cache, or is nil.
-	copyHolder *routing.Server
+	begun  bool
+	copies copies
 	// prefer is the id of an engine that holds the request's prompt, or "".
 	prefer     string
 	lastEvent  time.Time
@@ -33,7 +31,7 @@
 		r.give(model.BadField("Last-Event-Id", err.Error()))
 		return
 	}
-	s := &streamState{ledger: entries, prefer: r.locate(ctx)}
+	s := &streamState{ledger: entries, prefer: r.locate(ctx), copies: newCopies()}
 	for {
 		assignment, attempt, err := r.streamAttempt(ctx, s)
 		if err != nil {
@@ -70,16 +68,19 @@
 // streamAttempt gets a server for the next attempt: the holder of the copy of
 // the run's cache if there is one, else the best server.
 func (r *run) streamAttempt(ctx context.Context, s *streamState) (dispatch.Assignment, *exchange.Attempt, error) {
-	order := dispatch.Acquire{Backup: r.request.Service.Engine != nil && r.request.Service.Engine.CacheBackup && r.request.Route.Resumable}
+	held := s.copies.take()
+	order := dispatch.Acquire{
+		Backup:   r.request.Service.Engine != nil && r.request.Service.Engine.CacheBackup && r.request.Route.Resumable,
+		CopyLost: s.copies.lost,
+	}
 	attempt := &exchange.Attempt{LastEvent: s.ledger.lastEvent(), Rank: r.rank()}
-	if s.copyHolder != nil {
-		order.Prefer, order.OnlyPreferred = s.copyHolder.ID, true
+	if held.Holder != nil {
+		order.Prefer, order.OnlyPreferred = held.Holder.ID, true
 		assignment, err := r.acquire(ctx, order)
 		if err != nil || assignment.Server != nil {
-			attempt.CacheCopy = s.copyHolder.Address
+			attempt.CacheCopy = held.Copy
 			return r.withBackup(assignment, attempt, s), attempt, err
 		}
-		s.copyHolder = nil
 		order.OnlyPreferred = false
 	}
 	order.Prefer, s.prefer = s.prefer, ""
@@ -113,10 +114,12 @@
 }
 
 func (r *run) withBackup(assignment dispatch.Assignment, attempt *exchange.Attempt, s *streamState) dispatch.Assignment {
-	s.copyHolder = nil
 	if assignment.Backup != nil {
-		s.copyHolder = assignment.Backup
 		attempt.CacheBackup = assignment.Backup.Address
+		// The holder names the copy by the request's id.
+		s.copies.held = dispatch.CopyMade{
+			Holder: assignment.Backup, Copy: exchange.CacheCopy{Address: assignment.Backup.Address, Name: r.request.ID},
+		}
 	}
 	return assignment
 }
@@ -125,7 +128,7 @@
 // attempt follows. Otherwise the caller has its final answer.
 func (r *run) prepareNext(l *live, s *streamState, got *answer, outcome dispatch.Outcome, cause error) bool {
 	s.ledger.restart()
-	if l.attempt.CacheCopy != "" && outcome == dispatch.OutcomeRejected {
+	if l.attempt.CacheCopy.Name != "" && outcome == dispatch.OutcomeRejected {
 		// The copy is gone, which says nothing about the server.
 		r.counts.rejections--
 	} else {
@@ -133,7 +136,7 @@
 	}
 	// A run that did not start has left no copy.
 	if l.note.Events == 0 {
-		s.copyHolder = nil
+		s.copies.take()
 	}
 	switch afterStream(r.request.Route, outcome, r.counts, s.begun) {
 	case again:
@@ -186,6 +189,12 @@
 			if event.Data != nil {
 				monitor.heard()
 			}
+		case <-s.copies.lost:
+			r.copyLost(l, s)
+		case <-s.copies.due:
+			r.orderCopy(ctx, l, s)
+		case made := <-s.copies.made:
+			r.copyMade(l, s, made)
 		case <-monitor.timer.Chan():
 			// Events that arrived while the process was paused go first.
 			if len(l.events) > 0 {
--- a/entryhost/relay/forward/task.go
+++ b/entryhost/relay/forward/task.go
@@ -90,7 +90,7 @@
 		assignment: assignment, attempt: attempt, events: events, end: end, started: now,
 		note: AttemptNote{
 			Server: assignment.Server.ID, DataCentre: assignment.Server.DataCentre, Reused: assignment.Reused,
-			FromCopy: attempt.CacheCopy != "",
+			FromCopy: attempt.CacheCopy.Name != "",
 		},
 	}
 	if err := assignment.Connection.Run(exchange.Exchange{Context: ctx, Attempt: attempt, Events: events}); err != nil {
--- a/entryhost/relay/relay_test.go
+++ b/entryhost/relay/relay_test.go
@@ -83,7 +83,7 @@
 	}, routes...)
 	Expect(s.store.Put(platform.TableOrders, platform.KeyConfig, map[string]any{
 		"version": version, "routes": all,
-		"services": []map[string]any{{"name": "engine", "max_connections": 100, "engine": map[string]any{"backups": true}}, {"name": "shop", "max_connections": 100}},
+		"services": []map[string]any{{"name": "engine", "max_connections": 100, "engine": map[string]any{"backups": true, "moves": true, "handle_s": 4}}, {"name": "shop", "max_connections": 100}},
 		"limits":   map[string]any{"max_body_bytes": 1000},
 		"tenants":  []map[string]any{{"name": organisation, "api_keys": []string{key}}},
 	})).To(Succeed())
@@ -280,6 +280,38 @@
 		Expect(copied).To(Equal(1))
 	})
 
+	It("replaces the copy of a run whose holder is lost, and goes on from the new one", func() {
+		for _, engine := range s.engines {
+			engine.SetEventTime(100 * time.Millisecond)
+		}
+		got := make(chan answer, 1)
+		c := s.caller()
+		go func() { got <- c.send("POST", "/advice/1", "moved") }()
+		var first []standin.Run
+		Eventually(func() []standin.Run { first = runsOf(s.engines, "moved"); return first }).Should(HaveLen(1))
+		var source, holder *standin.Server
+		for _, engine := range s.engines {
+			switch {
+			case engine.ID() == first[0].Server:
+				source = engine
+			case engine.Address() == first[0].Header.Get(platform.HeaderCacheBackup):
+				holder = engine
+			}
+		}
+		id := holder.ID()
+		holder.Crash()
+		s.store.Remove(platform.TableServers, id)
+		// The new copy is ordered once the run has sent an event.
+		time.Sleep(600 * time.Millisecond)
+		source.Crash()
+		var result answer
+		Eventually(got, 10*time.Second).Should(Receive(&result))
+		Expect(events(result.body)).To(Equal(wholeStream("moved")))
+		runs := runsOf(s.engines, "moved")
+		Expect(runs).To(HaveLen(2))
+		Expect(runs[1].Header.Get(platform.HeaderCacheCopy)).To(HavePrefix(source.Address() + "/copy-"))
+	})
+
 	It("takes a stream that a caller resumes to the engine that holds its prompt, which is not read again", func() {
 		c := s.caller()
 		c.header.Set(platform.HeaderPrompt, "aa:20,bb:100")
--- a/entryhost/relay/routing/config.go
+++ b/entryhost/relay/routing/config.go
@@ -95,6 +95,9 @@
 	// CacheBackup tells that an engine can copy a run's cache to another engine
 	// while it grows.
 	CacheBackup bool
+	// CopyLifetime is how long a copy that was made on demand stays at another
+	// engine; 0 if engines make none.
+	CopyLifetime time.Duration
 }
 
 // Service is a group of interchangeable servers.
--- a/eventcode/relay.go
+++ b/eventcode/relay.go
@@ -32,6 +32,7 @@
 	RelayRequestRefused  Code = 2141
 	RequestRerouted      Code = 2142
 	PromptLocated        Code = 2143
+	CopyMoved            Code = 2144
 )
 
 var relayEvents = []Entry{
@@ -65,4 +66,5 @@
 	{RelayRequestRefused, "request refused", "A request was refused before it reached a server.", "Read the reason."},
 	{RequestRerouted, "request rerouted", "An attempt failed and the request goes to another server.", "Look at the server if it repeats."},
 	{PromptLocated, "prompt located", "A caller resumed a stream and the engines were asked which of them holds its prompt; the stream goes to that one first.", "Nothing. Without a server the prompt is read again."},
+	{CopyMoved, "copy moved", "The server that held the copy of a run's cache was lost, and another one was ordered to take a copy.", "Nothing. With an error the run has no copy, and a loss of its engine costs another reading of the prompt."},
 }
