Keep a copy of a run at home and free ordered copies

A stream goes on from its copies one after another, the one at home first. Ordered copies are freed when the run ends.

--- a/entryhost/relay/dispatch/assign.go
+++ b/entryhost/relay/dispatch/assign.go
@@ -62,6 +62,7 @@
 			granted.backup, granted.copyLost = t.servers[backup.server.ID], request.CopyLost
 			granted.backup.copies++
 			answer.Backup = backup.server
+			answer.Away = chosen.server.DataCentre != t.DataCentre && backup.server.DataCentre != t.DataCentre
 		}
 	}
 	answer.Connection, answer.Reused = t.connection(ctx, state, request.Once, now)
--- a/entryhost/relay/dispatch/copies_test.go
+++ b/entryhost/relay/dispatch/copies_test.go
@@ -33,6 +33,8 @@
 	return request + " at " + target, nil
 }
 
+func (engines) Drop(context.Context, exchange.CacheCopy) error { return nil }
+
 func viewOf(servers ...*routing.Server) *catalog.View {
 	view := &catalog.View{Servers: map[string]*routing.Server{}}
 	for _, server := range servers {
@@ -43,7 +45,7 @@
 
 var _ = Describe("the holder of a copy of a run's cache", func() {
 	var dispatcher *Task
-	var lost chan struct{}
+	var lost chan string
 	var assigned Assignment
 
 	BeforeEach(func(ctx SpecContext) {
@@ -52,7 +54,7 @@
 			Random: rand.New(rand.NewPCG(1, 2)), Metrics: metrics.NewSet(), Logger: slog.New(slog.NewTextHandler(io.Discard, nil)),
 		})
 		dispatcher.takeView(viewOf(server("a", "here"), server("b", "there"), server("c", "third")))
-		lost = make(chan struct{}, 1)
+		lost = make(chan string, 2)
 		reply := make(chan Assignment, 1)
 		dispatcher.handle(ctx, Acquire{Service: "engine", Backup: true, CopyLost: lost, Reply: task.Reply[Assignment](reply)})
 		Expect(reply).To(Receive(&assigned))
@@ -60,9 +62,9 @@
 		assigned.Connection.Close()
 	})
 
-	moved := func(ctx context.Context, keep bool) CopyMade {
+	ordered := func(ctx context.Context, order CopyOrder) CopyMade {
 		reply := make(chan CopyMade, 1)
-		dispatcher.handle(ctx, MoveCopy{Lease: assigned.Lease, Request: "r", Keep: keep, Reply: task.Reply[CopyMade](reply)})
+		dispatcher.handle(ctx, OrderCopy{Lease: assigned.Lease, Request: "r", Order: order, Reply: task.Reply[CopyMade](reply)})
 		var made CopyMade
 		Eventually(reply).Should(Receive(&made))
 		return made
@@ -76,7 +78,8 @@
 		}
 		dispatcher.takeView(viewOf(assigned.Server, remaining))
 		dispatcher.takeView(viewOf(assigned.Server, remaining))
-		Expect(lost).To(Receive())
+		Expect(lost).To(Receive(Equal(assigned.Backup.ID)))
+		Expect(lost).NotTo(Receive())
 	})
 
 	It("is reported when it cannot be reached, before its registration ends", func() {
@@ -86,23 +89,30 @@
 
 	It("is another server than the lost one and the run's own after a move", func(ctx SpecContext) {
 		former := assigned.Backup.ID
-		made := moved(ctx, false)
+		made := ordered(ctx, CopyAnywhere)
 		Expect(made.Err).NotTo(HaveOccurred())
 		Expect(made.Holder.ID).NotTo(BeElementOf(former, assigned.Server.ID))
 		Expect(made.Copy).To(Equal(exchange.CacheCopy{Address: assigned.Server.Address, Name: "r at " + made.Holder.Address}))
+		dispatcher.handle(ctx, Release{Lease: assigned.Lease})
 		Expect(dispatcher.servers[former].copies).To(BeZero())
-		Expect(dispatcher.servers[made.Holder.ID].copies).To(Equal(1))
+		Expect(dispatcher.servers[made.Holder.ID].copies).To(BeZero())
 	})
 
 	It("stays when a copy is only made again", func(ctx SpecContext) {
-		first := moved(ctx, false)
-		Expect(moved(ctx, true).Holder).To(Equal(first.Holder))
+		first := ordered(ctx, CopyAnywhere)
+		Expect(ordered(ctx, CopyAgain).Holder).To(Equal(first.Holder))
+	})
+
+	It("is in the own zone where a copy at home is wanted, and none if that is impossible", func(ctx SpecContext) {
+		Expect(ordered(ctx, CopyHome).Err).To(HaveOccurred(), "the run itself has the only engine at home")
+		dispatcher.takeView(viewOf(server("a", "here"), server("b", "there"), server("c", "third"), server("d", "here")))
+		Expect(ordered(ctx, CopyHome).Holder.ID).To(Equal("d"))
 	})
 
 	It("is none when the engine refuses the copy or the attempt has ended", func(ctx SpecContext) {
 		dispatcher.Prober = engines{refuse: true}
-		Expect(moved(ctx, false).Err).To(MatchError("no room"))
+		Expect(ordered(ctx, CopyAnywhere).Err).To(MatchError("no room"))
 		dispatcher.handle(ctx, Release{Lease: assigned.Lease})
-		Expect(moved(ctx, false).Err).To(HaveOccurred())
+		Expect(ordered(ctx, CopyAnywhere).Err).To(HaveOccurred())
 	})
 })
--- a/entryhost/relay/dispatch/messages.go
+++ b/entryhost/relay/dispatch/messages.go
@@ -36,9 +36,9 @@
 	OnlyPreferred bool
 	// Backup asks for a second server that receives a copy of the run's cache.
 	Backup bool
-	// CopyLost receives a message when the server with the copy is lost. It has
-	// room for one.
-	CopyLost chan<- struct{}
+	// CopyLost receives the id of a server with a copy when that is lost. It has
+	// room for two.
+	CopyLost chan<- string
 	// Repeat tells that the request was sent to a server before, so that the
 	// attempt is paid from the retry budget.
 	Repeat bool
@@ -70,7 +70,10 @@
 	// Reused tells that the connection served a request before.
 	Reused bool
 	// Backup receives the copy of the run's cache, or is nil.
-	Backup  *routing.Server
+	Backup *routing.Server
+	// Away tells that neither the server nor the backup is in the data centre of
+	// this host.
+	Away    bool
 	Refusal Refusal
 }
 
@@ -138,15 +141,36 @@
 	Reply  task.Reply[Verdict]
 }
 
-// MoveCopy asks for a copy of a run's cache at another server than before, or
-// with Keep for a newer copy at the same one.
-type MoveCopy struct {
+// CopyOrder says where a copy of a run's cache is wanted.
+type CopyOrder int
+
+const (
+	// CopyAnywhere is a copy at another server than before.
+	CopyAnywhere CopyOrder = iota
+	// CopyHome is a copy in the data centre of this host.
+	CopyHome
+	// CopyAgain is a newer copy at the server that was chosen before.
+	CopyAgain
+)
+
+var copyOrderNames = [...]string{"anywhere", "home", "again"}
+
+// String names the order in logs.
+func (o CopyOrder) String() string { return copyOrderNames[o] }
+
+// OrderCopy asks for a copy of the cache of a run that goes on.
+type OrderCopy struct {
 	Lease   Lease
 	Request string
-	Keep    bool
+	Order   CopyOrder
 	Reply   task.Reply[CopyMade]
 }
 
+// DropCopy frees a copy that was ordered and is not needed any more.
+type DropCopy struct {
+	Copy exchange.CacheCopy
+}
+
 // CopyMade is a copy of a run's cache, or the reason why there is none.
 type CopyMade struct {
 	Holder *routing.Server
@@ -190,7 +214,8 @@
 	parts  map[string]int
 }
 
-func (MoveCopy) isMessage()   {}
+func (OrderCopy) isMessage()  {}
+func (DropCopy) isMessage()   {}
 func (Locate) isMessage()     {}
 func (listed) isMessage()     {}
 func (Acquire) isMessage()    {}
@@ -218,6 +243,8 @@
 	// Copy makes the engine copy the cache of a run to another engine, and returns
 	// the name under which the source made the copy.
 	Copy(ctx context.Context, source, request, target string) (string, error)
+	// Drop frees a copy at its source and its holder.
+	Drop(ctx context.Context, copied exchange.CacheCopy) error
 }
 
 const (
--- a/entryhost/relay/dispatch/task.go
+++ b/entryhost/relay/dispatch/task.go
@@ -75,9 +75,11 @@
 // use is one lease.
 type use struct {
 	server *serverState
-	backup *serverState
-	// copyLost is told when the backup is lost, or nil.
-	copyLost chan<- struct{}
+	// backup gets a copy of the run's cache from the server, and ordered one that
+	// was ordered; either may be nil. copyLost is told when one is lost, or nil.
+	backup   *serverState
+	ordered  *serverState
+	copyLost chan<- string
 	// service is that of the request.
 	service string
 	// repeat tells that the attempt was paid from the retry budget, decoding
@@ -189,8 +191,10 @@
 		t.setStage(message)
 	case Samples:
 		t.answerSamples(message)
-	case MoveCopy:
-		t.moveCopy(ctx, message)
+	case OrderCopy:
+		t.orderCopy(ctx, message)
+	case DropCopy:
+		t.dropCopy(ctx, message)
 	case Locate:
 		t.locate(ctx, message)
 	case listed:
@@ -271,8 +275,10 @@
 	if granted.decoding {
 		granted.server.decoding--
 	}
-	if granted.backup != nil {
-		granted.backup.copies--
+	for _, holder := range []*serverState{granted.backup, granted.ordered} {
+		if holder != nil {
+			holder.copies--
+		}
 	}
 	if granted.repeat && message.Outcome == OutcomeUnreachable {
 		t.budgetOf(granted.service).refund(t.Clock.Now())
--- a/entryhost/relay/forward/stream.go
+++ b/entryhost/relay/forward/stream.go
@@ -51,10 +51,12 @@
 		got, outcome, cause := r.pass(ctx, l, s)
 		if outcome == dispatch.OutcomeSuccess {
 			r.finish(l, got, outcome, nil, l.firstEvent)
+			r.dropCopy(s)
 			return
 		}
 		if ctx.Err() != nil {
 			r.finish(l, nil, dispatch.OutcomeNone, context.Cause(ctx), 0)
+			r.dropCopy(s)
 			r.streamEnded(ctx, s)
 			return
 		}
@@ -68,17 +70,16 @@
 // streamAttempt gets a server for the next attempt: the holder of the copy of
 // the run's cache if there is one, else the best server.
 func (r *run) streamAttempt(ctx context.Context, s *streamState) (dispatch.Assignment, *exchange.Attempt, error) {
-	held := s.copies.take()
 	order := dispatch.Acquire{
 		Backup:   r.request.Service.Engine != nil && r.request.Service.Engine.CacheBackup && r.request.Route.Resumable,
 		CopyLost: s.copies.lost,
 	}
 	attempt := &exchange.Attempt{LastEvent: s.ledger.lastEvent(), Rank: r.rank()}
-	if held.Holder != nil {
-		order.Prefer, order.OnlyPreferred = held.Holder.ID, true
+	for spare := s.copies.takeSpare(); spare.Holder != nil; spare = s.copies.takeSpare() {
+		order.Prefer, order.OnlyPreferred = spare.Holder.ID, true
 		assignment, err := r.acquire(ctx, order)
 		if err != nil || assignment.Server != nil {
-			attempt.CacheCopy = held.Copy
+			attempt.CacheCopy = spare.Copy
 			return r.withBackup(assignment, attempt, s), attempt, err
 		}
 		order.OnlyPreferred = false
@@ -116,11 +117,8 @@
 func (r *run) withBackup(assignment dispatch.Assignment, attempt *exchange.Attempt, s *streamState) dispatch.Assignment {
 	if assignment.Backup != nil {
 		attempt.CacheBackup = assignment.Backup.Address
-		// The holder names the copy by the request's id.
-		s.copies.held = dispatch.CopyMade{
-			Holder: assignment.Backup, Copy: exchange.CacheCopy{Address: assignment.Backup.Address, Name: r.request.ID},
-		}
 	}
+	r.assigned(s, assignment)
 	return assignment
 }
 
@@ -134,10 +132,7 @@
 	} else {
 		r.exclude[l.note.Server] = true
 	}
-	// A run that did not start has left no copy.
-	if l.note.Events == 0 {
-		s.copies.take()
-	}
+	s.copies.ended(l.note.Events > 0)
 	switch afterStream(r.request.Route, outcome, r.counts, s.begun) {
 	case again:
 		r.logAgain(l, outcome, cause, s.ledger.lastEvent())
@@ -189,8 +184,8 @@
 			if event.Data != nil {
 				monitor.heard()
 			}
-		case <-s.copies.lost:
-			r.copyLost(l, s)
+		case holder := <-s.copies.lost:
+			r.copyLost(s, holder)
 		case <-s.copies.due:
 			r.orderCopy(ctx, l, s)
 		case made := <-s.copies.made:
--- a/eventcode/relay.go
+++ b/eventcode/relay.go
@@ -28,11 +28,12 @@
 	RelayMoveDecided     Code = 2135
 	RelayMoveRound       Code = 2136
 	CacheListFailed      Code = 2137
+	CopyLapses           Code = 2138
 	RelayRequestDone     Code = 2140
 	RelayRequestRefused  Code = 2141
 	RequestRerouted      Code = 2142
 	PromptLocated        Code = 2143
-	CopyMoved            Code = 2144
+	CopyOrdered          Code = 2144
 )
 
 var relayEvents = []Entry{
@@ -62,9 +63,10 @@
 	{RelayMoveDecided, "version move decided", "The host that holds the move wrote its next state from the evidence of all hosts.", "For a withdrawn move, compare the failures and times of both versions in the line."},
 	{RelayMoveRound, "version move round", "A round of a version move failed; the stage in force stays.", "Check the store if it repeats."},
 	{CacheListFailed, "cache list failed", "An engine did not say which prompts its cache holds; resumed streams may read a prompt again elsewhere.", "Look at the engine if it repeats."},
+	{CopyLapses, "copy lapses", "A copy of a run that has ended could not be freed; the engines drop it after its lifetime.", "Nothing."},
 	{RelayRequestDone, "request done", "A request ended; the line lists its attempts with their outcomes and causes.", "For a failed request, read the attempts."},
 	{RelayRequestRefused, "request refused", "A request was refused before it reached a server.", "Read the reason."},
 	{RequestRerouted, "request rerouted", "An attempt failed and the request goes to another server.", "Look at the server if it repeats."},
 	{PromptLocated, "prompt located", "A caller resumed a stream and the engines were asked which of them holds its prompt; the stream goes to that one first.", "Nothing. Without a server the prompt is read again."},
-	{CopyMoved, "copy moved", "The server that held the copy of a run's cache was lost, and another one was ordered to take a copy.", "Nothing. With an error the run has no copy, and a loss of its engine costs another reading of the prompt."},
+	{CopyOrdered, "copy ordered", "A copy of a run's cache was ordered at another engine, since its holder was lost or is not in the own data centre.", "Nothing. With an error the run may have no copy, and a loss of its engine costs another reading of the prompt."},
 }
