Count the retry budget on the steady clock

The slots of the budget came from the time of day. The budget now takes the time since the dispatcher was built.

--- a/entryhost/relay/dispatch/assign.go
+++ b/entryhost/relay/dispatch/assign.go
@@ -27,12 +27,12 @@
 		return true
 	}
 	ledger := t.budgetOf(request.Service)
-	if request.Repeat && !ledger.spend(now, t.sharers) {
+	if request.Repeat && !ledger.spend(t.uptime(), t.sharers) {
 		t.refuse(request, RefusedBudget)
 		return true
 	}
 	if !request.Repeat {
-		ledger.earn(now)
+		ledger.earn(t.uptime())
 	}
 	t.grant(ctx, request, chosen, candidates, now)
 	return true
@@ -126,6 +126,9 @@
 	return max(connectionsMin, int(connectionShare*float64(most)/float64(t.sharers)))
 }
 
+// uptime is the time since the dispatcher was built, on the steady clock.
+func (t *Task) uptime() time.Duration { return t.Clock.Since(t.built) }
+
 func (t *Task) budgetOf(service string) *budget {
 	ledger, found := t.budgets[service]
 	if !found {
--- a/entryhost/relay/dispatch/budget.go
+++ b/entryhost/relay/dispatch/budget.go
@@ -21,7 +21,9 @@
 
 // budget counts requests and repeats of one service in slots of a tenth of the
 // window. Each host holds to the ratio of its own requests and to its share of
-// the extra, so that the sum holds without talk between hosts.
+// the extra, so that the sum holds without talk between hosts. Times are on the
+// steady clock since the host started, since steps of the time of day would
+// make the budget forget its repeats.
 type budget struct {
 	terms    BudgetTerms
 	requests [budgetSlots]float64
@@ -29,9 +31,9 @@
 	slot     int64
 }
 
-func (b *budget) advance(now time.Time) {
-	slot := now.UnixNano() / int64(max(b.terms.Window/budgetSlots, time.Millisecond))
-	if slot-b.slot > budgetSlots || slot < b.slot {
+func (b *budget) advance(at time.Duration) {
+	slot := int64(at / max(b.terms.Window/budgetSlots, time.Millisecond))
+	if slot-b.slot > budgetSlots {
 		b.requests, b.repeats = [budgetSlots]float64{}, [budgetSlots]float64{}
 		b.slot = slot
 	}
@@ -43,15 +45,15 @@
 }
 
 // earn counts a request's first arrival.
-func (b *budget) earn(now time.Time) {
-	b.advance(now)
+func (b *budget) earn(at time.Duration) {
+	b.advance(at)
 	b.requests[b.slot%budgetSlots]++
 }
 
 // spend counts a repeat if the budget has room for it. Hosts is the number of
 // entry hosts that share the extra.
-func (b *budget) spend(now time.Time, hosts int) bool {
-	b.advance(now)
+func (b *budget) spend(at time.Duration, hosts int) bool {
+	b.advance(at)
 	var requests, repeats float64
 	for i := range b.requests {
 		requests += b.requests[i]
@@ -66,8 +68,8 @@
 }
 
 // refund takes a repeat back that did not reach a server.
-func (b *budget) refund(now time.Time) {
-	b.advance(now)
+func (b *budget) refund(at time.Duration) {
+	b.advance(at)
 	slot := b.slot % budgetSlots
 	b.repeats[slot] = max(b.repeats[slot]-1, 0)
 }
--- a/entryhost/relay/dispatch/dispatch_test.go
+++ b/entryhost/relay/dispatch/dispatch_test.go
@@ -137,13 +137,13 @@
 				budgets[i] = budget{terms: terms}
 			}
 			type arrival struct {
-				at     time.Time
+				at     time.Duration
 				repeat bool
 			}
 			var arrivals []arrival
-			now := time.Unix(1000, 0)
+			now := 1000 * time.Second
 			for range rapid.IntRange(1, 600).Draw(t, "steps") {
-				now = now.Add(time.Duration(rapid.IntRange(0, 100).Draw(t, "ms")) * time.Millisecond)
+				now += time.Duration(rapid.IntRange(0, 100).Draw(t, "ms")) * time.Millisecond
 				host := &budgets[rapid.IntRange(0, hosts-1).Draw(t, "host")]
 				if rapid.IntRange(0, 9).Draw(t, "kind") == 0 {
 					host.earn(now)
@@ -155,7 +155,7 @@
 			for _, end := range arrivals {
 				var requests, earlier, repeats float64
 				for _, a := range arrivals {
-					age := end.at.Sub(a.at)
+					age := end.at - a.at
 					switch {
 					case age < 0 || age >= 2*terms.Window:
 					case age >= terms.Window:
@@ -173,7 +173,7 @@
 	})
 
 	It("gets a repeat back that reached no server", func() {
-		now := time.Unix(1000, 0)
+		now := 1000 * time.Second
 		b := budget{terms: BudgetTerms{Ratio: 0, Window: time.Second, Extra: 2}}
 		Expect(b.spend(now, 1)).To(BeTrue())
 		Expect(b.spend(now, 1)).To(BeFalse())
--- a/entryhost/relay/dispatch/task.go
+++ b/entryhost/relay/dispatch/task.go
@@ -97,7 +97,8 @@
 	hosts   task.Mailbox[[]routing.Host]
 	reports task.Mailbox[exchange.Report]
 
-	view *catalog.View
+	built time.Time
+	view  *catalog.View
 	// losses are what attempts showed of whole data centres, by service and data centre.
 	losses map[place]loss
 	// adopted are restarted engines that are not registered yet, by id.
@@ -128,6 +129,7 @@
 		adopted:    map[string]adoption{},
 		losses:     map[place]loss{},
 		reports:    task.NewMailbox[exchange.Report](reportsSize),
+		built:      parameters.Clock.Now(),
 		view:       &catalog.View{},
 		servers:    map[string]*serverState{},
 		leases:     map[Lease]use{},
@@ -281,7 +283,7 @@
 		}
 	}
 	if granted.repeat && message.Outcome == OutcomeUnreachable {
-		t.budgetOf(granted.service).refund(t.Clock.Now())
+		t.budgetOf(granted.service).refund(t.uptime())
 	}
 	t.learn(granted.server, message.Outcome)
 	t.sample(granted.server.server, message.Outcome, message.Took)
