--- a/entryhost/relay/dispatch/locate.go
+++ b/entryhost/relay/dispatch/locate.go
@@ -1,7 +1,6 @@
 package dispatch
 
 import (
-	"cmp"
 	"context"
 	"slices"
 	"time"
@@ -16,9 +15,11 @@
 	// questions. The loss of a host makes many callers resume at once, and what
 	// they look for was read before.
 	listFresh = time.Second
-	// locateMost bounds the engines that are asked in one step. Data centres have
-	// up to 56 engines today.
-	locateMost = 64
+	// locateOwn and locateOthers are the largest numbers of engines in the own and
+	// in all other data centres that are asked. Beyond, the questions cost more
+	// than reading the prompt again, and most prompts were read in the own one.
+	locateOwn    = 64
+	locateOthers = 16
 )
 
 // cacheList is what an engine's cache held when it was asked.
@@ -39,10 +40,9 @@
 	later []*routing.Server
 }
 
-// searchSteps returns the engines to ask about the prompt: those of the own data
-// centre first, where the prompt was most likely read, and then others. Where
-// there are too many, all hosts ask the same ones.
-func searchSteps(dataCentre, prompt string, engines []*routing.Server) (own, others []*routing.Server) {
+// searchSteps returns the engines to ask about a prompt: those of the own data
+// centre first, where it was most likely read, and then others.
+func searchSteps(dataCentre string, engines []*routing.Server) (own, others []*routing.Server) {
 	for _, engine := range engines {
 		if engine.DataCentre == dataCentre {
 			own = append(own, engine)
@@ -50,14 +50,13 @@
 			others = append(others, engine)
 		}
 	}
-	return mostLikely(prompt, own), mostLikely(prompt, others)
-}
-
-func mostLikely(prompt string, engines []*routing.Server) []*routing.Server {
-	slices.SortFunc(engines, func(a, b *routing.Server) int {
-		return cmp.Compare(rendezvous(prompt, b.Address), rendezvous(prompt, a.Address))
-	})
-	return engines[:min(len(engines), locateMost)]
+	if len(own) > locateOwn {
+		own = nil
+	}
+	if len(others) > locateOthers {
+		others = nil
+	}
+	return own, others
 }
 
 // locate starts a search.
@@ -68,7 +67,7 @@
 			engines = append(engines, state.server)
 		}
 	}
-	own, others := searchSteps(t.DataCentre, message.Prompt, engines)
+	own, others := searchSteps(t.DataCentre, engines)
 	s := &search{prompt: message.Prompt, reply: message.Reply, later: others}
 	if !t.advance(ctx, s, own) {
 		t.searches = append(t.searches, s)
--- a/entryhost/relay/forward/copies.go
+++ b/entryhost/relay/forward/copies.go
@@ -11,9 +11,9 @@
 )
 
 const (
-	// refreshShare is the part of a copy's lifetime after which it is made again;
-	// only what the run has added since is sent.
-	refreshShare = 0.6
+	// refreshShare is the part of a copy's lifetime after which it is made again.
+	// Most runs end before, and engines keep copies somewhat longer than they say.
+	refreshShare = 0.9
 	// copyPause is the time before another engine is asked to take a copy.
 	copyPause = 300 * time.Millisecond
 	// homePause is the time after which a run in another data centre gets a copy
