Let hosts pay for each other's repeats

A host of 75 sees 0.6 streams a second and may repeat about five in ten seconds; a crash takes all that it has at once, while hosts of other zones repeat nothing. The service as a whole stayed below half of its budget.

Ruled out: rejected copies and lost holders (no further attempt was made at all); a wider share for each host, which would break the sum when all hosts repeat.

Change: a host whose budget is spent asks one host of its zone and three of others to pay; the payer counts the repeat as its own.

--- a/entryhost/relay/dispatch/assign.go
+++ b/entryhost/relay/dispatch/assign.go
@@ -27,8 +27,8 @@
 		return true
 	}
 	ledger := t.budgetOf(request.Service)
-	if request.Repeat && !ledger.spend(t.uptime(), t.sharers) {
-		t.refuse(request, RefusedBudget)
+	if request.Repeat && !request.paid && !ledger.spend(t.uptime(), t.sharers, 0) {
+		t.borrow(ctx, request)
 		return true
 	}
 	if !request.Repeat {
--- a/entryhost/relay/dispatch/budget.go
+++ b/entryhost/relay/dispatch/budget.go
@@ -1,6 +1,9 @@
 package dispatch
 
-import "time"
+import (
+	"context"
+	"time"
+)
 
 // BudgetTerms bound the repeated arrivals at a service, summed over all hosts.
 type BudgetTerms struct {
@@ -17,6 +20,10 @@
 	// budgetMargin is the part of the budget that this host uses; the rest
 	// covers windows that do not line up between hosts.
 	budgetMargin = 0.8
+	// lendReserve is the number of repeats that a host keeps for itself.
+	lendReserve = 1
+	// borrowTimeout bounds the questions to other hosts, at most 3 ms away.
+	borrowTimeout = 100 * time.Millisecond
 )
 
 // budget counts requests and repeats of one service in slots of a tenth of the
@@ -50,9 +57,9 @@
 	b.requests[b.slot%budgetSlots]++
 }
 
-// spend counts a repeat if the budget has room for it. Hosts is the number of
-// entry hosts that share the extra.
-func (b *budget) spend(at time.Duration, hosts int) bool {
+// spend counts a repeat if the budget has room for it and a reserve. Hosts is
+// the number of entry hosts that share the extra.
+func (b *budget) spend(at time.Duration, hosts int, reserve float64) bool {
 	b.advance(at)
 	var requests, repeats float64
 	for i := range b.requests {
@@ -60,7 +67,7 @@
 		repeats += b.repeats[i]
 	}
 	allowed := budgetMargin * (b.terms.Ratio*requests + b.terms.Extra/float64(max(hosts, 1)))
-	if repeats+1 > allowed {
+	if repeats+1+reserve > allowed {
 		return false
 	}
 	b.repeats[b.slot%budgetSlots]++
@@ -73,3 +80,40 @@
 	slot := b.slot % budgetSlots
 	b.repeats[slot] = max(b.repeats[slot]-1, 0)
 }
+
+// borrow asks other hosts to pay for the repeat. A lost data centre costs its
+// hosts many repeats at once while others have no use for theirs.
+func (t *Task) borrow(ctx context.Context, request Acquire) {
+	peers := t.peers
+	go func() {
+		borrowContext, cancel := context.WithTimeout(ctx, borrowTimeout)
+		defer cancel()
+		granted := t.Lender.Borrow(borrowContext, peers, request.Service)
+		_ = t.mailbox.Send(ctx, borrowed{request: request, granted: granted})
+	}()
+}
+
+func (t *Task) takeBorrowed(ctx context.Context, message borrowed) {
+	result := "refused"
+	if message.granted {
+		result = "granted"
+	}
+	t.Metrics.GetOrCreateCounter(`lentilpoint_relay_budget_borrowed_total{service="` + message.request.Service + `",result="` + result + `"}`).Inc()
+	if !message.granted {
+		t.refuse(message.request, RefusedBudget)
+		return
+	}
+	message.request.paid = true
+	if !t.assign(ctx, message.request) {
+		t.waiting = append(t.waiting, message.request)
+	}
+}
+
+// lend pays for a repeat of another host, which counts as one of this host.
+func (t *Task) lend(message Lend) {
+	granted := t.budgetOf(message.Service).spend(t.uptime(), t.sharers, lendReserve)
+	if granted {
+		t.Metrics.GetOrCreateCounter(`lentilpoint_relay_budget_lent_total{service="` + message.Service + `"}`).Inc()
+	}
+	message.Reply.Send(granted)
+}
--- a/entryhost/relay/dispatch/dispatch_test.go
+++ b/entryhost/relay/dispatch/dispatch_test.go
@@ -129,7 +129,7 @@
 var _ = Describe("the retry budget", func() {
 	terms := BudgetTerms{Ratio: 0.8, Window: 10 * time.Second, Extra: 150}
 
-	It("holds in every window, summed over hosts", func() {
+	It("holds in every window, summed over hosts that borrow from each other", func() {
 		rapid.Check(GinkgoT(), func(t *rapid.T) {
 			const hosts = 6
 			budgets := make([]budget, hosts)
@@ -148,7 +148,7 @@
 				if rapid.IntRange(0, 9).Draw(t, "kind") == 0 {
 					host.earn(now)
 					arrivals = append(arrivals, arrival{at: now})
-				} else if host.spend(now, hosts) {
+				} else if host.spend(now, hosts, 0) || lent(budgets, now) {
 					arrivals = append(arrivals, arrival{at: now, repeat: true})
 				}
 			}
@@ -172,16 +172,33 @@
 		})
 	})
 
+	It("keeps a repeat for itself when it lends", func() {
+		b := budget{terms: BudgetTerms{Ratio: 0, Window: time.Second, Extra: 2.5}}
+		Expect(b.spend(time.Second, 1, lendReserve)).To(BeTrue())
+		Expect(b.spend(time.Second, 1, lendReserve)).To(BeFalse())
+		Expect(b.spend(time.Second, 1, 0)).To(BeTrue())
+	})
+
 	It("gets a repeat back that reached no server", func() {
 		now := 1000 * time.Second
 		b := budget{terms: BudgetTerms{Ratio: 0, Window: time.Second, Extra: 2}}
-		Expect(b.spend(now, 1)).To(BeTrue())
-		Expect(b.spend(now, 1)).To(BeFalse())
+		Expect(b.spend(now, 1, 0)).To(BeTrue())
+		Expect(b.spend(now, 1, 0)).To(BeFalse())
 		b.refund(now)
-		Expect(b.spend(now, 1)).To(BeTrue())
+		Expect(b.spend(now, 1, 0)).To(BeTrue())
 	})
 })
 
+// lent reports whether one of the hosts pays for a repeat.
+func lent(budgets []budget, now time.Duration) bool {
+	for i := range budgets {
+		if budgets[i].spend(now, len(budgets), lendReserve) {
+			return true
+		}
+	}
+	return false
+}
+
 func count(condition bool) float64 { return indicator(condition) }
 
 var _ = Describe("ownership", func() {
--- a/entryhost/relay/dispatch/messages.go
+++ b/entryhost/relay/dispatch/messages.go
@@ -50,6 +50,8 @@
 	// Until is when the dispatcher refuses if no server can be had.
 	Until time.Time
 	Reply task.Reply[Assignment]
+	// paid tells that another host's budget pays for the attempt.
+	paid bool
 }
 
 // Refusal says why no server was assigned.
@@ -186,6 +188,23 @@
 	return c.Holder.ID
 }
 
+// Lend asks to pay for a repeat of another host from this host's budget.
+type Lend struct {
+	Service string
+	Reply   task.Reply[bool]
+}
+
+// Lender asks other hosts to pay for a repeat from their budgets.
+type Lender interface {
+	Borrow(ctx context.Context, hosts []routing.Host, service string) bool
+}
+
+// borrowed is the outcome for a request that needed another host's budget.
+type borrowed struct {
+	request Acquire
+	granted bool
+}
+
 // Locate asks for the id of an engine that holds the prompt; "" if none does.
 type Locate struct {
 	Service string
@@ -216,6 +235,8 @@
 
 func (OrderCopy) isMessage()  {}
 func (DropCopy) isMessage()   {}
+func (Lend) isMessage()       {}
+func (borrowed) isMessage()   {}
 func (Locate) isMessage()     {}
 func (listed) isMessage()     {}
 func (Acquire) isMessage()    {}
--- a/entryhost/relay/dispatch/task.go
+++ b/entryhost/relay/dispatch/task.go
@@ -43,6 +43,7 @@
 	DataCentre string
 	Protocol   exchange.Protocol
 	Prober     Prober
+	Lender     Lender
 	Budget     BudgetTerms
 	Clock      clockwork.Clock
 	Random     *rand.Rand
@@ -107,6 +108,8 @@
 	owners ownership
 	// sharers is the number of entry hosts, which share budgets and limits.
 	sharers int
+	// peers are the other entry hosts.
+	peers   []routing.Host
 	servers map[string]*serverState
 	leases  map[Lease]use
 	last    Lease
@@ -167,6 +170,7 @@
 			t.retryWaiting(ctx)
 		case hosts := <-t.hosts.C():
 			t.sharers = max(sharersMin, len(hosts)+1)
+			t.peers = hosts
 			t.owners = newOwnership(t.Self, t.DataCentre, hosts)
 		case report := <-t.reports.C():
 			t.takeReport(report)
@@ -193,6 +197,10 @@
 		t.setStage(message)
 	case Samples:
 		t.answerSamples(message)
+	case Lend:
+		t.lend(message)
+	case borrowed:
+		t.takeBorrowed(ctx, message)
 	case OrderCopy:
 		t.orderCopy(ctx, message)
 	case DropCopy:
--- a/entryhost/relay/fx.go
+++ b/entryhost/relay/fx.go
@@ -82,7 +82,8 @@
 
 func provideDispatcher(settings Settings, adapter Adapter, clock clockwork.Clock, set *metrics.Set, logger *slog.Logger) *dispatch.Task {
 	return dispatch.NewTask(dispatch.Parameters{
-		Self: settings.PeerAddress, DataCentre: settings.DataCentre, Protocol: adapter.Servers, Prober: adapter.Prober, Budget: settings.Budget, Clock: clock,
+		Self: settings.PeerAddress, DataCentre: settings.DataCentre, Protocol: adapter.Servers, Prober: adapter.Prober,
+		Lender: peering.Borrower{DataCentre: settings.DataCentre, Self: settings.PeerAddress}, Budget: settings.Budget, Clock: clock,
 		Random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), Metrics: set, Logger: logger,
 	})
 }
@@ -177,7 +178,7 @@
 		root.Add(peering.NewListener(in.Sockets.peers, map[string]task.Mailbox[mirror.Question]{
 			in.Adapter.OrdersIn:        in.Mirrors.orders.Mailbox(),
 			in.Adapter.RegistrationsIn: in.Mirrors.registrations.Mailbox(),
-		}))
+		}, in.Dispatcher.Mailbox()))
 	}
 	return root
 }
--- a/entryhost/relay/peering/peering.go
+++ b/entryhost/relay/peering/peering.go
@@ -1,5 +1,6 @@
 // Package peering lets entry hosts read each other's copies of the store's
-// tables by net/rpc, for times when the store serves only some of them.
+// tables by net/rpc, for times when the store serves only some of them, and
+// borrow from each other's retry budgets.
 package peering
 
 import (
@@ -12,6 +13,7 @@
 
 	"github.com/zeebo/errs"
 
+	"github.com/lentilpoint/lentilpoint/entryhost/relay/dispatch"
 	"github.com/lentilpoint/lentilpoint/entryhost/relay/mirror"
 	"github.com/lentilpoint/lentilpoint/entryhost/relay/routing"
 	"github.com/lentilpoint/lentilpoint/task"
@@ -21,13 +23,18 @@
 var Error = errs.Class("peering")
 
 const (
-	serviceName = "Copies"
+	serviceName   = "Copies"
+	budgetService = "Budget"
 	// callTimeout bounds the question to one peer, at most 3 ms away.
 	callTimeout = 200 * time.Millisecond
 	// longestWait bounds how long an answer is held.
 	longestWait = 2 * time.Second
 	// peersAsked is the number of peers that one round asks.
 	peersAsked = 3
+	// lendersAsked is the number of hosts that are asked for one repeat, and
+	// lendTimeout the time for each; a host answers within 3 ms.
+	lendersAsked = 4
+	lendTimeout  = 25 * time.Millisecond
 )
 
 // Copies is the net/rpc service.
@@ -52,15 +59,33 @@
 	return err
 }
 
+// Budget is the net/rpc service that pays for repeats of other hosts.
+type Budget struct {
+	dispatcher task.Mailbox[dispatch.Message]
+}
+
+// Lend reports whether this host's budget of the service pays for one repeat.
+func (b *Budget) Lend(service string, granted *bool) error {
+	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+	defer cancel()
+	got, err := task.Call(ctx, b.dispatcher, func(reply task.Reply[bool]) dispatch.Message {
+		return dispatch.Lend{Service: service, Reply: reply}
+	})
+	*granted = got
+	return err
+}
+
 // Listener is the task that owns the socket for other entry hosts.
 type Listener struct {
-	socket    task.Socket
-	followers map[string]task.Mailbox[mirror.Question]
+	socket     task.Socket
+	followers  map[string]task.Mailbox[mirror.Question]
+	dispatcher task.Mailbox[dispatch.Message]
 }
 
-// NewListener serves the followers' copies, by table, on a bound socket.
-func NewListener(listener net.Listener, followers map[string]task.Mailbox[mirror.Question]) *Listener {
-	return &Listener{socket: task.NewSocket(listener), followers: followers}
+// NewListener serves the followers' copies, by table, and the dispatcher's
+// budget on a bound socket.
+func NewListener(listener net.Listener, followers map[string]task.Mailbox[mirror.Question], dispatcher task.Mailbox[dispatch.Message]) *Listener {
+	return &Listener{socket: task.NewSocket(listener), followers: followers, dispatcher: dispatcher}
 }
 
 // String names the task in the logs.
@@ -79,6 +104,9 @@
 	if err := server.RegisterName(serviceName, &Copies{followers: l.followers}); err != nil {
 		return Error.Wrap(err)
 	}
+	if err := server.RegisterName(budgetService, &Budget{dispatcher: l.dispatcher}); err != nil {
+		return Error.Wrap(err)
+	}
 	for {
 		conn, err := listener.Accept()
 		if ctx.Err() != nil {
@@ -166,8 +194,23 @@
 // targets returns the peers to ask: one of the own data centre first, since data centres may
 // be cut off from each other, then others.
 func targets(dataCentre, self string, hosts []routing.Host, seeds []string) []string {
-	var near, far []string
-	for _, host := range hosts {
+	near, far := split(dataCentre, self, hosts)
+	if len(near)+len(far) == 0 {
+		for _, seed := range seeds {
+			if seed != self {
+				far = append(far, seed)
+			}
+		}
+	}
+	all := append(near[:min(len(near), peersAsked-1)], far...)
+	return all[:min(len(all), peersAsked)]
+}
+
+// split returns the other hosts of the data centre and those elsewhere, each in
+// a random order.
+func split(dataCentre, self string, hosts []routing.Host) (near, far []string) {
+	for _, i := range rand.Perm(len(hosts)) {
+		host := hosts[i]
 		switch {
 		case host.Address == self:
 		case host.DataCentre == dataCentre:
@@ -176,34 +219,64 @@
 			far = append(far, host.Address)
 		}
 	}
-	if len(near)+len(far) == 0 {
-		for _, seed := range seeds {
-			if seed != self {
-				far = append(far, seed)
-			}
+	return near, far
+}
+
+// fetch puts one query to a host.
+func fetch(ctx context.Context, address string, query mirror.Query) (mirror.Answer, error) {
+	var answer mirror.Answer
+	return answer, call(ctx, address, serviceName+".Changes", query, &answer)
+}
+
+// Borrower asks other entry hosts to pay for repeats. It implements
+// dispatch.Lender.
+type Borrower struct {
+	// DataCentre and Self are those of this host.
+	DataCentre string
+	Self       string
+}
+
+// Borrow implements dispatch.Lender. Hosts of the own data centre are nearer, but
+// those of others may still have what a loss in this one has used up here.
+func (b Borrower) Borrow(ctx context.Context, hosts []routing.Host, service string) bool {
+	for _, address := range lenders(b.DataCentre, b.Self, hosts) {
+		if lent(ctx, address, service) {
+			return true
 		}
 	}
-	rand.Shuffle(len(near), func(i, j int) { near[i], near[j] = near[j], near[i] })
-	rand.Shuffle(len(far), func(i, j int) { far[i], far[j] = far[j], far[i] })
-	all := append(near[:min(len(near), peersAsked-1)], far...)
-	return all[:min(len(all), peersAsked)]
+	return false
+}
+
+// lent asks one host. A host that does not answer lends nothing.
+func lent(ctx context.Context, address, service string) bool {
+	ctx, cancel := context.WithTimeout(ctx, lendTimeout)
+	defer cancel()
+	var granted bool
+	return call(ctx, address, budgetService+".Lend", service, &granted) == nil && granted
 }
 
-// fetch puts one query to a host on a connection of its own, since an open one
+// lenders returns the hosts to ask: one of the own data centre, which answers
+// also behind a cut, and then hosts of others.
+func lenders(dataCentre, self string, hosts []routing.Host) []string {
+	near, far := split(dataCentre, self, hosts)
+	all := append(near[:min(len(near), 1)], far...)
+	return all[:min(len(all), lendersAsked)]
+}
+
+// call makes one call to a host on a connection of its own, since an open one
 // may go silent unnoticed.
-func fetch(ctx context.Context, address string, query mirror.Query) (mirror.Answer, error) {
+func call(ctx context.Context, address, method string, arguments, answer any) error {
 	dialer := net.Dialer{Timeout: callTimeout}
 	conn, err := dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
-		return mirror.Answer{}, Error.Wrap(err)
+		return Error.Wrap(err)
 	}
 	deadline, _ := ctx.Deadline()
 	if err := conn.SetDeadline(deadline); err != nil {
 		_ = conn.Close()
-		return mirror.Answer{}, Error.Wrap(err)
+		return Error.Wrap(err)
 	}
 	client := rpc.NewClient(conn)
 	defer func() { _ = client.Close() }()
-	var answer mirror.Answer
-	return answer, Error.Wrap(client.Call(serviceName+".Changes", query, &answer))
+	return Error.Wrap(client.Call(method, arguments, answer))
 }
--- a/entryhost/relay/relay_test.go
+++ b/entryhost/relay/relay_test.go
@@ -45,12 +45,14 @@
 	relay   relay.Settings
 	stop    context.CancelFunc
 	done    chan error
+	// budget is that of the relays that are started next.
+	budget dispatch.BudgetTerms
 }
 
 func newSite() *site {
 	ctx, cancel := context.WithCancel(context.Background())
 	DeferCleanup(cancel)
-	s := &site{ctx: ctx}
+	s := &site{ctx: ctx, budget: dispatch.BudgetTerms{Ratio: 0.8, Window: 10 * time.Second, Extra: 150}}
 	var err error
 	s.store, err = standin.StartStore(ctx)
 	Expect(err).NotTo(HaveOccurred())
@@ -101,7 +103,7 @@
 	settings := relay.Settings{
 		HostName: "edge", DataCentre: "zone-0", FrontAddress: freeAddress(), ReadyAddress: freeAddress(), PeerAddress: freeAddress(),
 		MetricsAddress: freeAddress(), Seeds: strings.Join(seeds, ","), StoreAddress: store, StopTime: 5 * time.Second, ArrivalTime: 100 * time.Millisecond,
-		Budget: dispatch.BudgetTerms{Ratio: 0.8, Window: 10 * time.Second, Extra: 150}, Exposure: moves.Terms{Share: 0.1, Slack: 50},
+		Budget: s.budget, Exposure: moves.Terms{Share: 0.1, Slack: 50},
 	}
 	ctx, stop := context.WithCancel(s.ctx)
 	done := make(chan error, 1)
@@ -352,6 +354,21 @@
 		Expect(time.Since(started)).To(BeNumerically("<", 5*time.Second))
 	})
 
+	It("goes on with a stream when its own retry budget is spent and another host's is not", func() {
+		s.budget = dispatch.BudgetTerms{Window: 10 * time.Second}
+		settings, _, _ := s.start(s.store.Address())
+		Eventually(ready(settings), 5*time.Second).Should(Equal(http.StatusOK))
+		c := s.caller()
+		c.settings = settings
+		Eventually(func() int {
+			for _, engine := range s.engines {
+				engine.SetFaults(standin.ServerFaults{CutAfter: 12})
+			}
+			// The host knows the other one once it has read the list of hosts.
+			return len(events(c.send("POST", "/advice/1", "lent").body))
+		}, 10*time.Second).Should(Equal(streamEvents))
+	})
+
 	It("breaks a stream off visibly when no engine can go on with it", func() {
 		for _, engine := range s.engines {
 			engine.SetFaults(standin.ServerFaults{CutAfter: 1})
