Stop requests that crash servers on all entry hosts

A request that crashes each server that begins to run it was bounded by its route's attempts alone; sent again through other hosts it took servers each time.

A task of each host now counts the deaths of servers by the fingerprint of the request. A death is an attempt that broke off before its first answer at a server whose address then refuses connections, so that lost answers and cut links do not count. Two keepers by rendezvous hashing add up the deaths that different hosts saw; the third within a minute stops the request on all hosts. Rendezvous hashing has one copy, in the package of routing values.

Ruled out: rows in the store (a call for each death, and nothing while it is away); telling all hosts of each death (most are chance: the engines of a zone crash together).

The spec with two relays fails without the bound (servers keep dying) and passes with it.

--- a/cmd/lentilpoint-bench/standin/server.go
+++ b/cmd/lentilpoint-bench/standin/server.go
@@ -27,6 +27,8 @@
 	Extra bool
 	// CutAfter breaks a stream off after that many events of an attempt; 0 is off.
 	CutAfter int
+	// CrashOn ends the server when it begins to run a request with this body; "" is off.
+	CrashOn string
 	// HangAfter sends nothing more after that many events; 0 is off.
 	HangAfter int
 }
@@ -126,6 +128,11 @@
 // Crash closes the socket and all connections.
 func (s *Server) Crash() { control(s, func(s *Server) bool { s.endpoint.cut(); return true }) }
 
+// Running reports whether the server listens.
+func (s *Server) Running() bool {
+	return control(s, func(s *Server) bool { return s.endpoint.server != nil })
+}
+
 // Restart starts the server again at its address under another id.
 func (s *Server) Restart() error {
 	return control(s, func(s *Server) error { s.restarted(); return s.endpoint.open() })
@@ -248,6 +255,10 @@
 		return true
 	})
 	defer func() { control(s, func(s *Server) bool { s.open--; return true }) }()
+	if entry.faults.CrashOn != "" && entry.faults.CrashOn == string(body) {
+		s.Crash()
+		panic(http.ErrAbortHandler)
+	}
 	w.Header().Set(platform.HeaderSeal, "seal."+entry.id)
 	if s.Events > 0 {
 		s.stream(w, r, streamOrder{request: request, body: string(body), faults: entry.faults, copied: wantsCopy})
--- a/entryhost/relay/dispatch/ownership.go
+++ b/entryhost/relay/dispatch/ownership.go
@@ -1,8 +1,6 @@
 package dispatch
 
 import (
-	"hash/fnv"
-
 	"github.com/lentilpoint/lentilpoint/entryhost/relay/routing"
 )
 
@@ -30,22 +28,11 @@
 	if server.DataCentre != o.dataCentre {
 		return false
 	}
-	own := rendezvous(o.self, server.Address)
+	own := routing.Rendezvous(o.self, server.Address)
 	for _, peer := range o.peers {
-		if rendezvous(peer, server.Address) > own {
+		if routing.Rendezvous(peer, server.Address) > own {
 			return false
 		}
 	}
 	return true
 }
-
-func rendezvous(host, server string) uint64 {
-	hash := fnv.New64a()
-	_, _ = hash.Write([]byte(host))
-	_, _ = hash.Write([]byte{0})
-	_, _ = hash.Write([]byte(server))
-	// Addresses differ in few bits; the multiplication spreads them.
-	value := hash.Sum64()
-	value ^= value >> 32
-	return value * 0x9e3779b97f4a7c15
-}
--- a/entryhost/relay/forward/stream.go
+++ b/entryhost/relay/forward/stream.go
@@ -61,7 +61,7 @@
 			return
 		}
 		r.finish(l, got, outcome, cause, 0)
-		if !r.prepareNext(l, s, got, outcome, cause) {
+		if !r.prepareNext(ctx, l, s, got, outcome, cause) {
 			return
 		}
 	}
@@ -124,7 +124,7 @@
 
 // prepareNext decides what follows a lost attempt and reports whether another
 // attempt follows. Otherwise the caller has its final answer.
-func (r *run) prepareNext(l *live, s *streamState, got *answer, outcome dispatch.Outcome, cause error) bool {
+func (r *run) prepareNext(ctx context.Context, l *live, s *streamState, got *answer, outcome dispatch.Outcome, cause error) bool {
 	s.ledger.restart()
 	if l.attempt.CacheCopy.Name != "" && outcome == dispatch.OutcomeRejected {
 		// The copy is gone, which says nothing about the server.
@@ -133,7 +133,11 @@
 		r.exclude[l.note.Server] = true
 	}
 	s.copies.ended(l.note.Events > 0)
-	switch afterStream(r.request.Route, outcome, r.counts, s.begun) {
+	next := afterStream(r.request.Route, outcome, r.counts, s.begun)
+	if next == again && outcome == dispatch.OutcomeBroken && r.stopped(ctx) {
+		next = fail
+	}
+	switch next {
 	case again:
 		r.logAgain(l, outcome, cause, s.ledger.lastEvent())
 		return true
--- a/entryhost/relay/forward/task.go
+++ b/entryhost/relay/forward/task.go
@@ -13,6 +13,7 @@
 	"github.com/lentilpoint/lentilpoint/entryhost/relay/dispatch"
 	"github.com/lentilpoint/lentilpoint/entryhost/relay/exchange"
 	"github.com/lentilpoint/lentilpoint/entryhost/relay/routing"
+	"github.com/lentilpoint/lentilpoint/entryhost/relay/suspects"
 	"github.com/lentilpoint/lentilpoint/eventcode"
 	"github.com/lentilpoint/lentilpoint/model"
 	"github.com/lentilpoint/lentilpoint/task"
@@ -25,6 +26,7 @@
 // Forwarder starts request tasks. It holds no state of its own.
 type Forwarder struct {
 	Dispatcher task.Mailbox[dispatch.Message]
+	Suspects   task.Mailbox[suspects.Message]
 	Codec      Codec
 	Clock      clockwork.Clock
 	Metrics    *metrics.Set
@@ -37,6 +39,11 @@
 	ctx, cancel := context.WithTimeoutCause(ctx, request.Deadline.Sub(f.Clock.Now()), errDeadline)
 	defer cancel()
 	run := &run{Forwarder: f, request: request, caller: caller, exclude: map[string]bool{}, point: rand.Float64()}
+	run.fingerprint = suspects.NewFingerprint(request.Organisation, request.Method, request.Host, request.Target, string(request.Body))
+	if run.stopped(ctx) {
+		run.refuseWith(model.ReasonSuspectRequest, "servers died each time this request ran", "do not send it again; keep its content for the developers of the service")
+		return run.summary
+	}
 	if request.Route.Kind == routing.Streaming {
 		run.stream(ctx)
 	} else {
@@ -57,6 +64,8 @@
 	summary Summary
 	counts  tally
 	exclude map[string]bool
+	// fingerprint is shared by all requests with the same caller and content.
+	fingerprint suspects.Fingerprint
 	// point is the place of the request in the split of a version move.
 	point float64
 }
@@ -111,6 +120,7 @@
 	if outcome != dispatch.OutcomeNone {
 		r.counts = r.counts.add(outcome)
 	}
+	r.reportSuspect(l, outcome)
 	// The dispatcher always drains its mailbox; waiting keeps its counts right.
 	ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
 	defer cancel()
--- a/entryhost/relay/fx.go
+++ b/entryhost/relay/fx.go
@@ -23,6 +23,7 @@
 	"github.com/lentilpoint/lentilpoint/entryhost/relay/reload"
 	"github.com/lentilpoint/lentilpoint/entryhost/relay/roster"
 	"github.com/lentilpoint/lentilpoint/entryhost/relay/routing"
+	"github.com/lentilpoint/lentilpoint/entryhost/relay/suspects"
 	"github.com/lentilpoint/lentilpoint/eventcode"
 	"github.com/lentilpoint/lentilpoint/task"
 )
@@ -49,7 +50,7 @@
 // a metrics set and a logger.
 var Module = fx.Module("relay",
 	fx.Provide(
-		provideSockets, provideDispatcher, provideMover, provideCatalog, provideRoster, provideMirrors,
+		provideSockets, provideDispatcher, provideSuspects, provideMover, provideCatalog, provideRoster, provideMirrors,
 		provideForwarder, provideFront, provideRoot,
 	),
 )
@@ -88,6 +89,12 @@
 	})
 }
 
+func provideSuspects(settings Settings, clock clockwork.Clock, set *metrics.Set, logger *slog.Logger) *suspects.Task {
+	return suspects.NewTask(suspects.Parameters{
+		Self: settings.PeerAddress, Peers: peering.Messenger{}, Refuses: exchange.Refuses, Clock: clock, Metrics: set, Logger: logger,
+	})
+}
+
 func provideMover(settings Settings, adapter Adapter, clock clockwork.Clock, set *metrics.Set, logger *slog.Logger, dispatcher *dispatch.Task) *moves.Mover {
 	return moves.NewMover(moves.Parameters{
 		Self: settings.PeerAddress, Store: adapter.Moves, Traffic: dispatch.Traffic{Dispatcher: dispatcher.Mailbox()},
@@ -99,9 +106,9 @@
 	return catalog.NewTask(adapter.Decoder, clock, set, logger, dispatcher.Views(), mover.Views())
 }
 
-func provideRoster(settings Settings, adapter Adapter, clock clockwork.Clock, logger *slog.Logger, dispatcher *dispatch.Task) *roster.Task {
+func provideRoster(settings Settings, adapter Adapter, clock clockwork.Clock, logger *slog.Logger, dispatcher *dispatch.Task, suspected *suspects.Task) *roster.Task {
 	self := routing.Host{Name: settings.HostName, Address: settings.PeerAddress, DataCentre: settings.DataCentre}
-	return roster.NewTask(self, adapter.Roster, clock, logger, dispatcher.Hosts())
+	return roster.NewTask(self, adapter.Roster, clock, logger, dispatcher.Hosts(), suspected.Hosts())
 }
 
 // mirrors are the followers of the two tables that the relay reads.
@@ -131,8 +138,8 @@
 	}
 }
 
-func provideForwarder(adapter Adapter, clock clockwork.Clock, set *metrics.Set, logger *slog.Logger, dispatcher *dispatch.Task) *forward.Forwarder {
-	return &forward.Forwarder{Dispatcher: dispatcher.Mailbox(), Codec: adapter.Codec, Clock: clock, Metrics: set, Logger: logger}
+func provideForwarder(adapter Adapter, clock clockwork.Clock, set *metrics.Set, logger *slog.Logger, dispatcher *dispatch.Task, suspected *suspects.Task) *forward.Forwarder {
+	return &forward.Forwarder{Dispatcher: dispatcher.Mailbox(), Suspects: suspected.Mailbox(), Codec: adapter.Codec, Clock: clock, Metrics: set, Logger: logger}
 }
 
 func provideFront(settings Settings, bound sockets, adapter Adapter, clock clockwork.Clock, set *metrics.Set, logger *slog.Logger, view *catalog.Task, forwarder *forward.Forwarder) (*ingress.Front, ingress.Parameters) {
@@ -146,6 +153,7 @@
 	Adapter    Adapter
 	Sockets    sockets
 	Dispatcher *dispatch.Task
+	Suspects   *suspects.Task
 	Mover      *moves.Mover
 	Catalog    *catalog.Task
 	Roster     *roster.Task
@@ -163,6 +171,7 @@
 func provideRoot(in rootIn) *suture.Supervisor {
 	root := task.NewSupervisor("relay", task.DefaultRestartPolicy, in.Logger)
 	root.Add(in.Dispatcher)
+	root.Add(in.Suspects)
 	root.Add(in.Mover)
 	root.Add(in.Catalog)
 	root.Add(in.Roster)
@@ -178,7 +187,7 @@
 		root.Add(peering.NewListener(in.Sockets.peers, map[string]task.Mailbox[mirror.Question]{
 			in.Adapter.OrdersIn:        in.Mirrors.orders.Mailbox(),
 			in.Adapter.RegistrationsIn: in.Mirrors.registrations.Mailbox(),
-		}, in.Dispatcher.Mailbox()))
+		}, in.Dispatcher.Mailbox(), in.Suspects.Mailbox()))
 	}
 	return root
 }
--- a/entryhost/relay/peering/peering.go
+++ b/entryhost/relay/peering/peering.go
@@ -5,7 +5,6 @@
 
 import (
 	"context"
-	"hash/fnv"
 	"math/rand/v2"
 	"net"
 	"net/rpc"
@@ -16,6 +15,7 @@
 	"github.com/lentilpoint/lentilpoint/entryhost/relay/dispatch"
 	"github.com/lentilpoint/lentilpoint/entryhost/relay/mirror"
 	"github.com/lentilpoint/lentilpoint/entryhost/relay/routing"
+	"github.com/lentilpoint/lentilpoint/entryhost/relay/suspects"
 	"github.com/lentilpoint/lentilpoint/task"
 )
 
@@ -25,6 +25,7 @@
 const (
 	serviceName   = "Copies"
 	budgetService = "Budget"
+	suspectsName  = "Suspects"
 	// callTimeout bounds the question to one peer, at most 3 ms away.
 	callTimeout = 200 * time.Millisecond
 	// longestWait bounds how long an answer is held.
@@ -80,12 +81,13 @@
 	socket     task.Socket
 	followers  map[string]task.Mailbox[mirror.Question]
 	dispatcher task.Mailbox[dispatch.Message]
+	suspects   task.Mailbox[suspects.Message]
 }
 
-// NewListener serves the followers' copies, by table, and the dispatcher's
-// budget on a bound socket.
-func NewListener(listener net.Listener, followers map[string]task.Mailbox[mirror.Question], dispatcher task.Mailbox[dispatch.Message]) *Listener {
-	return &Listener{socket: task.NewSocket(listener), followers: followers, dispatcher: dispatcher}
+// NewListener serves the followers' copies, by table, the dispatcher's budget and
+// what peers tell of suspects on a bound socket.
+func NewListener(listener net.Listener, followers map[string]task.Mailbox[mirror.Question], dispatcher task.Mailbox[dispatch.Message], told task.Mailbox[suspects.Message]) *Listener {
+	return &Listener{socket: task.NewSocket(listener), followers: followers, dispatcher: dispatcher, suspects: told}
 }
 
 // String names the task in the logs.
@@ -101,11 +103,12 @@
 	release := context.AfterFunc(ctx, func() { _ = listener.Close() })
 	defer release()
 	server := rpc.NewServer()
-	if err := server.RegisterName(serviceName, &Copies{followers: l.followers}); err != nil {
-		return Error.Wrap(err)
-	}
-	if err := server.RegisterName(budgetService, &Budget{dispatcher: l.dispatcher}); err != nil {
-		return Error.Wrap(err)
+	for name, service := range map[string]any{
+		serviceName: &Copies{followers: l.followers}, budgetService: &Budget{dispatcher: l.dispatcher}, suspectsName: &Suspects{mailbox: l.suspects},
+	} {
+		if err := server.RegisterName(name, service); err != nil {
+			return Error.Wrap(err)
+		}
 	}
 	for {
 		conn, err := listener.Accept()
@@ -137,24 +140,18 @@
 // Reader implements mirror.Peers. The host with the highest rendezvous hash of
 // the data centre reads the store for the data centre.
 func (p *Peers) Reader(ctx context.Context, avoid map[string]time.Time) string {
-	reader, highest := "", p.weight(p.Self)
+	reader, highest := "", routing.Rendezvous(p.Self, p.DataCentre)
 	for _, host := range p.Hosts(ctx) {
 		if _, avoided := avoid[host.Address]; avoided || host.DataCentre != p.DataCentre || host.Address == p.Self {
 			continue
 		}
-		if weight := p.weight(host.Address); weight > highest {
+		if weight := routing.Rendezvous(host.Address, p.DataCentre); weight > highest {
 			reader, highest = host.Address, weight
 		}
 	}
 	return reader
 }
 
-func (p *Peers) weight(address string) uint64 {
-	hash := fnv.New64a()
-	_, _ = hash.Write([]byte(p.DataCentre + "/" + address))
-	return hash.Sum64()
-}
-
 // Ask implements mirror.Peers.
 func (p *Peers) Ask(ctx context.Context, host string, query mirror.Query) (mirror.Answer, error) {
 	return fetch(ctx, host, query)
--- a/entryhost/relay/relay_test.go
+++ b/entryhost/relay/relay_test.go
@@ -369,6 +369,38 @@
 		}, 10*time.Second).Should(Equal(streamEvents))
 	})
 
+	It("stops a request that crashes each server that runs it, on all hosts, and serves others", func() {
+		other, _, _ := s.start(s.store.Address(), s.relay.PeerAddress)
+		Eventually(ready(other), 5*time.Second).Should(Equal(http.StatusOK))
+		for _, server := range s.plain {
+			server.SetFaults(standin.ServerFaults{CrashOn: "poison"})
+		}
+		callers := []caller{s.caller(), s.caller()}
+		callers[1].settings = other
+		restart := func() {
+			for _, server := range s.plain {
+				if server.Running() {
+					continue
+				}
+				s.store.Remove(platform.TableServers, server.ID())
+				Expect(server.Restart()).To(Succeed())
+				Expect(server.Register(s.store, "ready")).To(Succeed())
+			}
+		}
+		statuses := make([]int, 10)
+		for i := range statuses {
+			// The host that started last knows the other one after two seconds.
+			statuses[i] = callers[i%2].send("POST", "/order/1", "poison").status
+			time.Sleep(400 * time.Millisecond)
+			restart()
+			time.Sleep(200 * time.Millisecond)
+		}
+		Expect(statuses[8:]).To(Equal([]int{http.StatusServiceUnavailable, http.StatusServiceUnavailable}))
+		// Three retries may reach servers after the third death.
+		Expect(len(runsOf(s.plain, "poison"))).To(BeNumerically("<=", 3+3))
+		Expect(callers[0].send("POST", "/order/1", "wholesome").status).To(Equal(http.StatusOK))
+	})
+
 	It("breaks a stream off visibly when no engine can go on with it", func() {
 		for _, engine := range s.engines {
 			engine.SetFaults(standin.ServerFaults{CutAfter: 1})
