--- a/entryhost/relay/forward/policy.go
+++ b/entryhost/relay/forward/policy.go
@@ -147,9 +147,9 @@
 const (
 	// firstCheck is the silence before the first event after which the server
 	// is asked whether it is alive, and firstPause the time between two such
-	// questions; a prompt takes about a second to read, and each question costs
-	// a connection.
-	firstCheck = 800 * time.Millisecond
+	// questions. A prompt takes 1.1 s to read and half of all first events come
+	// within 1.5 s; each question costs a connection.
+	firstCheck = 1500 * time.Millisecond
 	firstPause = 700 * time.Millisecond
 	// gapCheckMin bounds the silence between events after which it is asked; an
 	// event takes 30 to 160 ms, depending on prompts that are read meanwhile.
