Continue the read of a table where the store cut it off

All hosts read 2,997 registrations in six pages at once, more calls than the store allows in a second; a page that was refused made a host begin anew 300 ms later, together with all others.

Change: the pages read so far are kept for the next round, for as long as the feed reaches back to the first one. The pause after a failed call doubles up to 1.2 s and varies by a quarter, so that hosts do not call together again.

--- a/entryhost/relay/fx.go
+++ b/entryhost/relay/fx.go
@@ -81,11 +81,14 @@
 	return bound, nil
 }
 
+// newRandom returns a source for one task.
+func newRandom() *rand.Rand { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) }
+
 func provideDispatcher(settings Settings, adapter Adapter, clock clockwork.Clock, set *metrics.Set, logger *slog.Logger) *dispatch.Task {
 	return dispatch.NewTask(dispatch.Parameters{
 		Self: settings.PeerAddress, DataCentre: settings.DataCentre, Protocol: adapter.Servers, Prober: adapter.Prober,
 		Lender: peering.Borrower{DataCentre: settings.DataCentre, Self: settings.PeerAddress}, Budget: settings.Budget, Clock: clock,
-		Random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), Metrics: set, Logger: logger,
+		Random: newRandom(), Metrics: set, Logger: logger,
 	})
 }
 
@@ -133,8 +136,8 @@
 		},
 	}
 	return mirrors{
-		orders:        mirror.NewFollower(adapter.OrdersIn, adapter.Store, peers, clock, set, logger, view.Orders()),
-		registrations: mirror.NewFollower(adapter.RegistrationsIn, adapter.Store, peers, clock, set, logger, view.Registrations()),
+		orders:        mirror.NewFollower(adapter.OrdersIn, adapter.Store, peers, clock, newRandom(), set, logger, view.Orders()),
+		registrations: mirror.NewFollower(adapter.RegistrationsIn, adapter.Store, peers, clock, newRandom(), set, logger, view.Registrations()),
 	}
 }
 
--- a/entryhost/relay/mirror/messages.go
+++ b/entryhost/relay/mirror/messages.go
@@ -47,10 +47,19 @@
 	Whole bool
 }
 
+// Page is a part of a whole table. Pages are of different moments; the feed goes
+// on after the version of the first one.
+type Page struct {
+	Version uint64
+	Rows    []Row
+	// Next is the key that the next page begins with, or "" after the last one.
+	Next string
+}
+
 // Store reads tables of the platform's store.
 type Store interface {
-	// ReadTable returns all rows of the table's empty partition.
-	ReadTable(ctx context.Context, table string) (Changes, error)
+	// ReadPage returns rows of the table's empty partition from a key on.
+	ReadPage(ctx context.Context, table, from string) (Page, error)
 	// ReadChanges waits until rows changed after the version, at most for wait.
 	ReadChanges(ctx context.Context, table string, after uint64, wait time.Duration) (Changes, error)
 }
--- a/entryhost/relay/mirror/mirror_test.go
+++ b/entryhost/relay/mirror/mirror_test.go
@@ -1,9 +1,17 @@
 package mirror
 
 import (
+	"context"
+	"errors"
 	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"strconv"
 	"testing"
+	"time"
 
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/jonboulle/clockwork"
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 	"pgregory.net/rapid"
@@ -53,6 +61,68 @@
 	})
 })
 
+// limitedStore serves a table in pages, and so many calls in each round.
+type limitedStore struct {
+	pages int
+	calls int
+	limit int
+}
+
+func (s *limitedStore) ReadPage(_ context.Context, _, from string) (Page, error) {
+	if s.calls++; s.calls > s.limit {
+		return Page{}, errors.New("429")
+	}
+	number := 0
+	if from != "" {
+		number, _ = strconv.Atoi(from)
+	}
+	page := Page{Version: uint64(100 + s.calls), Rows: []Row{{Key: fmt.Sprint(number), Version: 1}}}
+	if number+1 < s.pages {
+		page.Next = strconv.Itoa(number + 1)
+	}
+	return page, nil
+}
+
+func (s *limitedStore) ReadChanges(context.Context, string, uint64, time.Duration) (Changes, error) {
+	return Changes{}, errors.New("not called")
+}
+
+var _ = Describe("a read of a whole table", func() {
+	It("comes to its end when the store serves fewer calls at a time than the table has pages", func() {
+		store := &limitedStore{pages: 7, limit: 3}
+		follower := NewFollower("t", store, nil, clockwork.NewFakeClock(), rand.New(rand.NewPCG(1, 2)), metrics.NewSet(), slog.New(slog.DiscardHandler))
+		now, read := time.Unix(100, 0), partial{}
+		rounds := 0
+		for {
+			rounds++
+			store.calls = 0
+			var err error
+			if read, err = follower.readWhole(context.Background(), read.continued(now)); err == nil {
+				break
+			}
+			Expect(rounds).To(BeNumerically("<", 10))
+		}
+		Expect(rounds).To(Equal(3))
+		Expect(read.changes.Rows).To(HaveLen(7))
+		Expect(read.changes.Version).To(Equal(uint64(101)), "the feed goes on after the first page")
+	})
+
+	It("begins anew when its first page is too old for the feed", func() {
+		now := time.Unix(100, 0)
+		read, _ := partial{}.continued(now).add(Page{Version: 5, Next: "b"})
+		Expect(read.continued(now.Add(partialKept)).next).To(Equal("b"))
+		Expect(read.continued(now.Add(partialKept + 1)).next).To(BeEmpty())
+	})
+})
+
+var _ = Describe("the pause after a failed call", func() {
+	It("grows to a bound within which configuration still comes into force, and differs between hosts", func() {
+		Expect(retryAfter(1, 0)).To(BeNumerically("<", retryAfter(1, 0.9)))
+		Expect(retryAfter(50, 0.999)).To(BeNumerically("<", 2*time.Second))
+		Expect(retryAfter(50, 0.5)).To(Equal(retryLongest))
+	})
+})
+
 func sameRows(a, b Snapshot) bool {
 	if len(a.Rows) != len(b.Rows) || a.Version != b.Version {
 		return false
--- a/entryhost/relay/mirror/policy.go
+++ b/entryhost/relay/mirror/policy.go
@@ -10,7 +10,7 @@
 	// feedSlack is added to feedWait for the deadline of a call; the store
 	// answers in 4 ms.
 	feedSlack = 400 * time.Millisecond
-	// readTimeout bounds the read of a whole table, which is a few 4 ms calls.
+	// readTimeout bounds one round of reading a whole table, a few 4 ms calls.
 	readTimeout = 1500 * time.Millisecond
 	// feedPause gathers changes that come close together into one call; each
 	// call to the store has a price.
@@ -25,8 +25,16 @@
 	peerAgeMax = feedWait + 2*feedSlack
 	// avoidTime is how long a peer that failed is passed over.
 	avoidTime = 5 * time.Second
-	// retryPause is the wait after a failed call.
-	retryPause = 300 * time.Millisecond
+	// retryPause is the wait after a failed call. It doubles up to retryLongest,
+	// below the 2 s in which configuration has to come into force, and varies by
+	// retrySpread of itself, so that hosts that failed together do not call
+	// together again.
+	retryPause   = 300 * time.Millisecond
+	retryLongest = 1200 * time.Millisecond
+	retrySpread  = 0.25
+	// partialKept is how long the pages of a table that was read in part count;
+	// the feed has to reach back to the first one, and the store keeps 20 s.
+	partialKept = 10 * time.Second
 	// probeTimeout bounds the first call of an outage, so that peers are asked
 	// soon; configuration has 2 s to come into force. It doubles with each round,
 	// since a large configuration takes longer over a link of 10 Mbit/s.
@@ -75,6 +83,40 @@
 	return first
 }
 
+// retryAfter returns the pause after so many failed rounds in a row; random is
+// uniform in [0, 1).
+func retryAfter(failed int, random float64) time.Duration {
+	pause := doubled(retryPause, max(failed-1, 0), retryLongest)
+	return time.Duration(float64(pause) * (1 + retrySpread*(2*random-1)))
+}
+
+// partial is a whole table as far as it was read. The store turns calls away
+// beyond its rate, and many hosts that start together would never get to the
+// last page if each began anew.
+type partial struct {
+	changes Changes
+	next    string
+	began   time.Time
+}
+
+// continued returns what a new round starts from.
+func (p partial) continued(now time.Time) partial {
+	if p.changes.Version == 0 || now.Sub(p.began) > partialKept {
+		return partial{changes: Changes{Whole: true}, began: now}
+	}
+	return p
+}
+
+// add appends a page and reports whether it was the last one.
+func (p partial) add(page Page) (partial, bool) {
+	if p.changes.Version == 0 {
+		p.changes.Version = page.Version
+	}
+	p.changes.Rows = append(p.changes.Rows, page.Rows...)
+	p.next = page.Next
+	return p, page.Next == ""
+}
+
 // apply returns the snapshot with the changes applied, and whether any row
 // differs. Changes that are older than a row of the copy are ignored.
 func apply(old Snapshot, changes Changes) (Snapshot, bool) {
--- a/entryhost/relay/mirror/task.go
+++ b/entryhost/relay/mirror/task.go
@@ -5,6 +5,7 @@
 	"errors"
 	"log/slog"
 	"maps"
+	"math/rand/v2"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -20,6 +21,7 @@
 	store       Store
 	peers       Peers
 	clock       clockwork.Clock
+	random      *rand.Rand
 	logger      *slog.Logger
 	subscribers []Subscriber
 	mailbox     task.Mailbox[Question]
@@ -31,6 +33,8 @@
 	copy Snapshot
 	have bool
 	gone removals
+	// partial is the table as far as it was read while there is no copy.
+	partial partial
 	// served is when the store last served this host, and outage when it
 	// stopped; outage is zero while it serves.
 	served time.Time
@@ -48,9 +52,9 @@
 }
 
 // NewFollower returns a follower of the table.
-func NewFollower(table string, store Store, peers Peers, clock clockwork.Clock, set *metrics.Set, logger *slog.Logger, subscribers ...Subscriber) *Follower {
+func NewFollower(table string, store Store, peers Peers, clock clockwork.Clock, random *rand.Rand, set *metrics.Set, logger *slog.Logger, subscribers ...Subscriber) *Follower {
 	return &Follower{
-		table: table, store: store, peers: peers, clock: clock, logger: logger, subscribers: subscribers,
+		table: table, store: store, peers: peers, clock: clock, random: random, logger: logger, subscribers: subscribers,
 		mailbox:    task.NewMailbox[Question](questionsSize),
 		storeCalls: set.GetOrCreateCounter(`lentilpoint_store_reads_total{table="` + table + `"}`),
 		failures:   set.GetOrCreateCounter(`lentilpoint_store_failures_total{table="` + table + `"}`),
@@ -72,8 +76,9 @@
 	have bool
 	// failed is the number of rounds in a row that the store did not serve; it is
 	// then only probed.
-	failed int
-	avoid  map[string]time.Time
+	failed  int
+	avoid   map[string]time.Time
+	partial partial
 }
 
 // result is what one round brought.
@@ -83,6 +88,8 @@
 	reader string
 	// readerErr is why the reader was no use.
 	readerErr error
+	// partial is the whole table as far as it was read.
+	partial partial
 	// asked tells that the store was called, err how that failed.
 	asked bool
 	err   error
@@ -103,7 +110,7 @@
 func (f *Follower) nextAttempt() attempt {
 	now := f.clock.Now()
 	maps.DeleteFunc(f.avoid, func(_ string, until time.Time) bool { return now.After(until) })
-	return attempt{copy: f.copy, have: f.have, failed: f.failed, avoid: maps.Clone(f.avoid)}
+	return attempt{copy: f.copy, have: f.have, failed: f.failed, avoid: maps.Clone(f.avoid), partial: f.partial.continued(now)}
 }
 
 // wait answers questions until the running round ended and its pause is over.
@@ -173,7 +180,7 @@
 		}
 	}
 	got.asked = true
-	got.changes, got.err = f.readStore(ctx, from)
+	got.changes, got.partial, got.err = f.readStore(ctx, from)
 	if got.err != nil && !errors.Is(got.err, ErrHistoryGone) {
 		got.changes = f.readAny(ctx, from)
 	}
@@ -190,15 +197,34 @@
 	return answer.Changes, err
 }
 
-func (f *Follower) readStore(ctx context.Context, from attempt) (Changes, error) {
-	f.storeCalls.Inc()
+// readStore reads what changed, or the whole table where there is no copy.
+func (f *Follower) readStore(ctx context.Context, from attempt) (Changes, partial, error) {
 	timing := timingOf(from.have, from.failed)
 	ctx, cancel := context.WithTimeout(ctx, timing.timeout)
 	defer cancel()
 	if !from.have {
-		return f.store.ReadTable(ctx, f.table)
+		whole, err := f.readWhole(ctx, from.partial)
+		return whole.changes, whole, err
+	}
+	f.storeCalls.Inc()
+	changes, err := f.store.ReadChanges(ctx, f.table, from.copy.Version, timing.wait)
+	return changes, partial{}, err
+}
+
+// readWhole reads the pages of the table that are missing. With an error it
+// returns those that it got.
+func (f *Follower) readWhole(ctx context.Context, read partial) (partial, error) {
+	for {
+		f.storeCalls.Inc()
+		page, err := f.store.ReadPage(ctx, f.table, read.next)
+		if err != nil {
+			return read, err
+		}
+		var last bool
+		if read, last = read.add(page); last {
+			return read, nil
+		}
 	}
-	return f.store.ReadChanges(ctx, f.table, from.copy.Version, timing.wait)
 }
 
 // readAny returns what peers know, or nothing.
@@ -222,18 +248,20 @@
 	switch {
 	case errors.Is(got.err, ErrHistoryGone):
 		f.logger.Warn("history of the store is gone", eventcode.StoreHistoryGone.Attr(), "table", f.table, "version", f.copy.Version)
-		f.have = false
+		f.have, f.partial = false, partial{}
 		return 0
 	case got.err != nil:
 		f.lost(got.err)
+		f.partial = got.partial
 		f.fromPeer(ctx, got.changes)
-		return retryPause
+		return retryAfter(f.failed, f.random.Float64())
 	case got.asked:
+		f.partial = partial{}
 		f.regained()
 	}
 	// A read of the whole table never takes the copy back.
 	if got.changes.Version < f.copy.Version {
-		return retryPause
+		return retryAfter(0, f.random.Float64())
 	}
 	f.update(ctx, got.changes)
 	return feedPause
