Let a read and a close of an idle connection exclude each other

Three seconds into a drain idle connections were closed by SetKeepAlivesEnabled. The server of net/http calls a connection idle until it has parsed the next request, so that it closed one whose request it had read, and then ran that request.

Ruled out: the end of the drain (five seconds were left); a late refusal (the request was passed on 1 ms after the close).

Change: connections of callers close themselves when the drain goes quiet, unless a byte of a request was read; bytes that arrive after the close are not read as a request. The specs fail with the former order of close and read.

--- a/entryhost/relay/ingress/front.go
+++ b/entryhost/relay/ingress/front.go
@@ -133,11 +133,13 @@
 		return Error.Wrap(err)
 	}
 	server := &http.Server{
-		Handler: f.handler(), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
+		Handler: f.handler(), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, ConnState: followState,
 		MaxHeaderBytes: maxHeaderBytes, ErrorLog: slog.NewLogLogger(f.Logger.Handler(), slog.LevelDebug),
 	}
 	failed := make(chan error, 1)
-	go func() { failed <- server.Serve(listener) }()
+	quietContext, goQuiet := context.WithCancel(context.WithoutCancel(ctx))
+	defer goQuiet()
+	go func() { failed <- server.Serve(callerListener{Listener: listener, quiet: quietContext}) }()
 	var refuse, quiet, end <-chan time.Time
 	for {
 		select {
@@ -149,7 +151,7 @@
 			close(f.refusing)
 		case <-quiet:
 			// Idle connections are closed; a request that crosses that is not read.
-			server.SetKeepAlivesEnabled(false)
+			goQuiet()
 		case <-end:
 			close(f.ending)
 		case command := <-f.commands.C():
