Log repeats beyond the own budget and the requests under which servers died

An error of a host that was asked to pay for a repeat was dropped, and the line of a death named only the fingerprint, which no other line has. The first is now part of one line for each such decision, the second names the request.

--- a/entryhost/relay/dispatch/budget.go
+++ b/entryhost/relay/dispatch/budget.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"time"
+
+	"github.com/lentilpoint/lentilpoint/eventcode"
 )
 
 // BudgetTerms bound the repeated arrivals at a service, summed over all hosts.
@@ -88,8 +90,8 @@
 	go func() {
 		borrowContext, cancel := context.WithTimeout(ctx, borrowTimeout)
 		defer cancel()
-		granted := t.Lender.Borrow(borrowContext, peers, request.Service)
-		_ = t.mailbox.Send(ctx, borrowed{request: request, granted: granted})
+		granted, err := t.Lender.Borrow(borrowContext, peers, request.Service)
+		_ = t.mailbox.Send(ctx, borrowed{request: request, granted: granted, err: err})
 	}()
 }
 
@@ -98,6 +100,8 @@
 	if message.granted {
 		result = "granted"
 	}
+	t.Logger.Info("repeat beyond the own retry budget", eventcode.BudgetBorrowed.Attr(), "service", message.request.Service, "route", message.request.Route,
+		"result", result, "hosts", len(t.peers), "error", message.err)
 	t.Metrics.GetOrCreateCounter(`lentilpoint_relay_budget_borrowed_total{service="` + message.request.Service + `",result="` + result + `"}`).Inc()
 	if !message.granted {
 		t.refuse(message.request, RefusedBudget)
--- a/entryhost/relay/dispatch/messages.go
+++ b/entryhost/relay/dispatch/messages.go
@@ -196,13 +196,16 @@
 
 // Lender asks other hosts to pay for a repeat from their budgets.
 type Lender interface {
-	Borrow(ctx context.Context, hosts []routing.Host, service string) bool
+	// Borrow reports whether a host pays. The error names the hosts that gave no
+	// answer, also if another one pays.
+	Borrow(ctx context.Context, hosts []routing.Host, service string) (bool, error)
 }
 
 // borrowed is the outcome for a request that needed another host's budget.
 type borrowed struct {
 	request Acquire
 	granted bool
+	err     error
 }
 
 // Locate asks for the id of an engine that holds the prompt; "" if none does.
--- a/entryhost/relay/forward/suspects.go
+++ b/entryhost/relay/forward/suspects.go
@@ -30,7 +30,7 @@
 	case outcome == dispatch.OutcomeSuccess:
 		message = suspects.Finished{Fingerprint: r.fingerprint}
 	case outcome == dispatch.OutcomeBroken && l.note.Events == 0:
-		message = suspects.Broke{Fingerprint: r.fingerprint, Server: l.note.Server, Address: l.assignment.Server.Address}
+		message = suspects.Broke{Fingerprint: r.fingerprint, Request: r.request.ID, Server: l.note.Server, Address: l.assignment.Server.Address}
 	default:
 		return
 	}
--- a/entryhost/relay/peering/peering.go
+++ b/entryhost/relay/peering/peering.go
@@ -5,6 +5,8 @@
 
 import (
 	"context"
+	"errors"
+	"fmt"
 	"math/rand/v2"
 	"net"
 	"net/rpc"
@@ -235,21 +237,27 @@
 
 // Borrow implements dispatch.Lender. Hosts of the own data centre are nearer, but
 // those of others may still have what a loss in this one has used up here.
-func (b Borrower) Borrow(ctx context.Context, hosts []routing.Host, service string) bool {
+func (b Borrower) Borrow(ctx context.Context, hosts []routing.Host, service string) (bool, error) {
+	var silent []error
 	for _, address := range lenders(b.DataCentre, b.Self, hosts) {
-		if lent(ctx, address, service) {
-			return true
+		granted, err := lent(ctx, address, service)
+		if err != nil {
+			silent = append(silent, fmt.Errorf("%s: %w", address, err))
+		}
+		if granted {
+			return true, errors.Join(silent...)
 		}
 	}
-	return false
+	return false, errors.Join(silent...)
 }
 
-// lent asks one host. A host that does not answer lends nothing.
-func lent(ctx context.Context, address, service string) bool {
+// lent asks one host.
+func lent(ctx context.Context, address, service string) (bool, error) {
 	ctx, cancel := context.WithTimeout(ctx, lendTimeout)
 	defer cancel()
 	var granted bool
-	return call(ctx, address, budgetService+".Lend", service, &granted) == nil && granted
+	err := call(ctx, address, budgetService+".Lend", service, &granted)
+	return err == nil && granted, err
 }
 
 // lenders returns the hosts to ask: one of the own data centre, which answers
--- a/entryhost/relay/suspects/messages.go
+++ b/entryhost/relay/suspects/messages.go
@@ -46,6 +46,8 @@
 // server may have died under the request, or live on.
 type Broke struct {
 	Fingerprint Fingerprint
+	// Request is the id of the request, for logs.
+	Request string
 	// Server is the id of the server's start, Address where it listened.
 	Server  string
 	Address string
@@ -59,7 +61,9 @@
 // Death tells that a server died under a request.
 type Death struct {
 	Fingerprint Fingerprint
-	Server      string
+	// Request is the id of the request, for logs.
+	Request string
+	Server  string
 	// Told tells that another host saw the death and tells all keepers itself.
 	Told bool
 }
--- a/entryhost/relay/suspects/task.go
+++ b/entryhost/relay/suspects/task.go
@@ -120,7 +120,7 @@
 	case <-t.Clock.After(confirmAfter):
 	}
 	if t.Refuses(ctx, broke.Address) {
-		_ = t.mailbox.Send(ctx, Death{Fingerprint: broke.Fingerprint, Server: broke.Server})
+		_ = t.mailbox.Send(ctx, Death{Fingerprint: broke.Fingerprint, Request: broke.Request, Server: broke.Server})
 	}
 }
 
@@ -128,7 +128,7 @@
 func (t *Task) count(ctx context.Context, death Death) {
 	t.deaths.Inc()
 	stopped := t.table.died(death.Fingerprint, death.Server, t.now())
-	t.Logger.Info("server died under a request", eventcode.SuspectDeath.Attr(), "server", death.Server, "fingerprint", death.Fingerprint.String(),
+	t.Logger.Info("server died under a request", eventcode.SuspectDeath.Attr(), "request", death.Request, "server", death.Server, "fingerprint", death.Fingerprint.String(),
 		"deaths", len(t.table[death.Fingerprint].deaths), "stopped", stopped)
 	if !death.Told {
 		death.Told = true
--- a/eventcode/relay.go
+++ b/eventcode/relay.go
@@ -29,13 +29,14 @@
 	RelayMoveRound       Code = 2136
 	CacheListFailed      Code = 2137
 	CopyLapses           Code = 2138
-	SuspectDeath         Code = 2145
-	SuspectUntold        Code = 2146
+	BudgetBorrowed       Code = 2139
 	RelayRequestDone     Code = 2140
 	RelayRequestRefused  Code = 2141
 	RequestRerouted      Code = 2142
 	PromptLocated        Code = 2143
 	CopyOrdered          Code = 2144
+	SuspectDeath         Code = 2145
+	SuspectUntold        Code = 2146
 )
 
 var relayEvents = []Entry{
@@ -66,11 +67,12 @@
 	{RelayMoveRound, "version move round", "A round of a version move failed; the stage in force stays.", "Check the store if it repeats."},
 	{CacheListFailed, "cache list failed", "An engine did not say which prompts its cache holds; resumed streams may read a prompt again elsewhere.", "Look at the engine if it repeats."},
 	{CopyLapses, "copy lapses", "A copy of a run that has ended could not be freed; the engines drop it after its lifetime.", "Nothing."},
-	{SuspectDeath, "suspect death", "A server died under a request before it answered. After three deaths within a minute requests with the fingerprint are stopped on all hosts.", "With stopped: find the request by its 2140 lines and keep its content for the developers of the service."},
-	{SuspectUntold, "suspect untold", "Another entry host was not told of a request that crashes servers, or the own list was not asked; such a request may reach more servers.", "Check the links between entry hosts if it repeats."},
+	{BudgetBorrowed, "budget borrowed", "A service's retry budget of this host was spent, and other hosts were asked to pay for a repeat.", "Nothing while they pay. Where none does, look for the loss that led to the repeats."},
 	{RelayRequestDone, "request done", "A request ended; the line lists its attempts with their outcomes and causes.", "For a failed request, read the attempts."},
 	{RelayRequestRefused, "request refused", "A request was refused before it reached a server.", "Read the reason."},
 	{RequestRerouted, "request rerouted", "An attempt failed and the request goes to another server.", "Look at the server if it repeats."},
 	{PromptLocated, "prompt located", "A caller resumed a stream and the engines were asked which of them holds its prompt; the stream goes to that one first.", "Nothing. Without a server the prompt is read again."},
 	{CopyOrdered, "copy ordered", "A copy of a run's cache was ordered at another engine, since its holder was lost or is not in the own data centre.", "Nothing. With an error the run may have no copy, and a loss of its engine costs another reading of the prompt."},
+	{SuspectDeath, "suspect death", "A server died under a request before it answered. After three deaths within a minute requests with the fingerprint are stopped on all hosts.", "With stopped: keep the content of the request that the line names for the developers of the service."},
+	{SuspectUntold, "suspect untold", "Another entry host was not told of a request that crashes servers, or the own list was not asked; such a request may reach more servers.", "Check the links between entry hosts if it repeats."},
 }
