--- a/entryhost/relay/dispatch/messages.go
+++ b/entryhost/relay/dispatch/messages.go
@@ -258,7 +258,8 @@
 	Engine bool
 }
 
-// Prober asks an engine about itself, each time on a connection of its own.
+// Prober asks an engine about itself and orders copies of runs from it. Each
+// question goes on a connection of its own.
 type Prober interface {
 	Probe(ctx context.Context, address string) (EngineReport, error)
 	// Cached returns the number of tokens that the engine's cache holds of each
