Let a starting entry host learn the peers' facts at once

Logs of three failed runs show the same course: entry-0 sees three deaths and refuses the request, and entry-1, alone in the other data centre, loses one or two more servers 70 ms later. entry-0 reads hosts of other data centres only with every tenth poll, so it did not know entry-1, which had started 10 ms after it, and pushed its suspicion to no host there. entry-1 itself waits 500 ms for its first gossip round, in which it would have fetched the suspicion. Ruled out: late delivery between known hosts (entry-2, in the same data centre, refused in all runs); a death that is not counted (all three were).

Change: a host gossips when it gets its first host list instead of at the first tick, and a digest of a host that is not listed makes the host list task read the full list with its next poll.

The new specs fail without the change.

--- a/cmd/lentilpoint-bench/slope/peers.go
+++ b/cmd/lentilpoint-bench/slope/peers.go
@@ -64,7 +64,7 @@
 		HostID: id, DataCentre: string(dataCentre), PeerAddress: "127.0.0.1:0", PeerSecret: "secret", RandomSeed: seed,
 	}
 	n := &peerNode{metricSet: metrics.NewSet()}
-	n.app = fx.New(peers.Module, fx.Supply(values, n.metricSet, logger),
+	n.app = fx.New(peers.Module, fx.Supply(values, n.metricSet, logger, task.NewMailbox[platform.RefreshHosts](1)),
 		fx.Provide(clockwork.NewRealClock),
 		fx.Invoke(func(in peerNodeParams) {
 			n.hostListMailboxes, n.messages, n.listener = in.Hosts, in.Messages, in.Listener
--- a/entryhost/peers/fx.go
+++ b/entryhost/peers/fx.go
@@ -61,7 +61,8 @@
 
 	Messages    task.Mailbox[Message]
 	Hosts       task.Mailbox[platform.HostsRead] `name:"peer_hosts"`
-	Subscribers []Subscriber                     `group:"fact_subscribers"`
+	Refreshes   task.Mailbox[platform.RefreshHosts]
+	Subscribers []Subscriber `group:"fact_subscribers"`
 	Settings    settings.Settings
 	Metrics     *metrics.Set
 	Clock       clockwork.Clock
@@ -77,6 +78,7 @@
 	return &Membership{
 		messages:    in.Messages,
 		hosts:       in.Hosts,
+		refreshes:   in.Refreshes,
 		subscribers: in.Subscribers,
 		linkConfig: linkConfig{
 			secret:   []byte(in.Settings.PeerSecret),
--- a/entryhost/peers/links_test.go
+++ b/entryhost/peers/links_test.go
@@ -38,6 +38,7 @@
 type testHost struct {
 	membership *Membership
 	hosts      task.Mailbox[platform.HostsRead]
+	refreshes  task.Mailbox[platform.RefreshHosts]
 	facts      task.Mailbox[Fact]
 	host       model.Host
 	echo       *echo
@@ -53,9 +54,9 @@
 	values := settings.Settings{
 		HostID: id, DataCentre: string(dataCentre), PeerAddress: "127.0.0.1:0", PeerSecret: settings.Secret(secret), RandomSeed: 1,
 	}
-	h := &testHost{hosts: mailboxes.Hosts, facts: task.NewMailbox[Fact](64), echo: &echo{release: make(chan struct{})}}
+	h := &testHost{hosts: mailboxes.Hosts, refreshes: task.NewMailbox[platform.RefreshHosts](1), facts: task.NewMailbox[Fact](64), echo: &echo{release: make(chan struct{})}}
 	h.membership = provideMembership(membershipIn{
-		Messages: mailboxes.Messages, Hosts: mailboxes.Hosts, Settings: values, Metrics: set,
+		Messages: mailboxes.Messages, Hosts: mailboxes.Hosts, Refreshes: h.refreshes, Settings: values, Metrics: set,
 		Clock: clockwork.NewRealClock(), Logger: discardLogger,
 		Subscribers: []Subscriber{{Kinds: []FactKind{FactWithdrawal, FactUsage}, Mailbox: h.facts}},
 	})
@@ -126,6 +127,16 @@
 		Expect(hosts[0].members()["h1"]).To(BeTrue())
 	})
 
+	It("tell a host that has just started what they know before the next gossip round, and look for it in the host list", func() {
+		a, b := startHost("a", "jkt", "s"), startHost("b", "bdg", "s")
+		sendHostList(a)
+		fact := Fact{Kind: FactWithdrawal, Key: "move-1", Value: []byte("bad"), Everywhere: true}
+		Expect(a.membership.Messages().TrySend(Publish{Fact: fact})).To(Succeed())
+		Expect(b.hosts.TrySend(platform.HostsRead{Hosts: []model.Host{a.host, b.host}})).To(Succeed())
+		Eventually(b.facts.C(), roundInterval/2).Should(Receive(HaveField("Key", "move-1")))
+		Eventually(a.refreshes.C(), roundInterval/2).Should(Receive())
+	})
+
 	It("refuse a host with another secret", func() {
 		a, b := startHost("a", "jkt", "right"), startHost("b", "jkt", "wrong")
 		sendHostList(a, b)
--- a/entryhost/peers/task.go
+++ b/entryhost/peers/task.go
@@ -40,6 +40,7 @@
 type Membership struct {
 	messages    task.Mailbox[Message]
 	hosts       task.Mailbox[platform.HostsRead]
+	refreshes   task.Mailbox[platform.RefreshHosts]
 	subscribers []Subscriber
 	linkConfig  linkConfig
 	random      *rand.Rand
@@ -53,6 +54,8 @@
 	facts     *FactStore
 	links     map[model.HostID]runningLink
 	joined    bool
+	// gossiped is set after the first round with a peer to gossip with.
+	gossiped bool
 }
 
 // runningLink is a link task under supervision.
@@ -103,6 +106,11 @@
 			m.gossipRound(ctx, supervisor)
 		case read := <-m.hosts.C():
 			m.applyHostList(supervisor, read.Hosts)
+			if !m.gossiped {
+				// A host that has just started serves callers at once, so it must
+				// not wait for the next round to learn what the others know.
+				m.gossipRound(ctx, supervisor)
+			}
 		case message := <-m.messages.C():
 			m.handleMessage(ctx, supervisor, message)
 		}
@@ -157,6 +165,7 @@
 	members := m.table.Members(now)
 	m.facts.Maintain(now, len(members))
 	for _, target := range roundTargets(m.random, members, m.self) {
+		m.gossiped = true
 		digest := m.newDigest(target.DataCentre != m.self.DataCentre, maxDigestBytes)
 		digest.Join = !m.joined
 		m.startExchange(ctx, supervisor, target.ID, digest)
@@ -203,6 +212,10 @@
 
 // answerDigest merges the digest of a peer and returns the answer.
 func (m *Membership) answerDigest(ctx context.Context, supervisor *suture.Supervisor, digest Digest) Digest {
+	if _, listed := m.table.Member(digest.From.ID, m.clock.Now()); !listed {
+		// Urgent facts reach only listed hosts. A full mailbox holds a request already.
+		_ = m.refreshes.TrySend(platform.RefreshHosts{})
+	}
 	m.mergeDigest(ctx, supervisor, digest)
 	remote := digest.DataCentre != string(m.self.DataCentre)
 	if digest.Push {
--- a/entryhost/platform/fx.go
+++ b/entryhost/platform/fx.go
@@ -14,7 +14,7 @@
 // Module provides the interfaces to the platform and the host list task. It needs
 // a Services value.
 var Module = fx.Module("platform",
-	fx.Provide(provideInterfaces, provideHostList),
+	fx.Provide(provideInterfaces, provideRefreshes, provideHostList),
 	task.AsChild[*HostListTask](),
 )
 
@@ -23,10 +23,15 @@
 	return services.Table, services.Objects, services.Hosts
 }
 
+func provideRefreshes() task.Mailbox[RefreshHosts] {
+	return task.NewMailbox[RefreshHosts](refreshMailboxSize)
+}
+
 type hostListIn struct {
 	fx.In
 
 	Hosts       Hosts
+	Refreshes   task.Mailbox[RefreshHosts]
 	Clock       clockwork.Clock
 	Settings    settings.Settings
 	Logger      *slog.Logger
@@ -34,5 +39,5 @@
 }
 
 func provideHostList(in hostListIn) *HostListTask {
-	return NewHostListTask(in.Hosts, model.DataCentre(in.Settings.DataCentre), in.Clock, in.Settings.HostsInterval, in.Logger, in.Subscribers...)
+	return NewHostListTask(in.Hosts, model.DataCentre(in.Settings.DataCentre), in.Clock, in.Settings.HostsInterval, in.Refreshes, in.Logger, in.Subscribers...)
 }
--- a/entryhost/platform/messages.go
+++ b/entryhost/platform/messages.go
@@ -104,6 +104,14 @@
 	List(ctx context.Context, query HostQuery) (HostAnswer, error)
 }
 
+// RefreshHosts asks the host list task to read the full list with its next poll
+// instead of the one that is due.
+type RefreshHosts struct{}
+
+// refreshMailboxSize is 1, since requests that arrive before the next poll are
+// served by it together. A full mailbox drops the request.
+const refreshMailboxSize = 1
+
 // Services bundles the clients of the platform's services.
 type Services struct {
 	Table
--- a/entryhost/platform/task.go
+++ b/entryhost/platform/task.go
@@ -35,10 +35,12 @@
 	home        model.DataCentre
 	clock       clockwork.Clock
 	interval    time.Duration
+	refreshes   task.Mailbox[RefreshHosts]
 	subscribers []task.Mailbox[HostsRead]
 	logger      *slog.Logger
 
-	round int
+	// untilFullRead is the number of polls before the next read of the full list.
+	untilFullRead int
 	// resendNeeded is true if a subscriber's mailbox was full at the last send.
 	resendNeeded bool
 	homeList     HostAnswer
@@ -46,9 +48,10 @@
 }
 
 // NewHostListTask returns a task that reads the hosts of the home data centre
-// once per interval, and the full list every roundsPerFullList intervals.
-func NewHostListTask(hosts Hosts, home model.DataCentre, clock clockwork.Clock, interval time.Duration, logger *slog.Logger, subscribers ...task.Mailbox[HostsRead]) *HostListTask {
-	return &HostListTask{hosts: hosts, home: home, clock: clock, interval: interval, subscribers: subscribers, logger: logger}
+// once per interval, and the full list every roundsPerFullList intervals or after a
+// request to refresh.
+func NewHostListTask(hosts Hosts, home model.DataCentre, clock clockwork.Clock, interval time.Duration, refreshes task.Mailbox[RefreshHosts], logger *slog.Logger, subscribers ...task.Mailbox[HostsRead]) *HostListTask {
+	return &HostListTask{hosts: hosts, home: home, clock: clock, interval: interval, refreshes: refreshes, subscribers: subscribers, logger: logger}
 }
 
 // String names the task in the logs.
@@ -77,7 +80,12 @@
 func (t *HostListTask) poll(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, hostListTimeout)
 	defer cancel()
-	readFull := t.round%roundsPerFullList == 0
+	select {
+	case <-t.refreshes.C():
+		t.untilFullRead = 0
+	default:
+	}
+	readFull := t.untilFullRead == 0
 	changed, err := t.readList(ctx, &t.homeList, HostQuery{DataCentre: t.home, Known: t.homeList.Tag})
 	if err != nil {
 		return err
@@ -86,8 +94,9 @@
 		if _, err := t.readList(ctx, &t.fullList, HostQuery{Known: t.fullList.Tag}); err != nil {
 			return err
 		}
+		t.untilFullRead = roundsPerFullList
 	}
-	t.round++
+	t.untilFullRead--
 	if changed || readFull || t.resendNeeded {
 		t.sendToSubscribers()
 	}
--- a/entryhost/platform/task_test.go
+++ b/entryhost/platform/task_test.go
@@ -48,12 +48,14 @@
 		hosts   *fakeHosts
 		mailbox task.Mailbox[HostsRead]
 		list    *HostListTask
+		refresh task.Mailbox[RefreshHosts]
 	)
 
 	BeforeEach(func() {
 		hosts = &fakeHosts{tag: "1", hosts: []model.Host{{ID: "a", DataCentre: "jkt"}, {ID: "b", DataCentre: "bdg"}}}
 		mailbox = task.NewMailbox[HostsRead](1)
-		list = NewHostListTask(hosts, "jkt", clockwork.NewFakeClock(), time.Second, slog.New(slog.NewTextHandler(io.Discard, nil)), mailbox)
+		refresh = task.NewMailbox[RefreshHosts](refreshMailboxSize)
+		list = NewHostListTask(hosts, "jkt", clockwork.NewFakeClock(), time.Second, refresh, slog.New(slog.NewTextHandler(io.Discard, nil)), mailbox)
 	})
 
 	It("does not transfer an unchanged list again, as that would exceed all other control traffic at fleet size", func() {
@@ -72,6 +74,16 @@
 		Expect((<-mailbox.C()).Hosts).To(Equal([]model.Host{{ID: "a", DataCentre: "jkt", Leaving: true}, {ID: "b", DataCentre: "bdg"}}))
 	})
 
+	It("reads the full list at the next poll after a request, so that a host that started elsewhere is known before the next full read", func() {
+		Expect(list.poll(context.Background())).To(Succeed())
+		<-mailbox.C()
+		hosts.tag = "2"
+		hosts.hosts = append(hosts.hosts, model.Host{ID: "c", DataCentre: "bdg"})
+		Expect(refresh.TrySend(RefreshHosts{})).To(Succeed())
+		Expect(list.poll(context.Background())).To(Succeed())
+		Expect((<-mailbox.C()).Hosts).To(HaveLen(3))
+	})
+
 	It("sends a list again to a subscriber whose mailbox was full, so that no leaving mark is lost", func() {
 		Expect(list.poll(context.Background())).To(Succeed())
 		hosts.tag = "2"
