Send orders in waves until a run checks enough answers

The spec wants more than 60 tries that are answered by their own execution, so that the run checks enough. Plain servers are killed every 40 ms by the clock, so on a busy machine more of 120 orders meet a death and fewer are answered first (39 and 60 seen). No guarantee was broken in these runs. Change: a run sends further waves of 120 orders, four at most, while fewer than 61 tries were answered by their own execution. The bounds of the spec stay; a run now checks at least as many answers as before.

--- a/cmd/lentilpoint-bench/scenario/atmostonce.go
+++ b/cmd/lentilpoint-bench/scenario/atmostonce.go
@@ -137,16 +137,42 @@
 	}
 }
 
-// runWithFaults runs the callers of a load while faults are injected.
+// minFirstAnswers is the number of tries that must be answered by their own
+// execution in a run, so that the run checks enough; maxWaves bounds the waves of
+// callers that are sent until then. Servers are killed by the clock, so on a busy
+// machine more of them die before they answer.
+const (
+	minFirstAnswers = 61
+	maxWaves        = 4
+)
+
+// countFirstAnswers returns the number of tries that were answered by their own
+// execution.
+func countFirstAnswers(tries []tryResult) int {
+	count := 0
+	for _, try := range tries {
+		if try.AnsweredTry != "" && try.AnsweredTry == try.Try {
+			count++
+		}
+	}
+	return count
+}
+
+// runWithFaults runs waves of callers while faults are injected, until
+// minFirstAnswers are reached.
 func (r *repeatRun) runWithFaults(ctx context.Context, load repeatLoad, faults ...func(context.Context, *rand.Rand)) []tryResult {
 	faultContext, cancel := context.WithCancel(ctx)
 	defer cancel()
-	plans := load.plan(r.random)
+	plans := load.plan(r.random, 0)
 	for _, fault := range faults {
 		random := rand.New(rand.NewPCG(r.random.Uint64(), 0))
 		go fault(faultContext, random)
 	}
-	return runRepeats(ctx, r.cluster, load, plans)
+	tries := runRepeats(ctx, r.cluster, load, plans)
+	for wave := 1; wave < maxWaves && countFirstAnswers(tries) < minFirstAnswers; wave++ {
+		tries = append(tries, runRepeats(ctx, r.cluster, load, load.plan(r.random, wave))...)
+	}
+	return tries
 }
 
 func (r *repeatRun) killServers(ctx context.Context, random *rand.Rand) {
--- a/cmd/lentilpoint-bench/scenario/repeats.go
+++ b/cmd/lentilpoint-bench/scenario/repeats.go
@@ -47,11 +47,12 @@
 	delay  time.Duration
 }
 
-func (l repeatLoad) plan(random *rand.Rand) []repeatPlan {
+// plan draws the behaviour of the callers of one wave.
+func (l repeatLoad) plan(random *rand.Rand, wave int) []repeatPlan {
 	plans := make([]repeatPlan, l.count)
 	for i := range plans {
 		plan := repeatPlan{
-			order:     fmt.Sprintf("order-%d", i),
+			order:     fmt.Sprintf("order-%d", wave*l.count+i),
 			duplicate: random.Float64() < l.duplicates,
 			delay:     time.Duration(random.Int64N(int64(l.spread))),
 		}
