Read the store on one host of a region, and follow the list of hosts

Change: hosts of a data centre read from the one with the highest rendezvous weight, that one reads from the one with the highest weight of the region, and that one reads the store; a host only reads from one with a higher weight, so lists that differ make no circle. A reader that the store does not serve says so at once, and the next in the order takes its place; in an outage hosts behind three such readers probe the store every four seconds. Registrations are polled at most four times a second. Weighed: one reader for each data centre with longer polls (calls still grow with data centres times changes); a reader for the region that pushes to all (its link of 20 Mbit/s carries 295 copies). New specs in simulated time at 6, 80 and 300 hosts; the baseline, in which each host reads the store, fails.

--- a/entryhost/relay/fx.go
+++ b/entryhost/relay/fx.go
@@ -34,6 +34,7 @@
 	Roster  roster.Store
 	Moves   moves.Store
 	Decoder catalog.Decoder
+	Hosts   roster.Decoder
 	Callers ingress.Protocol
 	Servers exchange.Protocol
 	Prober  dispatch.Prober
@@ -42,6 +43,8 @@
 	OrdersTable string
 	// RegistrationsTable is the table that servers register in.
 	RegistrationsTable string
+	// HostsTable is the table of the entry hosts.
+	HostsTable string
 	// SetStoreAddress changes the address that the clients of the store use.
 	SetStoreAddress func(address string)
 }
@@ -111,20 +114,29 @@
 
 func provideRoster(settings Settings, adapter Adapter, clock clockwork.Clock, logger *slog.Logger, dispatcher *dispatch.Task, suspected *suspects.Task) *roster.Task {
 	self := routing.Host{Name: settings.HostName, Address: settings.PeerAddress, DataCentre: settings.DataCentre}
-	return roster.NewTask(self, adapter.Roster, clock, logger, dispatcher.Hosts(), suspected.Hosts())
+	return roster.NewTask(self, adapter.Roster, adapter.Hosts, clock, logger, dispatcher.Hosts(), suspected.Hosts())
 }
 
-// mirrors holds the followers of the two tables that the relay reads.
+// mirrors holds the followers of the tables that the relay reads.
 type mirrors struct {
-	orders, registrations *mirror.Follower
+	orders, registrations, hosts *mirror.Follower
 }
 
+// The paces of the followers. Configuration has 2 s to come into force over up to
+// three hosts. A lost server is noticed by its attempts before its registration
+// ends, and a host that is not listed yet only gets no requests of its peers.
+var (
+	ordersPace        = mirror.Pace{AfterStore: 100 * time.Millisecond, AfterPeer: 50 * time.Millisecond}
+	registrationsPace = mirror.Pace{AfterStore: 250 * time.Millisecond, AfterPeer: 50 * time.Millisecond}
+	hostsPace         = mirror.Pace{AfterStore: 2 * time.Second, AfterPeer: 2 * time.Second}
+)
+
 // rosterTimeout bounds the wait for the list of entry hosts.
 const rosterTimeout = 100 * time.Millisecond
 
 func provideMirrors(settings Settings, adapter Adapter, clock clockwork.Clock, set *metrics.Set, logger *slog.Logger, view *catalog.Task, hosts *roster.Task) mirrors {
 	peers := &peering.Peers{
-		DataCentre: settings.DataCentre, Self: settings.PeerAddress, Seeds: settings.SeedList(),
+		DataCentre: settings.DataCentre, Self: settings.PeerAddress, Region: settings.Region(), Seeds: settings.SeedList(),
 		Hosts: func(ctx context.Context) []routing.Host {
 			ctx, cancel := context.WithTimeout(ctx, rosterTimeout)
 			defer cancel()
@@ -135,9 +147,15 @@
 			return known
 		},
 	}
+	follow := func(table string, pace mirror.Pace, subscriber mirror.Subscriber) *mirror.Follower {
+		return mirror.NewFollower(mirror.Parameters{
+			Table: table, Pace: pace, Store: adapter.Store, Peers: peers, Clock: clock, Random: newRandom(), Metrics: set, Logger: logger,
+		}, subscriber)
+	}
 	return mirrors{
-		orders:        mirror.NewFollower(adapter.OrdersTable, adapter.Store, peers, clock, newRandom(), set, logger, view.Orders()),
-		registrations: mirror.NewFollower(adapter.RegistrationsTable, adapter.Store, peers, clock, newRandom(), set, logger, view.Registrations()),
+		orders:        follow(adapter.OrdersTable, ordersPace, view.Orders()),
+		registrations: follow(adapter.RegistrationsTable, registrationsPace, view.Registrations()),
+		hosts:         follow(adapter.HostsTable, hostsPace, hosts.Snapshots()),
 	}
 }
 
@@ -180,6 +198,7 @@
 	root.Add(in.Roster)
 	root.Add(in.Mirrors.orders)
 	root.Add(in.Mirrors.registrations)
+	root.Add(in.Mirrors.hosts)
 	root.Add(in.Front)
 	root.Add(reload.NewTask(in.Settings, in.Reload, in.applySettings, in.Clock, in.Logger))
 	root.Add(ingress.NewStatus("readiness", in.Sockets.ready, in.Parameters, in.Front.Draining()))
@@ -190,6 +209,7 @@
 		root.Add(peering.NewListener(in.Sockets.peers, map[string]task.Mailbox[mirror.ChangesRequest]{
 			in.Adapter.OrdersTable:        in.Mirrors.orders.Mailbox(),
 			in.Adapter.RegistrationsTable: in.Mirrors.registrations.Mailbox(),
+			in.Adapter.HostsTable:         in.Mirrors.hosts.Mailbox(),
 		}, in.Dispatcher.Mailbox(), in.Suspects.Mailbox()))
 	}
 	return root
--- a/entryhost/relay/mirror/messages.go
+++ b/entryhost/relay/mirror/messages.go
@@ -1,8 +1,9 @@
 // Package mirror keeps local copies of tables of the platform's store. Each table
-// has one follower task, which owns the copy. In each data centre one entry host
-// reads the store's change feed and the others read from that host, because each
-// call to the store has a price. A host that the store does not serve takes newer
-// changes from any peer.
+// has one follower task, which owns the copy. One entry host of a region reads the
+// store's change feed, one host of each other data centre reads from it, and the
+// others read from the host of their data centre, because each call to the store
+// has a price. A host that the store does not serve takes newer changes from any
+// peer.
 package mirror
 
 import (
@@ -76,14 +77,18 @@
 // Answer holds a follower's changes after the version of a query.
 type Answer struct {
 	Changes Changes
-	// StoreAge is the time since the store last served the replying host.
+	// StoreAge is the time since the store last served the replying host, directly
+	// or through other hosts.
 	StoreAge time.Duration
+	// Unserved is set while the store does not serve the replying host.
+	Unserved bool
 }
 
 // Peers reads the copies that other entry hosts hold.
 type Peers interface {
-	// StoreReader returns the host that reads the store for this one, or "" if this
-	// host reads the store itself. Hosts in excluded are skipped.
+	// StoreReader returns the host that this one reads from, or "" if this host reads
+	// the store itself. Hosts in excluded are skipped. No two hosts may return each
+	// other, directly or through others.
 	StoreReader(ctx context.Context, excluded map[string]time.Time) string
 	// QueryHost sends the query to one host.
 	QueryHost(ctx context.Context, host string, query Query) (Answer, error)
--- a/entryhost/relay/mirror/policy.go
+++ b/entryhost/relay/mirror/policy.go
@@ -14,9 +14,6 @@
 	// tableReadTimeout bounds one round of reading a whole table, which makes a few
 	// calls of 4 ms.
 	tableReadTimeout = 1500 * time.Millisecond
-	// feedBatchDelay is the delay between feed calls. It batches changes that are
-	// close together, because each call to the store has a price.
-	feedBatchDelay = 100 * time.Millisecond
 	// peerPollTimeout is how long a peer may hold its reply, and
 	// peerDeadlineMargin is added to it for the deadline. A frozen peer is
 	// abandoned after their sum, within the 2 s in which configuration has to come
@@ -24,9 +21,18 @@
 	peerPollTimeout    = time.Second
 	peerDeadlineMargin = 250 * time.Millisecond
 	// maxPeerStoreAge is the age of a peer's last contact with the store above
-	// which this host reads the store itself. A feed call takes at most
-	// feedPollTimeout.
-	maxPeerStoreAge = feedPollTimeout + 2*feedDeadlineMargin
+	// which it is not read from. A feed call takes at most feedPollTimeout, and two
+	// hosts may lie between the peer and the store. A peer that knows of an outage
+	// says so at once; the age detects one whose calls hang.
+	maxPeerStoreAge = feedPollTimeout + 2*feedDeadlineMargin + 2*(peerPollTimeout+peerDeadlineMargin)
+	// maxReadersTried and maxReaderSearch bound the search for a peer to read from
+	// in one round: the number of peers, and the time after which no other is tried.
+	// A host that is gone costs 200 ms.
+	maxReadersTried = 3
+	maxReaderSearch = 300 * time.Millisecond
+	// unservedProbeInterval is how often a host calls the store in an outage while
+	// maxReadersTried peers that come before it probe the store more often.
+	unservedProbeInterval = 4 * time.Second
 	// peerCooldown is how long a peer that failed is excluded.
 	peerCooldown = 5 * time.Second
 	// initialRetryDelay is the delay after a failed call. It doubles up to
@@ -60,6 +66,15 @@
 	maxRemovals = 256
 )
 
+// Pace holds the delays between rounds, which batch changes that are close
+// together.
+type Pace struct {
+	// AfterStore is the delay after a call to the store, which has a price.
+	AfterStore time.Duration
+	// AfterPeer is the delay after a query to a peer.
+	AfterPeer time.Duration
+}
+
 // callTiming holds the deadline of a call and how long the store may hold it.
 type callTiming struct {
 	timeout     time.Duration
--- a/entryhost/relay/mirror/task.go
+++ b/entryhost/relay/mirror/task.go
@@ -15,14 +15,22 @@
 	"github.com/lentilpoint/lentilpoint/task"
 )
 
+// Parameters are the dependencies and settings of a follower.
+type Parameters struct {
+	Table   string
+	Pace    Pace
+	Store   Store
+	Peers   Peers
+	Clock   clockwork.Clock
+	Random  *rand.Rand
+	Metrics *metrics.Set
+	Logger  *slog.Logger
+}
+
 // Follower is the task that owns this host's copy of one table.
 type Follower struct {
-	table         string
-	store         Store
-	peers         Peers
-	clock         clockwork.Clock
-	random        *rand.Rand
-	logger        *slog.Logger
+	Parameters
+
 	subscribers   []Subscriber
 	mailbox       task.Mailbox[ChangesRequest]
 	storeCalls    *metrics.Counter
@@ -35,11 +43,13 @@
 	removed     removals
 	// partialRead is the unfinished read of the table while there is no snapshot.
 	partialRead partialRead
-	// lastServed is when the store last served this host. outageStart is when it
-	// stopped serving, or zero while it serves.
-	lastServed   time.Time
-	outageStart  time.Time
-	failedRounds int
+	// lastServed is when the store last served this host, directly or through peers.
+	// outageStart is when it stopped serving, or zero while it serves.
+	lastServed  time.Time
+	outageStart time.Time
+	// lastStoreCall is when this host last called the store itself.
+	lastStoreCall time.Time
+	failedRounds  int
 	// excludedPeers maps peers that failed to the end of their exclusion.
 	excludedPeers map[string]time.Time
 	heldRequests  []heldRequest
@@ -53,9 +63,11 @@
 
 // NewFollower returns a follower of the table. Subscribers receive each new
 // snapshot.
-func NewFollower(table string, store Store, peers Peers, clock clockwork.Clock, random *rand.Rand, set *metrics.Set, logger *slog.Logger, subscribers ...Subscriber) *Follower {
+func NewFollower(parameters Parameters, subscribers ...Subscriber) *Follower {
+	table, set := parameters.Table, parameters.Metrics
 	return &Follower{
-		table: table, store: store, peers: peers, clock: clock, random: random, logger: logger, subscribers: subscribers,
+		Parameters:    parameters,
+		subscribers:   subscribers,
 		mailbox:       task.NewMailbox[ChangesRequest](requestsCapacity),
 		storeCalls:    set.GetOrCreateCounter(`lentilpoint_store_reads_total{table="` + table + `"}`),
 		storeFailures: set.GetOrCreateCounter(`lentilpoint_store_failures_total{table="` + table + `"}`),
@@ -69,15 +81,18 @@
 func (f *Follower) Mailbox() task.Mailbox[ChangesRequest] { return f.mailbox }
 
 // String names the task in the logs.
-func (f *Follower) String() string { return "mirror-" + f.table }
+func (f *Follower) String() string { return "mirror-" + f.Table }
 
 // round is the input of one round of reading.
 type round struct {
 	snapshot    Snapshot
 	hasSnapshot bool
-	// failedRounds is the number of consecutive rounds in which the store failed;
-	// above 0 the store is only probed.
-	failedRounds  int
+	// failedRounds is the number of consecutive rounds in which the store did not
+	// serve this host; above 0 the store is only probed.
+	failedRounds int
+	// probeDue is set if this host is to probe the store in an outage although peers
+	// probe it.
+	probeDue      bool
 	excludedPeers map[string]time.Time
 	partialRead   partialRead
 }
@@ -85,13 +100,16 @@
 // roundResult is the outcome of one round.
 type roundResult struct {
 	changes Changes
-	// reader is the peer that was queried instead of the store, or "".
-	reader string
-	// readerErr is why the reader's answer was not used.
-	readerErr error
+	// readFrom is the peer that the changes come from, or "" for the store, and
+	// storeAge the age that it stated.
+	readFrom string
+	storeAge time.Duration
+	// unreadable are the peers that were tried and cannot be read from.
+	unreadable map[string]error
 	// partialRead is the unfinished read of the table.
 	partialRead partialRead
-	// storeCalled reports whether the store was called, storeErr how that failed.
+	// storeCalled reports whether the store was called, storeErr why the store does
+	// not serve this host.
 	storeCalled bool
 	storeErr    error
 }
@@ -109,9 +127,12 @@
 }
 
 func (f *Follower) nextRound() round {
-	now := f.clock.Now()
+	now := f.Clock.Now()
 	maps.DeleteFunc(f.excludedPeers, func(_ string, until time.Time) bool { return now.After(until) })
-	return round{snapshot: f.snapshot, hasSnapshot: f.hasSnapshot, failedRounds: f.failedRounds, excludedPeers: maps.Clone(f.excludedPeers), partialRead: f.partialRead.resumeOrRestart(now)}
+	return round{
+		snapshot: f.snapshot, hasSnapshot: f.hasSnapshot, failedRounds: f.failedRounds, probeDue: now.Sub(f.lastStoreCall) >= unservedProbeInterval,
+		excludedPeers: maps.Clone(f.excludedPeers), partialRead: f.partialRead.resumeOrRestart(now),
+	}
 }
 
 // awaitRound serves requests until the running round has ended and the next one is due.
@@ -126,24 +147,31 @@
 		case <-f.nextExpiry():
 			f.replyToHeld(false)
 		case result := <-results:
-			nextRound = f.clock.After(f.handleResult(ctx, result))
+			nextRound = f.Clock.After(f.handleResult(ctx, result))
 		case <-nextRound:
 			return nil
 		}
 	}
 }
 
-// handleRequest replies to a request, or holds it until there is a change.
+// handleRequest replies to a request, or holds it until there is a change or an
+// outage of the store.
 func (f *Follower) handleRequest(request ChangesRequest) {
-	if f.snapshot.Version > request.Query.After || request.Query.Wait <= 0 {
+	if f.snapshot.Version > request.Query.After || request.Query.Wait <= 0 || f.isUnserved() {
 		f.reply(request)
 		return
 	}
-	f.heldRequests = append(f.heldRequests, heldRequest{request: request, expiresAt: f.clock.Now().Add(request.Query.Wait)})
+	f.heldRequests = append(f.heldRequests, heldRequest{request: request, expiresAt: f.Clock.Now().Add(request.Query.Wait)})
 }
 
+// isUnserved reports whether other hosts cannot rely on this host's copy.
+func (f *Follower) isUnserved() bool { return !f.hasSnapshot || !f.outageStart.IsZero() }
+
 func (f *Follower) reply(request ChangesRequest) {
-	request.Reply.Send(Answer{Changes: changesSince(f.snapshot, f.removed, request.Query.After), StoreAge: f.clock.Since(f.lastServed)})
+	request.Reply.Send(Answer{
+		Changes: changesSince(f.snapshot, f.removed, request.Query.After), StoreAge: f.Clock.Since(f.lastServed),
+		Unserved: f.isUnserved(),
+	})
 }
 
 // nextExpiry returns a timer for the oldest held request.
@@ -151,16 +179,15 @@
 	if len(f.heldRequests) == 0 {
 		return nil
 	}
-	return f.clock.After(f.heldRequests[0].expiresAt.Sub(f.clock.Now()))
+	return f.Clock.After(f.heldRequests[0].expiresAt.Sub(f.Clock.Now()))
 }
 
-// replyToHeld replies to the held requests: to all after a change, else to those
-// that have expired.
-func (f *Follower) replyToHeld(changed bool) {
-	now := f.clock.Now()
+// replyToHeld replies to all held requests, or to those that have expired.
+func (f *Follower) replyToHeld(all bool) {
+	now := f.Clock.Now()
 	kept := f.heldRequests[:0]
 	for _, held := range f.heldRequests {
-		if changed || !now.Before(held.expiresAt) {
+		if all || !now.Before(held.expiresAt) {
 			f.reply(held.request)
 			continue
 		}
@@ -169,17 +196,23 @@
 	f.heldRequests = kept
 }
 
-// runRound runs one round outside the task's goroutine. It queries the reader of
-// the data centre if that is another host, otherwise the store, and any peer if
-// the store fails.
+// errPeersUnserved reports that the store serves none of the peers that come before
+// this host.
+var errPeersUnserved = Error.New("the store does not serve the hosts that read it for this one")
+
+// runRound runs one round outside the task's goroutine. It reads from a peer that the
+// store serves, otherwise from the store, and from any peer if the store fails.
 func (f *Follower) runRound(ctx context.Context, current round) roundResult {
 	var result roundResult
-	if current.hasSnapshot && current.failedRounds == 0 {
-		if result.reader = f.peers.StoreReader(ctx, current.excludedPeers); result.reader != "" {
-			result.changes, result.readerErr = f.queryPeer(ctx, result.reader, current.snapshot.Version)
-			if result.readerErr == nil {
-				return result
-			}
+	if current.hasSnapshot {
+		peersProbe := f.readFromPeer(ctx, current, &result)
+		if result.readFrom != "" {
+			return result
+		}
+		if peersProbe && current.failedRounds > 0 && !current.probeDue {
+			result.storeErr = errPeersUnserved
+			result.changes = f.queryAnyPeer(ctx, current)
+			return result
 		}
 	}
 	result.storeCalled = true
@@ -190,14 +223,47 @@
 	return result
 }
 
-func (f *Follower) queryPeer(ctx context.Context, host string, after uint64) (Changes, error) {
-	ctx, cancel := context.WithTimeout(ctx, peerPollTimeout+peerDeadlineMargin)
+// readFromPeer tries the peers that this host may read from, best first, until one
+// that the store serves answers. It reports whether maxReadersTried peers answered
+// that the store does not serve them, so that they probe the store.
+func (f *Follower) readFromPeer(ctx context.Context, current round, result *roundResult) bool {
+	result.unreadable = map[string]error{}
+	skipped := maps.Clone(current.excludedPeers)
+	started := f.Clock.Now()
+	for range maxReadersTried {
+		reader := f.Peers.StoreReader(ctx, skipped)
+		if reader == "" {
+			return false
+		}
+		answer, err := f.queryPeer(ctx, reader, current)
+		switch {
+		case err != nil:
+			result.unreadable[reader] = err
+		case !answer.Unserved:
+			result.changes, result.readFrom, result.storeAge = answer.Changes, reader, answer.StoreAge
+			return false
+		}
+		skipped[reader] = started
+		if f.Clock.Since(started) > maxReaderSearch {
+			return false
+		}
+	}
+	return len(result.unreadable) == 0
+}
+
+// queryPeer queries a peer, which in an outage must not hold its reply.
+func (f *Follower) queryPeer(ctx context.Context, host string, current round) (Answer, error) {
+	query := Query{Table: f.Table, After: current.snapshot.Version}
+	if current.failedRounds == 0 {
+		query.Wait = peerPollTimeout
+	}
+	ctx, cancel := context.WithTimeout(ctx, query.Wait+peerDeadlineMargin)
 	defer cancel()
-	answer, err := f.peers.QueryHost(ctx, host, Query{Table: f.table, After: after, Wait: peerPollTimeout})
-	if err == nil && answer.StoreAge > maxPeerStoreAge {
+	answer, err := f.Peers.QueryHost(ctx, host, query)
+	if err == nil && !answer.Unserved && answer.StoreAge > maxPeerStoreAge {
 		err = Error.New("peer %s was last served by the store %d ms ago", host, answer.StoreAge.Milliseconds())
 	}
-	return answer.Changes, err
+	return answer, err
 }
 
 // readStore reads the changes, or the whole table if there is no snapshot.
@@ -210,7 +276,7 @@
 		return read.changes, read, err
 	}
 	f.storeCalls.Inc()
-	changes, err := f.store.ReadChanges(ctx, f.table, current.snapshot.Version, timing.pollTimeout)
+	changes, err := f.Store.ReadChanges(ctx, f.Table, current.snapshot.Version, timing.pollTimeout)
 	return changes, partialRead{}, err
 }
 
@@ -219,7 +285,7 @@
 func (f *Follower) readTable(ctx context.Context, read partialRead) (partialRead, error) {
 	for {
 		f.storeCalls.Inc()
-		page, err := f.store.ReadPage(ctx, f.table, read.nextKey)
+		page, err := f.Store.ReadPage(ctx, f.Table, read.nextKey)
 		if err != nil {
 			return read, err
 		}
@@ -234,9 +300,9 @@
 func (f *Follower) queryAnyPeer(ctx context.Context, current round) Changes {
 	ctx, cancel := context.WithTimeout(ctx, backoff(initialAnyTimeout, current.failedRounds, maxAnyTimeout))
 	defer cancel()
-	answer, err := f.peers.QueryAny(ctx, Query{Table: f.table, After: current.snapshot.Version})
+	answer, err := f.Peers.QueryAny(ctx, Query{Table: f.Table, After: current.snapshot.Version})
 	if err != nil {
-		f.logger.Debug("no peer returned changes of the table", eventcode.PeerCopyFailed.Attr(), "table", f.table, "error", err)
+		f.Logger.Debug("no peer returned changes of the table", eventcode.PeerCopyFailed.Attr(), "table", f.Table, "error", err)
 		return Changes{}
 	}
 	return answer.Changes
@@ -244,30 +310,36 @@
 
 // handleResult applies the outcome of a round and returns the delay before the next.
 func (f *Follower) handleResult(ctx context.Context, result roundResult) time.Duration {
-	if result.readerErr != nil {
-		f.excludedPeers[result.reader] = f.clock.Now().Add(peerCooldown)
-		f.logger.Info("peer cannot be used as reader of the store", eventcode.StoreReaderUnusable.Attr(), "table", f.table, "peer", result.reader, "error", result.readerErr)
+	for peer, err := range result.unreadable {
+		f.excludedPeers[peer] = f.Clock.Now().Add(peerCooldown)
+		f.Logger.Info("peer cannot be used as reader of the store", eventcode.StoreReaderUnusable.Attr(), "table", f.Table, "peer", peer, "error", err)
+	}
+	if result.storeCalled {
+		f.lastStoreCall = f.Clock.Now()
 	}
 	switch {
 	case errors.Is(result.storeErr, ErrHistoryGone):
-		f.logger.Warn("change feed no longer reaches back to this copy; reading the whole table", eventcode.StoreHistoryGone.Attr(), "table", f.table, "version", f.snapshot.Version)
+		f.Logger.Warn("change feed no longer reaches back to this copy; reading the whole table", eventcode.StoreHistoryGone.Attr(), "table", f.Table, "version", f.snapshot.Version)
 		f.hasSnapshot, f.partialRead = false, partialRead{}
 		return 0
 	case result.storeErr != nil:
 		f.recordStoreFailure(result.storeErr)
 		f.partialRead = result.partialRead
 		f.applyPeerChanges(ctx, result.changes)
-		return retryDelay(f.failedRounds, f.random.Float64())
-	case result.storeCalled:
-		f.partialRead = partialRead{}
-		f.recordStoreSuccess()
+		return retryDelay(f.failedRounds, f.Random.Float64())
 	}
-	// A read of the whole table must not replace a newer snapshot.
+	f.partialRead = partialRead{}
+	f.recordServed(result.storeAge)
+	// A peer may be behind this host, and a read of the whole table must not replace
+	// a newer snapshot.
 	if result.changes.Version < f.snapshot.Version {
-		return retryDelay(0, f.random.Float64())
+		return retryDelay(0, f.Random.Float64())
 	}
 	f.applyUpdate(ctx, result.changes)
-	return feedBatchDelay
+	if result.storeCalled {
+		return f.Pace.AfterStore
+	}
+	return f.Pace.AfterPeer
 }
 
 // applyUpdate applies changes and publishes the new snapshot.
@@ -287,24 +359,28 @@
 		return
 	}
 	f.peerSnapshots.Inc()
-	f.logger.Info("changes applied from a peer", eventcode.PeerCopyApplied.Attr(), "table", f.table, "version", changes.Version, "before", f.snapshot.Version, "rows", len(changes.Rows))
+	f.Logger.Info("changes applied from a peer", eventcode.PeerCopyApplied.Attr(), "table", f.Table, "version", changes.Version, "before", f.snapshot.Version, "rows", len(changes.Rows))
 	f.applyUpdate(ctx, changes)
 }
 
+// recordStoreFailure starts an outage unless one is in progress, and tells the peers
+// that wait for changes.
 func (f *Follower) recordStoreFailure(err error) {
 	f.storeFailures.Inc()
 	f.failedRounds++
 	if f.outageStart.IsZero() {
-		f.outageStart = f.clock.Now()
-		f.logger.Warn("store does not serve this host", eventcode.StoreLost.Attr(), "table", f.table, "version", f.snapshot.Version, "error", err)
+		f.outageStart = f.Clock.Now()
+		f.replyToHeld(true)
+		f.Logger.Warn("store does not serve this host", eventcode.StoreLost.Attr(), "table", f.Table, "version", f.snapshot.Version, "error", err)
 	}
 }
 
-// recordStoreSuccess ends an outage and records its end in the snapshot if rows may have
-// lapsed during it.
-func (f *Follower) recordStoreSuccess() {
-	now := f.clock.Now()
-	f.lastServed = now
+// recordServed records that the store served this host, storeAge ago if that was
+// through a peer. It ends an outage and records its end in the snapshot if rows may
+// have lapsed during it.
+func (f *Follower) recordServed(storeAge time.Duration) {
+	now := f.Clock.Now()
+	f.lastServed = now.Add(-storeAge)
 	f.failedRounds = 0
 	if f.outageStart.IsZero() {
 		return
@@ -314,7 +390,7 @@
 	if outage >= minLapseOutage {
 		f.snapshot.StoreRecovered = now
 	}
-	f.logger.Info("store serves this host again after an outage", eventcode.StoreRecovered.Attr(), "table", f.table, "outage_ms", outage.Milliseconds())
+	f.Logger.Info("store serves this host again after an outage", eventcode.StoreRecovered.Attr(), "table", f.Table, "outage_ms", outage.Milliseconds())
 }
 
 // publish sends the snapshot to all subscribers, retrying while a mailbox is full.
@@ -325,7 +401,7 @@
 			select {
 			case <-ctx.Done():
 				return
-			case <-f.clock.After(subscriberRetryDelay):
+			case <-f.Clock.After(subscriberRetryDelay):
 			}
 		}
 	}
--- /dev/null
+++ b/entryhost/relay/peering/fleet_test.go
@@ -0,0 +1,343 @@
+package peering
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/jonboulle/clockwork"
+	"github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"github.com/lentilpoint/lentilpoint/entryhost/relay/mirror"
+	"github.com/lentilpoint/lentilpoint/entryhost/relay/routing"
+	"github.com/lentilpoint/lentilpoint/task"
+)
+
+const (
+	fleetTable = "t"
+	// inForceBound is the time in which a change of the configuration must be in
+	// force on all hosts.
+	inForceBound = 2 * time.Second
+	// turnedAwayBound is that time on hosts that the store turns away.
+	turnedAwayBound = 4 * time.Second
+	// recoveryBound is the time after the end of an outage by which changes must be
+	// known everywhere.
+	recoveryBound = 3 * time.Second
+)
+
+var fleetPace = mirror.Pace{AfterStore: 100 * time.Millisecond, AfterPeer: 50 * time.Millisecond}
+
+// fleetStore is a store in memory that counts calls and can turn hosts away. Its
+// mutex stands for the process of the store.
+type fleetStore struct {
+	mutex   sync.Mutex
+	version uint64
+	changed chan struct{}
+	calls   int
+	away    map[string]bool
+}
+
+func newFleetStore() *fleetStore {
+	return &fleetStore{version: 1, changed: make(chan struct{}), away: map[string]bool{}}
+}
+
+// change writes the table's only row.
+func (s *fleetStore) change() uint64 {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.version++
+	close(s.changed)
+	s.changed = make(chan struct{})
+	return s.version
+}
+
+func (s *fleetStore) turnAway(hosts ...string) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.away = map[string]bool{}
+	for _, host := range hosts {
+		s.away[host] = true
+	}
+}
+
+func (s *fleetStore) takeCalls() int {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	calls := s.calls
+	s.calls = 0
+	return calls
+}
+
+func (s *fleetStore) call(host string) (uint64, <-chan struct{}, error) {
+	time.Sleep(4 * time.Millisecond)
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.calls++
+	if s.away[host] {
+		return 0, nil, errors.New("503")
+	}
+	return s.version, s.changed, nil
+}
+
+// hostStore is one host's client of the store.
+type hostStore struct {
+	store *fleetStore
+	host  string
+}
+
+func (s hostStore) ReadPage(context.Context, string, string) (mirror.Page, error) {
+	version, _, err := s.store.call(s.host)
+	return mirror.Page{Version: version, Rows: []mirror.Row{{Key: "a", Version: version}}}, err
+}
+
+func (s hostStore) ReadChanges(ctx context.Context, _ string, after uint64, wait time.Duration) (mirror.Changes, error) {
+	version, changed, err := s.store.call(s.host)
+	if err != nil || version > after {
+		return mirror.Changes{Version: version, Rows: []mirror.Row{{Key: "a", Version: version}}}, err
+	}
+	select {
+	case <-changed:
+		version++
+		return mirror.Changes{Version: version, Rows: []mirror.Row{{Key: "a", Version: version}}}, nil
+	case <-time.After(wait):
+		return mirror.Changes{Version: version}, nil
+	case <-ctx.Done():
+		return mirror.Changes{}, ctx.Err()
+	}
+}
+
+// fleet is a number of hosts in six data centres that follow a table.
+type fleet struct {
+	store     *fleetStore
+	hosts     []routing.Host
+	followers map[string]*mirror.Follower
+	versions  map[string]task.Mailbox[mirror.Snapshot]
+	latest    map[string]uint64
+	// unreachable are hosts that answer no peer.
+	unreachable map[string]bool
+}
+
+// fleetPeers reaches the other hosts of a fleet without a network.
+type fleetPeers struct {
+	Peers
+	fleet *fleet
+	// direct makes each host read the store itself, the baseline.
+	direct bool
+}
+
+func (p *fleetPeers) StoreReader(ctx context.Context, excluded map[string]time.Time) string {
+	if p.direct {
+		return ""
+	}
+	return p.Peers.StoreReader(ctx, excluded)
+}
+
+func (p *fleetPeers) QueryHost(ctx context.Context, host string, query mirror.Query) (mirror.Answer, error) {
+	time.Sleep(time.Millisecond)
+	if p.fleet.unreachable[host] {
+		time.Sleep(callTimeout)
+		return mirror.Answer{}, errors.New("unreachable")
+	}
+	return task.Call(ctx, p.fleet.followers[host].Mailbox(), func(reply task.Reply[mirror.Answer]) mirror.ChangesRequest {
+		return mirror.ChangesRequest{Query: query, Reply: reply}
+	})
+}
+
+func (p *fleetPeers) QueryAny(ctx context.Context, query mirror.Query) (mirror.Answer, error) {
+	var last mirror.Answer
+	for _, address := range peersToQuery(p.DataCentre, p.Self, p.fleet.hosts, nil) {
+		answer, err := p.QueryHost(ctx, address, query)
+		if err == nil && answer.Changes.Version > query.After {
+			return answer, nil
+		}
+		last = answer
+	}
+	return last, nil
+}
+
+func startFleet(ctx context.Context, size int, direct bool) *fleet {
+	f := &fleet{
+		store: newFleetStore(), followers: map[string]*mirror.Follower{}, versions: map[string]task.Mailbox[mirror.Snapshot]{},
+		latest: map[string]uint64{}, unreachable: map[string]bool{},
+	}
+	for i := range size {
+		f.hosts = append(f.hosts, routing.Host{Address: fmt.Sprintf("10.%d.0.%d:8748", i%6, i), DataCentre: fmt.Sprint("dc-", i%6)})
+	}
+	known := func(context.Context) []routing.Host { return f.hosts }
+	for i, host := range f.hosts {
+		f.versions[host.Address] = task.NewMailbox[mirror.Snapshot](64)
+		f.followers[host.Address] = mirror.NewFollower(mirror.Parameters{
+			Table: fleetTable, Pace: fleetPace, Store: hostStore{store: f.store, host: host.Address},
+			Peers: &fleetPeers{Peers: Peers{DataCentre: host.DataCentre, Self: host.Address, Hosts: known}, fleet: f, direct: direct},
+			Clock: clockwork.NewRealClock(), Random: rand.New(rand.NewPCG(1, uint64(i))), Metrics: metrics.NewSet(), Logger: slog.New(slog.DiscardHandler),
+		}, f.versions[host.Address])
+	}
+	for _, follower := range f.followers {
+		go func() { _ = follower.Serve(ctx) }()
+	}
+	return f
+}
+
+// behind returns the number of hosts that do not have the version.
+func (f *fleet) behind(version uint64) int {
+	behind := 0
+	for _, host := range f.hosts {
+		for mailbox := f.versions[host.Address]; mailbox.Len() > 0; {
+			f.latest[host.Address] = (<-mailbox.C()).Version
+		}
+		if f.latest[host.Address] < version {
+			behind++
+		}
+	}
+	return behind
+}
+
+// storeReader returns the host that reads the store for all others.
+func (f *fleet) storeReader() string {
+	for _, host := range f.hosts {
+		peers := Peers{DataCentre: host.DataCentre, Self: host.Address, Hosts: func(context.Context) []routing.Host { return f.hosts }}
+		if peers.StoreReader(context.Background(), nil) == "" {
+			return host.Address
+		}
+	}
+	return ""
+}
+
+// inFleet runs the test in simulated time with a fleet of the size that has read the
+// table.
+func inFleet(t *testing.T, size int, direct bool, run func(g gomega.Gomega, f *fleet)) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(context.Background())
+		f := startFleet(ctx, size, direct)
+		time.Sleep(10 * time.Second)
+		f.store.takeCalls()
+		run(gomega.NewWithT(t), f)
+		cancel()
+		// Calls in progress end within their timeouts.
+		time.Sleep(10 * time.Second)
+		synctest.Wait()
+	})
+}
+
+// idleCalls returns the calls of a fleet to the store in a minute without changes.
+func idleCalls(t *testing.T, size int, direct bool) int {
+	calls := 0
+	inFleet(t, size, direct, func(_ gomega.Gomega, f *fleet) {
+		time.Sleep(time.Minute)
+		calls = f.store.takeCalls()
+	})
+	return calls
+}
+
+// Guards against calls to the store that grow with the number of hosts.
+func TestALargeFleetCallsTheStoreNoMoreThanASmallOne(t *testing.T) {
+	g := gomega.NewWithT(t)
+	small := idleCalls(t, 6, false)
+	g.Expect(idleCalls(t, 80, false)).To(gomega.BeNumerically("<=", small+1))
+	g.Expect(idleCalls(t, 300, false)).To(gomega.BeNumerically("<=", small+1))
+	g.Expect(idleCalls(t, 80, true)).To(gomega.BeNumerically(">", 10*small), "the baseline, in which each host reads the store")
+}
+
+// Guards against a configuration that comes into force late, or on some hosts only.
+func TestAChangeReachesALargeFleetInTime(t *testing.T) {
+	inFleet(t, 300, false, func(g gomega.Gomega, f *fleet) {
+		for range 20 {
+			version := f.store.change()
+			time.Sleep(inForceBound)
+			g.Expect(f.behind(version)).To(gomega.BeZero())
+		}
+	})
+}
+
+// Guards against a change that waits for a reader that is gone.
+func TestAChangeReachesALargeFleetWhoseReaderIsGone(t *testing.T) {
+	inFleet(t, 300, false, func(g gomega.Gomega, f *fleet) {
+		f.unreachable[f.storeReader()] = true
+		for range 10 {
+			version := f.store.change()
+			time.Sleep(inForceBound)
+			g.Expect(f.behind(version)).To(gomega.BeZero())
+		}
+	})
+}
+
+// Guards against hosts that all call a store that is down, and against changes that
+// reach some hosts late after it is back.
+func TestAnOutageOfTheStore(t *testing.T) {
+	inFleet(t, 300, false, func(g gomega.Gomega, f *fleet) {
+		var all []string
+		for _, host := range f.hosts {
+			all = append(all, host.Address)
+		}
+		f.store.turnAway(all...)
+		time.Sleep(20 * time.Second)
+		// Each host may probe the store once each unservedProbeInterval, and three of
+		// each data centre once each 0.9 s.
+		g.Expect(f.store.takeCalls()).To(gomega.BeNumerically("<", 300*20/4+6*3*20/0.9))
+		f.store.turnAway()
+		version := f.store.change()
+		time.Sleep(recoveryBound)
+		g.Expect(f.behind(version)).To(gomega.BeZero())
+		time.Sleep(10 * time.Second)
+		f.store.takeCalls()
+		time.Sleep(10 * time.Second)
+		g.Expect(f.store.takeCalls()).To(gomega.BeNumerically("<", 10), "one host reads the store again")
+	})
+}
+
+// Guards against hosts that the store turns away while it serves others, among them
+// the hosts that read for the rest.
+func TestAStoreThatTurnsAThirdOfTheHostsAway(t *testing.T) {
+	inFleet(t, 300, false, func(g gomega.Gomega, f *fleet) {
+		away := []string{f.storeReader()}
+		for i, host := range f.hosts {
+			if i%3 == 0 {
+				away = append(away, host.Address)
+			}
+		}
+		f.store.turnAway(away...)
+		for range 10 {
+			version := f.store.change()
+			time.Sleep(turnedAwayBound)
+			g.Expect(f.behind(version)).To(gomega.BeZero())
+		}
+	})
+}
+
+// Guards against hosts that read from each other in a circle and never from the
+// store, which would keep an old configuration in force.
+func TestHostsWithDifferentListsNeverReadInACircle(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var all []routing.Host
+		for i := range rapid.IntRange(2, 40).Draw(t, "hosts") {
+			all = append(all, routing.Host{Address: fmt.Sprintf("10.0.0.%d:1", i), DataCentre: fmt.Sprint(rapid.IntRange(0, 4).Draw(t, "data centre"))})
+		}
+		next := map[string]string{}
+		for _, host := range all {
+			var known []routing.Host
+			for _, other := range all {
+				if rapid.Bool().Draw(t, "known") {
+					known = append(known, other)
+				}
+			}
+			peers := Peers{DataCentre: host.DataCentre, Self: host.Address, Hosts: func(context.Context) []routing.Host { return known }}
+			next[host.Address] = peers.StoreReader(context.Background(), nil)
+		}
+		for start := range next {
+			steps := 0
+			for at := start; next[at] != ""; at = next[at] {
+				if steps++; steps > len(all) {
+					t.Fatalf("%s never reads from the store", start)
+				}
+			}
+		}
+	})
+}
--- a/entryhost/relay/peering/peering.go
+++ b/entryhost/relay/peering/peering.go
@@ -138,25 +138,47 @@
 	// DataCentre is this host's data centre, Self its address among its peers.
 	DataCentre string
 	Self       string
+	// Region holds the data centres of this host's region; if it is empty, all are.
+	Region map[string]bool
 	// Seeds are peer addresses from the settings, used while no host is known.
 	Seeds []string
 	// Hosts returns the known entry hosts.
 	Hosts func(ctx context.Context) []routing.Host
 }
 
-// StoreReader implements mirror.Peers. The host with the highest rendezvous hash for
-// the data centre reads the store on behalf of the data centre.
+// readerKey is the rendezvous key by which hosts choose the readers of the store.
+const readerKey = "store-reader"
+
+// StoreReader implements mirror.Peers. A host reads from the host with the highest
+// rendezvous weight of its data centre; that host reads from the one with the
+// highest weight of the region, and that one reads the store. Each host reads from
+// one with a higher weight, so that hosts with different lists of hosts never read
+// from each other in a circle.
 func (p *Peers) StoreReader(ctx context.Context, excluded map[string]time.Time) string {
-	reader, highest := "", routing.RendezvousWeight(p.Self, p.DataCentre)
+	own := routing.RendezvousWeight(p.Self, readerKey)
+	local, regional := reader{weight: own}, reader{weight: own}
 	for _, host := range p.Hosts(ctx) {
-		if _, isExcluded := excluded[host.Address]; isExcluded || host.DataCentre != p.DataCentre || host.Address == p.Self {
+		if _, isExcluded := excluded[host.Address]; isExcluded || host.Address == p.Self {
 			continue
 		}
-		if weight := routing.RendezvousWeight(host.Address, p.DataCentre); weight > highest {
-			reader, highest = host.Address, weight
+		weight := routing.RendezvousWeight(host.Address, readerKey)
+		if host.DataCentre == p.DataCentre && weight > local.weight {
+			local = reader{address: host.Address, weight: weight}
+		}
+		if (len(p.Region) == 0 || p.Region[host.DataCentre]) && weight > regional.weight {
+			regional = reader{address: host.Address, weight: weight}
 		}
 	}
-	return reader
+	if local.address != "" {
+		return local.address
+	}
+	return regional.address
+}
+
+// reader is a host that others may read from; its address is empty for this host.
+type reader struct {
+	address string
+	weight  uint64
 }
 
 // QueryHost implements mirror.Peers.
--- a/entryhost/relay/settings.go
+++ b/entryhost/relay/settings.go
@@ -17,6 +17,9 @@
 	HostName string
 	// DataCentre is the data centre of this host.
 	DataCentre string
+	// RegionDataCentres are the data centres of this host's region, separated by
+	// commas. If it is empty, all data centres are.
+	RegionDataCentres string
 	// FrontAddress is where callers connect, ReadyAddress where the balancer
 	// checks readiness, PeerAddress where other entry hosts connect, and
 	// MetricsAddress where metrics are scraped. An empty PeerAddress or
@@ -43,6 +46,17 @@
 }
 
 // SeedList returns the seeds as a list.
-func (s Settings) SeedList() []string {
-	return strings.FieldsFunc(s.Seeds, func(r rune) bool { return r == ',' })
+func (s Settings) SeedList() []string { return splitList(s.Seeds) }
+
+// Region returns the data centres of this host's region as a set.
+func (s Settings) Region() map[string]bool {
+	region := map[string]bool{}
+	for _, dataCentre := range splitList(s.RegionDataCentres) {
+		region[dataCentre] = true
+	}
+	return region
+}
+
+func splitList(list string) []string {
+	return strings.FieldsFunc(list, func(r rune) bool { return r == ',' })
 }
