Share the attempts on engines between entry hosts

A host knows its own attempts only, and on a large fleet it sees a stream every few seconds. Ruled out: engines that are full (none refused), remote engines (136 of 141 first attempts were local). Change: the hosts report their attempts on engines to a collector of the data centre, chosen by rendezvous hashing, and receive those of the others in the same call, before each choice. If only an engine elsewhere is good, the collectors of the other data centres are asked first. The costs of a server are now in seconds of delay: a prompt delays each running stream of its engine by the second that it takes. Weighed: reports of the engines (a probe and a connection for each stream, both priced, and some hundred ms old); one collector for the region (grows with all streams of a region); summaries every second (older than a prompt takes).

--- a/entryhost/relay/dispatch/assign.go
+++ b/entryhost/relay/dispatch/assign.go
@@ -75,6 +75,7 @@
 	state.inFlight++
 	t.leases[assignment.Lease] = granted
 	request.Reply.Send(assignment)
+	t.reportAttempt(ctx, state.server)
 }
 
 // takeConnection returns the most recently used idle connection, or a new one.
@@ -108,7 +109,7 @@
 			continue
 		}
 		candidates = append(candidates, candidate{
-			server: state.server, inFlight: state.inFlight, decoding: state.decoding, copies: state.copies,
+			server: state.server, others: t.othersLoad(state.server, now), inFlight: state.inFlight, decoding: state.decoding, copies: state.copies,
 			owned: t.ownership.owns(state.server),
 			warm:  len(state.idle) > 0, full: len(state.idle) == 0 && state.open >= limit,
 			paused: now.Before(state.health.pausedUntil), dataCentreDown: t.pools[poolOf(state.server)].down(now), recovering: state.health.pause > 0,
--- a/entryhost/relay/dispatch/budget.go
+++ b/entryhost/relay/dispatch/budget.go
@@ -110,9 +110,7 @@
 		return
 	}
 	message.request.paidByPeer = true
-	if !t.tryAssign(ctx, message.request) {
-		t.waiting = append(t.waiting, message.request)
-	}
+	t.assignOrWait(ctx, message.request)
 }
 
 // handleLend pays for a retry of another host, which counts against this host's
--- /dev/null
+++ b/entryhost/relay/dispatch/loads.go
@@ -0,0 +1,207 @@
+package dispatch
+
+import (
+	"context"
+	"time"
+
+	"github.com/lentilpoint/lentilpoint/entryhost/relay/loads"
+	"github.com/lentilpoint/lentilpoint/entryhost/relay/routing"
+	"github.com/lentilpoint/lentilpoint/eventcode"
+)
+
+const (
+	// loadsLifetime is how long the attempts of other hosts are used after they were
+	// received; engines take about a second for a prompt.
+	loadsLifetime = 300 * time.Millisecond
+	// collectorCooldown is how long a collector that failed is excluded.
+	collectorCooldown = 3 * time.Second
+	// reportDelay batches reports of attempts that started to decode or ended, which
+	// matter less than new ones.
+	reportDelay = 100 * time.Millisecond
+)
+
+// LoadExchanger sends this host's attempts on the servers of a data centre to its
+// collector and returns those of the other hosts.
+type LoadExchanger interface {
+	Exchange(ctx context.Context, collector string, report loads.HostLoads) (loads.Totals, error)
+}
+
+// sharedLoads is what this host knows of other hosts' attempts on the engines of a
+// data centre.
+type sharedLoads struct {
+	totals     loads.Totals
+	receivedAt time.Time
+	// reportedAt is when this host last reported, and reported whether it then had
+	// attempts.
+	reportedAt time.Time
+	reported   bool
+	// changed is set if attempts started to decode or ended since then.
+	changed bool
+}
+
+// loadsExchanged is the result of exchanges with collectors, before the request is
+// assigned or, if there is none, after a change of this host's attempts.
+type loadsExchanged struct {
+	request *Acquire
+	results []loadsResult
+}
+
+type loadsResult struct {
+	dataCentre string
+	collector  string
+	totals     loads.Totals
+	err        error
+}
+
+func (loadsExchanged) isMessage() {}
+
+// handleAcquire assigns a server, after an exchange of loads if the request runs on
+// an engine: a stream that waits for the prompt of another host takes a second
+// longer, and an exchange a millisecond.
+func (t *Task) handleAcquire(ctx context.Context, request Acquire) {
+	if t.sharesLoads(request.Service) && !request.OnlyPreferred {
+		t.exchangeLoads(ctx, &request, []string{t.DataCentre})
+		return
+	}
+	t.assignOrWait(ctx, request)
+}
+
+func (t *Task) assignOrWait(ctx context.Context, request Acquire) {
+	if !t.tryAssign(ctx, request) {
+		t.waiting = append(t.waiting, request)
+	}
+}
+
+// sharesLoads reports whether the hosts share their attempts on the servers of the
+// service. Calls of plain services end sooner than reports of them would arrive.
+func (t *Task) sharesLoads(service string) bool {
+	return t.Loads != nil && t.view.Config != nil && t.view.Config.Services[service].Engine != nil
+}
+
+// exchangeLoads exchanges loads with the collectors of the data centres. The results
+// arrive as one message.
+func (t *Task) exchangeLoads(ctx context.Context, request *Acquire, dataCentres []string) {
+	now := t.Clock.Now()
+	type call struct {
+		collector string
+		report    loads.HostLoads
+	}
+	var calls []call
+	for _, dataCentre := range dataCentres {
+		collector := loads.Collector(dataCentre, t.allHosts, func(address string) bool { return now.Before(t.collectorsDown[address]) })
+		if collector == "" {
+			continue
+		}
+		report := t.loadReport(dataCentre)
+		calls = append(calls, call{collector: collector, report: report})
+		known := t.shared[dataCentre]
+		known.reportedAt, known.reported, known.changed = now, len(report.Servers) > 0, false
+		t.shared[dataCentre] = known
+	}
+	results := make(chan loadsResult, len(calls))
+	for _, c := range calls {
+		go func() {
+			totals, err := t.Loads.Exchange(ctx, c.collector, c.report)
+			results <- loadsResult{dataCentre: c.report.DataCentre, collector: c.collector, totals: totals, err: err}
+		}()
+	}
+	go func() {
+		message := loadsExchanged{request: request}
+		for range calls {
+			message.results = append(message.results, <-results)
+		}
+		_ = t.mailbox.Send(ctx, message)
+	}()
+}
+
+// loadReport returns this host's attempts on the engines of a data centre.
+func (t *Task) loadReport(dataCentre string) loads.HostLoads {
+	report := loads.HostLoads{Host: t.Self, DataCentre: dataCentre, Sequence: t.createdAt.Add(t.uptime()).UnixNano(), Servers: map[string]loads.Load{}}
+	for id, state := range t.servers {
+		if state.inFlight > 0 && state.server.DataCentre == dataCentre && t.sharesLoads(state.server.Service) {
+			report.Servers[id] = loads.Load{Reading: state.inFlight - state.decoding, Decoding: state.decoding}
+		}
+	}
+	return report
+}
+
+// handleLoadsExchanged stores the loads and assigns the request. If only a server in
+// another data centre is good, the loads there are exchanged first.
+func (t *Task) handleLoadsExchanged(ctx context.Context, message loadsExchanged) {
+	now := t.Clock.Now()
+	for _, result := range message.results {
+		if result.err != nil {
+			t.collectorsDown[result.collector] = now.Add(collectorCooldown)
+			t.Metrics.GetOrCreateCounter("lentilpoint_relay_load_exchanges_failed_total").Inc()
+			t.Logger.Info("collector of loads did not answer; choosing by this host's own attempts", eventcode.LoadsNotExchanged.Attr(),
+				"data_centre", result.dataCentre, "collector", result.collector, "error", result.err)
+			continue
+		}
+		known := t.shared[result.dataCentre]
+		known.totals, known.receivedAt = result.totals, now
+		t.shared[result.dataCentre] = known
+	}
+	if message.request == nil {
+		return
+	}
+	if !message.request.remoteLoadsKnown {
+		chosen := t.pickServer(message.request, t.candidates(message.request.Service, now))
+		if chosen != nil && chosen.server.DataCentre != t.DataCentre {
+			message.request.remoteLoadsKnown = true
+			t.exchangeLoads(ctx, message.request, t.otherDataCentres())
+			return
+		}
+	}
+	t.assignOrWait(ctx, *message.request)
+}
+
+// otherDataCentres returns the data centres of the other hosts.
+func (t *Task) otherDataCentres() []string {
+	seen := map[string]bool{t.DataCentre: true}
+	var others []string
+	for _, host := range t.peers {
+		if !seen[host.DataCentre] {
+			seen[host.DataCentre] = true
+			others = append(others, host.DataCentre)
+		}
+	}
+	return others
+}
+
+// othersLoad returns the attempts of other hosts on a server, as far as they are
+// known.
+func (t *Task) othersLoad(server *routing.Server, now time.Time) loads.Load {
+	known := t.shared[server.DataCentre]
+	if now.Sub(known.receivedAt) > loadsLifetime {
+		return loads.Load{}
+	}
+	return known.totals[server.ID]
+}
+
+// reportAttempt reports a new attempt on an engine at once, so that other hosts do
+// not choose the same engine.
+func (t *Task) reportAttempt(ctx context.Context, server *routing.Server) {
+	if t.sharesLoads(server.Service) {
+		t.exchangeLoads(ctx, nil, []string{server.DataCentre})
+	}
+}
+
+// markLoadChanged notes that an attempt on an engine started to decode or ended.
+func (t *Task) markLoadChanged(server *routing.Server) {
+	if !t.sharesLoads(server.Service) {
+		return
+	}
+	known := t.shared[server.DataCentre]
+	known.changed = true
+	t.shared[server.DataCentre] = known
+}
+
+// reportDue sends the reports that are due: those of changes, and refreshes.
+func (t *Task) reportDue(ctx context.Context) {
+	now := t.Clock.Now()
+	for dataCentre, known := range t.shared {
+		if known.changed || known.reported && now.Sub(known.reportedAt) >= loads.RefreshInterval {
+			t.exchangeLoads(ctx, nil, []string{dataCentre})
+		}
+	}
+}
--- a/entryhost/relay/dispatch/messages.go
+++ b/entryhost/relay/dispatch/messages.go
@@ -55,6 +55,9 @@
 	Reply     task.Reply[Assignment]
 	// paidByPeer is set if another host's budget pays for the attempt.
 	paidByPeer bool
+	// remoteLoadsKnown is set if the loads of other data centres were exchanged for
+	// this request.
+	remoteLoadsKnown bool
 }
 
 // Refusal is the reason why no server was assigned.
--- a/entryhost/relay/dispatch/policy.go
+++ b/entryhost/relay/dispatch/policy.go
@@ -4,6 +4,7 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/lentilpoint/lentilpoint/entryhost/relay/loads"
 	"github.com/lentilpoint/lentilpoint/entryhost/relay/routing"
 )
 
@@ -16,6 +17,8 @@
 	inFlight int
 	decoding int
 	copies   int
+	// others are the attempts of other hosts, as far as they are known.
+	others loads.Load
 	// owned servers are preferred by this host; see ownership.
 	owned bool
 	// warm is set if an idle connection is available.
@@ -43,24 +46,26 @@
 type scorer func(dataCentre string, candidate *candidate) float64
 
 const (
-	// prefillCost is the cost of an attempt that has sent no event yet, and the
-	// unit of the other costs: reading a prompt takes about a second of engine
-	// time.
-	prefillCost = 1.0
-	// decodingCost is the cost of an attempt that sends events, which slightly
-	// lengthens the engine's steps for the others.
-	decodingCost = 0.5
+	// The unit of all costs is a second by which a stream is delayed.
+	//
+	// prefillCost is the cost of an attempt that has sent no event yet: a new attempt
+	// waits for half of its prompt on average, and each prompt takes about a second
+	// of the engine.
+	prefillCost = 1.5
+	// decodingCost is the cost of an attempt that sends events, which the new prompt
+	// delays.
+	decodingCost = 0.9
 	// copyCost is the cost of a held cache copy, which takes memory but no
 	// compute.
 	copyCost = 0.1
-	// notOwnedCost keeps work on the servers that this host owns until each of
-	// them reads a prompt, since other hosts send work to the rest.
-	notOwnedCost = 0.3
+	// notOwnedCost prefers the servers that this host owns, so that hosts that choose
+	// in the same moment choose different ones.
+	notOwnedCost = 0.1
 	// remoteCost is the cost of a server in another data centre, in addition to
 	// notOwnedCost.
 	remoteCost = 1.7
 	// newConnectionCost is the cost of opening a connection.
-	newConnectionCost = 0.4
+	newConnectionCost = 0.2
 	// failureRateCost is the cost of a server that fails every attempt. Services
 	// fail up to 15 in 100 requests by themselves, which must not move work to
 	// other data centres.
@@ -77,7 +82,8 @@
 
 var scorers = []scorer{
 	func(_ string, c *candidate) float64 {
-		return prefillCost*float64(c.inFlight-c.decoding) + decodingCost*float64(c.decoding) + copyCost*float64(c.copies)
+		reading, decoding := c.inFlight-c.decoding+c.others.Reading, c.decoding+c.others.Decoding
+		return prefillCost*float64(reading) + decodingCost*float64(decoding) + copyCost*float64(c.copies)
 	},
 	func(_ string, c *candidate) float64 { return notOwnedCost * indicator(!c.owned) },
 	func(dataCentre string, c *candidate) float64 {
--- a/entryhost/relay/dispatch/task.go
+++ b/entryhost/relay/dispatch/task.go
@@ -49,11 +49,13 @@
 	Protocol   exchange.Protocol
 	Prober     Prober
 	Borrower   BudgetBorrower
-	Budget     BudgetLimits
-	Clock      clockwork.Clock
-	Random     *rand.Rand
-	Metrics    *metrics.Set
-	Logger     *slog.Logger
+	// Loads shares attempts with the other hosts; nil shares none.
+	Loads   LoadExchanger
+	Budget  BudgetLimits
+	Clock   clockwork.Clock
+	Random  *rand.Rand
+	Metrics *metrics.Set
+	Logger  *slog.Logger
 }
 
 // idleConnection is an open connection without a request. It may be reused until
@@ -116,12 +118,17 @@
 	// hostCount is the number of entry hosts, which share retry budgets and
 	// connection limits.
 	hostCount int
-	// peers are the other entry hosts.
-	peers     []routing.Host
-	servers   map[string]*serverState
-	leases    map[Lease]leaseState
-	lastLease Lease
-	budgets   map[string]*budget
+	// peers are the other entry hosts, allHosts those and this one.
+	peers    []routing.Host
+	allHosts []routing.Host
+	// shared are the attempts of other hosts by data centre, and collectorsDown the
+	// collectors that failed, with the end of their exclusion.
+	shared         map[string]sharedLoads
+	collectorsDown map[string]time.Time
+	servers        map[string]*serverState
+	leases         map[Lease]leaseState
+	lastLease      Lease
+	budgets        map[string]*budget
 	// moves are the version moves with a stage in force, by service.
 	moves   map[string]*moveState
 	waiting []Acquire
@@ -137,15 +144,17 @@
 		views:      task.NewMailbox[*catalog.View](viewsSize),
 		hosts:      task.NewMailbox[[]routing.Host](viewsSize),
 		hostCount:  minHostCount,
-		adopted:    map[string]adoption{},
-		pools:      map[serverPool]poolFailures{},
-		reports:    task.NewMailbox[exchange.Report](reportsSize),
-		createdAt:  parameters.Clock.Now(),
-		view:       &catalog.View{},
-		servers:    map[string]*serverState{},
-		leases:     map[Lease]leaseState{},
-		budgets:    map[string]*budget{},
-		moves:      map[string]*moveState{},
+		allHosts:   []routing.Host{{Address: parameters.Self, DataCentre: parameters.DataCentre}},
+		shared:     map[string]sharedLoads{}, collectorsDown: map[string]time.Time{},
+		adopted:   map[string]adoption{},
+		pools:     map[serverPool]poolFailures{},
+		reports:   task.NewMailbox[exchange.Report](reportsSize),
+		createdAt: parameters.Clock.Now(),
+		view:      &catalog.View{},
+		servers:   map[string]*serverState{},
+		leases:    map[Lease]leaseState{},
+		budgets:   map[string]*budget{},
+		moves:     map[string]*moveState{},
 	}
 }
 
@@ -163,6 +172,8 @@
 
 // Serve handles messages until the context ends.
 func (t *Task) Serve(ctx context.Context) error {
+	reports := t.Clock.NewTicker(reportDelay)
+	defer reports.Stop()
 	for {
 		var retry <-chan time.Time
 		if len(t.waiting) > 0 {
@@ -179,11 +190,14 @@
 		case hosts := <-t.hosts.C():
 			t.hostCount = max(minHostCount, len(hosts)+1)
 			t.peers = hosts
+			t.allHosts = append([]routing.Host{{Address: t.Self, DataCentre: t.DataCentre}}, hosts...)
 			t.ownership = newOwnership(t.Self, t.DataCentre, hosts)
 		case report := <-t.reports.C():
 			t.handleReport(report)
 		case <-retry:
 			t.retryWaiting(ctx)
+		case <-reports.Chan():
+			t.reportDue(ctx)
 		}
 	}
 }
@@ -191,9 +205,9 @@
 func (t *Task) handle(ctx context.Context, message Message) {
 	switch message := message.(type) {
 	case Acquire:
-		if !t.tryAssign(ctx, message) {
-			t.waiting = append(t.waiting, message)
-		}
+		t.handleAcquire(ctx, message)
+	case loadsExchanged:
+		t.handleLoadsExchanged(ctx, message)
 	case Release:
 		t.handleRelease(ctx, message)
 	case SetBudget:
@@ -302,6 +316,7 @@
 	if granted.retry && message.Outcome == OutcomeUnreachable {
 		t.budgetOf(granted.service).refund(t.uptime())
 	}
+	t.markLoadChanged(granted.server.server)
 	t.recordOutcome(granted.server, message.Outcome)
 	t.recordSample(granted.server.server, message.Outcome, message.Latency)
 	if message.Outcome == OutcomeMisdirected && message.Instance != "" {
@@ -320,6 +335,7 @@
 	granted.decoding = true
 	granted.server.decoding++
 	t.leases[message.Lease] = granted
+	t.markLoadChanged(granted.server.server)
 }
 
 // recordOutcome updates the health of a server and of its pool, and logs when
--- a/entryhost/relay/fx.go
+++ b/entryhost/relay/fx.go
@@ -17,6 +17,7 @@
 	"github.com/lentilpoint/lentilpoint/entryhost/relay/exchange"
 	"github.com/lentilpoint/lentilpoint/entryhost/relay/forward"
 	"github.com/lentilpoint/lentilpoint/entryhost/relay/ingress"
+	"github.com/lentilpoint/lentilpoint/entryhost/relay/loads"
 	"github.com/lentilpoint/lentilpoint/entryhost/relay/mirror"
 	"github.com/lentilpoint/lentilpoint/entryhost/relay/moves"
 	"github.com/lentilpoint/lentilpoint/entryhost/relay/peering"
@@ -53,7 +54,7 @@
 // reload.Source, a clock, a metrics set and a logger.
 var Module = fx.Module("relay",
 	fx.Provide(
-		provideSockets, provideDispatcher, provideSuspects, provideMover, provideCatalog, provideRoster, provideMirrors,
+		provideSockets, loads.NewTask, provideDispatcher, provideSuspects, provideMover, provideCatalog, provideRoster, provideMirrors,
 		provideForwarder, provideFront, provideRoot,
 	),
 )
@@ -87,10 +88,11 @@
 // newRandom returns a random source for the use of one task.
 func newRandom() *rand.Rand { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) }
 
-func provideDispatcher(settings Settings, adapter Adapter, clock clockwork.Clock, set *metrics.Set, logger *slog.Logger) *dispatch.Task {
+func provideDispatcher(settings Settings, adapter Adapter, collector *loads.Task, clock clockwork.Clock, set *metrics.Set, logger *slog.Logger) *dispatch.Task {
 	return dispatch.NewTask(dispatch.Parameters{
 		Self: settings.PeerAddress, DataCentre: settings.DataCentre, Protocol: adapter.Servers, Prober: adapter.Prober,
 		Borrower: peering.BudgetBorrower{DataCentre: settings.DataCentre, Self: settings.PeerAddress}, Budget: settings.Budget, Clock: clock,
+		Loads:  peering.LoadExchanger{Self: settings.PeerAddress, Mailbox: collector.Mailbox()},
 		Random: newRandom(), Metrics: set, Logger: logger,
 	})
 }
@@ -175,6 +177,7 @@
 	Sockets    sockets
 	Dispatcher *dispatch.Task
 	Suspects   *suspects.Task
+	Loads      *loads.Task
 	Mover      *moves.Mover
 	Catalog    *catalog.Task
 	Roster     *roster.Task
@@ -193,6 +196,7 @@
 	root := task.NewSupervisor("relay", task.DefaultRestartPolicy, in.Logger)
 	root.Add(in.Dispatcher)
 	root.Add(in.Suspects)
+	root.Add(in.Loads)
 	root.Add(in.Mover)
 	root.Add(in.Catalog)
 	root.Add(in.Roster)
@@ -210,7 +214,7 @@
 			in.Adapter.OrdersTable:        in.Mirrors.orders.Mailbox(),
 			in.Adapter.RegistrationsTable: in.Mirrors.registrations.Mailbox(),
 			in.Adapter.HostsTable:         in.Mirrors.hosts.Mailbox(),
-		}, in.Dispatcher.Mailbox(), in.Suspects.Mailbox()))
+		}, in.Dispatcher.Mailbox(), in.Suspects.Mailbox(), in.Loads.Mailbox()))
 	}
 	return root
 }
--- /dev/null
+++ b/entryhost/relay/loads/task.go
@@ -0,0 +1,66 @@
+package loads
+
+import (
+	"context"
+
+	"github.com/jonboulle/clockwork"
+
+	"github.com/lentilpoint/lentilpoint/task"
+)
+
+// Task collects the loads of the data centres for which hosts report to this one.
+type Task struct {
+	clock   clockwork.Clock
+	mailbox task.Mailbox[Exchange]
+
+	// boards is accessed only by the task's goroutine. Usually it holds the board of
+	// this host's data centre, if this host is the collector.
+	boards map[string]board
+}
+
+// NewTask returns a collector without reports.
+func NewTask(clock clockwork.Clock) *Task {
+	return &Task{clock: clock, mailbox: task.NewMailbox[Exchange](mailboxSize), boards: map[string]board{}}
+}
+
+// Mailbox receives reports.
+func (t *Task) Mailbox() task.Mailbox[Exchange] { return t.mailbox }
+
+// String names the task in the logs.
+func (t *Task) String() string { return "loads" }
+
+// Serve handles reports until the context ends.
+func (t *Task) Serve(ctx context.Context) error {
+	ticker := t.clock.NewTicker(expireInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case exchange := <-t.mailbox.C():
+			exchange.Reply.Send(t.exchange(exchange.Report))
+		case <-ticker.Chan():
+			t.expire()
+		}
+	}
+}
+
+func (t *Task) exchange(report HostLoads) Totals {
+	reports, found := t.boards[report.DataCentre]
+	if !found {
+		reports = newBoard()
+		t.boards[report.DataCentre] = reports
+	}
+	reports.apply(report, t.clock.Now())
+	return reports.others(report.Host)
+}
+
+func (t *Task) expire() {
+	now := t.clock.Now()
+	for dataCentre, reports := range t.boards {
+		reports.expire(now)
+		if len(reports.hosts) == 0 {
+			delete(t.boards, dataCentre)
+		}
+	}
+}
--- a/entryhost/relay/peering/peering.go
+++ b/entryhost/relay/peering/peering.go
@@ -16,6 +16,7 @@
 	"github.com/zeebo/errs"
 
 	"github.com/lentilpoint/lentilpoint/entryhost/relay/dispatch"
+	"github.com/lentilpoint/lentilpoint/entryhost/relay/loads"
 	"github.com/lentilpoint/lentilpoint/entryhost/relay/mirror"
 	"github.com/lentilpoint/lentilpoint/entryhost/relay/routing"
 	"github.com/lentilpoint/lentilpoint/entryhost/relay/suspects"
@@ -29,6 +30,7 @@
 	copiesService   = "Copies"
 	budgetService   = "Budget"
 	suspectsService = "Suspects"
+	loadsService    = "Loads"
 	// callTimeout bounds a call to one peer, which is at most 3 ms away.
 	callTimeout = 200 * time.Millisecond
 	// maxPollTimeout bounds how long a reply is held.
@@ -88,13 +90,14 @@
 	followers  map[string]task.Mailbox[mirror.ChangesRequest]
 	dispatcher task.Mailbox[dispatch.Message]
 	suspects   task.Mailbox[suspects.Message]
+	loads      task.Mailbox[loads.Exchange]
 }
 
 // NewListener returns a listener on a bound socket. It serves the followers' copies,
 // which are keyed by table, and the dispatcher's budget, and delivers peers' reports
-// of suspects.
-func NewListener(listener net.Listener, followers map[string]task.Mailbox[mirror.ChangesRequest], dispatcher task.Mailbox[dispatch.Message], suspected task.Mailbox[suspects.Message]) *Listener {
-	return &Listener{socket: task.NewSocket(listener), followers: followers, dispatcher: dispatcher, suspects: suspected}
+// of suspects and of loads.
+func NewListener(listener net.Listener, followers map[string]task.Mailbox[mirror.ChangesRequest], dispatcher task.Mailbox[dispatch.Message], suspected task.Mailbox[suspects.Message], collector task.Mailbox[loads.Exchange]) *Listener {
+	return &Listener{socket: task.NewSocket(listener), followers: followers, dispatcher: dispatcher, suspects: suspected, loads: collector}
 }
 
 // String names the task in the logs.
@@ -112,6 +115,7 @@
 	server := rpc.NewServer()
 	for name, service := range map[string]any{
 		copiesService: &Copies{followers: l.followers}, budgetService: &Budget{dispatcher: l.dispatcher}, suspectsService: &Suspects{mailbox: l.suspects},
+		loadsService: &Loads{mailbox: l.loads},
 	} {
 		if err := server.RegisterName(name, service); err != nil {
 			return Error.Wrap(err)
--- a/eventcode/relay.go
+++ b/eventcode/relay.go
@@ -37,6 +37,7 @@
 	CopyOrdered          Code = 2144
 	SuspectDeath         Code = 2145
 	SuspectNotReported   Code = 2146
+	LoadsNotExchanged    Code = 2147
 )
 
 var relayEvents = []Entry{
@@ -50,8 +51,8 @@
 	{StoreHistoryGone, "store history gone", "The change feed no longer holds all changes since this host's copy; the whole table is read again.", "Nothing unless it repeats."},
 	{PeerCopyApplied, "peer copy taken", "A newer copy of a table was received from another entry host.", "Nothing."},
 	{PeerCopyFailed, "peer copy failed", "No entry host that was asked has a copy of the table.", "Check the links between entry hosts if it repeats."},
-	{RosterNotRead, "roster not read", "The list of entry hosts could not be read or delivered; the last one stays in use.", "Check the store if it repeats."},
-	{StoreReaderUnusable, "reader left", "The entry host that reads the store for this one failed, or the store does not serve it; this host reads the store itself for a while.", "Look at the peer if it repeats."},
+	{RosterNotRead, "roster not read", "The row of this host could not be written, or a row of the list of entry hosts could not be decoded or the list delivered; the last one stays in use.", "Check the store if it repeats."},
+	{StoreReaderUnusable, "reader left", "The entry host that reads the store for this one does not answer; another host takes its place for a while, or this one reads the store itself.", "Look at the peer if it repeats."},
 	{RelayConfigInForce, "relay configuration in force", "A newer configuration applies to requests from now on.", "Nothing."},
 	{ConfigRejected, "configuration rejected", "The operator's configuration could not be read; the current one stays in force.", "Correct the configuration."},
 	{MoveRejected, "move rejected", "An order for a version move could not be read and is ignored.", "Correct the order."},
@@ -75,4 +76,5 @@
 	{CopyOrdered, "copy ordered", "Another engine was ordered to copy the cache of a run, because the holder of the copy was lost or is not in this data centre.", "Nothing. With an error the run may have no copy; if its engine is then lost, the prompt is processed again."},
 	{SuspectDeath, "suspect death", "A server died while it ran a request that it had not answered yet. After three such deaths within a minute, requests with the same fingerprint are refused on all hosts.", "If stopped is true, keep the content of the request that the line names for the developers of the service."},
 	{SuspectNotReported, "suspect untold", "Another entry host could not be informed of a request that crashes servers, or this host's list of such requests could not be read; such a request may reach more servers.", "Check the links between entry hosts if it repeats."},
+	{LoadsNotExchanged, "loads not exchanged", "The entry host that collects the attempts on the engines of a data centre did not answer; engines are chosen by this host's own attempts and the next collector is asked from then on.", "Look at the collector that the line names if it repeats."},
 }
