--- a/entryhost/relay/exchange/connection.go
+++ b/entryhost/relay/exchange/connection.go
@@ -26,9 +26,31 @@
 
 	// The fields below are accessed only by the task's goroutine.
 	conn   net.Conn
+	limit  *headLimiter
 	reader *bufio.Reader
 }
 
+// headLimiter reads from a connection and fails once more than the remaining bytes
+// are read while the limit applies.
+type headLimiter struct {
+	conn      net.Conn
+	limited   bool
+	remaining int
+}
+
+// Read implements io.Reader.
+func (l *headLimiter) Read(buffer []byte) (int, error) {
+	if l.limited {
+		if l.remaining <= 0 {
+			return 0, Error.New("the head of the response is longer than %d bytes", maxHeadBytes)
+		}
+		buffer = buffer[:min(len(buffer), l.remaining)]
+	}
+	count, err := l.conn.Read(buffer)
+	l.remaining -= count
+	return count, err
+}
+
 // Open starts the task of a connection to the server's address. It dials when
 // the first exchange arrives and sends its reports to the owner's mailbox.
 func Open(ctx context.Context, server, address string, protocol Protocol, reports task.Mailbox[Report]) *Connection {
@@ -112,7 +134,7 @@
 		return Exchange{}, false, false
 	}
 	_ = c.conn.SetReadDeadline(time.Time{})
-	c.reader.Reset(c.conn)
+	c.reader.Reset(c.limit)
 	return exchange, false, true
 }
 
@@ -188,7 +210,8 @@
 		return Error.Wrap(err)
 	}
 	c.conn = conn
-	c.reader = bufio.NewReaderSize(conn, 4<<10)
+	c.limit = &headLimiter{conn: conn}
+	c.reader = bufio.NewReaderSize(c.limit, 4<<10)
 	return nil
 }
 
@@ -244,6 +267,8 @@
 
 // readHead returns the first response that is not informational (1xx).
 func (c *Connection) readHead(request *http.Request) (*http.Response, error) {
+	c.limit.limited, c.limit.remaining = true, maxHeadBytes
+	defer func() { c.limit.limited = false }()
 	for {
 		response, err := http.ReadResponse(c.reader, request)
 		if err != nil || response.StatusCode >= http.StatusOK {
--- a/entryhost/relay/exchange/exchange_test.go
+++ b/entryhost/relay/exchange/exchange_test.go
@@ -121,6 +121,32 @@
 		Entry("a malformed response", "nonsense\r\n\r\n"),
 	)
 
+	DescribeTable("is closed when a head does not end, as a faulty server may send it",
+		func(start, repeated string) {
+			sent := make(chan int, 1)
+			connection := open(startServer(start, func(conn net.Conn) {
+				count := 0
+				for {
+					n, err := fmt.Fprint(conn, repeated)
+					if count += n; err != nil {
+						sent <- count
+						return
+					}
+				}
+			}))
+			event := runRequest(connection)
+			Expect(event.Failed).NotTo(BeNil())
+			Expect(event.Failed.Phase).To(Equal(exchange.Sent), "the request may have run")
+			Eventually(reports.C(), time.Second).Should(Receive(HaveField("Idle", false)))
+			// What was read is bounded; buffers of the sockets hold some megabytes more.
+			Eventually(sent, time.Second).Should(Receive(BeNumerically("<", 16<<20)))
+		},
+		Entry("header fields", "HTTP/1.1 200 OK\r\n", "X-Field: value\r\n"),
+		Entry("one field", "HTTP/1.1 200 OK\r\nX-Field: ", "value value "),
+		Entry("a status line", "HTTP/1.1 200 ", "OK "),
+		Entry("informational responses", "", "HTTP/1.1 103 Early Hints\r\n\r\n"),
+	)
+
 	It("reports its end also when its owner closed it, so that the owner's connection count stays correct", func() {
 		for range 20 {
 			connection := open(startServer("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", keepOpen))
--- a/entryhost/relay/forward/events.go
+++ b/entryhost/relay/forward/events.go
@@ -5,7 +5,9 @@
 	"strconv"
 )
 
-// maxEventBytes is the largest size of one event of a stream.
+// maxEventBytes is the largest size of one event of a stream, and of all bytes
+// between two new events. A faulty server may send comments or old events without
+// end.
 const maxEventBytes = 1 << 20
 
 // eventAssembler splits the bytes of a stream's attempts into events and returns
@@ -15,6 +17,8 @@
 	partial []byte
 	// lastID is the id of the last event that the caller has; 0 if it has none.
 	lastID int64
+	// sinceProgress is the number of bytes since the last new event.
+	sinceProgress int
 }
 
 // newEventAssembler returns an assembler for a caller that has the events up to
@@ -34,7 +38,7 @@
 
 // discardPartial drops an incomplete event, since the next attempt sends it
 // again.
-func (a *eventAssembler) discardPartial() { a.partial = nil }
+func (a *eventAssembler) discardPartial() { a.partial, a.sinceProgress = nil, 0 }
 
 // lastEventID returns the id after which the next attempt continues, or "".
 func (a *eventAssembler) lastEventID() string {
@@ -45,35 +49,45 @@
 }
 
 // add appends bytes of the attempt and returns the complete events that the
-// caller does not have. It fails if an event id was skipped.
-func (a *eventAssembler) add(data []byte) ([][]byte, error) {
+// caller does not have, and how many of them are not comments. It fails if an event
+// id was skipped or maxEventBytes bring no new event.
+func (a *eventAssembler) add(data []byte) (events [][]byte, progress int, err error) {
 	a.partial = append(a.partial, data...)
-	var events [][]byte
+	a.sinceProgress += len(data)
 	for {
 		end := eventEnd(a.partial)
 		if end == 0 {
-			if len(a.partial) > maxEventBytes {
-				return events, Error.New("an event is longer than %d bytes", maxEventBytes)
+			if a.sinceProgress > maxEventBytes {
+				return events, progress, Error.New("no new event in %d bytes", a.sinceProgress)
 			}
-			return events, nil
+			return events, progress, nil
 		}
 		event := bytes.Clone(a.partial[:end])
 		a.partial = a.partial[end:]
 		id := a.codec.EventID(event)
 		switch {
-		case id == 0:
+		case id == 0 && (a.lastID > 0 || isComment(event)):
 			events = append(events, event)
+			continue
+		case id == 0:
+			// The events of the stream have no ids.
 		case id <= a.lastID:
 			continue
 		case id > a.lastID+1:
-			return events, Error.New("event %d follows event %d", id, a.lastID)
+			return events, progress, Error.New("event %d follows event %d", id, a.lastID)
 		default:
 			a.lastID = id
-			events = append(events, event)
 		}
+		events = append(events, event)
+		progress++
+		a.sinceProgress = len(a.partial)
 	}
 }
 
+// isComment reports whether an event consists of a comment, which servers send to
+// keep a connection open.
+func isComment(event []byte) bool { return len(event) > 0 && event[0] == ':' }
+
 // atBoundary reports whether the bytes so far end with a complete event.
 func (a *eventAssembler) atBoundary() bool { return len(a.partial) == 0 }
 
--- a/entryhost/relay/forward/forward_test.go
+++ b/entryhost/relay/forward/forward_test.go
@@ -55,7 +55,7 @@
 				sent := bytes.String()[:rapid.IntRange(1, bytes.Len()).Draw(t, "sent")]
 				for len(sent) > 0 {
 					size := rapid.IntRange(1, len(sent)).Draw(t, "chunk")
-					events, err := assembler.add([]byte(sent[:size]))
+					events, _, err := assembler.add([]byte(sent[:size]))
 					if err != nil {
 						t.Fatalf("unexpected error: %v", err)
 					}
@@ -78,20 +78,40 @@
 
 	It("fails on a skipped event id instead of returning later events", func() {
 		assembler := newTestAssembler("4")
-		events, err := assembler.add([]byte(event(5) + event(7)))
+		events, _, err := assembler.add([]byte(event(5) + event(7)))
 		Expect(events).To(HaveLen(1))
 		Expect(err).To(MatchError(ContainSubstring("event 7 follows event 5")))
 	})
 
 	It("is not at a boundary when a stream ends within an event", func() {
 		assembler := newTestAssembler("")
-		_, err := assembler.add([]byte(event(1) + "id: 2\nda"))
+		_, _, err := assembler.add([]byte(event(1) + "id: 2\nda"))
 		Expect(err).NotTo(HaveOccurred())
 		Expect(assembler.atBoundary()).To(BeFalse())
 		assembler.discardPartial()
 		Expect(assembler.atBoundary()).To(BeTrue())
 	})
 
+	DescribeTable("fails on bytes without end that bring no new event, with bounded memory",
+		func(repeated string) {
+			assembler := newTestAssembler("")
+			_, progress, err := assembler.add([]byte(event(1) + event(2)))
+			Expect(err).NotTo(HaveOccurred())
+			Expect(progress).To(Equal(2))
+			sent := 0
+			for ; err == nil; sent += len(repeated) {
+				Expect(sent).To(BeNumerically("<=", 2*maxEventBytes))
+				_, progress, err = assembler.add([]byte(repeated))
+				Expect(progress).To(BeZero())
+			}
+			Expect(len(assembler.partial)).To(BeNumerically("<=", maxEventBytes+len(repeated)))
+		},
+		Entry("comments", strings.Repeat(": still here\n\n", 100)),
+		Entry("old events", strings.Repeat(event(2), 100)),
+		Entry("events without an id", strings.Repeat("data: x\n\n", 100)),
+		Entry("an event that does not end", strings.Repeat("x", 4096)),
+	)
+
 	It("rejects a last event id that is not a number", func() {
 		_, err := newEventAssembler(lineCodec{}, "x")
 		Expect(err).To(HaveOccurred())
--- a/entryhost/relay/forward/stream.go
+++ b/entryhost/relay/forward/stream.go
@@ -185,11 +185,12 @@
 		case <-ctx.Done():
 			return nil, dispatch.OutcomeNone, context.Cause(ctx)
 		case event := <-running.events:
+			before := running.note.Events
 			outcome, done, err := r.handleExchangeEvent(event, running, s, &got)
 			if done {
 				return got, outcome, err
 			}
-			if event.Data != nil {
+			if running.note.Events > before {
 				monitor.recordEvent()
 			}
 		case holder := <-s.copies.lost:
@@ -234,15 +235,21 @@
 	}
 	if outcome := outcomeOfHead((*got).head); outcome != dispatch.OutcomeSuccess || (*got).head.Status >= 300 {
 		(*got).body = append((*got).body, event.Data...)
+		if len((*got).body) > maxResponseBytes {
+			return dispatch.OutcomeBroken, true, Error.New("the answer is longer than %d bytes", maxResponseBytes)
+		}
 		return 0, false, nil
 	}
-	events, broken := s.events.add(event.Data)
+	events, progress, broken := s.events.add(event.Data)
 	for _, data := range events {
 		if err := r.sendEvent(running, s, (*got).head, data); err != nil {
 			r.summary.CallerLeft = true
 			return dispatch.OutcomeNone, true, err
 		}
 	}
+	if progress > 0 {
+		r.recordProgress(running, s, progress)
+	}
 	if broken != nil {
 		return dispatch.OutcomeBroken, true, broken
 	}
@@ -264,21 +271,27 @@
 // sendEvent sends one event to the caller, preceded by the head if it was not
 // sent yet.
 func (r *requestTask) sendEvent(running *runningAttempt, s *streamState, head *exchange.ResponseHead, data []byte) error {
-	now := r.Clock.Now()
 	if !s.headSent {
 		s.headSent = true
 		r.summary.Status = head.Status
-		r.summary.FirstEvent = now.Sub(r.request.Arrived)
+		r.summary.FirstEvent = r.Clock.Since(r.request.Arrived)
 		if err := r.caller.Begin(head.Status, head.Header); err != nil {
 			return err
 		}
-	} else if gap := now.Sub(s.lastEvent); gap > r.summary.LongestGap {
-		r.summary.LongestGap = gap
+	}
+	return r.caller.Event(data)
+}
+
+// recordProgress records that a number of new events of an attempt were sent to the
+// caller.
+func (r *requestTask) recordProgress(running *runningAttempt, s *streamState, events int) {
+	now := r.Clock.Now()
+	if r.summary.Events > 0 {
+		r.summary.LongestGap = max(r.summary.LongestGap, now.Sub(s.lastEvent))
 	}
 	if running.note.Events > 0 {
 		s.longestGap = max(s.longestGap, now.Sub(s.lastEvent))
-	}
-	if running.note.Events == 0 {
+	} else {
 		running.firstEvent = now.Sub(running.started)
 		// If the mailbox is full, the dispatcher's load figures are only less
 		// exact.
@@ -287,9 +300,8 @@
 		}
 	}
 	s.lastEvent = now
-	running.note.Events++
-	r.summary.Events++
-	return r.caller.Event(data)
+	running.note.Events += events
+	r.summary.Events += events
 }
 
 // check asks the dispatcher whether the attempt's server is alive.
--- a/entryhost/relay/peering/peering.go
+++ b/entryhost/relay/peering/peering.go
@@ -41,8 +41,28 @@
 	// retry, and lendTimeout the time for each; a host answers within 3 ms.
 	maxLendersQueried = 4
 	lendTimeout       = 25 * time.Millisecond
+	// maxPeerBytes bounds what is read from one connection. A full copy of a
+	// configuration has at most 4 MB, and 3,300 registrations have less than 1 MB.
+	maxPeerBytes = 16 << 20
 )
 
+// boundedConn is a connection from which at most a number of bytes are read.
+type boundedConn struct {
+	net.Conn
+
+	remaining int
+}
+
+// Read implements io.Reader.
+func (c *boundedConn) Read(buffer []byte) (int, error) {
+	if c.remaining <= 0 {
+		return 0, Error.New("the peer sent more than %d bytes", maxPeerBytes)
+	}
+	count, err := c.Conn.Read(buffer[:min(len(buffer), c.remaining)])
+	c.remaining -= count
+	return count, err
+}
+
 // Copies is the net/rpc service that serves this host's copies of tables.
 type Copies struct {
 	followers map[string]task.Mailbox[mirror.ChangesRequest]
@@ -133,7 +153,7 @@
 			_ = conn.Close()
 			continue
 		}
-		go server.ServeConn(conn)
+		go server.ServeConn(&boundedConn{Conn: conn, remaining: maxPeerBytes})
 	}
 }
 
@@ -315,7 +335,7 @@
 		_ = conn.Close()
 		return Error.Wrap(err)
 	}
-	client := rpc.NewClient(conn)
+	client := rpc.NewClient(&boundedConn{Conn: conn, remaining: maxPeerBytes})
 	defer func() { _ = client.Close() }()
 	return Error.Wrap(client.Call(method, arguments, answer))
 }
