Locate prompts through one host, avoid silent data centres, count store calls

After the final fault 270 resumed streams were each looked up by another host, which asked all 54 engines of its data centre for the content of their caches. Change: a host asks the collector of its data centre, which queries the engines once a second for all hosts; without an answer within 250 ms it queries them itself. After a silent server a request goes to another data centre if there is one. Calls to the store are counted by kind and table. Trial, not kept: hosts share which servers failed them and avoid those and, above 15 in 100, their data centre.

--- a/cmd/lentilpointd/relay.go
+++ b/cmd/lentilpointd/relay.go
@@ -54,7 +54,7 @@
 			ModTime: func() (time.Time, error) { return platform.SettingsModTime(path) },
 			Signals: reloadRequests(ctx),
 		},
-		Adapter: platform.NewAdapter(settings), Clock: clock, Metrics: metricSet, Logger: writer.Logger(slog.LevelInfo),
+		Adapter: platform.NewAdapter(settings, metricSet), Clock: clock, Metrics: metricSet, Logger: writer.Logger(slog.LevelInfo),
 	})
 	stopLogWriter()
 	if logErr := <-logDone; logErr != nil {
--- a/entryhost/relay/dispatch/dispatch_test.go
+++ b/entryhost/relay/dispatch/dispatch_test.go
@@ -60,6 +60,12 @@
 		Expect(pick(Acquire{}, candidate{server: server("near", "here"), dataCentreDown: true}, candidate{server: server("far", "there"), inFlight: 3})).To(Equal("far"))
 	})
 
+	It("avoids a data centre in which a server was silent to the request, since its engines go dark together", func() {
+		avoid := Acquire{Avoid: map[string]bool{"here": true}}
+		Expect(pick(avoid, candidate{server: server("near", "here"), warm: true}, candidate{server: server("far", "there"), inFlight: 3})).To(Equal("far"))
+		Expect(pick(avoid, candidate{server: server("near", "here")})).To(Equal("near"), "there is no other")
+	})
+
 	It("puts the copy of a cache into another data centre, since the engines of one fail together", func() {
 		chosen := server("a", "here")
 		for range 50 {
--- a/entryhost/relay/dispatch/loads.go
+++ b/entryhost/relay/dispatch/loads.go
@@ -78,6 +78,12 @@
 	return t.Loads != nil && t.view.Config != nil && t.view.Config.Services[service].Engine != nil
 }
 
+// collectorOf returns the address of the collector of a data centre, or "".
+func (t *Task) collectorOf(dataCentre string) string {
+	now := t.Clock.Now()
+	return loads.Collector(dataCentre, t.allHosts, func(address string) bool { return now.Before(t.collectorsDown[address]) })
+}
+
 // exchangeLoads exchanges loads with the collectors of the data centres. The results
 // arrive as one message.
 func (t *Task) exchangeLoads(ctx context.Context, request *Acquire, dataCentres []string) {
@@ -88,7 +94,7 @@
 	}
 	var calls []call
 	for _, dataCentre := range dataCentres {
-		collector := loads.Collector(dataCentre, t.allHosts, func(address string) bool { return now.Before(t.collectorsDown[address]) })
+		collector := t.collectorOf(dataCentre)
 		if collector == "" {
 			continue
 		}
--- a/entryhost/relay/dispatch/locate.go
+++ b/entryhost/relay/dispatch/locate.go
@@ -62,8 +62,41 @@
 	return local, remote
 }
 
+// locateTimeout bounds a search by another host, which waits for engines for
+// probeTimeout.
+const locateTimeout = probeTimeout + 50*time.Millisecond
+
+// locateElsewhere asks the collector of the data centre to search for a prompt, so
+// that its engines are queried once and not by each host to which callers return. It
+// reports whether another host was asked.
+func (t *Task) locateElsewhere(ctx context.Context, message Locate) bool {
+	if t.Locator == nil || message.Here {
+		return false
+	}
+	collector := t.collectorOf(t.DataCentre)
+	if collector == "" || collector == t.Self {
+		return false
+	}
+	go func() {
+		locateContext, cancel := context.WithTimeout(ctx, locateTimeout)
+		defer cancel()
+		server, err := t.Locator.Locate(locateContext, collector, message.Service, message.Prompt)
+		if err != nil {
+			t.Logger.Info("search for a prompt by another host failed; this host queries the engines", eventcode.CacheListFailed.Attr(), "host", collector, "error", err)
+			message.Here = true
+			_ = t.mailbox.Send(ctx, message)
+			return
+		}
+		message.Reply.Send(server)
+	}()
+	return true
+}
+
 // handleLocate starts a search for a prompt.
 func (t *Task) handleLocate(ctx context.Context, message Locate) {
+	if t.locateElsewhere(ctx, message) {
+		return
+	}
 	var engines []*routing.Server
 	for id, state := range t.servers {
 		if state.server.Service == message.Service && t.isKnown(id) && !state.health.stale {
--- a/entryhost/relay/dispatch/messages.go
+++ b/entryhost/relay/dispatch/messages.go
@@ -30,6 +30,10 @@
 	Route string
 	// Exclude are the ids of servers that this request must not use again.
 	Exclude map[string]bool
+	// Avoid are the data centres in which a server was silent to this request. The
+	// engines of a data centre fail together, so another one is taken if there is
+	// one.
+	Avoid map[string]bool
 	// Prefer is the id of the server to take if it is usable, or "".
 	Prefer string
 	// OnlyPreferred refuses the request if the server in Prefer cannot be used.
@@ -223,7 +227,15 @@
 type Locate struct {
 	Service string
 	Prompt  string
-	Reply   task.Reply[string]
+	// Here makes this host query the engines itself instead of asking the host that
+	// does so for its data centre.
+	Here  bool
+	Reply task.Reply[string]
+}
+
+// PromptLocator asks another host of the data centre to locate a prompt.
+type PromptLocator interface {
+	Locate(ctx context.Context, host, service, prompt string) (string, error)
 }
 
 type checkDone struct {
--- a/entryhost/relay/dispatch/policy.go
+++ b/entryhost/relay/dispatch/policy.go
@@ -78,7 +78,7 @@
 	maxFailureRateExcess = 0.3
 )
 
-var filters = []filter{usable, notExcluded, reachable, notPaused, notFailing}
+var filters = []filter{usable, notExcluded, notAvoided, reachable, notPaused, notFailing}
 
 var scorers = []scorer{
 	func(_ string, c *candidate) float64 {
@@ -110,6 +110,12 @@
 	return filterCandidates(candidates, func(c *candidate) bool { return !request.Exclude[c.server.ID] })
 }
 
+// notAvoided removes servers in the data centres that the request avoids, unless that
+// removes all.
+func notAvoided(request *Acquire, candidates []candidate) []candidate {
+	return filterUnlessEmpty(candidates, func(c *candidate) bool { return !request.Avoid[c.server.DataCentre] })
+}
+
 // reachable removes servers in data centres that seem cut off or down, unless
 // that removes all.
 func reachable(_ *Acquire, candidates []candidate) []candidate {
--- a/entryhost/relay/dispatch/task.go
+++ b/entryhost/relay/dispatch/task.go
@@ -49,6 +49,8 @@
 	Protocol   exchange.Protocol
 	Prober     Prober
 	Borrower   BudgetBorrower
+	// Locator locates prompts through another host; nil queries the engines.
+	Locator PromptLocator
 	// Loads shares attempts with the other hosts; nil shares none.
 	Loads   LoadExchanger
 	Budget  BudgetLimits
@@ -188,10 +190,7 @@
 			t.applyView(view)
 			t.retryWaiting(ctx)
 		case hosts := <-t.hosts.C():
-			t.hostCount = max(minHostCount, len(hosts)+1)
-			t.peers = hosts
-			t.allHosts = append([]routing.Host{{Address: t.Self, DataCentre: t.DataCentre}}, hosts...)
-			t.ownership = newOwnership(t.Self, t.DataCentre, hosts)
+			t.applyHosts(hosts)
 		case report := <-t.reports.C():
 			t.handleReport(report)
 		case <-retry:
@@ -202,6 +201,13 @@
 	}
 }
 
+func (t *Task) applyHosts(hosts []routing.Host) {
+	t.hostCount = max(minHostCount, len(hosts)+1)
+	t.peers = hosts
+	t.allHosts = append([]routing.Host{{Address: t.Self, DataCentre: t.DataCentre}}, hosts...)
+	t.ownership = newOwnership(t.Self, t.DataCentre, hosts)
+}
+
 func (t *Task) handle(ctx context.Context, message Message) {
 	switch message := message.(type) {
 	case Acquire:
--- a/entryhost/relay/forward/task.go
+++ b/entryhost/relay/forward/task.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"log/slog"
+	"maps"
 	"math/rand/v2"
 	"time"
 
@@ -39,7 +40,7 @@
 func (f *Forwarder) Run(ctx context.Context, request *Request, caller Caller) Summary {
 	ctx, cancel := context.WithTimeoutCause(ctx, request.Deadline.Sub(f.Clock.Now()), errDeadline)
 	defer cancel()
-	run := &requestTask{Forwarder: f, request: request, caller: caller, exclude: map[string]bool{}, trafficPoint: rand.Float64()}
+	run := &requestTask{Forwarder: f, request: request, caller: caller, exclude: map[string]bool{}, avoid: map[string]bool{}, trafficPoint: rand.Float64()}
 	run.fingerprint = suspects.NewFingerprint(request.Organisation, request.Method, request.Host, request.Target, string(request.Body))
 	if run.isStopped(ctx) {
 		run.refuseNotRun(model.ReasonSuspectRequest, "servers died each time this request ran", "do not send it again; keep its content for the developers of the service")
@@ -65,6 +66,8 @@
 	summary Summary
 	counts  attemptCounts
 	exclude map[string]bool
+	// avoid are the data centres in which a server was silent.
+	avoid map[string]bool
 	// fingerprint is equal for all requests with the same organisation and
 	// content.
 	fingerprint suspects.Fingerprint
@@ -123,6 +126,9 @@
 	if outcome != dispatch.OutcomeNone {
 		r.counts = r.counts.add(outcome)
 	}
+	if outcome == dispatch.OutcomeSilent {
+		r.avoid[running.note.DataCentre] = true
+	}
 	r.reportSuspect(running, outcome)
 	// The dispatcher always drains its mailbox; blocking here keeps its counts
 	// correct.
@@ -144,7 +150,7 @@
 func (r *requestTask) acquire(ctx context.Context, acquire dispatch.Acquire) (dispatch.Assignment, error) {
 	acquire.Service = r.request.Service.Name
 	acquire.Route = r.request.Route.Name
-	acquire.Exclude = cloneSet(r.exclude)
+	acquire.Exclude, acquire.Avoid = maps.Clone(r.exclude), maps.Clone(r.avoid)
 	acquire.Retry = r.counts.sent()
 	acquire.Point = r.trafficPoint
 	acquire.WaitUntil = r.Clock.Now().Add(r.maxServerWait())
@@ -159,14 +165,6 @@
 	return time.Duration(serverWaitShare * float64(r.request.Route.LatencyObjective))
 }
 
-func cloneSet(set map[string]bool) map[string]bool {
-	clone := make(map[string]bool, len(set))
-	for key := range set {
-		clone[key] = true
-	}
-	return clone
-}
-
 // logRetry logs and counts that the request goes to another server.
 func (r *requestTask) logRetry(running *runningAttempt, outcome dispatch.Outcome, cause error, lastEvent string) {
 	r.Metrics.GetOrCreateCounter(`lentilpoint_relay_retries_total{service="` + r.request.Service.Name + `",reason="` + outcome.String() + `"}`).Inc()
--- a/entryhost/relay/fx.go
+++ b/entryhost/relay/fx.go
@@ -92,8 +92,9 @@
 	return dispatch.NewTask(dispatch.Parameters{
 		Self: settings.PeerAddress, DataCentre: settings.DataCentre, Protocol: adapter.Servers, Prober: adapter.Prober,
 		Borrower: peering.BudgetBorrower{DataCentre: settings.DataCentre, Self: settings.PeerAddress}, Budget: settings.Budget, Clock: clock,
-		Loads:  peering.LoadExchanger{Self: settings.PeerAddress, Mailbox: collector.Mailbox()},
-		Random: newRandom(), Metrics: set, Logger: logger,
+		Locator: peering.PromptLocator{},
+		Loads:   peering.LoadExchanger{Self: settings.PeerAddress, Mailbox: collector.Mailbox()},
+		Random:  newRandom(), Metrics: set, Logger: logger,
 	})
 }
 
--- a/entryhost/relay/peering/peering.go
+++ b/entryhost/relay/peering/peering.go
@@ -31,6 +31,7 @@
 	budgetService   = "Budget"
 	suspectsService = "Suspects"
 	loadsService    = "Loads"
+	promptsService  = "Prompts"
 	// callTimeout bounds a call to one peer, which is at most 3 ms away.
 	callTimeout = 200 * time.Millisecond
 	// maxPollTimeout bounds how long a reply is held.
@@ -135,7 +136,7 @@
 	server := rpc.NewServer()
 	for name, service := range map[string]any{
 		copiesService: &Copies{followers: l.followers}, budgetService: &Budget{dispatcher: l.dispatcher}, suspectsService: &Suspects{mailbox: l.suspects},
-		loadsService: &Loads{mailbox: l.loads},
+		loadsService: &Loads{mailbox: l.loads}, promptsService: &Prompts{dispatcher: l.dispatcher},
 	} {
 		if err := server.RegisterName(name, service); err != nil {
 			return Error.Wrap(err)
--- a/entryhost/relay/relay_test.go
+++ b/entryhost/relay/relay_test.go
@@ -109,7 +109,7 @@
 	}
 	ctx, stop := context.WithCancel(s.ctx)
 	done := make(chan error, 1)
-	ended := make(chan struct{})
+	ended, set := make(chan struct{}), metrics.NewSet()
 	go func() {
 		defer close(ended)
 		err := relay.Run(ctx, settings, relay.Environment{
@@ -117,7 +117,7 @@
 				Read:    func() (relay.Settings, error) { return settings, nil },
 				ModTime: func() (time.Time, error) { return time.Time{}, nil },
 			},
-			Adapter: platform.NewAdapter(settings), Clock: clockwork.NewRealClock(), Metrics: metrics.NewSet(),
+			Adapter: platform.NewAdapter(settings, set), Clock: clockwork.NewRealClock(), Metrics: set,
 			Logger: slog.New(slog.NewTextHandler(io.Discard, nil)),
 		})
 		if err != nil {
