Serve organisations by their share when one floods the engines

Logs show why it does not recover: 356 of some 900 attempts were abandoned on live engines after 7.2 s without an event and read anew on engines that were as busy, and 153 streams were pushed out of memory and read again, since each stream also holds its copy on another engine. Nothing told the flooding organisation from the others.

--- a/entryhost/relay/dispatch/assign.go
+++ b/entryhost/relay/dispatch/assign.go
@@ -27,6 +27,19 @@
 		t.refuse(request, RefusedNoServer)
 		return true
 	}
+	deferred := false
+	if t.sharesLoads(request.Service) && !request.OnlyPreferred {
+		waiting := t.demandAt(chosen.server.DataCentre, candidates, now)
+		if retryAfter, refused := waiting.refusal(request.Organisation, t.Random.Float64()); refused && !request.Retry {
+			t.refuseFor(request, RefusedOverload, retryAfter)
+			return true
+		}
+		deferred = waiting.exceedsShare(request.Organisation)
+		if request.Backup && !waiting.copiesAllowed() {
+			request.Backup = false
+			t.Metrics.GetOrCreateCounter(`lentilpoint_relay_backups_omitted_total{service="` + request.Service + `"}`).Inc()
+		}
+	}
 	retryBudget := t.budgetOf(request.Service)
 	if request.Retry && !request.paidByPeer && !retryBudget.spend(t.uptime(), t.hostCount, 0) {
 		t.borrowRetry(ctx, request)
@@ -35,7 +48,7 @@
 	if !request.Retry {
 		retryBudget.countRequest(t.uptime())
 	}
-	t.grant(ctx, request, chosen, candidates, now)
+	t.grant(ctx, request, chosen, candidates, deferred, now)
 	return true
 }
 
@@ -57,10 +70,14 @@
 }
 
 // grant leases the chosen server to the request and answers it.
-func (t *Task) grant(ctx context.Context, request Acquire, chosen *candidate, candidates []candidate, now time.Time) {
+func (t *Task) grant(ctx context.Context, request Acquire, chosen *candidate, candidates []candidate, deferred bool, now time.Time) {
 	state := t.servers[chosen.server.ID]
-	granted := leaseState{server: state, service: request.Service, retry: request.Retry}
+	granted := leaseState{server: state, service: request.Service, organisation: request.Organisation, retry: request.Retry}
 	assignment := Assignment{Server: state.server}
+	if deferred {
+		assignment.Deferred = true
+		t.Metrics.GetOrCreateCounter(`lentilpoint_relay_deferred_total{service="` + request.Service + `"}`).Inc()
+	}
 	if request.Backup {
 		if backup := chooseBackup(t.Random, t.DataCentre, &request, candidates, chosen.server); backup != nil {
 			granted.backup, granted.copyLost = t.servers[backup.server.ID], request.CopyLost
@@ -96,9 +113,13 @@
 	return exchange.Open(ctx, state.server.ID, state.server.Address, t.Protocol, t.reports), false
 }
 
-func (t *Task) refuse(request Acquire, refusal Refusal) {
+func (t *Task) refuse(request Acquire, refusal Refusal) { t.refuseFor(request, refusal, 0) }
+
+// refuseFor refuses the request and states when the caller may return, unless that is
+// 0.
+func (t *Task) refuseFor(request Acquire, refusal Refusal, retryAfter time.Duration) {
 	t.Metrics.GetOrCreateCounter(`lentilpoint_relay_dispatch_refusals_total{reason="` + string(refusal) + `"}`).Inc()
-	request.Reply.Send(Assignment{Refusal: refusal})
+	request.Reply.Send(Assignment{Refusal: refusal, RetryAfter: retryAfter})
 }
 
 func (t *Task) candidates(service string, now time.Time) []candidate {
--- a/entryhost/relay/dispatch/checks.go
+++ b/entryhost/relay/dispatch/checks.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 
+	"github.com/lentilpoint/lentilpoint/entryhost/relay/routing"
 	"github.com/lentilpoint/lentilpoint/eventcode"
 )
 
@@ -36,6 +37,7 @@
 	if !found {
 		return
 	}
+	message.result.IdleServer = t.hasIdleServer(state.server)
 	for _, reply := range state.pendingChecks {
 		reply.Send(message.result)
 	}
@@ -47,3 +49,14 @@
 		delete(t.servers, message.server)
 	}
 }
+
+// hasIdleServer reports whether another usable server of the service reads no prompt,
+// as far as this host knows.
+func (t *Task) hasIdleServer(server *routing.Server) bool {
+	for _, c := range reachable(nil, usable(nil, t.candidates(server.Service, t.Clock.Now()))) {
+		if c.server.ID != server.ID && !c.paused && !c.recovering && c.reading() == 0 {
+			return true
+		}
+	}
+	return false
+}
--- a/entryhost/relay/dispatch/loads.go
+++ b/entryhost/relay/dispatch/loads.go
@@ -23,13 +23,13 @@
 // LoadExchanger sends this host's attempts on the servers of a data centre to its
 // collector and returns those of the other hosts.
 type LoadExchanger interface {
-	Exchange(ctx context.Context, collector string, report loads.HostLoads) (loads.Totals, error)
+	Exchange(ctx context.Context, collector string, report loads.HostLoads) (loads.Others, error)
 }
 
 // sharedLoads is what this host knows of other hosts' attempts on the engines of a
 // data centre.
 type sharedLoads struct {
-	totals     loads.Totals
+	others     loads.Others
 	receivedAt time.Time
 	// reportedAt is when this host last reported, and reported whether it then had
 	// attempts.
@@ -49,7 +49,7 @@
 type loadsResult struct {
 	dataCentre string
 	collector  string
-	totals     loads.Totals
+	others     loads.Others
 	err        error
 }
 
@@ -107,8 +107,8 @@
 	results := make(chan loadsResult, len(calls))
 	for _, c := range calls {
 		go func() {
-			totals, err := t.Loads.Exchange(ctx, c.collector, c.report)
-			results <- loadsResult{dataCentre: c.report.DataCentre, collector: c.collector, totals: totals, err: err}
+			others, err := t.Loads.Exchange(ctx, c.collector, c.report)
+			results <- loadsResult{dataCentre: c.report.DataCentre, collector: c.collector, others: others, err: err}
 		}()
 	}
 	go func() {
@@ -122,7 +122,10 @@
 
 // loadReport returns this host's attempts on the engines of a data centre.
 func (t *Task) loadReport(dataCentre string) loads.HostLoads {
-	report := loads.HostLoads{Host: t.Self, DataCentre: dataCentre, Sequence: t.createdAt.Add(t.uptime()).UnixNano(), Servers: map[string]loads.Load{}}
+	report := loads.HostLoads{
+		Host: t.Self, DataCentre: dataCentre, Sequence: t.createdAt.Add(t.uptime()).UnixNano(),
+		Servers: map[string]loads.Load{}, Organisations: t.readingByOrganisation(dataCentre),
+	}
 	for id, state := range t.servers {
 		if state.inFlight > 0 && state.server.DataCentre == dataCentre && t.sharesLoads(state.server.Service) {
 			report.Servers[id] = loads.Load{Reading: state.inFlight - state.decoding, Decoding: state.decoding}
@@ -144,7 +147,7 @@
 			continue
 		}
 		known := t.shared[result.dataCentre]
-		known.totals, known.receivedAt = result.totals, now
+		known.others, known.receivedAt = result.others, now
 		t.shared[result.dataCentre] = known
 	}
 	if message.request == nil {
@@ -181,7 +184,7 @@
 	if now.Sub(known.receivedAt) > loadsLifetime {
 		return loads.Load{}
 	}
-	return known.totals[server.ID]
+	return known.others.Servers[server.ID]
 }
 
 // reportAttempt reports a new attempt on an engine at once, so that other hosts do
@@ -211,3 +214,33 @@
 		}
 	}
 }
+
+// readingByOrganisation counts this host's attempts on the engines of a data centre
+// that have sent no event, by organisation.
+func (t *Task) readingByOrganisation(dataCentre string) map[string]int {
+	counts := map[string]int{}
+	for _, granted := range t.leases {
+		if server := granted.server.server; !granted.decoding && server.DataCentre == dataCentre && t.sharesLoads(server.Service) {
+			counts[granted.organisation]++
+		}
+	}
+	return counts
+}
+
+// demandAt returns what waits at the engines of a service in a data centre, as far as
+// this host knows.
+func (t *Task) demandAt(dataCentre string, candidates []candidate, now time.Time) demand {
+	result := demand{prompts: t.readingByOrganisation(dataCentre)}
+	if known := t.shared[dataCentre]; now.Sub(known.receivedAt) <= loadsLifetime {
+		for name, count := range known.others.Organisations {
+			result.prompts[name] += count
+		}
+	}
+	// Engines that crashed are back within the time in which a prompt is read.
+	for _, c := range candidates {
+		if c.server.DataCentre == dataCentre && !c.server.Draining && !c.stale {
+			result.engines++
+		}
+	}
+	return result
+}
--- a/entryhost/relay/dispatch/messages.go
+++ b/entryhost/relay/dispatch/messages.go
@@ -28,6 +28,8 @@
 	Service string
 	// Route is the name of the request's route, for logs.
 	Route string
+	// Organisation is the name of the request's organisation, or "".
+	Organisation string
 	// Exclude are the ids of servers that this request must not use again.
 	Exclude map[string]bool
 	// Avoid are the data centres in which a server was silent to this request. The
@@ -72,6 +74,9 @@
 	RefusedNoServer Refusal = "no_server"
 	RefusedBudget   Refusal = "retry_budget_spent"
 	RefusedCopyGone Refusal = "copy_holder_unusable"
+	// RefusedOverload is for organisations that exceed their share of engines with a
+	// long queue.
+	RefusedOverload Refusal = "organisation_exceeds_share"
 )
 
 // Assignment is the answer to Acquire. Server is nil if the request was refused.
@@ -83,10 +88,16 @@
 	Reused bool
 	// Backup is the server that receives the copy of the run's cache, or nil.
 	Backup *routing.Server
+	// Deferred is set if the request's organisation has more prompts waiting than its
+	// share. Its prompt is to be read after those of others.
+	Deferred bool
 	// AllRemote is set if neither the server nor the backup is in this host's
 	// data centre.
 	AllRemote bool
 	Refusal   Refusal
+	// RetryAfter is when the caller of a refused request may return; 0 leaves that to
+	// the caller of the dispatcher.
+	RetryAfter time.Duration
 }
 
 // Outcome is the result of an attempt, as evidence about its server.
@@ -148,6 +159,9 @@
 	Runs map[string]int
 	// SentAt is when the probe was sent.
 	SentAt time.Time
+	// IdleServer is set if another server of the service reads no prompt, as far as
+	// is known.
+	IdleServer bool
 }
 
 // Check asks whether a server is alive; concurrent checks share one probe.
--- a/entryhost/relay/dispatch/policy.go
+++ b/entryhost/relay/dispatch/policy.go
@@ -39,6 +39,12 @@
 	failureRate float64
 }
 
+// reading returns the attempts of all hosts that have sent no event yet, and
+// allDecoding those that have.
+func (c *candidate) reading() int { return c.inFlight - c.decoding + c.others.Reading }
+
+func (c *candidate) allDecoding() int { return c.decoding + c.others.Decoding }
+
 // filter removes candidates. It returns a subset in the same order.
 type filter func(request *Acquire, candidates []candidate) []candidate
 
@@ -82,8 +88,7 @@
 
 var scorers = []scorer{
 	func(_ string, c *candidate) float64 {
-		reading, decoding := c.inFlight-c.decoding+c.others.Reading, c.decoding+c.others.Decoding
-		return prefillCost*float64(reading) + decodingCost*float64(decoding) + copyCost*float64(c.copies)
+		return prefillCost*float64(c.reading()) + decodingCost*float64(c.allDecoding()) + copyCost*float64(c.copies)
 	},
 	func(_ string, c *candidate) float64 { return notOwnedCost * indicator(!c.owned) },
 	func(dataCentre string, c *candidate) float64 {
--- a/entryhost/relay/dispatch/task.go
+++ b/entryhost/relay/dispatch/task.go
@@ -92,8 +92,9 @@
 	backup     *serverState
 	copyHolder *serverState
 	copyLost   chan<- string
-	// service is the request's service.
-	service string
+	// service is the request's service, and organisation its organisation.
+	service      string
+	organisation string
 	// retry is set if the attempt was paid from a retry budget, decoding once it
 	// has sent an event.
 	retry    bool
--- a/entryhost/relay/forward/monitor.go
+++ b/entryhost/relay/forward/monitor.go
@@ -22,6 +22,10 @@
 	lastEvent    time.Time
 	firstEvent   time.Time
 	checkRunning bool
+	// busyElsewhere is set if the last probe found no idle server. A prompt that is
+	// abandoned on a live server would then wait as long elsewhere, and what was read
+	// of it is wasted.
+	busyElsewhere bool
 }
 
 func newSilenceMonitor(r *requestTask, attempt *runningAttempt, s *streamState) *silenceMonitor {
@@ -60,7 +64,7 @@
 	silence := m.task.Clock.Since(m.lastEvent)
 	limit := silenceTimeout(m.task.request.Route, m.started())
 	lastAttempt := m.task.counts.runs+1 >= m.task.request.Route.MaxAttempts
-	if silence >= limit && !lastAttempt && m.task.request.Route.Resumable {
+	if silence >= limit && !lastAttempt && m.task.request.Route.Resumable && (m.started() || !m.busyElsewhere) {
 		return Error.New("no event for %d ms", silence.Milliseconds())
 	}
 	if !m.checkRunning && m.task.request.Service.Engine != nil {
@@ -81,6 +85,7 @@
 // lost.
 func (m *silenceMonitor) handleCheckResult(result dispatch.CheckResult) error {
 	m.checkRunning = false
+	m.busyElsewhere = result.Alive && !result.IdleServer
 	// Events that arrived after the probe was sent prove that the run continues.
 	if m.lastEvent.After(result.SentAt) {
 		return nil
--- a/entryhost/relay/forward/plain.go
+++ b/entryhost/relay/forward/plain.go
@@ -34,7 +34,7 @@
 				r.deliver(fallback)
 				return
 			}
-			r.answerNoServer(assignment.Refusal)
+			r.answerNoServer(assignment)
 			return
 		}
 		running := r.start(ctx, assignment, &exchange.Attempt{Rank: exchange.Unranked})
--- a/entryhost/relay/forward/stream.go
+++ b/entryhost/relay/forward/stream.go
@@ -46,7 +46,7 @@
 				r.summary.Fault = model.NotRun(model.KindUnavailable, model.ReasonBackendFailed, string(assignment.Refusal), "")
 				return
 			}
-			r.answerNoServer(assignment.Refusal)
+			r.answerNoServer(assignment)
 			return
 		}
 		running := r.start(ctx, assignment, attempt)
@@ -76,19 +76,19 @@
 		Backup:   r.request.Service.Engine != nil && r.request.Service.Engine.CacheBackup && r.request.Route.Resumable,
 		CopyLost: s.copies.lost,
 	}
-	attempt := &exchange.Attempt{LastEventID: s.events.lastEventID(), Rank: r.rank()}
+	attempt := &exchange.Attempt{LastEventID: s.events.lastEventID()}
 	for held := s.copies.takeResumable(); held.Holder != nil; held = s.copies.takeResumable() {
 		acquire.Prefer, acquire.OnlyPreferred = held.Holder.ID, true
 		assignment, err := r.acquire(ctx, acquire)
 		if err != nil || assignment.Server != nil {
 			attempt.CacheCopy = held.Copy
-			return r.setBackup(assignment, attempt, s), attempt, err
+			return r.prepare(assignment, attempt, s), attempt, err
 		}
 		acquire.OnlyPreferred = false
 	}
 	acquire.Prefer, s.promptHolder = s.promptHolder, ""
 	assignment, err := r.acquire(ctx, acquire)
-	return r.setBackup(assignment, attempt, s), attempt, err
+	return r.prepare(assignment, attempt, s), attempt, err
 }
 
 // locate returns the id of an engine whose cache holds the prompt of a stream
@@ -107,17 +107,27 @@
 	return holder
 }
 
+// deferredRank is the rank of streams whose organisation exceeds its share; it is the
+// least urgent one that engines know.
+const deferredRank = 9
+
 // rank gives streams that have already reached a server the highest priority,
 // since their callers are already waiting; others have the rank of their
-// organisation or route.
-func (r *requestTask) rank() int {
-	if r.counts.sent() {
+// organisation or route. A stream that exceeds the share of its organisation comes
+// last until its caller has received events.
+func (r *requestTask) rank(assignment dispatch.Assignment, s *streamState) int {
+	switch {
+	case assignment.Deferred && !s.headSent:
+		return deferredRank
+	case r.counts.sent():
 		return 0
 	}
 	return r.request.Rank
 }
 
-func (r *requestTask) setBackup(assignment dispatch.Assignment, attempt *exchange.Attempt, s *streamState) dispatch.Assignment {
+// prepare completes the attempt for the assignment.
+func (r *requestTask) prepare(assignment dispatch.Assignment, attempt *exchange.Attempt, s *streamState) dispatch.Assignment {
+	attempt.Rank = r.rank(assignment, s)
 	if assignment.Backup != nil {
 		attempt.CacheBackup = assignment.Backup.Address
 	}
--- a/entryhost/relay/forward/task.go
+++ b/entryhost/relay/forward/task.go
@@ -150,6 +150,7 @@
 func (r *requestTask) acquire(ctx context.Context, acquire dispatch.Acquire) (dispatch.Assignment, error) {
 	acquire.Service = r.request.Service.Name
 	acquire.Route = r.request.Route.Name
+	acquire.Organisation = r.request.Organisation
 	acquire.Exclude, acquire.Avoid = maps.Clone(r.exclude), maps.Clone(r.avoid)
 	acquire.Retry = r.counts.sent()
 	acquire.Point = r.trafficPoint
@@ -176,7 +177,13 @@
 
 // refuseNotRun answers that the request has not run.
 func (r *requestTask) refuseNotRun(reason model.Reason, message, remedy string) {
-	r.sendFault(model.NotRun(model.KindUnavailable, reason, message, remedy).WithRetryAfter(minRetryAfter))
+	r.refuseNotRunFor(0, reason, message, remedy)
+}
+
+// refuseNotRunFor answers that the request has not run and when the caller may send it
+// again, minRetryAfter at the earliest.
+func (r *requestTask) refuseNotRunFor(retryAfter time.Duration, reason model.Reason, message, remedy string) {
+	r.sendFault(model.NotRun(model.KindUnavailable, reason, message, remedy).WithRetryAfter(max(retryAfter, minRetryAfter)))
 }
 
 // failMayHaveRun answers that the request may have run.
@@ -207,10 +214,13 @@
 }
 
 // answerNoServer answers a request that was assigned no server.
-func (r *requestTask) answerNoServer(refusal dispatch.Refusal) {
+func (r *requestTask) answerNoServer(assignment dispatch.Assignment) {
+	refusal := assignment.Refusal
 	switch {
 	case r.counts.runs > 0:
 		r.failMayHaveRun(model.KindUnavailable, model.ReasonBackendFailed, "the servers failed and no other is left: "+string(refusal), "send the request again if it may be repeated")
+	case refusal == dispatch.RefusedOverload:
+		r.refuseNotRunFor(assignment.RetryAfter, model.ReasonDeadlineUnreachable, "the organisation has more streams waiting than its share, and the engines would not end this one in time", "send fewer requests at once, or wait and send the request again")
 	case refusal == dispatch.RefusedBudget:
 		r.refuseNotRun(model.ReasonRetryBudget, "the retry budget of the service is spent", "wait and send the request again")
 	default:
--- a/entryhost/relay/loads/loads_test.go
+++ b/entryhost/relay/loads/loads_test.go
@@ -27,24 +27,33 @@
 		b := newBoard()
 		b.apply(report("a", 1, map[string]Load{"s": {Reading: 1}}), now)
 		b.apply(report("b", 1, map[string]Load{"s": {Decoding: 2}, "t": {Reading: 1}}), now)
-		Expect(b.others("a")).To(Equal(Totals{"s": {Decoding: 2}, "t": {Reading: 1}}))
-		Expect(b.others("new")).To(Equal(Totals{"s": {Reading: 1, Decoding: 2}, "t": {Reading: 1}}))
+		Expect(b.others("a").Servers).To(Equal(map[string]Load{"s": {Decoding: 2}, "t": {Reading: 1}}))
+		Expect(b.others("new").Servers).To(Equal(map[string]Load{"s": {Reading: 1, Decoding: 2}, "t": {Reading: 1}}))
 	})
 
 	It("ignores a report that a later one overtook, which would count ended attempts for seconds", func() {
 		b := newBoard()
 		b.apply(report("a", 2, nil), now)
 		b.apply(report("a", 1, map[string]Load{"s": {Reading: 1}}), now)
-		Expect(b.others("b")).To(BeEmpty())
+		Expect(b.others("b").Servers).To(BeEmpty())
+	})
+
+	It("counts the reading attempts of each organisation at the other hosts", func() {
+		b := newBoard()
+		b.apply(HostLoads{Host: "a", Sequence: 1, Organisations: map[string]int{"large": 3, "small": 1}}, now)
+		b.apply(HostLoads{Host: "b", Sequence: 1, Organisations: map[string]int{"large": 2}}, now)
+		Expect(b.others("a").Organisations).To(Equal(map[string]int{"large": 2}))
+		b.apply(HostLoads{Host: "a", Sequence: 2}, now)
+		Expect(b.others("c").Organisations).To(Equal(map[string]int{"large": 2}))
 	})
 
 	It("forgets the attempts of a host that is gone", func() {
 		b := newBoard()
 		b.apply(report("a", 1, map[string]Load{"s": {Reading: 1}}), now)
 		b.expire(now.Add(reportLifetime - 1))
-		Expect(b.others("b")).NotTo(BeEmpty())
+		Expect(b.others("b").Servers).NotTo(BeEmpty())
 		b.expire(now.Add(reportLifetime))
-		Expect(b.others("b")).To(BeEmpty())
+		Expect(b.others("b").Servers).To(BeEmpty())
 		Expect(b.hosts).To(BeEmpty())
 	})
 
@@ -61,13 +70,13 @@
 				b.apply(report(host, int64(step), servers), now)
 				last[host] = servers
 			}
-			want := Totals{}
+			want := map[string]Load{}
 			for _, servers := range last {
 				for id, load := range servers {
 					want[id] = Load{Reading: want[id].Reading + load.Reading, Decoding: want[id].Decoding + load.Decoding}
 				}
 			}
-			if got := b.others("nobody"); fmt.Sprint(got) != fmt.Sprint(want) {
+			if got := b.others("nobody").Servers; fmt.Sprint(got) != fmt.Sprint(want) {
 				t.Fatalf("%v, want %v", got, want)
 			}
 		})
--- a/entryhost/relay/loads/messages.go
+++ b/entryhost/relay/loads/messages.go
@@ -27,16 +27,21 @@
 	Sequence int64
 	// Servers holds the host's attempts by id of the server, without idle servers.
 	Servers map[string]Load
+	// Organisations counts the host's reading attempts by organisation.
+	Organisations map[string]int
 }
 
-// Totals holds the attempts of all hosts but the one that asked, by id of the
-// server.
-type Totals map[string]Load
+// Others holds the attempts of all hosts but the one that asked: by id of the
+// server, and the reading ones by organisation.
+type Others struct {
+	Servers       map[string]Load
+	Organisations map[string]int
+}
 
 // Exchange delivers a report and asks for the attempts of the other hosts.
 type Exchange struct {
 	Report HostLoads
-	Reply  task.Reply[Totals]
+	Reply  task.Reply[Others]
 }
 
 const (
--- a/entryhost/relay/loads/policy.go
+++ b/entryhost/relay/loads/policy.go
@@ -8,54 +8,66 @@
 
 // hostReport is the last report of a host on a data centre.
 type hostReport struct {
-	sequence   int64
+	HostLoads
+
 	receivedAt time.Time
-	servers    map[string]Load
 }
 
 // board holds the reports on one data centre by host, and their sums.
 type board struct {
-	hosts  map[string]hostReport
-	totals Totals
+	hosts         map[string]hostReport
+	servers       map[string]Load
+	organisations map[string]int
 }
 
-func newBoard() board { return board{hosts: map[string]hostReport{}, totals: Totals{}} }
+func newBoard() board {
+	return board{hosts: map[string]hostReport{}, servers: map[string]Load{}, organisations: map[string]int{}}
+}
 
 // apply replaces the host's report unless it is older than the one before.
 func (b board) apply(report HostLoads, now time.Time) {
 	before, found := b.hosts[report.Host]
-	if found && report.Sequence < before.sequence {
+	if found && report.Sequence < before.Sequence {
 		return
 	}
-	b.add(before.servers, -1)
-	b.add(report.Servers, 1)
-	b.hosts[report.Host] = hostReport{sequence: report.Sequence, receivedAt: now, servers: report.Servers}
+	b.add(before.HostLoads, -1)
+	b.add(report, 1)
+	b.hosts[report.Host] = hostReport{HostLoads: report, receivedAt: now}
 }
 
-// add adds the loads to the totals, or subtracts them if sign is -1.
-func (b board) add(servers map[string]Load, sign int) {
-	for id, load := range servers {
-		total := b.totals[id]
-		total.Reading += sign * load.Reading
-		total.Decoding += sign * load.Decoding
-		if total == (Load{}) {
-			delete(b.totals, id)
-			continue
-		}
-		b.totals[id] = total
+// add adds a report to the sums, or subtracts it if sign is -1.
+func (b board) add(report HostLoads, sign int) {
+	for id, load := range report.Servers {
+		setOrDelete(b.servers, id, b.servers[id].plus(load, sign))
+	}
+	for name, count := range report.Organisations {
+		setOrDelete(b.organisations, name, b.organisations[name]+sign*count)
 	}
 }
 
-// others returns the totals without the host's own attempts.
-func (b board) others(host string) Totals {
-	own := b.hosts[host].servers
-	others := make(Totals, len(b.totals))
-	for id, total := range b.totals {
-		total.Reading -= own[id].Reading
-		total.Decoding -= own[id].Decoding
-		if total != (Load{}) {
-			others[id] = total
-		}
+func (l Load) plus(other Load, sign int) Load {
+	return Load{Reading: l.Reading + sign*other.Reading, Decoding: l.Decoding + sign*other.Decoding}
+}
+
+// setOrDelete sets the value of a key, or deletes the key if the value is zero.
+func setOrDelete[V comparable](values map[string]V, key string, value V) {
+	var zero V
+	if value == zero {
+		delete(values, key)
+		return
+	}
+	values[key] = value
+}
+
+// others returns the sums without the host's own report.
+func (b board) others(host string) Others {
+	own := b.hosts[host]
+	others := Others{Servers: make(map[string]Load, len(b.servers)), Organisations: make(map[string]int, len(b.organisations))}
+	for id, total := range b.servers {
+		setOrDelete(others.Servers, id, total.plus(own.Servers[id], -1))
+	}
+	for name, total := range b.organisations {
+		setOrDelete(others.Organisations, name, total-own.Organisations[name])
 	}
 	return others
 }
@@ -64,7 +76,7 @@
 func (b board) expire(now time.Time) {
 	for host, report := range b.hosts {
 		if now.Sub(report.receivedAt) >= reportLifetime {
-			b.add(report.servers, -1)
+			b.add(report.HostLoads, -1)
 			delete(b.hosts, host)
 		}
 	}
--- a/entryhost/relay/loads/task.go
+++ b/entryhost/relay/loads/task.go
@@ -45,7 +45,7 @@
 	}
 }
 
-func (t *Task) exchange(report HostLoads) Totals {
+func (t *Task) exchange(report HostLoads) Others {
 	reports, found := t.boards[report.DataCentre]
 	if !found {
 		reports = newBoard()
--- a/entryhost/relay/peering/loads.go
+++ b/entryhost/relay/peering/loads.go
@@ -14,16 +14,16 @@
 }
 
 // Exchange receives a host's report and answers with the attempts of the others.
-func (l *Loads) Exchange(report loads.HostLoads, totals *loads.Totals) error {
+func (l *Loads) Exchange(report loads.HostLoads, others *loads.Others) error {
 	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
 	defer cancel()
-	others, err := exchangeLocally(ctx, l.mailbox, report)
-	*totals = others
+	result, err := exchangeLocally(ctx, l.mailbox, report)
+	*others = result
 	return err
 }
 
-func exchangeLocally(ctx context.Context, mailbox task.Mailbox[loads.Exchange], report loads.HostLoads) (loads.Totals, error) {
-	return task.Call(ctx, mailbox, func(reply task.Reply[loads.Totals]) loads.Exchange {
+func exchangeLocally(ctx context.Context, mailbox task.Mailbox[loads.Exchange], report loads.HostLoads) (loads.Others, error) {
+	return task.Call(ctx, mailbox, func(reply task.Reply[loads.Others]) loads.Exchange {
 		return loads.Exchange{Report: report, Reply: reply}
 	})
 }
@@ -41,13 +41,13 @@
 const loadTimeout = 40 * time.Millisecond
 
 // Exchange implements dispatch.LoadExchanger.
-func (e LoadExchanger) Exchange(ctx context.Context, collector string, report loads.HostLoads) (loads.Totals, error) {
+func (e LoadExchanger) Exchange(ctx context.Context, collector string, report loads.HostLoads) (loads.Others, error) {
 	ctx, cancel := context.WithTimeout(ctx, loadTimeout)
 	defer cancel()
 	if collector == e.Self {
 		return exchangeLocally(ctx, e.Mailbox, report)
 	}
-	var totals loads.Totals
-	err := call(ctx, collector, loadsService+".Exchange", report, &totals)
-	return totals, err
+	var others loads.Others
+	err := call(ctx, collector, loadsService+".Exchange", report, &others)
+	return others, err
 }
