--- a/entryhost/relay/peering/fleet_test.go
+++ b/entryhost/relay/peering/fleet_test.go
@@ -121,8 +121,8 @@
 	followers map[string]*mirror.Follower
 	versions  map[string]task.Mailbox[mirror.Snapshot]
 	latest    map[string]uint64
-	// unreachable are hosts that answer no peer.
-	unreachable map[string]bool
+	// unreachable holds the addresses of hosts that answer no peer.
+	unreachable sync.Map
 }
 
 // fleetPeers reaches the other hosts of a fleet without a network.
@@ -142,7 +142,7 @@
 
 func (p *fleetPeers) QueryHost(ctx context.Context, host string, query mirror.Query) (mirror.Answer, error) {
 	time.Sleep(time.Millisecond)
-	if p.fleet.unreachable[host] {
+	if _, gone := p.fleet.unreachable.Load(host); gone {
 		time.Sleep(callTimeout)
 		return mirror.Answer{}, errors.New("unreachable")
 	}
@@ -166,7 +166,7 @@
 func startFleet(ctx context.Context, size int, direct bool) *fleet {
 	f := &fleet{
 		store: newFleetStore(), followers: map[string]*mirror.Follower{}, versions: map[string]task.Mailbox[mirror.Snapshot]{},
-		latest: map[string]uint64{}, unreachable: map[string]bool{},
+		latest: map[string]uint64{},
 	}
 	for i := range size {
 		f.hosts = append(f.hosts, routing.Host{Address: fmt.Sprintf("10.%d.0.%d:8748", i%6, i), DataCentre: fmt.Sprint("dc-", i%6)})
@@ -260,7 +260,7 @@
 // Guards against a change that waits for a reader that is gone.
 func TestAChangeReachesALargeFleetWhoseReaderIsGone(t *testing.T) {
 	inFleet(t, 300, false, func(g gomega.Gomega, f *fleet) {
-		f.unreachable[f.storeReader()] = true
+		f.unreachable.Store(f.storeReader(), true)
 		for range 10 {
 			version := f.store.change()
 			time.Sleep(inForceBound)
