Do not adopt an engine whose registration has ended

The log of edge-safaga-1 shows it: the registration of i-ac26d65d1c ended at 20.42 s, since it left without saying that it drains; an older registration of its address was still there, an attempt at that one was answered with the present id, and the engine was adopted under it at 20.96 s as one that is not registered yet. A request reached it at 23.37 s. Ruled out: registrations that arrive late (all hosts saw the end within 20 ms). Change: the dispatcher keeps the ids of registrations that ended within a minute and does not adopt them. The new spec fails without the change.

--- a/entryhost/relay/dispatch/adopt.go
+++ b/entryhost/relay/dispatch/adopt.go
@@ -12,6 +12,26 @@
 // does not list it; a live server registers within about 2 s.
 const adoptionGrace = 3 * time.Second
 
+// endedLifetime is how long a server whose registration ended is not adopted. A server
+// that leaves serves on for a while, and an older registration of its address may
+// outlast its own.
+const endedLifetime = time.Minute
+
+// recordEnded notes the servers whose registration has ended between two views.
+func (t *Task) recordEnded(before, after routing.Servers) {
+	now := t.Clock.Now()
+	for id := range before {
+		if _, found := after[id]; !found {
+			t.ended[id] = now
+		}
+	}
+	for id, at := range t.ended {
+		if _, registered := after[id]; registered || now.Sub(at) > endedLifetime {
+			delete(t.ended, id)
+		}
+	}
+}
+
 // adoption is a restarted engine, found at the address of the previous process,
 // that has no registration yet.
 type adoption struct {
@@ -25,7 +45,7 @@
 // Another service may have taken over the address, so this is done only where a
 // single service has engines.
 func (t *Task) identify(ctx context.Context, former *routing.Server, instance string) {
-	if t.isKnown(instance) || !t.isOnlyEngineService(former.Service) {
+	if _, hasLeft := t.ended[instance]; hasLeft || t.isKnown(instance) || !t.isOnlyEngineService(former.Service) {
 		return
 	}
 	go func() {
@@ -53,7 +73,7 @@
 
 // handleIdentified makes a restarted engine available under its new id.
 func (t *Task) handleIdentified(message identifyResult) {
-	if !message.engine || t.isKnown(message.instance) {
+	if _, hasLeft := t.ended[message.instance]; hasLeft || !message.engine || t.isKnown(message.instance) {
 		return
 	}
 	server := *message.former
--- a/entryhost/relay/dispatch/task.go
+++ b/entryhost/relay/dispatch/task.go
@@ -116,6 +116,8 @@
 	pools map[serverPool]poolFailures
 	// adopted are restarted engines that are not registered yet, by id.
 	adopted map[string]adoption
+	// ended holds when registrations ended, by id of the server.
+	ended map[string]time.Time
 	// ownership decides which servers of the data centre this host owns.
 	ownership ownership
 	// hostCount is the number of entry hosts, which share retry budgets and
@@ -150,6 +152,7 @@
 		allHosts:   []routing.Host{{Address: parameters.Self, DataCentre: parameters.DataCentre}},
 		shared:     map[string]sharedLoads{}, collectorsDown: map[string]time.Time{},
 		adopted:   map[string]adoption{},
+		ended:     map[string]time.Time{},
 		pools:     map[serverPool]poolFailures{},
 		reports:   task.NewMailbox[exchange.Report](reportsSize),
 		createdAt: parameters.Clock.Now(),
@@ -251,6 +254,7 @@
 // registered nor adopted stays in the table only while a probe of it is running;
 // leases keep their own reference to its state.
 func (t *Task) applyView(view *catalog.View) {
+	t.recordEnded(t.view.Servers, view.Servers)
 	t.view = view
 	for id, server := range view.Servers {
 		state, found := t.servers[id]
