Return a server that is assigned after its request has ended

A caller that leaves while its request waits for a server, or for an exchange of loads, left a lease that nothing released: the server counted one attempt more on this host, and now in its reports to all others. Change: the request's end waits for the late assignment in the background, closes its connection and releases the lease.

--- a/entryhost/relay/dispatch/fairness.go
+++ b/entryhost/relay/dispatch/fairness.go
@@ -20,8 +20,8 @@
 // no copies of their caches.
 const maxBacklogWithCopies = 1.0
 
-// secondsPerPrompt is the time in which an engine reads a prompt beside its streams.
-const secondsPerPrompt = 1.2
+// promptTime is the time in which an engine reads a prompt beside its streams.
+const promptTime = 1200 * time.Millisecond
 
 // demand is what waits at the engines of a data centre.
 type demand struct {
@@ -58,8 +58,8 @@
 	if backlog < maxPromptsWaiting || !d.exceedsShare(organisation) {
 		return 0, false
 	}
-	untilRoom := (backlog - promptsInTime) * secondsPerPrompt
-	return time.Duration((0.5 + random) * untilRoom * float64(time.Second)), true
+	untilRoom := (backlog - promptsInTime) * float64(promptTime)
+	return time.Duration((0.5 + random) * untilRoom), true
 }
 
 // fairShare returns the largest number of waiting prompts that an organisation may
--- a/entryhost/relay/dispatch/task.go
+++ b/entryhost/relay/dispatch/task.go
@@ -178,8 +178,8 @@
 
 // Serve handles messages until the context ends.
 func (t *Task) Serve(ctx context.Context) error {
-	reports := t.Clock.NewTicker(reportDelay)
-	defer reports.Stop()
+	loadReports := t.Clock.NewTicker(reportDelay)
+	defer loadReports.Stop()
 	for {
 		var retry <-chan time.Time
 		if len(t.waiting) > 0 {
@@ -199,7 +199,7 @@
 			t.handleReport(report)
 		case <-retry:
 			t.retryWaiting(ctx)
-		case <-reports.Chan():
+		case <-loadReports.Chan():
 			t.reportDue(ctx)
 		}
 	}
--- a/entryhost/relay/forward/task.go
+++ b/entryhost/relay/forward/task.go
@@ -155,10 +155,40 @@
 	acquire.Retry = r.counts.sent()
 	acquire.Point = r.trafficPoint
 	acquire.WaitUntil = r.Clock.Now().Add(r.maxServerWait())
-	return task.Call(ctx, r.Dispatcher, func(reply task.Reply[dispatch.Assignment]) dispatch.Message {
-		acquire.Reply = reply
-		return acquire
-	})
+	reply := make(chan dispatch.Assignment, 1)
+	acquire.Reply = reply
+	if err := r.Dispatcher.Send(ctx, acquire); err != nil {
+		return dispatch.Assignment{}, err
+	}
+	select {
+	case assignment := <-reply:
+		return assignment, nil
+	case <-ctx.Done():
+		go r.releaseUnused(reply)
+		return dispatch.Assignment{}, context.Cause(ctx)
+	}
+}
+
+// unusedTimeout bounds the wait for an assignment that the request no longer needs;
+// the dispatcher answers within the longest wait for a server.
+const unusedTimeout = 5 * time.Second
+
+// releaseUnused returns a server that is assigned after the request has ended. It
+// would otherwise count as busy on all hosts.
+func (r *requestTask) releaseUnused(reply <-chan dispatch.Assignment) {
+	select {
+	case assignment := <-reply:
+		if assignment.Server == nil {
+			return
+		}
+		assignment.Connection.Close()
+		ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
+		defer cancel()
+		if err := r.Dispatcher.Send(ctx, dispatch.Release{Lease: assignment.Lease, Outcome: dispatch.OutcomeNone}); err != nil {
+			r.Logger.Error("unused server not returned to the dispatcher", eventcode.OutcomeNotDelivered.Attr(), "request", r.request.ID, "server", assignment.Server.ID, "error", err)
+		}
+	case <-r.Clock.After(unusedTimeout):
+	}
 }
 
 // maxServerWait returns how long the request may wait for a server.
--- a/entryhost/relay/peering/fleet_test.go
+++ b/entryhost/relay/peering/fleet_test.go
@@ -200,6 +200,16 @@
 	return behind
 }
 
+// expectChangesWithin makes changes one after another and expects each on all hosts
+// within the bound.
+func (f *fleet) expectChangesWithin(g gomega.Gomega, bound time.Duration) {
+	for range 20 {
+		version := f.store.change()
+		time.Sleep(bound)
+		g.Expect(f.behind(version)).To(gomega.BeZero())
+	}
+}
+
 // storeReader returns the host that reads the store for all others.
 func (f *fleet) storeReader() string {
 	for _, host := range f.hosts {
@@ -248,24 +258,14 @@
 
 // Guards against a configuration that comes into force late, or on some hosts only.
 func TestAChangeReachesALargeFleetInTime(t *testing.T) {
-	inFleet(t, 300, false, func(g gomega.Gomega, f *fleet) {
-		for range 20 {
-			version := f.store.change()
-			time.Sleep(inForceBound)
-			g.Expect(f.behind(version)).To(gomega.BeZero())
-		}
-	})
+	inFleet(t, 300, false, func(g gomega.Gomega, f *fleet) { f.expectChangesWithin(g, inForceBound) })
 }
 
 // Guards against a change that waits for a reader that is gone.
 func TestAChangeReachesALargeFleetWhoseReaderIsGone(t *testing.T) {
 	inFleet(t, 300, false, func(g gomega.Gomega, f *fleet) {
 		f.unreachable.Store(f.storeReader(), true)
-		for range 10 {
-			version := f.store.change()
-			time.Sleep(inForceBound)
-			g.Expect(f.behind(version)).To(gomega.BeZero())
-		}
+		f.expectChangesWithin(g, inForceBound)
 	})
 }
 
@@ -304,11 +304,7 @@
 			}
 		}
 		f.store.turnAway(away...)
-		for range 10 {
-			version := f.store.change()
-			time.Sleep(turnedAwayBound)
-			g.Expect(f.behind(version)).To(gomega.BeZero())
-		}
+		f.expectChangesWithin(g, turnedAwayBound)
 	})
 }
 
