Answer a stream that ends without a new event

Callers saw: a caller that resumed a stream after its last event, because the connection had broken between that event and the end of the stream, got status 404 with the router's page, although every configuration allowed the request and an engine had run it. It was neither an answer nor a refusal of this host, and the log line of the request said nothing of it (status 0, no fault).

Cause: the task of a stream sends the head with the first event. An engine that has nothing left to send ends the stream without one, the attempt counts as a success, and the task ended without having written anything; gin then answers 404 itself.

Evidence: the new spec failed before with status 404 (expected 200).

Change: a stream that completes without events is answered by its head.

--- a/entryhost/relay/forward/stream.go
+++ b/entryhost/relay/forward/stream.go
@@ -54,6 +54,7 @@
 		if outcome == dispatch.OutcomeSuccess {
 			r.finish(running, got, outcome, nil, running.firstEvent)
 			r.dropCopy(s)
+			r.endStream(s, got.head)
 			return
 		}
 		if ctx.Err() != nil {
@@ -252,7 +253,7 @@
 	}
 	events, progress, broken := s.events.add(event.Data)
 	for _, data := range events {
-		if err := r.sendEvent(running, s, (*got).head, data); err != nil {
+		if err := r.sendEvent(s, (*got).head, data); err != nil {
 			r.summary.CallerLeft = true
 			return dispatch.OutcomeNone, true, err
 		}
@@ -280,18 +281,32 @@
 
 // sendEvent sends one event to the caller, preceded by the head if it was not
 // sent yet.
-func (r *requestTask) sendEvent(running *runningAttempt, s *streamState, head *exchange.ResponseHead, data []byte) error {
-	if !s.headSent {
-		s.headSent = true
-		r.summary.Status = head.Status
-		r.summary.FirstEvent = r.Clock.Since(r.request.Arrived)
-		if err := r.caller.Begin(head.Status, head.Header); err != nil {
-			return err
-		}
+func (r *requestTask) sendEvent(s *streamState, head *exchange.ResponseHead, data []byte) error {
+	if err := r.sendHead(s, head); err != nil {
+		return err
 	}
 	return r.caller.Event(data)
 }
 
+// sendHead sends the head of the stream to the caller if it was not sent yet.
+func (r *requestTask) sendHead(s *streamState, head *exchange.ResponseHead) error {
+	if s.headSent {
+		return nil
+	}
+	s.headSent = true
+	r.summary.Status = head.Status
+	r.summary.FirstEvent = r.Clock.Since(r.request.Arrived)
+	return r.caller.Begin(head.Status, head.Header)
+}
+
+// endStream completes a stream. One without events, such as a stream that is resumed
+// after its last event, is answered by its head alone.
+func (r *requestTask) endStream(s *streamState, head *exchange.ResponseHead) {
+	if err := r.sendHead(s, head); err != nil {
+		r.summary.CallerLeft = true
+	}
+}
+
 // recordProgress records that a number of new events of an attempt were sent to the
 // caller.
 func (r *requestTask) recordProgress(running *runningAttempt, s *streamState, events int) {
--- a/entryhost/relay/relay_test.go
+++ b/entryhost/relay/relay_test.go
@@ -348,6 +348,16 @@
 		Expect(eventData(c.send("POST", "/advice/1", "unheld").body)).To(Equal(wholeStream("unheld")[3:]))
 	})
 
+	It("answers a stream that is resumed after its last event with an empty stream, not with 404", func() {
+		c := s.caller()
+		c.header.Set(platform.HeaderLastEvent, fmt.Sprint(streamEvents))
+		got := c.send("POST", "/advice/1", "ended")
+		Expect(got.err).NotTo(HaveOccurred())
+		Expect(got.status).To(Equal(http.StatusOK))
+		Expect(got.header.Get(platform.HeaderSeal)).NotTo(BeEmpty())
+		Expect(got.body).To(BeEmpty())
+	})
+
 	It("resumes on another engine when a stream stalls although its engine is alive", func() {
 		s.engines[0].SetFaults(standin.ServerFaults{HangAfter: 5})
 		s.engines[1].SetFaults(standin.ServerFaults{HangAfter: 5})
