Explain in the log why a stream was cut off

The log line of a request whose stream was cut said 'broken' and no more: the hypotheses for requests without an answer (engine given up without another one, deadline, caller gone) could not be told apart. A cut stream now has a reason and a message, as refusals have.

--- a/entryhost/relay/forward/stream.go
+++ b/entryhost/relay/forward/stream.go
@@ -42,8 +42,7 @@
 		}
 		if assignment.Server == nil {
 			if s.headSent {
-				r.summary.Broken = true
-				r.summary.Fault = model.NotRun(model.KindUnavailable, model.ReasonBackendFailed, string(assignment.Refusal), "")
+				r.cutStream(model.KindUnavailable, model.ReasonBackendFailed, "the engine was lost and no other was assigned: "+string(assignment.Refusal))
 				return
 			}
 			r.answerNoServer(assignment)
@@ -169,16 +168,26 @@
 // stream is cut off so that it does not look complete.
 func (r *requestTask) failStream(s *streamState) {
 	if s.headSent {
-		r.summary.Broken = true
+		r.cutStream(model.KindUnavailable, model.ReasonBackendFailed, "the engines failed and no attempt is left")
 		return
 	}
 	r.failMayHaveRun(model.KindUnavailable, model.ReasonBackendFailed, "the engines failed and no attempt is left", "send the request again")
 }
 
+// cutStream ends a stream whose head was sent. The fault only explains it in the log:
+// the caller sees its connection close.
+func (r *requestTask) cutStream(kind model.Kind, reason model.Reason, message string) {
+	r.summary.Broken = true
+	r.summary.Fault = &model.Fault{Kind: kind, Reason: reason, Executed: model.ExecutedUnknown, Message: message}
+}
+
 func (r *requestTask) handleStreamContextEnd(ctx context.Context, s *streamState) {
-	if s.headSent {
-		r.summary.Broken = true
-		r.summary.CallerLeft = context.Cause(ctx) != errDeadline
+	switch {
+	case s.headSent && context.Cause(ctx) != errDeadline:
+		r.summary.Broken, r.summary.CallerLeft = true, true
+		return
+	case s.headSent:
+		r.cutStream(model.KindDeadline, model.ReasonDeadlinePassed, "the stream was not complete before the deadline")
 		return
 	}
 	r.answerContextEnd(ctx, r.counts.runs > 0 || len(r.summary.Attempts) > 0)
