Answer a request whose task ended without an answer

Callers saw: a panic in the goroutine of a request closed the connection of a whole request with neither an answer nor a refusal, and no line of the product's own said so. A request whose task returned without having written anything got the router's 404 page.

Cause: gin.New() has no recovery step, so net/http recovers the panic and closes the connection; and a handler that writes nothing is gin's sign of an unknown route.

Change: a deferred step answers such a request with 502 (outcome unknown), logs event 2148 with the stack and counts it in lentilpoint_relay_unanswered_total by reason (stream_cut, caller_left, task_failed). The connection of a caller that has left is closed without an answer. A cut stream no longer has the field 'answered' in its line, since it was not answered.

Evidence: both specs failed before (EOF instead of 502; 'HTTP/1.1 404 Not Found' to a caller that had closed its sending side) and pass now.

--- a/entryhost/relay/ingress/front.go
+++ b/entryhost/relay/ingress/front.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"runtime/debug"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -194,9 +195,10 @@
 func (f *Front) serveRequest(c *gin.Context) {
 	f.openRequests.Inc()
 	defer f.openRequests.Dec()
+	caller := &responseWriter{writer: c.Writer, draining: f.draining}
+	defer f.endRequest(c.Request, caller)
 	arrived := f.Clock.Now()
 	head := f.Protocol.Decode(c.Request)
-	caller := &responseWriter{writer: c.Writer, draining: f.draining}
 	request, fault := f.admitRequest(c.Request, head, arrived)
 	if fault != nil {
 		f.Metrics.GetOrCreateCounter(`lentilpoint_relay_refusals_total{reason="` + string(fault.Reason) + `"}`).Inc()
@@ -208,11 +210,43 @@
 	summary := f.Forwarder.Run(c.Request.Context(), request, caller)
 	f.logRequest(request, summary)
 	if summary.Broken {
+		f.countUnanswered("stream_cut")
 		// Aborting closes the connection, so that the response does not look complete.
 		panic(http.ErrAbortHandler)
 	}
 }
 
+// endRequest runs when the task of a request has ended, also by a panic. It answers a
+// request that got no answer: net/http would close the connection after a panic, and
+// the router would send its own 404 page to a caller that was sent nothing.
+func (f *Front) endRequest(incoming *http.Request, caller *responseWriter) {
+	failure := recover()
+	switch {
+	case failure == http.ErrAbortHandler:
+		panic(failure)
+	case failure == nil && caller.headSent:
+		return
+	case failure == nil && incoming.Context().Err() != nil:
+		f.countUnanswered("caller_left")
+		panic(http.ErrAbortHandler)
+	}
+	f.countUnanswered("task_failed")
+	f.Logger.Error("task of a request ended without an answer", eventcode.RelayRequestUnanswered.Attr(), "target", incoming.RequestURI,
+		"head_sent", caller.headSent, "panic", failure, "stack", string(debug.Stack()))
+	if caller.headSent {
+		panic(http.ErrAbortHandler)
+	}
+	_ = caller.Refuse(&model.Fault{
+		Kind: model.KindInternal, Reason: model.ReasonTaskFailed, Executed: model.ExecutedUnknown,
+		Message: "the task of the request failed on this host", Remedy: "send the request again if it may be repeated, and read the logs of this entry host",
+	})
+}
+
+// countUnanswered counts a request that ended without a complete answer.
+func (f *Front) countUnanswered(reason string) {
+	f.Metrics.GetOrCreateCounter(`lentilpoint_relay_unanswered_total{reason="` + reason + `"}`).Inc()
+}
+
 // admitRequest matches the request to the configuration in force and reads its body.
 // It returns a fault if the request is refused.
 func (f *Front) admitRequest(incoming *http.Request, head RequestHead, arrived time.Time) (*forward.Request, *model.Fault) {
@@ -280,7 +314,10 @@
 		"broken", summary.Broken, "attempts", summary.Attempts,
 	}
 	if summary.Fault != nil {
-		attributes = append(attributes, "reason", summary.Fault.Reason, "message", summary.Fault.Message, "answered", statusOf(summary.Fault))
+		attributes = append(attributes, "reason", summary.Fault.Reason, "message", summary.Fault.Message)
+	}
+	if summary.Fault != nil && !summary.Broken {
+		attributes = append(attributes, "answered", statusOf(summary.Fault))
 	}
 	f.Logger.Info("request done", attributes...)
 }
--- a/entryhost/relay/ingress/writer.go
+++ b/entryhost/relay/ingress/writer.go
@@ -13,6 +13,8 @@
 type responseWriter struct {
 	writer   http.ResponseWriter
 	draining <-chan struct{}
+	// headSent is set once the head of a response was written.
+	headSent bool
 }
 
 func (w *responseWriter) writeHead(status int, header http.Header) {
@@ -23,6 +25,7 @@
 	if isClosed(w.draining) {
 		target.Set("Connection", "close")
 	}
+	w.headSent = true
 	w.writer.WriteHeader(status)
 }
 
