Give up a silent server only for another one

Callers saw: a stream was cut off, or an idempotent request got 502, although its server was sound, had been silent for a moment and would have gone on.

Cause: an attempt was given up as soon as the server had not answered a probe (after 180 to 350 ms without an event, and at once if the run was missing from the report), before it was known whether another attempt is possible. If the route does not allow resuming, its attempts are used up, the retry budget is spent or no server is usable, the stream that had begun was cut off. Only the time limit on a live server looked at the attempts of the route, and no path looked at budget and servers. The same holds for idempotent requests after 0.6 of their latency objective.

Change: the next attempt is reserved first (server, connection, retry budget, copy of the cache), without waiting; only then the silent one is closed and the reserved one started. Without one the request stays with its server, which is probed again, and the line of event 2149 and lentilpoint_relay_silence_waits_total say so. A server that is gone still ends the attempt by its connection.

Evidence: four of the five new specs failed before (three streams cut after 182 ms of a silence of 1 s with one attempt possible: not resumable, attempts used up, budget refused; an idempotent request answered 502 after 61 ms) and pass now, also three times with the race detector.

--- a/entryhost/relay/forward/monitor.go
+++ b/entryhost/relay/forward/monitor.go
@@ -26,6 +26,8 @@
 	// abandoned on a live server would then wait as long elsewhere, and what was read
 	// of it is wasted.
 	busyElsewhere bool
+	// waitLogged is set once the log has a line on a wait for this attempt.
+	waitLogged bool
 }
 
 func newSilenceMonitor(r *requestTask, attempt *runningAttempt, s *streamState) *silenceMonitor {
@@ -63,8 +65,7 @@
 func (m *silenceMonitor) handleTimeout(ctx context.Context) error {
 	silence := m.task.Clock.Since(m.lastEvent)
 	limit := silenceTimeout(m.task.request.Route, m.started())
-	lastAttempt := m.task.counts.runs+1 >= m.task.request.Route.MaxAttempts
-	if silence >= limit && !lastAttempt && m.task.request.Route.Resumable && (m.started() || !m.busyElsewhere) {
+	if silence >= limit && (m.started() || !m.busyElsewhere) {
 		return Error.New("no event for %d ms", silence.Milliseconds())
 	}
 	if !m.checkRunning && m.task.request.Service.Engine != nil {
@@ -73,12 +74,29 @@
 		}
 		m.checkRunning = true
 	}
+	m.resetTimer(m.checkInterval())
+	return nil
+}
+
+func (m *silenceMonitor) checkInterval() time.Duration {
 	if m.started() {
-		m.resetTimer(gapCheckInterval)
-	} else {
-		m.resetTimer(firstEventCheckInterval)
+		return gapCheckInterval
 	}
-	return nil
+	return firstEventCheckInterval
+}
+
+// giveUp reserves another server for the stream and reports whether it has one. A
+// silent server may be sound and go on, so without another one the stream stays with it.
+func (m *silenceMonitor) giveUp(ctx context.Context, cause error) bool {
+	if m.task.reserveStream(ctx, m.attempt, m.state) {
+		return true
+	}
+	if !m.waitLogged {
+		m.waitLogged = true
+		m.task.logSilenceWait(m.attempt, cause)
+	}
+	m.resetTimer(m.checkInterval())
+	return false
 }
 
 // handleCheckResult returns an error if the probe shows that the attempt is
--- a/entryhost/relay/forward/plain.go
+++ b/entryhost/relay/forward/plain.go
@@ -24,11 +24,12 @@
 func (r *requestTask) servePlain(ctx context.Context) {
 	var fallback *response
 	for {
-		assignment, err := r.acquire(ctx, dispatch.Acquire{NotRepeatable: r.request.Route.Kind == routing.NonIdempotent})
+		next, err := r.nextAttempt(func() (plannedAttempt, error) { return r.acquirePlain(ctx, time.Time{}) })
 		if err != nil {
 			r.answerContextEnd(ctx, r.counts.runs > 0)
 			return
 		}
+		assignment := next.assignment
 		if assignment.Server == nil {
 			if fallback != nil {
 				r.deliver(fallback)
@@ -37,7 +38,7 @@
 			r.answerNoServer(assignment)
 			return
 		}
-		running := r.start(ctx, assignment, &exchange.Attempt{Rank: exchange.Unranked})
+		running := r.start(ctx, assignment, next.attempt)
 		got, outcome, cause := r.collectResponse(ctx, running)
 		if ctx.Err() != nil && got == nil {
 			r.finish(running, nil, dispatch.OutcomeNone, context.Cause(ctx), 0)
@@ -45,6 +46,10 @@
 			return
 		}
 		r.finish(running, got, outcome, cause, r.Clock.Since(running.started))
+		if r.reserved != nil {
+			r.logRetry(running, outcome, cause, "")
+			continue
+		}
 		r.exclude[assignment.Server.ID] = true
 		if outcome == dispatch.OutcomeFailed {
 			fallback = got
@@ -65,20 +70,37 @@
 	}
 }
 
+// acquirePlain gets a server for the next attempt. It waits until waitUntil for a
+// server, or as long as the route allows if that is zero.
+func (r *requestTask) acquirePlain(ctx context.Context, waitUntil time.Time) (plannedAttempt, error) {
+	assignment, err := r.acquire(ctx, dispatch.Acquire{NotRepeatable: r.request.Route.Kind == routing.NonIdempotent, WaitUntil: waitUntil})
+	return plannedAttempt{assignment: assignment, attempt: &exchange.Attempt{Rank: exchange.Unranked}}, err
+}
+
 // collectResponse reads the complete response. An attempt that may be followed by
-// another one is abandoned after attemptTimeoutShare of the latency objective.
+// another one is abandoned after attemptTimeoutShare of the latency objective if
+// another server is available.
 func (r *requestTask) collectResponse(ctx context.Context, running *runningAttempt) (*response, dispatch.Outcome, error) {
 	var limit <-chan time.Time
 	if r.request.Route.Kind == routing.Idempotent && r.counts.runs+1 < r.request.Route.MaxAttempts {
-		limit = r.Clock.After(time.Duration(attemptTimeoutShare * float64(r.request.Route.LatencyObjective)))
+		limit = r.Clock.After(r.attemptTimeout())
 	}
+	waited := false
 	got := &response{}
 	for {
 		select {
 		case <-ctx.Done():
 			return nil, dispatch.OutcomeNone, context.Cause(ctx)
 		case <-limit:
-			return nil, dispatch.OutcomeSilent, Error.New("no answer within the share of the latency objective")
+			cause := Error.New("no answer within the share of the latency objective")
+			if r.reserve(running, func() (plannedAttempt, error) { return r.acquirePlain(ctx, r.Clock.Now()) }) {
+				return nil, dispatch.OutcomeSilent, cause
+			}
+			if !waited {
+				waited = true
+				r.logSilenceWait(running, cause)
+			}
+			limit = r.Clock.After(r.attemptTimeout())
 		case event := <-running.events:
 			switch {
 			case event.Failed != nil:
@@ -98,6 +120,11 @@
 	}
 }
 
+// attemptTimeout returns the time without an answer after which another server is tried.
+func (r *requestTask) attemptTimeout() time.Duration {
+	return time.Duration(attemptTimeoutShare * float64(r.request.Route.LatencyObjective))
+}
+
 func (r *requestTask) deliver(got *response) {
 	r.summary.FirstEvent = r.Clock.Since(r.request.Arrived)
 	r.summary.Status = got.head.Status
--- /dev/null
+++ b/entryhost/relay/forward/reserve.go
@@ -0,0 +1,48 @@
+package forward
+
+import (
+	"github.com/lentilpoint/lentilpoint/entryhost/relay/dispatch"
+	"github.com/lentilpoint/lentilpoint/entryhost/relay/exchange"
+	"github.com/lentilpoint/lentilpoint/eventcode"
+)
+
+// plannedAttempt is an attempt that has a server and has not started. Its server is
+// nil if the request was refused.
+type plannedAttempt struct {
+	assignment dispatch.Assignment
+	attempt    *exchange.Attempt
+}
+
+// nextAttempt returns the reserved attempt if there is one, else an acquired one.
+func (r *requestTask) nextAttempt(acquire func() (plannedAttempt, error)) (plannedAttempt, error) {
+	if r.reserved != nil {
+		next := *r.reserved
+		r.reserved = nil
+		return next, nil
+	}
+	return acquire()
+}
+
+// reserve acquires the attempt that replaces a silent one and reports whether there is
+// one. The silent attempt is still open, so that it can go on if there is none.
+func (r *requestTask) reserve(running *runningAttempt, acquire func() (plannedAttempt, error)) bool {
+	counts, avoided := r.counts, r.avoid[running.note.DataCentre]
+	r.count(running, dispatch.OutcomeSilent)
+	r.exclude[running.note.Server] = true
+	next, err := acquire()
+	if err == nil && next.assignment.Server != nil {
+		r.reserved = &next
+		return true
+	}
+	r.counts, r.avoid[running.note.DataCentre] = counts, avoided
+	delete(r.exclude, running.note.Server)
+	return false
+}
+
+// logSilenceWait logs and counts that the request stays with a silent server because
+// no other attempt is possible.
+func (r *requestTask) logSilenceWait(running *runningAttempt, cause error) {
+	r.Metrics.GetOrCreateCounter(`lentilpoint_relay_silence_waits_total{service="` + r.request.Service.Name + `"}`).Inc()
+	r.Logger.Info("request waits for a silent server", eventcode.SilentServerAwaited.Attr(), "request", r.request.ID, "server", running.note.Server,
+		"cause", cause, "runs", r.counts.runs, "max_attempts", r.request.Route.MaxAttempts, "resumable", r.request.Route.Resumable)
+}
--- a/entryhost/relay/forward/stream.go
+++ b/entryhost/relay/forward/stream.go
@@ -35,11 +35,12 @@
 	}
 	s := &streamState{events: events, promptHolder: r.locate(ctx), copies: newCopies()}
 	for {
-		assignment, attempt, err := r.acquireAttempt(ctx, s)
+		next, err := r.nextAttempt(func() (plannedAttempt, error) { return r.acquireAttempt(ctx, s, time.Time{}) })
 		if err != nil {
 			r.handleStreamContextEnd(ctx, s)
 			return
 		}
+		assignment := next.assignment
 		if assignment.Server == nil {
 			if s.headSent {
 				r.cutStream(model.KindUnavailable, model.ReasonBackendFailed, "the engine was lost and no other was assigned: "+string(assignment.Refusal))
@@ -48,7 +49,7 @@
 			r.answerNoServer(assignment)
 			return
 		}
-		running := r.start(ctx, assignment, attempt)
+		running := r.start(ctx, assignment, next.attempt)
 		got, outcome, cause := r.forwardEvents(ctx, running, s)
 		if outcome == dispatch.OutcomeSuccess {
 			r.finish(running, got, outcome, nil, running.firstEvent)
@@ -70,11 +71,12 @@
 }
 
 // acquireAttempt gets a server for the next attempt: the holder of a copy of the
-// run's cache if one is usable, else the best server.
-func (r *requestTask) acquireAttempt(ctx context.Context, s *streamState) (dispatch.Assignment, *exchange.Attempt, error) {
+// run's cache if one is usable, else the best server. It waits until waitUntil for a
+// server, or as long as the route allows if that is zero.
+func (r *requestTask) acquireAttempt(ctx context.Context, s *streamState, waitUntil time.Time) (plannedAttempt, error) {
 	acquire := dispatch.Acquire{
 		Backup:   r.request.Service.Engine != nil && r.request.Service.Engine.CacheBackup && r.request.Route.Resumable,
-		CopyLost: s.copies.lost,
+		CopyLost: s.copies.lost, WaitUntil: waitUntil,
 	}
 	attempt := &exchange.Attempt{LastEventID: s.events.lastEventID()}
 	for held := s.copies.takeResumable(); held.Holder != nil; held = s.copies.takeResumable() {
@@ -82,13 +84,28 @@
 		assignment, err := r.acquire(ctx, acquire)
 		if err != nil || assignment.Server != nil {
 			attempt.CacheCopy = held.Copy
-			return r.prepare(assignment, attempt, s), attempt, err
+			return plannedAttempt{assignment: r.prepare(assignment, attempt, s), attempt: attempt}, err
 		}
 		acquire.OnlyPreferred = false
 	}
 	acquire.Prefer, s.promptHolder = s.promptHolder, ""
 	assignment, err := r.acquire(ctx, acquire)
-	return r.prepare(assignment, attempt, s), attempt, err
+	return plannedAttempt{assignment: r.prepare(assignment, attempt, s), attempt: attempt}, err
+}
+
+// reserveStream reserves the attempt that replaces a silent one, as reserve does. The
+// copies of the silent attempt's cache serve the new one.
+func (r *requestTask) reserveStream(ctx context.Context, running *runningAttempt, s *streamState) bool {
+	if afterStream(r.request.Route, dispatch.OutcomeSilent, r.counts.add(dispatch.OutcomeSilent), s.headSent) != retry {
+		return false
+	}
+	before := s.copies
+	s.copies.attemptEnded(running.note.Events > 0)
+	if r.reserve(running, func() (plannedAttempt, error) { return r.acquireAttempt(ctx, s, r.Clock.Now()) }) {
+		return true
+	}
+	s.copies = before
+	return false
 }
 
 // locate returns the id of an engine whose cache holds the prompt of a stream
@@ -139,6 +156,10 @@
 // another one. If not, the caller has received its final answer.
 func (r *requestTask) decideNext(ctx context.Context, running *runningAttempt, s *streamState, got *response, outcome dispatch.Outcome, cause error) bool {
 	s.events.discardPartial()
+	if r.reserved != nil {
+		r.logRetry(running, outcome, cause, s.events.lastEventID())
+		return true
+	}
 	if running.attempt.CacheCopy.Name != "" && outcome == dispatch.OutcomeRejected {
 		// The copy is gone, which is no evidence about the server.
 		r.counts.rejections--
@@ -226,7 +247,7 @@
 				monitor.resetTimer(0)
 				continue
 			}
-			if err := monitor.handleTimeout(ctx); err != nil {
+			if err := monitor.handleTimeout(ctx); err != nil && monitor.giveUp(ctx, err) {
 				return nil, dispatch.OutcomeSilent, err
 			}
 		case result := <-monitor.checkResults:
@@ -234,7 +255,7 @@
 				monitor.resetTimer(0)
 				continue
 			}
-			if err := monitor.handleCheckResult(result); err != nil {
+			if err := monitor.handleCheckResult(result); err != nil && monitor.giveUp(ctx, err) {
 				return nil, dispatch.OutcomeSilent, err
 			}
 		}
--- a/entryhost/relay/forward/task.go
+++ b/entryhost/relay/forward/task.go
@@ -51,6 +51,9 @@
 	} else {
 		run.servePlain(ctx)
 	}
+	if run.reserved != nil {
+		run.returnServer(run.reserved.assignment)
+	}
 	return run.summary
 }
 
@@ -74,6 +77,9 @@
 	// trafficPoint is uniform in [0, 1) and selects the version during a version
 	// move.
 	trafficPoint float64
+	// reserved is the next attempt, which replaces one that is being given up, or
+	// nil.
+	reserved *plannedAttempt
 }
 
 // runningAttempt is an attempt in progress.
@@ -123,11 +129,8 @@
 		running.note.Cause = cause.Error()
 	}
 	r.summary.Attempts = append(r.summary.Attempts, running.note)
-	if outcome != dispatch.OutcomeNone {
-		r.counts = r.counts.add(outcome)
-	}
-	if outcome == dispatch.OutcomeSilent {
-		r.avoid[running.note.DataCentre] = true
+	if outcome != dispatch.OutcomeNone && r.reserved == nil {
+		r.count(running, outcome)
 	}
 	r.reportSuspect(running, outcome)
 	// The dispatcher always drains its mailbox; blocking here keeps its counts
@@ -143,6 +146,14 @@
 	}
 }
 
+// count adds an attempt to the counts that decide what may follow it.
+func (r *requestTask) count(running *runningAttempt, outcome dispatch.Outcome) {
+	r.counts = r.counts.add(outcome)
+	if outcome == dispatch.OutcomeSilent {
+		r.avoid[running.note.DataCentre] = true
+	}
+}
+
 // releaseTimeout bounds the wait for room in the dispatcher's mailbox.
 const releaseTimeout = 2 * time.Second
 
@@ -154,7 +165,9 @@
 	acquire.Exclude, acquire.Avoid = maps.Clone(r.exclude), maps.Clone(r.avoid)
 	acquire.Retry = r.counts.sent()
 	acquire.Point = r.trafficPoint
-	acquire.WaitUntil = r.Clock.Now().Add(r.maxServerWait())
+	if acquire.WaitUntil.IsZero() {
+		acquire.WaitUntil = r.Clock.Now().Add(r.maxServerWait())
+	}
 	reply := make(chan dispatch.Assignment, 1)
 	acquire.Reply = reply
 	if err := r.Dispatcher.Send(ctx, acquire); err != nil {
@@ -181,16 +194,21 @@
 		if assignment.Server == nil {
 			return
 		}
-		assignment.Connection.Close()
-		ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
-		defer cancel()
-		if err := r.Dispatcher.Send(ctx, dispatch.Release{Lease: assignment.Lease, Outcome: dispatch.OutcomeNone}); err != nil {
-			r.Logger.Error("unused server not returned to the dispatcher", eventcode.OutcomeNotDelivered.Attr(), "request", r.request.ID, "server", assignment.Server.ID, "error", err)
-		}
+		r.returnServer(assignment)
 	case <-r.Clock.After(unusedTimeout):
 	}
 }
 
+// returnServer returns an assigned server that the request does not use.
+func (r *requestTask) returnServer(assignment dispatch.Assignment) {
+	assignment.Connection.Close()
+	ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
+	defer cancel()
+	if err := r.Dispatcher.Send(ctx, dispatch.Release{Lease: assignment.Lease, Outcome: dispatch.OutcomeNone}); err != nil {
+		r.Logger.Error("unused server not returned to the dispatcher", eventcode.OutcomeNotDelivered.Attr(), "request", r.request.ID, "server", assignment.Server.ID, "error", err)
+	}
+}
+
 // maxServerWait returns how long the request may wait for a server.
 func (r *requestTask) maxServerWait() time.Duration {
 	return time.Duration(serverWaitShare * float64(r.request.Route.LatencyObjective))
--- a/eventcode/relay.go
+++ b/eventcode/relay.go
@@ -40,6 +40,7 @@
 	LoadsNotExchanged    Code = 2147
 
 	RelayRequestUnanswered Code = 2148
+	SilentServerAwaited    Code = 2149
 )
 
 var relayEvents = []Entry{
@@ -79,5 +80,6 @@
 	{SuspectDeath, "suspect death", "A server died while it ran a request that it had not answered yet. After three such deaths within a minute, requests with the same fingerprint are refused on all hosts.", "If stopped is true, keep the content of the request that the line names for the developers of the service."},
 	{SuspectNotReported, "suspect untold", "Another entry host could not be informed of a request that crashes servers, or this host's list of such requests could not be read; such a request may reach more servers.", "Check the links between entry hosts if it repeats."},
 	{RelayRequestUnanswered, "request unanswered", "The task of a request failed before it had answered. The caller got 502, or a stream that had begun was cut off.", "Report it with the log line."},
+	{SilentServerAwaited, "silent server awaited", "A server is silent under a request, and no other attempt is possible: the attempts of the route or the retry budget are used up, or no other server is usable. The request stays with the server.", "Look at the servers of the service if it repeats."},
 	{LoadsNotExchanged, "loads not exchanged", "The entry host that collects the attempts on the engines of a data centre did not answer; engines are chosen by this host's own attempts and the next collector is asked from then on.", "Look at the collector that the line names if it repeats."},
 }
