Answer a request that was sent together with the one before

Callers saw: on a host that drains, a caller that had sent its next request before it had the answer to the last one lost the connection while that request ran, without an answer.

Cause: net/http reports such a connection as idle between the two requests. The second one is in the buffer of net/http already, so no read marks the connection as busy, and closing idle connections closes it during the request.

Change: the handler marks the connection as busy too, or drops the request before it is passed on if the connection was closed first. Connections count as new until the first byte, as busy until their answer is sent, and as idle after that; the number of busy ones is kept.

--- a/entryhost/relay/ingress/conn.go
+++ b/entryhost/relay/ingress/conn.go
@@ -12,13 +12,14 @@
 type connState = int32
 
 const (
-	// connBusy means that the connection is new or that a request is being read
-	// or answered.
-	connBusy connState = iota
+	// connNew means that no byte of a first request was read.
+	connNew connState = iota
+	// connBusy means that a request is being read or answered.
+	connBusy
 	// connIdle means that the connection waits for the next request.
 	connIdle
-	// connClosing means that the connection was closed while idle. Bytes that
-	// still arrive are discarded.
+	// connClosing means that the connection was closed while no request was being read
+	// or answered. Bytes that still arrive are discarded.
 	connClosing
 )
 
@@ -26,8 +27,12 @@
 // closed as soon as it is idle.
 type callerListener struct {
 	net.Listener
-	// keepIdle ends when idle connections have to be closed.
+	// keepIdle ends when idle connections have to be closed, and keepNew when those
+	// without a first request have to be closed too.
 	keepIdle context.Context
+	keepNew  context.Context
+	// busy is the number of connections with a request that is being read or answered.
+	busy *atomic.Int64
 }
 
 // Accept implements net.Listener.
@@ -36,9 +41,16 @@
 	if err != nil {
 		return nil, err
 	}
-	conn := &callerConn{Conn: accepted, keepIdle: l.keepIdle}
-	conn.detach = context.AfterFunc(l.keepIdle, conn.closeIdle)
-	return conn, nil
+	return l.track(accepted), nil
+}
+
+// track returns a connection whose state is tracked.
+func (l callerListener) track(accepted net.Conn) *callerConn {
+	conn := &callerConn{Conn: accepted, keepIdle: l.keepIdle, busy: l.busy}
+	stopIdle := context.AfterFunc(l.keepIdle, conn.closeIdle)
+	stopNew := context.AfterFunc(l.keepNew, conn.closeNew)
+	conn.detach = func() { stopIdle(); stopNew() }
+	return conn
 }
 
 // callerConn is a caller's connection. The server of net/http may close a
@@ -48,22 +60,42 @@
 type callerConn struct {
 	net.Conn
 	keepIdle context.Context
-	detach   func() bool
+	busy     *atomic.Int64
+	detach   func()
 	state    atomic.Int32
 }
 
 // Read implements net.Conn.
 func (c *callerConn) Read(buffer []byte) (int, error) {
 	count, err := c.Conn.Read(buffer)
-	if count > 0 && !c.state.CompareAndSwap(connIdle, connBusy) && c.state.Load() == connClosing {
+	if count > 0 && !c.beginRequest() {
 		return 0, net.ErrClosed
 	}
 	return count, err
 }
 
+// beginRequest makes the connection busy and returns false if it was closed before.
+// A handler calls it too: a request that its caller sent together with the one before
+// is in the buffer of net/http already and is not read again.
+func (c *callerConn) beginRequest() bool {
+	if c.state.CompareAndSwap(connNew, connBusy) || c.state.CompareAndSwap(connIdle, connBusy) {
+		c.busy.Add(1)
+	}
+	return c.state.Load() != connClosing
+}
+
+// endRequest gives the connection a state in which no request is being read or
+// answered.
+func (c *callerConn) endRequest(state connState) {
+	if c.state.Swap(state) == connBusy {
+		c.busy.Add(-1)
+	}
+}
+
 // Close implements net.Conn.
 func (c *callerConn) Close() error {
 	c.detach()
+	c.endRequest(connClosing)
 	return c.Conn.Close()
 }
 
@@ -76,9 +108,14 @@
 	return c.Conn.Close()
 }
 
-// closeIdle closes the connection unless a request is being read or answered.
-func (c *callerConn) closeIdle() {
-	if c.state.CompareAndSwap(connIdle, connClosing) {
+// closeIdle closes the connection if it waits for its next request.
+func (c *callerConn) closeIdle() { c.closeIf(connIdle) }
+
+// closeNew closes the connection if it waits for its first request.
+func (c *callerConn) closeNew() { c.closeIf(connNew) }
+
+func (c *callerConn) closeIf(state connState) {
+	if c.state.CompareAndSwap(state, connClosing) {
 		// The error does not matter: the caller may have closed the connection.
 		_ = c.Conn.Close()
 	}
@@ -91,8 +128,24 @@
 	if !ours || state != http.StateIdle {
 		return
 	}
-	c.state.Store(connIdle)
+	c.endRequest(connIdle)
 	if c.keepIdle.Err() != nil {
 		c.closeIdle()
 	}
 }
+
+// connKey is the key of the caller's connection in the context of a request.
+type connKey struct{}
+
+// withConn adds the caller's connection to the contexts of its requests. It is the
+// ConnContext hook of the server of net/http.
+func withConn(ctx context.Context, conn net.Conn) context.Context {
+	return context.WithValue(ctx, connKey{}, conn)
+}
+
+// beginRequest reports whether a request that was read may run, which it may not if
+// its connection was closed.
+func beginRequest(ctx context.Context) bool {
+	conn, tracked := ctx.Value(connKey{}).(*callerConn)
+	return !tracked || conn.beginRequest()
+}
--- a/entryhost/relay/ingress/front.go
+++ b/entryhost/relay/ingress/front.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"runtime/debug"
+	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -137,12 +138,12 @@
 	}
 	server := &http.Server{
 		Handler: f.handler(), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, ConnState: trackConnState,
-		MaxHeaderBytes: maxHeaderBytes, ErrorLog: slog.NewLogLogger(f.Logger.Handler(), slog.LevelDebug),
+		ConnContext: withConn, MaxHeaderBytes: maxHeaderBytes, ErrorLog: slog.NewLogLogger(f.Logger.Handler(), slog.LevelDebug),
 	}
 	failed := make(chan error, 1)
 	keepIdle, stopKeepIdle := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopKeepIdle()
-	go func() { failed <- server.Serve(callerListener{Listener: listener, keepIdle: keepIdle}) }()
+	go func() { failed <- server.Serve(callerListener{Listener: listener, keepIdle: keepIdle, keepNew: context.Background(), busy: &atomic.Int64{}}) }()
 	var refuseStreams, closeIdle, refuseAll <-chan time.Time
 	for {
 		select {
@@ -193,6 +194,10 @@
 // serveRequest handles one request in the goroutine of the caller's connection,
 // which owns the caller's socket.
 func (f *Front) serveRequest(c *gin.Context) {
+	if !beginRequest(c.Request.Context()) {
+		// The request crossed the close of its connection and was not passed on.
+		panic(http.ErrAbortHandler)
+	}
 	f.openRequests.Inc()
 	defer f.openRequests.Dec()
 	caller := &responseWriter{writer: c.Writer, draining: f.draining}
