Finish requests that were read before a drain ends

Callers saw: at the end of a drain the connection of a request that this host had begun to read, or had read and not yet counted as open, was closed without an answer.

Cause: a drain counted requests from the start of their handler. With a count of zero it closed the server, and with it connections on which a request was read but its handler had not begun; new connections are still accepted then, since the balancer uses draining hosts where fewer than half of a data centre's are in rotation.

Change: a drain waits for busy connections, which count from the first byte of a request. It then closes the socket and the connections without a request, waits for the busy ones again, and only then closes the server.

Evidence: the new spec (half a head before the end of the drain, the rest after it) failed before with an unexpected EOF and is answered with 200 now.

--- a/entryhost/relay/ingress/front.go
+++ b/entryhost/relay/ingress/front.go
@@ -80,6 +80,8 @@
 	refusingStreams chan struct{}
 	refusingAll     chan struct{}
 	openRequests    *metrics.Counter
+	// busy is the number of connections with a request that is being read or answered.
+	busy *atomic.Int64
 }
 
 // NewFront returns a server for callers on a bound socket.
@@ -87,7 +89,7 @@
 	return &Front{
 		Parameters: parameters, socket: task.NewSocket(listener),
 		commands: task.NewMailbox[command](commandsCapacity), draining: make(chan struct{}), refusingStreams: make(chan struct{}), refusingAll: make(chan struct{}),
-		openRequests: parameters.Metrics.GetOrCreateCounter("lentilpoint_relay_open_requests"),
+		openRequests: parameters.Metrics.GetOrCreateCounter("lentilpoint_relay_open_requests"), busy: &atomic.Int64{},
 	}
 }
 
@@ -107,17 +109,34 @@
 	if err := f.sendCommand(ctx, commandDrain); err != nil {
 		return err
 	}
-	arrivalsEnd := f.Clock.After(f.DeregistrationDelay)
-	for arriving := true; arriving || f.openRequests.Get() > 0; {
+	select {
+	case <-ctx.Done():
+		return Error.Wrap(context.Cause(ctx))
+	case <-f.Clock.After(f.DeregistrationDelay):
+	}
+	if err := f.awaitRequests(ctx); err != nil {
+		return err
+	}
+	// Requests that were read before the socket was closed finish too.
+	if err := f.sendCommand(ctx, commandStopAccepting); err != nil {
+		return err
+	}
+	if err := f.awaitRequests(ctx); err != nil {
+		return err
+	}
+	return f.sendCommand(ctx, commandShutdown)
+}
+
+// awaitRequests waits until no request is being read or answered.
+func (f *Front) awaitRequests(ctx context.Context) error {
+	for f.busy.Load() > 0 {
 		select {
 		case <-ctx.Done():
 			return Error.Wrap(context.Cause(ctx))
-		case <-arrivalsEnd:
-			arriving = false
 		case <-f.Clock.After(drainPollInterval):
 		}
 	}
-	return f.sendCommand(ctx, commandShutdown)
+	return nil
 }
 
 func (f *Front) sendCommand(ctx context.Context, kind commandKind) error {
@@ -140,10 +159,15 @@
 		Handler: f.handler(), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, ConnState: trackConnState,
 		ConnContext: withConn, MaxHeaderBytes: maxHeaderBytes, ErrorLog: slog.NewLogLogger(f.Logger.Handler(), slog.LevelDebug),
 	}
-	failed := make(chan error, 1)
+	served := make(chan error, 1)
 	keepIdle, stopKeepIdle := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopKeepIdle()
-	go func() { failed <- server.Serve(callerListener{Listener: listener, keepIdle: keepIdle, keepNew: context.Background(), busy: &atomic.Int64{}}) }()
+	keepNew, stopKeepNew := context.WithCancel(context.WithoutCancel(ctx))
+	defer stopKeepNew()
+	go func() {
+		served <- server.Serve(callerListener{Listener: listener, keepIdle: keepIdle, keepNew: keepNew, busy: f.busy})
+	}()
+	var failed <-chan error = served
 	var refuseStreams, closeIdle, refuseAll <-chan time.Time
 	for {
 		select {
@@ -159,15 +183,22 @@
 		case <-refuseAll:
 			close(f.refusingAll)
 		case command := <-f.commands.C():
-			if command.kind == commandDrain {
+			switch command.kind {
+			case commandDrain:
 				close(f.draining)
 				refuseStreams, closeIdle = f.Clock.After(drainStreamWindow), f.Clock.After(f.DeregistrationDelay)
 				refuseAll = f.Clock.After(f.StopGracePeriod - minPlainTime)
 				command.reply.Send(nil)
-				continue
+			case commandStopAccepting:
+				// The error that the server then returns is expected.
+				failed = nil
+				stopKeepIdle()
+				stopKeepNew()
+				command.reply.Send(Error.Wrap(listener.Close()))
+			case commandShutdown:
+				command.reply.Send(Error.Wrap(server.Close()))
+				return suture.ErrDoNotRestart
 			}
-			command.reply.Send(Error.Wrap(server.Close()))
-			return suture.ErrDoNotRestart
 		}
 	}
 }
--- a/entryhost/relay/ingress/messages.go
+++ b/entryhost/relay/ingress/messages.go
@@ -71,8 +71,11 @@
 
 const (
 	commandDrain commandKind = iota
+	// commandStopAccepting closes the socket and the connections without a request.
+	commandStopAccepting
 	commandShutdown
 )
 
-// commandsCapacity is the mailbox capacity for commands; a drain sends two.
+// commandsCapacity is the mailbox capacity for commands; a drain sends three, one
+// after another.
 const commandsCapacity = 2
--- a/entryhost/relay/relay_test.go
+++ b/entryhost/relay/relay_test.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"net"
 	"net/http"
 	"strings"
 	"testing"
@@ -524,6 +525,25 @@
 		Eventually(s.done, 6*time.Second).Should(Receive(BeNil()))
 	})
 
+	It("answers a request whose first bytes were read before the drain ended", func() {
+		conn, err := net.Dial("tcp", s.relay.FrontAddress)
+		Expect(err).NotTo(HaveOccurred())
+		defer func() { _ = conn.Close() }()
+		_, err = io.WriteString(conn, "POST /order/1 HTTP/1.1\r\nHost: site.example\r\n")
+		Expect(err).NotTo(HaveOccurred())
+		s.stop()
+		// The drain ends after DeregistrationDelay if no request is open.
+		time.Sleep(s.relay.DeregistrationDelay + 200*time.Millisecond)
+		_, err = io.WriteString(conn, platform.HeaderKey+": "+key+"\r\n"+platform.HeaderRequestID+": late\r\nContent-Length: 4\r\n\r\nlate")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(conn.SetReadDeadline(time.Now().Add(5 * time.Second))).To(Succeed())
+		response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		Expect(err).NotTo(HaveOccurred())
+		defer func() { _ = response.Body.Close() }()
+		Expect(response.StatusCode).To(Equal(http.StatusOK))
+		Eventually(s.done, 6*time.Second).Should(Receive(BeNil()))
+	})
+
 	It("cancels the run on the server when the caller disconnects", func() {
 		ctx, cancel := context.WithCancel(context.Background())
 		request, err := http.NewRequestWithContext(ctx, "POST", "http://"+s.relay.FrontAddress+"/advice/1", strings.NewReader("twelve"))
