Serve routes without a time limit

Callers saw: after a change of the configuration to a route without a time limit, each request without a time of its own was refused at once (503, no server took it before its deadline), although the configuration allows it.

Cause: the deadline was the arrival plus a limit of 0 less the margin for the response, so it lay before the arrival.

Change: a limit that is not stated does not count; one hour bounds such requests.

--- a/entryhost/relay/ingress/front.go
+++ b/entryhost/relay/ingress/front.go
@@ -44,6 +44,9 @@
 	minPlainTime = 2 * time.Second
 	// drainPollInterval is how often a drain checks for open requests.
 	drainPollInterval = 50 * time.Millisecond
+	// maxRequestTime bounds requests whose route and caller state no limit, so that no
+	// request runs for good.
+	maxRequestTime = time.Hour
 	// lookupTimeout bounds the wait for the catalog.
 	lookupTimeout = time.Second
 	// retryAfter is the Retry-After of a host that is starting or draining.
@@ -306,9 +309,11 @@
 		return nil, model.NotRun(model.KindUnavailable, model.ReasonDraining, "this host stops", "send the request again on a new connection").WithRetryAfter(retryAfter)
 	}
 	service := view.Config.Services[route.Service(rand.Float64())]
-	timeout := route.Timeout
-	if head.Timeout > 0 && (timeout == 0 || head.Timeout < timeout) {
-		timeout = head.Timeout
+	timeout := maxRequestTime
+	for _, limit := range []time.Duration{route.Timeout, head.Timeout} {
+		if limit > 0 {
+			timeout = min(timeout, limit)
+		}
 	}
 	return &forward.Request{
 		ID: head.ID, Method: incoming.Method, Target: incoming.RequestURI, Host: incoming.Host, Header: head.Header,
--- a/entryhost/relay/relay_test.go
+++ b/entryhost/relay/relay_test.go
@@ -475,6 +475,11 @@
 		Eventually(func() int { return s.caller().send("GET", "/new/1", "").status }, 2*time.Second).Should(Equal(http.StatusOK))
 	})
 
+	It("serves a route without a time limit to a caller that states none", func() {
+		s.configure(2, map[string]any{"name": "patient", "host": "site.example", "prefix": "/patient/", "route_type": "idempotent", "target_latency_ms": 500, "service": "shop", "max_attempts": 2})
+		Eventually(func() int { return s.caller().send("GET", "/patient/1", "").status }, 2*time.Second).Should(Equal(http.StatusOK))
+	})
+
 	It("recovers when the store drops the history of its feed and a connection becomes unresponsive", func() {
 		s.store.DropHistory()
 		s.store.Silence()
