Handle SIGHUP until the process exits

Callers saw (LOST): on a host that was being stopped, whole requests got neither an answer nor a refusal and streams were cut off when the host got SIGHUP meanwhile, as it does beside a change of the configuration. The process ended at once instead of draining for 3 to 8 s.

Cause: the goroutine that turns SIGHUP into a request to read the settings ended with the context of SIGTERM and unregistered the signal. From then on SIGHUP had its default action, which ends a process. Before the signal was registered, at the start, it had that action too, as it had at any time for the daemon of the product's own API.

Change: main registers SIGHUP before anything else and never unregisters it; what reads the signals may end with the relay.

--- a/cmd/lentilpointd/main.go
+++ b/cmd/lentilpointd/main.go
@@ -20,13 +20,15 @@
 )
 
 func main() {
-	if err := rootCommand().Execute(); err != nil {
+	// Before anything else, since a signal without a handler ends the process.
+	hangups := notifyHangups()
+	if err := rootCommand(hangups).Execute(); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(1)
 	}
 }
 
-func rootCommand() *cobra.Command {
+func rootCommand(hangups <-chan os.Signal) *cobra.Command {
 	var values settings.Settings
 	daemon := &cobra.Command{
 		Use:           "lentilpointd",
@@ -48,7 +50,7 @@
 		},
 	}
 	settings.RegisterFlags(daemon.Flags(), &values)
-	daemon.AddCommand(relayCommand())
+	daemon.AddCommand(relayCommand(hangups))
 	return daemon
 }
 
--- a/cmd/lentilpointd/relay.go
+++ b/cmd/lentilpointd/relay.go
@@ -20,8 +20,8 @@
 )
 
 // relayCommand returns the command that runs this host as a relay on the users'
-// platform.
-func relayCommand() *cobra.Command {
+// platform. Each hangup makes it read its settings again.
+func relayCommand(hangups <-chan os.Signal) *cobra.Command {
 	return &cobra.Command{
 		Use:     "relay",
 		Short:   "Forward requests by route on the users' platform; settings come from the platform's file",
@@ -33,14 +33,14 @@
 			if err != nil {
 				return err
 			}
-			return runRelay(cmd.Context(), path, settings)
+			return runRelay(cmd.Context(), path, settings, hangups)
 		},
 	}
 }
 
 // runRelay runs the relay until SIGTERM or SIGINT. The log writer stops after the
 // relay, so that the relay's last lines are written.
-func runRelay(ctx context.Context, path string, settings relay.Settings) error {
+func runRelay(ctx context.Context, path string, settings relay.Settings, hangups <-chan os.Signal) error {
 	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	clock, metricSet := clockwork.NewRealClock(), metrics.NewSet()
@@ -52,7 +52,7 @@
 		Reload: reload.Source[relay.Settings]{
 			Read:    func() (relay.Settings, error) { return platform.ReadSettings(path) },
 			ModTime: func() (time.Time, error) { return platform.SettingsModTime(path) },
-			Signals: reloadRequests(ctx),
+			Signals: reloadRequests(ctx, hangups),
 		},
 		Adapter: platform.NewAdapter(settings, metricSet), Clock: clock, Metrics: metricSet, Logger: writer.Logger(slog.LevelInfo),
 	})
@@ -62,26 +62,3 @@
 	}
 	return err
 }
-
-// reloadRequests returns a channel that receives a request to read the settings for
-// each SIGHUP. Signals that arrive while a request is pending are merged into it.
-func reloadRequests(ctx context.Context) <-chan struct{} {
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGHUP)
-	requests := make(chan struct{}, 1)
-	go func() {
-		defer signal.Stop(signals)
-		for {
-			select {
-			case <-ctx.Done():
-				return
-			case <-signals:
-				select {
-				case requests <- struct{}{}:
-				default:
-				}
-			}
-		}
-	}()
-	return requests
-}
