Keep connections when the dispatcher is restarted

Callers saw: after a panic of the dispatcher all requests in flight on the host lost their sound servers at once. Streams were resumed or cut off, requests that are not idempotent got 502.

Cause: connections were opened with the context of one run of Serve, which the supervisor cancels when that run ends, also by a panic. Probes and loans of retries had that context too, so their results were lost: the request waited until its deadline, and a server with a lost probe was never probed again. A panic while waiting requests were tried lost all of them.

Change: the dispatcher has a context of its own that ends only when it is stopped. Waiting requests are taken from the list one by one.

--- a/entryhost/relay/dispatch/assign.go
+++ b/entryhost/relay/dispatch/assign.go
@@ -165,10 +165,12 @@
 	return serviceBudget
 }
 
+// retryWaiting tries each waiting request once, in their order. It takes them from the
+// list one by one, so that a panic loses only the request that caused it.
 func (t *Task) retryWaiting(ctx context.Context) {
-	waiting := t.waiting
-	t.waiting = nil
-	for _, request := range waiting {
+	for range len(t.waiting) {
+		request := t.waiting[0]
+		t.waiting = t.waiting[1:]
 		if !t.tryAssign(ctx, request) {
 			t.waiting = append(t.waiting, request)
 		}
--- a/entryhost/relay/dispatch/task.go
+++ b/entryhost/relay/dispatch/task.go
@@ -110,6 +110,12 @@
 	hosts   task.Mailbox[[]routing.Host]
 	reports task.Mailbox[exchange.Report]
 
+	// lifetime ends when the task is stopped, but not when the supervisor restarts it
+	// after a panic. Connections, probes and calls to other hosts have it as their
+	// context, so that a restart neither cuts requests in flight nor loses results.
+	lifetime    context.Context
+	endLifetime context.CancelFunc
+
 	createdAt time.Time
 	view      *catalog.View
 	// pools are the recent failures in each data centre of each service.
@@ -143,14 +149,16 @@
 
 // NewTask returns a dispatcher that knows no servers until the first view.
 func NewTask(parameters Parameters) *Task {
+	lifetime, endLifetime := context.WithCancel(context.Background())
 	return &Task{
 		Parameters: parameters,
-		mailbox:    task.NewMailbox[Message](mailboxSize),
-		views:      task.NewMailbox[*catalog.View](viewsSize),
-		hosts:      task.NewMailbox[[]routing.Host](viewsSize),
-		hostCount:  minHostCount,
-		allHosts:   []routing.Host{{Address: parameters.Self, DataCentre: parameters.DataCentre}},
-		shared:     map[string]sharedLoads{}, collectorsDown: map[string]time.Time{},
+		lifetime:   lifetime, endLifetime: endLifetime,
+		mailbox:   task.NewMailbox[Message](mailboxSize),
+		views:     task.NewMailbox[*catalog.View](viewsSize),
+		hosts:     task.NewMailbox[[]routing.Host](viewsSize),
+		hostCount: minHostCount,
+		allHosts:  []routing.Host{{Address: parameters.Self, DataCentre: parameters.DataCentre}},
+		shared:    map[string]sharedLoads{}, collectorsDown: map[string]time.Time{},
 		adopted:   map[string]adoption{},
 		ended:     map[string]time.Time{},
 		pools:     map[serverPool]poolFailures{},
@@ -176,7 +184,8 @@
 // String returns the task's name in logs.
 func (t *Task) String() string { return "dispatcher" }
 
-// Serve handles messages until the context ends.
+// Serve handles messages until the context ends. After a panic the supervisor calls
+// it again, and the task goes on with the state that it has.
 func (t *Task) Serve(ctx context.Context) error {
 	loadReports := t.Clock.NewTicker(reportDelay)
 	defer loadReports.Stop()
@@ -187,20 +196,21 @@
 		}
 		select {
 		case <-ctx.Done():
+			t.endLifetime()
 			return nil
 		case message := <-t.mailbox.C():
-			t.handle(ctx, message)
+			t.handle(t.lifetime, message)
 		case view := <-t.views.C():
 			t.applyView(view)
-			t.retryWaiting(ctx)
+			t.retryWaiting(t.lifetime)
 		case hosts := <-t.hosts.C():
 			t.applyHosts(hosts)
 		case report := <-t.reports.C():
 			t.handleReport(report)
 		case <-retry:
-			t.retryWaiting(ctx)
+			t.retryWaiting(t.lifetime)
 		case <-loadReports.Chan():
-			t.reportDue(ctx)
+			t.reportDue(t.lifetime)
 		}
 	}
 }
