Serve on when the reader of the log is gone

Callers saw: the relay ended at its next log line after the reader of its standard output had gone, for example with a restart of a log collector. All open requests were cut, without a line in the log.

Cause: SIGPIPE for standard output and standard error ends a Go program unless the signal is handled or ignored. It is the same class as SIGHUP, a signal with its default action while requests are open.

Evidence: the new spec (the read end of the log's pipe is closed, then requests) failed before with 'connection reset by peer'; both requests are served now and SIGTERM ends the process with status 0.

--- a/cmd/lentilpointd/main.go
+++ b/cmd/lentilpointd/main.go
@@ -22,6 +22,7 @@
 func main() {
 	// Before anything else, since a signal without a handler ends the process.
 	hangups := notifyHangups()
+	ignoreBrokenPipes()
 	if err := rootCommand(hangups).Execute(); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(1)
--- a/cmd/lentilpointd/relay_test.go
+++ b/cmd/lentilpointd/relay_test.go
@@ -127,4 +127,26 @@
 		Eventually(session, 10*time.Second).Should(gexec.Exit(0))
 		Expect(session.Out).To(gbytes.Say(`"event":2103`))
 	})
+
+	It("serves on when the reader of its log is gone", func() {
+		reader, output, err := os.Pipe()
+		Expect(err).NotTo(HaveOccurred())
+		command := exec.Command(program, "relay")
+		command.Env = []string{platform.SettingsVariable + "=" + settings}
+		command.Stdout, command.Stderr = output, output
+		Expect(command.Start()).To(Succeed())
+		exited := make(chan error, 1)
+		go func() { exited <- command.Wait() }()
+		DeferCleanup(func() { _ = command.Process.Kill() })
+		Expect(output.Close()).To(Succeed())
+		Eventually(func() error { _, err := ask("logged"); return err }, 10*time.Second).Should(Succeed())
+
+		Expect(reader.Close()).To(Succeed())
+		for range 2 {
+			_, err = ask("not logged")
+			Expect(err).NotTo(HaveOccurred())
+		}
+		Expect(command.Process.Signal(syscall.SIGTERM)).To(Succeed())
+		Eventually(exited, 10*time.Second).Should(Receive(BeNil()))
+	})
 })
--- a/cmd/lentilpointd/signals.go
+++ b/cmd/lentilpointd/signals.go
@@ -17,6 +17,11 @@
 	return hangups
 }
 
+// ignoreBrokenPipes makes a write to standard output or standard error fail when nothing
+// reads it any more. By default SIGPIPE ends the process then, so a restart of the log
+// collector would cut all open requests.
+func ignoreBrokenPipes() { signal.Ignore(syscall.SIGPIPE) }
+
 // reloadRequests returns a channel that receives a request to read the settings for
 // each SIGHUP until the context ends. Signals that arrive while a request is pending are
 // merged into it.
