Count unreachable servers anew once a stream goes on

Callers saw: a stream that had begun was cut off after eight refused connections or four refusals of servers in its whole life, although it had gone on on other servers in between and retries were left.

Cause: the limits for unreachable and rejecting servers are meant for one search for a server, but their counts were kept for all attempts of the request.

Change: both counts begin anew when an attempt has sent events. The number of runs is still limited by the route, and each retry is paid from the budget as before.

--- a/entryhost/relay/forward/task.go
+++ b/entryhost/relay/forward/task.go
@@ -146,8 +146,13 @@
 	}
 }
 
-// count adds an attempt to the counts that decide what may follow it.
+// count adds an attempt to the counts that decide what may follow it. Servers that were
+// unreachable or rejected the request before the stream went on do not count any more:
+// a long stream may survive several losses.
 func (r *requestTask) count(running *runningAttempt, outcome dispatch.Outcome) {
+	if running.note.Events > 0 {
+		r.counts.unsent, r.counts.rejections = 0, 0
+	}
 	r.counts = r.counts.add(outcome)
 	if outcome == dispatch.OutcomeSilent {
 		r.avoid[running.note.DataCentre] = true
