Keep a silent server that goes on while another one is reserved

Callers saw: a sound server was given up although it had gone on, or had already answered, while the next attempt was being reserved. A reservation takes up to 100 ms if a retry is borrowed from another host; the prompt of a stream was then read twice.

Cause: the reservation did not look at the events that arrived meanwhile. A reserved server that is not used also stayed paid from the retry budget.

Change: a reserved server is returned if the silent one has sent something. A release says when nothing was sent to the server, and the retry is then given back.

--- a/entryhost/relay/dispatch/messages.go
+++ b/entryhost/relay/dispatch/messages.go
@@ -133,6 +133,8 @@
 type Release struct {
 	Lease   Lease
 	Outcome Outcome
+	// Unused is set if nothing was sent to the server, so that a retry is not paid.
+	Unused bool
 	// Latency is the time to the response, or to the first event of a stream; 0 if
 	// there is none.
 	Latency time.Duration
--- a/entryhost/relay/dispatch/task.go
+++ b/entryhost/relay/dispatch/task.go
@@ -334,7 +334,7 @@
 			holder.copies--
 		}
 	}
-	if granted.retry && message.Outcome == OutcomeUnreachable {
+	if granted.retry && (message.Unused || message.Outcome == OutcomeUnreachable) {
 		t.budgetOf(granted.service).refund(t.uptime())
 	}
 	t.markLoadChanged(granted.server.server)
--- a/entryhost/relay/forward/reserve.go
+++ b/entryhost/relay/forward/reserve.go
@@ -24,15 +24,19 @@
 }
 
 // reserve acquires the attempt that replaces a silent one and reports whether there is
-// one. The silent attempt is still open, so that it can go on if there is none.
+// one. The silent attempt is still open, so that it can go on if there is none, or if
+// its server has sent something meanwhile.
 func (r *requestTask) reserve(running *runningAttempt, acquire func() (plannedAttempt, error)) bool {
 	counts, avoided := r.counts, r.avoid[running.note.DataCentre]
 	r.count(running, dispatch.OutcomeSilent)
 	r.exclude[running.note.Server] = true
 	next, err := acquire()
 	if err == nil && next.assignment.Server != nil {
-		r.reserved = &next
-		return true
+		if len(running.events) == 0 {
+			r.reserved = &next
+			return true
+		}
+		r.returnServer(next.assignment)
 	}
 	r.counts, r.avoid[running.note.DataCentre] = counts, avoided
 	delete(r.exclude, running.note.Server)
@@ -40,8 +44,11 @@
 }
 
 // logSilenceWait logs and counts that the request stays with a silent server because
-// no other attempt is possible.
+// no other attempt is possible. It does nothing if the server is not silent any more.
 func (r *requestTask) logSilenceWait(running *runningAttempt, cause error) {
+	if len(running.events) > 0 {
+		return
+	}
 	r.Metrics.GetOrCreateCounter(`lentilpoint_relay_silence_waits_total{service="` + r.request.Service.Name + `"}`).Inc()
 	r.Logger.Info("request waits for a silent server", eventcode.SilentServerAwaited.Attr(), "request", r.request.ID, "server", running.note.Server,
 		"cause", cause, "runs", r.counts.runs, "max_attempts", r.request.Route.MaxAttempts, "resumable", r.request.Route.Resumable)
--- a/entryhost/relay/forward/silence_test.go
+++ b/entryhost/relay/forward/silence_test.go
@@ -114,6 +114,9 @@
 	var released chan dispatch.Outcome
 	// grants is the number of attempts for which the dispatcher has a server.
 	var grants *atomic.Int32
+	// grantDelay is how long the dispatcher takes to assign a second server, for example
+	// because it borrows a retry from another host.
+	var grantDelay time.Duration
 
 	BeforeEach(func() {
 		ctx, cancel := context.WithCancel(context.Background())
@@ -128,6 +131,7 @@
 		limit := &atomic.Int32{}
 		grants = limit
 		grants.Store(1)
+		grantDelay = 0
 		go func() {
 			granted := int32(0)
 			for {
@@ -146,6 +150,9 @@
 							continue
 						}
 						granted++
+						if granted == 2 {
+							time.Sleep(grantDelay)
+						}
 						id := fmt.Sprintf("s-%d", granted)
 						message.Reply.Send(dispatch.Assignment{
 							Lease: dispatch.Lease(granted), Server: &routing.Server{ID: id, Address: address, DataCentre: id},
@@ -206,4 +213,15 @@
 		Eventually(released).Should(Receive(Equal(dispatch.OutcomeSuccess)))
 		Eventually(cancelled).Should(Receive())
 	})
+
+	It("keeps a server that goes on while another one is reserved, and returns that one", func() {
+		grants.Store(2)
+		grantDelay = 2 * silence
+		caller, summary := serve(http.MethodPost, routing.Route{Kind: routing.Streaming, Resumable: true, MaxAttempts: 5})
+		Expect(caller.body).To(Equal(wholeSilentStream))
+		Expect(summary.Attempts).To(HaveLen(1))
+		Expect(cancelled).NotTo(Receive())
+		Eventually(released).Should(Receive(Equal(dispatch.OutcomeNone)))
+		Eventually(released).Should(Receive(Equal(dispatch.OutcomeSuccess)))
+	})
 })
--- a/entryhost/relay/forward/task.go
+++ b/entryhost/relay/forward/task.go
@@ -209,7 +209,7 @@
 	assignment.Connection.Close()
 	ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
 	defer cancel()
-	if err := r.Dispatcher.Send(ctx, dispatch.Release{Lease: assignment.Lease, Outcome: dispatch.OutcomeNone}); err != nil {
+	if err := r.Dispatcher.Send(ctx, dispatch.Release{Lease: assignment.Lease, Outcome: dispatch.OutcomeNone, Unused: true}); err != nil {
 		r.Logger.Error("unused server not returned to the dispatcher", eventcode.OutcomeNotDelivered.Attr(), "request", r.request.ID, "server", assignment.Server.ID, "error", err)
 	}
 }
