Reserve no server that failed recently for a silent one

Callers saw: a stream on a sound server that was silent for a moment was given up for a server that was known not to answer, and cut off when that one refused the connection.

Cause: a paused server is assigned if there is no other. That is right for a request without a server, but a request on a silent server has one.

Evidence: the new spec (the only other server was unreachable just now) was assigned that server before.

Change: a reservation takes no paused server and none of a data centre that seems down. The request stays with the silent server meanwhile and tries again, as it does when no other server is possible.

--- a/entryhost/relay/dispatch/assign.go
+++ b/entryhost/relay/dispatch/assign.go
@@ -56,6 +56,9 @@
 // it returns the one with the lowest cost, or nil if there is none or the request
 // accepts only the preferred one.
 func (t *Task) pickServer(request *Acquire, candidates []candidate) *candidate {
+	if request.NotPaused {
+		candidates = filterCandidates(candidates, func(c *candidate) bool { return !c.paused && !c.dataCentreDown })
+	}
 	if request.Prefer != "" {
 		for _, c := range usable(request, candidates) {
 			if c.server.ID == request.Prefer && !c.paused {
--- a/entryhost/relay/dispatch/messages.go
+++ b/entryhost/relay/dispatch/messages.go
@@ -40,6 +40,9 @@
 	Prefer string
 	// OnlyPreferred refuses the request if the server in Prefer cannot be used.
 	OnlyPreferred bool
+	// NotPaused refuses the request if only servers are left that failed recently. It is
+	// set for an attempt that is to replace one on a server that is only silent.
+	NotPaused bool
 	// Backup asks for a second server that receives a copy of the run's cache.
 	Backup bool
 	// CopyLost receives the id of a server that held a copy and was lost. Its
--- a/entryhost/relay/dispatch/reserve_test.go
+++ b/entryhost/relay/dispatch/reserve_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -19,13 +20,20 @@
 	reserve := func() Assignment {
 		GinkgoHelper()
 		dispatcher.handleAcquire(context.Background(), Acquire{
-			Service: "engine", Exclude: map[string]bool{"a": true}, Retry: true, WaitUntil: dispatcher.Clock.Now(), Reply: replies,
+			Service: "engine", Exclude: map[string]bool{"a": true}, Retry: true, NotPaused: true, WaitUntil: dispatcher.Clock.Now(), Reply: replies,
 		})
 		var assignment Assignment
 		Expect(replies).To(Receive(&assignment))
 		return assignment
 	}
 
+	It("is not one that failed recently, since the silent one may be sound", func() {
+		dispatcher.recordOutcome(dispatcher.servers["b"], OutcomeUnreachable)
+		Expect(reserve().Server).To(BeNil())
+		dispatcher.Clock.(interface{ Advance(time.Duration) }).Advance(maxPause)
+		Expect(reserve().Server.ID).To(Equal("b"))
+	})
+
 	It("gives its retry back to the budget if it is not used", func() {
 		for range 100 {
 			assignment := reserve()
--- a/entryhost/relay/forward/plain.go
+++ b/entryhost/relay/forward/plain.go
@@ -70,10 +70,13 @@
 	}
 }
 
-// acquirePlain gets a server for the next attempt. It waits until waitUntil for a
-// server, or as long as the route allows if that is zero.
+// acquirePlain gets a server for the next attempt. A reservation states until when it
+// waits and takes no server that failed recently; otherwise waitUntil is zero, and the
+// request waits as long as the route allows.
 func (r *requestTask) acquirePlain(ctx context.Context, waitUntil time.Time) (plannedAttempt, error) {
-	assignment, err := r.acquire(ctx, dispatch.Acquire{NotRepeatable: r.request.Route.Kind == routing.NonIdempotent, WaitUntil: waitUntil})
+	assignment, err := r.acquire(ctx, dispatch.Acquire{
+		NotRepeatable: r.request.Route.Kind == routing.NonIdempotent, WaitUntil: waitUntil, NotPaused: !waitUntil.IsZero(),
+	})
 	return plannedAttempt{assignment: assignment, attempt: &exchange.Attempt{Rank: exchange.Unranked}}, err
 }
 
--- a/entryhost/relay/forward/stream.go
+++ b/entryhost/relay/forward/stream.go
@@ -71,12 +71,13 @@
 }
 
 // acquireAttempt gets a server for the next attempt: the holder of a copy of the
-// run's cache if one is usable, else the best server. It waits until waitUntil for a
-// server, or as long as the route allows if that is zero.
+// run's cache if one is usable, else the best server. A reservation states until when
+// it waits and takes no server that failed recently; otherwise waitUntil is zero, and
+// the request waits as long as the route allows.
 func (r *requestTask) acquireAttempt(ctx context.Context, s *streamState, waitUntil time.Time) (plannedAttempt, error) {
 	acquire := dispatch.Acquire{
 		Backup:   r.request.Service.Engine != nil && r.request.Service.Engine.CacheBackup && r.request.Route.Resumable,
-		CopyLost: s.copies.lost, WaitUntil: waitUntil,
+		CopyLost: s.copies.lost, WaitUntil: waitUntil, NotPaused: !waitUntil.IsZero(),
 	}
 	attempt := &exchange.Attempt{LastEventID: s.events.lastEventID()}
 	for held := s.copies.takeResumable(); held.Holder != nil; held = s.copies.takeResumable() {
