Probe servers whose registration has ended

Callers saw: a stream on a sound server was taken for lost at its first gap between events once the server's registration had ended, and its prompt was read again elsewhere. A server that leaves serves on for a while, and its registration may end before its runs.

Cause: the dispatcher forgot a server with its registration, and answered checks of a server that it does not know with 'not alive', without a probe. Connections that became idle while such a server was still probed stayed open without an owner.

Change: a server without a registration stays in the table until its last attempt and probe have ended. It takes no new request, as before, and its idle connections are closed.

--- a/entryhost/relay/dispatch/adopt.go
+++ b/entryhost/relay/dispatch/adopt.go
@@ -124,6 +124,6 @@
 	if state, found := t.servers[id]; found {
 		state.closeIdle()
 		t.notifyCopyLost(state)
-		delete(t.servers, id)
+		t.forgetUnused(id)
 	}
 }
--- a/entryhost/relay/dispatch/checks.go
+++ b/entryhost/relay/dispatch/checks.go
@@ -45,9 +45,7 @@
 	if !message.result.Alive {
 		t.recordOutcome(state, OutcomeSilent)
 	}
-	if !t.isKnown(message.server) {
-		delete(t.servers, message.server)
-	}
+	t.forgetUnused(message.server)
 }
 
 // hasIdleServer reports whether another usable server of the service reads no prompt,
--- a/entryhost/relay/dispatch/task.go
+++ b/entryhost/relay/dispatch/task.go
@@ -261,8 +261,8 @@
 }
 
 // applyView updates the servers from the registrations. A server that is neither
-// registered nor adopted stays in the table only while a probe of it is running;
-// leases keep their own reference to its state.
+// registered nor adopted stays in the table while it has attempts or a probe in
+// progress, since a server that leaves finishes its runs.
 func (t *Task) applyView(view *catalog.View) {
 	t.recordEnded(t.view.Servers, view.Servers)
 	t.view = view
@@ -285,9 +285,15 @@
 		}
 		state.closeIdle()
 		t.notifyCopyLost(state)
-		if state.pendingChecks == nil {
-			delete(t.servers, id)
-		}
+		t.forgetUnused(id)
+	}
+}
+
+// forgetUnused removes a server that is neither registered nor adopted once no attempt
+// and no probe of it is in progress.
+func (t *Task) forgetUnused(id string) {
+	if state, found := t.servers[id]; found && !t.isKnown(id) && state.inFlight == 0 && state.pendingChecks == nil {
+		delete(t.servers, id)
 	}
 }
 
@@ -301,7 +307,7 @@
 // handleReport updates the open and idle connections of a server.
 func (t *Task) handleReport(report exchange.Report) {
 	state, found := t.servers[report.Connection.Server()]
-	if !found {
+	if !found || report.Idle && !t.isKnown(report.Connection.Server()) {
 		report.Connection.Close()
 		return
 	}
@@ -340,6 +346,7 @@
 	t.markLoadChanged(granted.server.server)
 	t.recordOutcome(granted.server, message.Outcome)
 	t.recordSample(granted.server.server, message.Outcome, message.Latency)
+	t.forgetUnused(granted.server.server.ID)
 	if message.Outcome == OutcomeMisdirected && message.Instance != "" {
 		t.identify(ctx, granted.server.server, message.Instance)
 	}
