Refuse a request whose reply from the dispatcher is lost

Callers saw: a request that the dispatcher held in hand when it panicked, or whose loan of a retry was lost with a restart, waited until its deadline, which may be an hour away.

Cause: the wait for an assignment was bounded by the request's deadline alone, although the dispatcher replies within the longest wait for a server.

Found by reading.

Change: two seconds after the longest wait for a server the request counts as refused for want of a server; a server that is assigned later is returned. The spec of a slow reservation waits less than that.

--- a/entryhost/relay/forward/acquire_test.go
+++ b/entryhost/relay/forward/acquire_test.go
@@ -36,3 +36,18 @@
 		Eventually(dispatcher.C(), 2*time.Second).Should(Receive(Equal(dispatch.Release{Lease: 7, Outcome: dispatch.OutcomeNone, Unused: true})))
 	})
 })
+
+var _ = Describe("a request whose reply from the dispatcher is lost", func() {
+	It("is refused soon after the longest wait for a server, not at its deadline", func() {
+		dispatcher := task.NewMailbox[dispatch.Message](4)
+		forwarder := &Forwarder{Dispatcher: dispatcher, Clock: clockwork.NewRealClock(), Metrics: metrics.NewSet(), Logger: slog.New(slog.DiscardHandler)}
+		run := &requestTask{Forwarder: forwarder, request: &Request{Route: &routing.Route{LatencyObjective: time.Second}}}
+		ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+		DeferCleanup(cancel)
+		assignment, err := run.acquire(ctx, dispatch.Acquire{})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(assignment.Server).To(BeNil())
+		Expect(assignment.Refusal).To(Equal(dispatch.RefusedNoServer))
+		Expect(ctx.Err()).NotTo(HaveOccurred())
+	})
+})
--- a/entryhost/relay/forward/task.go
+++ b/entryhost/relay/forward/task.go
@@ -162,6 +162,11 @@
 // releaseTimeout bounds the wait for room in the dispatcher's mailbox.
 const releaseTimeout = 2 * time.Second
 
+// lostReplyTimeout is how long after the longest wait for a server a reply of the
+// dispatcher is given up. Replies come within some 100 ms after that wait, unless the
+// dispatcher was restarted while it handled the request.
+const lostReplyTimeout = 2 * time.Second
+
 // acquire asks the dispatcher for a server.
 func (r *requestTask) acquire(ctx context.Context, acquire dispatch.Acquire) (dispatch.Assignment, error) {
 	acquire.Service = r.request.Service.Name
@@ -184,6 +189,10 @@
 	case <-ctx.Done():
 		go r.releaseUnused(reply)
 		return dispatch.Assignment{}, context.Cause(ctx)
+	case <-r.Clock.After(acquire.WaitUntil.Sub(r.Clock.Now()) + lostReplyTimeout):
+		go r.releaseUnused(reply)
+		r.Logger.Error("the dispatcher did not reply; the request is refused", eventcode.OutcomeNotDelivered.Attr(), "request", r.request.ID)
+		return dispatch.Assignment{Refusal: dispatch.RefusedNoServer}, nil
 	}
 }
 
--- a/eventcode/relay.go
+++ b/eventcode/relay.go
@@ -64,7 +64,7 @@
 	{ServerDeregistered, "server gone", "A registration ended.", "Nothing unless the server should run."},
 	{ServerUsability, "server standing", "This host stopped or resumed sending new work to a server because of the outcomes of attempts.", "Look at the server if it repeats."},
 	{ServerSilent, "server silent", "A server did not answer a query about its runs; its streams continue on other servers.", "Look at the server if it repeats."},
-	{OutcomeNotDelivered, "release lost", "The dispatcher did not receive the outcome of an attempt in time.", "Report it with the log line."},
+	{OutcomeNotDelivered, "release lost", "The dispatcher did not receive the outcome of an attempt in time, or did not reply to a request, which is then refused.", "Report it with the log line."},
 	{ServerAdopted, "server adopted", "An engine restarted under another id and receives work before its registration arrives.", "Nothing."},
 	{RelayMoveOrdered, "version move ordered", "The operator ordered a version move; this host takes part.", "Nothing."},
 	{RelayMoveDecided, "version move decided", "The host that holds the move wrote its next state from the evidence of all hosts.", "For a withdrawn move, compare the failures and times of both versions in the line."},
