Abort incomplete answers of the product's own API

Callers saw, on the product's own API: a caller that closes its sending side after its request got status 200 with an empty body, or a stream whose last chunk made it look complete, although its generation had been given up.

Cause: net/http takes such a caller for gone and ends the context of the request. The handler then returned without an answer, which net/http completes with status 200; on the relay the same return became the router's 404 page.

Found by reading.

Change: a handler that gives up its request aborts the answer, as one that copies a broken answer did already.

--- a/entryhost/callers/call.go
+++ b/entryhost/callers/call.go
@@ -42,7 +42,7 @@
 		return requests.StartCall{Context: ctx, Call: call, Reply: reply}
 	})
 	if err != nil {
-		return
+		abortAnswer()
 	}
 	if answer.Fault != nil {
 		s.writeFault(c, caller.requestID, answer.Fault)
@@ -139,8 +139,7 @@
 }
 
 // copyAnswer copies the answer of a plain service to the caller. If the answer ends
-// early, the connection is aborted, so that the caller detects an incomplete
-// answer.
+// early, it is aborted.
 func (s *Server) copyAnswer(c *gin.Context, head backends.ExchangeHead) {
 	defer func() { _ = head.Body.Close() }()
 	for name, values := range backends.EndToEndHeaders(head.Header) {
@@ -150,6 +149,11 @@
 	c.Writer.WriteHeaderNow()
 	if _, err := io.Copy(c.Writer, head.Body); err != nil {
 		s.Logger.Info("answer of a plain service was cut short", eventcode.AnswerCut.Attr(), "error", err)
-		panic(http.ErrAbortHandler)
+		abortAnswer()
 	}
 }
+
+// abortAnswer ends a request whose answer is not complete by closing its connection. If
+// its handler returned, net/http would end the answer as if it was complete, also to a
+// caller that counts as gone because it has only closed its sending side.
+func abortAnswer() { panic(http.ErrAbortHandler) }
--- a/entryhost/callers/generate.go
+++ b/entryhost/callers/generate.go
@@ -73,7 +73,7 @@
 	updates := make(chan requests.Update, updateBufferSize)
 	start := requests.StartGeneration{Context: c.Request.Context(), Generation: generation, Updates: updates}
 	if err := s.Requests.Send(c.Request.Context(), start); err != nil {
-		return
+		abortAnswer()
 	}
 	format := answerFormat{id: caller.requestID, model: body.Model, created: s.Clock.Now().Unix(), chat: chat, tokenIDs: body.ReturnTokenIDs}
 	if body.Stream {
@@ -168,7 +168,7 @@
 	for {
 		select {
 		case <-c.Request.Context().Done():
-			return
+			abortAnswer()
 		case <-heartbeat.Chan():
 			if !started && resumed {
 				startEventStream(c)
@@ -245,7 +245,7 @@
 	for {
 		select {
 		case <-c.Request.Context().Done():
-			return
+			abortAnswer()
 		case update := <-updates:
 			if update.Fault != nil {
 				s.writeFault(c, format.id, update.Fault)
