Close the socket for peers when its task fails

What was seen: after one failed accept, for example for want of file descriptors, the listener for peers never served again: other hosts could not borrow retries from this host or read its copies of the configuration until the process was restarted.

Cause: the task returned the error without closing its socket, so the restarted task could not bind the address. The servers of net/http close their sockets themselves.

--- a/entryhost/peers/listener.go
+++ b/entryhost/peers/listener.go
@@ -67,6 +67,8 @@
 	if err != nil {
 		return Error.Wrap(err)
 	}
+	// After a failure the restarted task binds the address again.
+	defer func() { _ = listener.Close() }()
 	stop := context.AfterFunc(ctx, func() { _ = listener.Close() })
 	defer stop()
 	for {
--- a/entryhost/relay/peering/peering.go
+++ b/entryhost/relay/peering/peering.go
@@ -131,6 +131,8 @@
 	if err != nil {
 		return Error.Wrap(err)
 	}
+	// After a failure the restarted task binds the address again.
+	defer func() { _ = listener.Close() }()
 	release := context.AfterFunc(ctx, func() { _ = listener.Close() })
 	defer release()
 	server := rpc.NewServer()
