Deliver an answer that was written before a panic

Callers saw: after a panic that came when the answer was written, for example in the log line or in the metrics of the request, the connection closed without the answer.

Cause: the step that ends a request aborted each connection whose head was sent. Until the handler returns the answer is still in the buffers of net/http.

Evidence: the new spec got EOF before and the answer now, also with the race detector.

Change: a request that has its complete answer ends as usual; event 2148 still has the stack.

--- a/entryhost/relay/ingress/answer_test.go
+++ b/entryhost/relay/ingress/answer_test.go
@@ -86,4 +86,22 @@
 		Expect(string(content)).To(BeEmpty())
 		Expect(set.GetOrCreateCounter(`lentilpoint_relay_unanswered_total{reason="caller_left"}`).Get()).To(BeEquivalentTo(1))
 	})
+
+	It("gets its answer if it was written before a panic, instead of a connection that closes", func() {
+		front := NewFront(nil, Parameters{Metrics: set, Logger: slog.New(slog.DiscardHandler)})
+		answering := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			caller := &responseWriter{writer: w, draining: make(chan struct{})}
+			defer front.endRequest(r, caller)
+			Expect(caller.Answer(http.StatusOK, http.Header{}, []byte("answer"))).To(Succeed())
+			panic("fault of the test")
+		}))
+		DeferCleanup(answering.Close)
+		response, err := answering.Client().Get(answering.URL)
+		Expect(err).NotTo(HaveOccurred())
+		defer func() { _ = response.Body.Close() }()
+		content, err := io.ReadAll(response.Body)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(string(content)).To(Equal("answer"))
+		Expect(set.GetOrCreateCounter(`lentilpoint_relay_unanswered_total{reason="task_failed"}`).Get()).To(BeZero())
+	})
 })
--- a/entryhost/relay/ingress/front.go
+++ b/entryhost/relay/ingress/front.go
@@ -269,9 +269,12 @@
 		f.countUnanswered("caller_left")
 		panic(http.ErrAbortHandler)
 	}
+	f.Logger.Error("task of a request failed", eventcode.RelayRequestUnanswered.Attr(), "target", incoming.RequestURI,
+		"head_sent", caller.headSent, "answered", caller.complete, "panic", failure, "stack", string(debug.Stack()))
+	if caller.complete {
+		return
+	}
 	f.countUnanswered("task_failed")
-	f.Logger.Error("task of a request ended without an answer", eventcode.RelayRequestUnanswered.Attr(), "target", incoming.RequestURI,
-		"head_sent", caller.headSent, "panic", failure, "stack", string(debug.Stack()))
 	if caller.headSent {
 		panic(http.ErrAbortHandler)
 	}
--- a/entryhost/relay/ingress/writer.go
+++ b/entryhost/relay/ingress/writer.go
@@ -13,8 +13,10 @@
 type responseWriter struct {
 	writer   http.ResponseWriter
 	draining <-chan struct{}
-	// headSent is set once the head of a response was written.
+	// headSent is set once the head of a response was written, and complete once a whole
+	// response was.
 	headSent bool
+	complete bool
 }
 
 func (w *responseWriter) writeHead(status int, header http.Header) {
@@ -37,6 +39,7 @@
 	}
 	w.writeHead(status, header)
 	_, err := w.writer.Write(body)
+	w.complete = err == nil
 	return Error.Wrap(err)
 }
 
