Begin no request on a connection that a drain is closing

Callers saw, if a request met the end of a drain: it could begin, be passed on and be cut, because the server was closed before the request was counted; or it got status 400 of net/http although it was proper.

Cause: idle and new connections are closed by callbacks that run after their context has ended. A request that was read before its callback ran still began, although the drain had already found no busy connection; the count was also raised only after the state. A request that was not to begin ended with an error for which net/http sends status 400 if the connection is still open, which it is for a moment. An error of the second close of the socket was logged as an error of the drain.

Evidence: the new spec (the context has ended, the callback has not run) began a request before.

Change: a connection counts as busy before the contexts are checked, no request begins after they have ended, and the error is that of a failed read.

--- a/entryhost/relay/ingress/conn.go
+++ b/entryhost/relay/ingress/conn.go
@@ -46,7 +46,7 @@
 
 // track returns a connection whose state is tracked.
 func (l callerListener) track(accepted net.Conn) *callerConn {
-	conn := &callerConn{Conn: accepted, keepIdle: l.keepIdle, busy: l.busy}
+	conn := &callerConn{Conn: accepted, keepIdle: l.keepIdle, keepNew: l.keepNew, busy: l.busy}
 	stopIdle := context.AfterFunc(l.keepIdle, conn.closeIdle)
 	stopNew := context.AfterFunc(l.keepNew, conn.closeNew)
 	conn.detach = func() { stopIdle(); stopNew() }
@@ -60,28 +60,43 @@
 type callerConn struct {
 	net.Conn
 	keepIdle context.Context
+	keepNew  context.Context
 	busy     *atomic.Int64
 	detach   func()
 	state    atomic.Int32
 }
 
+// errNotBegun is what net/http reads instead of a request that arrives while its
+// connection is closed. After any error but one of a read, net/http answers with 400.
+var errNotBegun = &net.OpError{Op: "read", Net: "tcp", Err: net.ErrClosed}
+
 // Read implements net.Conn.
 func (c *callerConn) Read(buffer []byte) (int, error) {
 	count, err := c.Conn.Read(buffer)
 	if count > 0 && !c.beginRequest() {
-		return 0, net.ErrClosed
+		return 0, errNotBegun
 	}
 	return count, err
 }
 
-// beginRequest makes the connection busy and returns false if it was closed before.
+// beginRequest makes the connection busy and returns false if it is closed or has to be.
 // A handler calls it too: a request that its caller sent together with the one before
 // is in the buffer of net/http already and is not read again.
 func (c *callerConn) beginRequest() bool {
-	if c.state.CompareAndSwap(connNew, connBusy) || c.state.CompareAndSwap(connIdle, connBusy) {
-		c.busy.Add(1)
+	// The connection counts before the contexts are checked. So a drain that ends them
+	// and then finds none busy knows that no further request begins, although the
+	// callbacks that close the connections may not have run yet.
+	c.busy.Add(1)
+	if c.beginFrom(connNew, c.keepNew) || c.beginFrom(connIdle, c.keepIdle) {
+		return true
 	}
-	return c.state.Load() != connClosing
+	c.busy.Add(-1)
+	return c.state.Load() == connBusy
+}
+
+// beginFrom makes a connection in the state busy unless it has to be closed.
+func (c *callerConn) beginFrom(state connState, keep context.Context) bool {
+	return keep.Err() == nil && c.state.CompareAndSwap(state, connBusy)
 }
 
 // endRequest gives the connection a state in which no request is being read or
--- a/entryhost/relay/ingress/conn_test.go
+++ b/entryhost/relay/ingress/conn_test.go
@@ -83,6 +83,24 @@
 		Expect(errors.Is(err, net.ErrClosed)).To(BeTrue())
 	})
 
+	It("begins no request once idle connections have to be closed, also before it is closed itself", func() {
+		ended, end := context.WithCancel(context.Background())
+		end()
+		for _, state := range []connState{connNew, connIdle} {
+			// No callback closes this connection, as if it had not run yet.
+			late := &callerConn{Conn: inner, keepIdle: ended, keepNew: ended, busy: &atomic.Int64{}, detach: func() {}}
+			late.state.Store(state)
+			Expect(late.beginRequest()).To(BeFalse())
+			Expect(late.busy.Load()).To(BeZero())
+
+			inner.deliver <- struct{}{}
+			_, err := late.Read(make([]byte, 64))
+			var failure *net.OpError
+			Expect(errors.As(err, &failure)).To(BeTrue(), "net/http answers other errors with status 400")
+			Expect(failure.Op).To(Equal("read"))
+		}
+	})
+
 	It("that is new is not closed before its first request", func() {
 		stopKeepIdle()
 		Consistently(inner.closed, "50ms").ShouldNot(BeClosed())
--- a/entryhost/relay/ingress/front.go
+++ b/entryhost/relay/ingress/front.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"log/slog"
 	"math/rand/v2"
@@ -199,7 +200,12 @@
 				stopKeepNew()
 				command.reply.Send(Error.Wrap(listener.Close()))
 			case commandShutdown:
-				command.reply.Send(Error.Wrap(server.Close()))
+				err := server.Close()
+				if errors.Is(err, net.ErrClosed) {
+					// The socket was closed before the connections.
+					err = nil
+				}
+				command.reply.Send(Error.Wrap(err))
 				return suture.ErrDoNotRestart
 			}
 		}
