Close the socket of a draining host under a steady load too

Callers saw: on a host that got new connections until its end, as where fewer than half of a data centre's hosts are in rotation, the drain ended with its time, and the requests that were open then were cut.

Cause: the socket is closed once no request is open, and under a steady load there is always one.

Change: the socket is closed at the latest when new requests are refused anyway, two seconds before the platform's kill; the requests that are open then finish.

--- a/entryhost/relay/ingress/front.go
+++ b/entryhost/relay/ingress/front.go
@@ -118,25 +118,30 @@
 		return Error.Wrap(context.Cause(ctx))
 	case <-f.Clock.After(f.DeregistrationDelay):
 	}
-	if err := f.awaitRequests(ctx); err != nil {
+	// Under a steady load there is always an open request, so the socket is closed at the
+	// latest when new requests are refused anyway.
+	if err := f.awaitRequests(ctx, f.refusingAll); err != nil {
 		return err
 	}
 	// Requests that were read before the socket was closed finish too.
 	if err := f.sendCommand(ctx, commandStopAccepting); err != nil {
 		return err
 	}
-	if err := f.awaitRequests(ctx); err != nil {
+	if err := f.awaitRequests(ctx, nil); err != nil {
 		return err
 	}
 	return f.sendCommand(ctx, commandShutdown)
 }
 
-// awaitRequests waits until no request is being read or answered.
-func (f *Front) awaitRequests(ctx context.Context) error {
+// awaitRequests waits until no request is being read or answered, or until the channel
+// is closed.
+func (f *Front) awaitRequests(ctx context.Context, until <-chan struct{}) error {
 	for f.busy.Load() > 0 {
 		select {
 		case <-ctx.Done():
 			return Error.Wrap(context.Cause(ctx))
+		case <-until:
+			return nil
 		case <-f.Clock.After(drainPollInterval):
 		}
 	}
