--- a/entryhost/relay/relay_test.go
+++ b/entryhost/relay/relay_test.go
@@ -549,6 +549,32 @@
 		Eventually(s.done, 6*time.Second).Should(Receive(BeNil()))
 	})
 
+	It("refuses a request whose body is not complete at its deadline", func() {
+		conn, err := net.Dial("tcp", s.relay.FrontAddress)
+		Expect(err).NotTo(HaveOccurred())
+		defer func() { _ = conn.Close() }()
+		_, err = io.WriteString(conn, "POST /order/1 HTTP/1.1\r\nHost: site.example\r\n"+platform.HeaderKey+": "+key+"\r\n"+platform.HeaderRequestID+": slow\r\nContent-Length: 4\r\n\r\nsl")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(conn.SetReadDeadline(time.Now().Add(4 * time.Second))).To(Succeed())
+		response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		Expect(err).NotTo(HaveOccurred())
+		defer func() { _ = response.Body.Close() }()
+		Expect(response.StatusCode).To(Equal(http.StatusServiceUnavailable))
+	})
+
+	It("answers a request whose deadline has passed when its body was read", func() {
+		for _, body := range []string{"", "body"} {
+			request, err := http.NewRequest("POST", "http://"+s.relay.FrontAddress+"/order/1", strings.NewReader(body))
+			Expect(err).NotTo(HaveOccurred())
+			request.Host = "site.example"
+			request.Header = http.Header{platform.HeaderKey: {key}, platform.HeaderRequestID: {"hasty"}, platform.HeaderDeadline: {"1"}}
+			response, err := http.DefaultClient.Do(request)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(response.Body.Close()).To(Succeed())
+			Expect(response.StatusCode).To(Equal(http.StatusServiceUnavailable))
+		}
+	})
+
 	It("cancels the run on the server when the caller disconnects", func() {
 		ctx, cancel := context.WithCancel(context.Background())
 		request, err := http.NewRequestWithContext(ctx, "POST", "http://"+s.relay.FrontAddress+"/advice/1", strings.NewReader("twelve"))
