Tell streams cut by a stop from callers that left

At the end of a stop the server closes its connections, which ends the contexts of open requests as a caller does that leaves. The line of each request now says whether the host drains.

--- a/entryhost/relay/ingress/front.go
+++ b/entryhost/relay/ingress/front.go
@@ -352,7 +352,7 @@
 		eventcode.RelayRequestDone.Attr(), "request", request.ID, "route", request.Route.Name, "service", request.Service.Name,
 		"status", summary.Status, "took_ms", duration.Milliseconds(), "first_ms", summary.FirstEvent.Milliseconds(),
 		"resumed_after", request.LastEventID, "events", summary.Events, "gap_ms", summary.LongestGap.Milliseconds(), "caller_left", summary.CallerLeft,
-		"broken", summary.Broken, "attempts", summary.Attempts,
+		"broken", summary.Broken, "draining", isClosed(f.draining), "attempts", summary.Attempts,
 	}
 	if summary.Fault != nil {
 		attributes = append(attributes, "reason", summary.Fault.Reason, "message", summary.Fault.Message)
