Quote values of metric labels in one place

Callers of a service whose name has a quote, a backslash or a line break got 503 for each request, and requests of all services that waited in the dispatcher were lost: the name of the series was built by concatenation, and the metrics library panics on a name that is not valid. The panic ended the dispatcher, which came back without its leases, or the goroutine of a request. Evidence: specs "a service whose name is odd" with a stand-in server. Before: a quote, a backslash and a line break failed, 503 in place of 200 for 4 s and longer. After: all four pass, and other services are served beside it. The package series builds every name with a value that is not a constant of its caller; a fuzz test holds it against the validator of the library. The ingress keeps its three names, whose values are constants of the code.

--- a/entryhost/relay/dispatch/assign.go
+++ b/entryhost/relay/dispatch/assign.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/lentilpoint/lentilpoint/entryhost/relay/exchange"
+	"github.com/lentilpoint/lentilpoint/entryhost/relay/series"
 )
 
 // tryAssign answers the request with a server or a refusal, or returns false if
@@ -37,7 +38,7 @@
 		deferred = waiting.exceedsShare(request.Organisation)
 		if request.Backup && !waiting.copiesAllowed() {
 			request.Backup = false
-			t.Metrics.GetOrCreateCounter(`lentilpoint_relay_backups_omitted_total{service="` + request.Service + `"}`).Inc()
+			t.Metrics.GetOrCreateCounter(series.Name("lentilpoint_relay_backups_omitted_total", "service", request.Service)).Inc()
 		}
 	}
 	retryBudget := t.budgetOf(request.Service)
@@ -76,7 +77,7 @@
 	assignment := Assignment{Server: state.server}
 	if deferred {
 		assignment.Deferred = true
-		t.Metrics.GetOrCreateCounter(`lentilpoint_relay_deferred_total{service="` + request.Service + `"}`).Inc()
+		t.Metrics.GetOrCreateCounter(series.Name("lentilpoint_relay_deferred_total", "service", request.Service)).Inc()
 	}
 	if request.Backup {
 		if backup := chooseBackup(t.Random, t.DataCentre, &request, candidates, chosen.server); backup != nil {
@@ -109,7 +110,7 @@
 		last.connection.Close()
 	}
 	state.open++
-	t.Metrics.GetOrCreateCounter(`lentilpoint_relay_connections_opened_total{service="` + state.server.Service + `"}`).Inc()
+	t.Metrics.GetOrCreateCounter(series.Name("lentilpoint_relay_connections_opened_total", "service", state.server.Service)).Inc()
 	return exchange.Open(ctx, state.server.ID, state.server.Address, t.Protocol, t.reports), false
 }
 
@@ -118,7 +119,7 @@
 // refuseFor refuses the request and states when the caller may return, unless that is
 // 0.
 func (t *Task) refuseFor(request Acquire, refusal Refusal, retryAfter time.Duration) {
-	t.Metrics.GetOrCreateCounter(`lentilpoint_relay_dispatch_refusals_total{reason="` + string(refusal) + `"}`).Inc()
+	t.Metrics.GetOrCreateCounter(series.Name("lentilpoint_relay_dispatch_refusals_total", "reason", string(refusal))).Inc()
 	request.Reply.Send(Assignment{Refusal: refusal, RetryAfter: retryAfter})
 }
 
--- a/entryhost/relay/dispatch/budget.go
+++ b/entryhost/relay/dispatch/budget.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/lentilpoint/lentilpoint/entryhost/relay/series"
 	"github.com/lentilpoint/lentilpoint/eventcode"
 )
 
@@ -104,7 +105,7 @@
 	}
 	t.Logger.Info("retry exceeds this host's retry budget", eventcode.BudgetBorrowed.Attr(), "service", message.request.Service, "route", message.request.Route,
 		"result", result, "hosts", len(t.peers), "error", message.err)
-	t.Metrics.GetOrCreateCounter(`lentilpoint_relay_budget_borrowed_total{service="` + message.request.Service + `",result="` + result + `"}`).Inc()
+	t.Metrics.GetOrCreateCounter(series.Name("lentilpoint_relay_budget_borrowed_total", "service", message.request.Service, "result", result)).Inc()
 	if !message.granted {
 		t.refuse(message.request, RefusedBudget)
 		return
@@ -118,7 +119,7 @@
 func (t *Task) handleLend(message LendRetry) {
 	granted := t.budgetOf(message.Service).spend(t.uptime(), t.hostCount, lendReserveRetries)
 	if granted {
-		t.Metrics.GetOrCreateCounter(`lentilpoint_relay_budget_lent_total{service="` + message.Service + `"}`).Inc()
+		t.Metrics.GetOrCreateCounter(series.Name("lentilpoint_relay_budget_lent_total", "service", message.Service)).Inc()
 	}
 	message.Reply.Send(granted)
 }
--- a/entryhost/relay/dispatch/locate.go
+++ b/entryhost/relay/dispatch/locate.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/lentilpoint/lentilpoint/entryhost/relay/routing"
+	"github.com/lentilpoint/lentilpoint/entryhost/relay/series"
 	"github.com/lentilpoint/lentilpoint/eventcode"
 	"github.com/lentilpoint/lentilpoint/task"
 )
@@ -149,7 +150,7 @@
 	if server == "" {
 		result = "missing"
 	}
-	t.Metrics.GetOrCreateCounter(`lentilpoint_relay_prompt_searches_total{result="` + result + `"}`).Inc()
+	t.Metrics.GetOrCreateCounter(series.Name("lentilpoint_relay_prompt_searches_total", "result", result)).Inc()
 	s.reply.Send(server)
 	return true
 }
--- a/entryhost/relay/dispatch/task.go
+++ b/entryhost/relay/dispatch/task.go
@@ -12,6 +12,7 @@
 	"github.com/lentilpoint/lentilpoint/entryhost/relay/catalog"
 	"github.com/lentilpoint/lentilpoint/entryhost/relay/exchange"
 	"github.com/lentilpoint/lentilpoint/entryhost/relay/routing"
+	"github.com/lentilpoint/lentilpoint/entryhost/relay/series"
 	"github.com/lentilpoint/lentilpoint/eventcode"
 	"github.com/lentilpoint/lentilpoint/task"
 )
@@ -333,7 +334,7 @@
 	if message.Outcome == OutcomeMisdirected && message.Instance != "" {
 		t.identify(ctx, granted.server.server, message.Instance)
 	}
-	t.Metrics.GetOrCreateCounter(`lentilpoint_relay_attempts_total{service="` + granted.service + `",outcome="` + message.Outcome.String() + `"}`).Inc()
+	t.Metrics.GetOrCreateCounter(series.Name("lentilpoint_relay_attempts_total", "service", granted.service, "outcome", message.Outcome.String())).Inc()
 }
 
 // handleFirstEventSent counts an attempt as decoding instead of reading its
--- a/entryhost/relay/forward/task.go
+++ b/entryhost/relay/forward/task.go
@@ -14,6 +14,7 @@
 	"github.com/lentilpoint/lentilpoint/entryhost/relay/dispatch"
 	"github.com/lentilpoint/lentilpoint/entryhost/relay/exchange"
 	"github.com/lentilpoint/lentilpoint/entryhost/relay/routing"
+	"github.com/lentilpoint/lentilpoint/entryhost/relay/series"
 	"github.com/lentilpoint/lentilpoint/entryhost/relay/suspects"
 	"github.com/lentilpoint/lentilpoint/eventcode"
 	"github.com/lentilpoint/lentilpoint/model"
@@ -198,7 +199,7 @@
 
 // logRetry logs and counts that the request goes to another server.
 func (r *requestTask) logRetry(running *runningAttempt, outcome dispatch.Outcome, cause error, lastEvent string) {
-	r.Metrics.GetOrCreateCounter(`lentilpoint_relay_retries_total{service="` + r.request.Service.Name + `",reason="` + outcome.String() + `"}`).Inc()
+	r.Metrics.GetOrCreateCounter(series.Name("lentilpoint_relay_retries_total", "service", r.request.Service.Name, "reason", outcome.String())).Inc()
 	r.Logger.Info("request is retried on another server", eventcode.RequestRerouted.Attr(), "request", r.request.ID, "route", r.request.Route.Name,
 		"server", running.note.Server, "data_centre", running.note.DataCentre, "outcome", outcome.String(), "cause", cause, "runs", r.counts.runs,
 		"rejections", r.counts.rejections, "unsent", r.counts.unsent, "last_event", lastEvent,
@@ -223,7 +224,7 @@
 
 func (r *requestTask) sendFault(fault *model.Fault) {
 	r.summary.Fault = fault
-	r.Metrics.GetOrCreateCounter(`lentilpoint_relay_refusals_total{reason="` + string(fault.Reason) + `"}`).Inc()
+	r.Metrics.GetOrCreateCounter(series.Name("lentilpoint_relay_refusals_total", "reason", string(fault.Reason))).Inc()
 	if err := r.caller.Refuse(fault); err != nil {
 		r.summary.CallerLeft = true
 	}
--- a/entryhost/relay/mirror/task.go
+++ b/entryhost/relay/mirror/task.go
@@ -11,6 +11,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/jonboulle/clockwork"
 
+	"github.com/lentilpoint/lentilpoint/entryhost/relay/series"
 	"github.com/lentilpoint/lentilpoint/eventcode"
 	"github.com/lentilpoint/lentilpoint/task"
 )
@@ -69,9 +70,9 @@
 		Parameters:    parameters,
 		subscribers:   subscribers,
 		mailbox:       task.NewMailbox[ChangesRequest](requestsCapacity),
-		storeCalls:    set.GetOrCreateCounter(`lentilpoint_store_reads_total{table="` + table + `"}`),
-		storeFailures: set.GetOrCreateCounter(`lentilpoint_store_failures_total{table="` + table + `"}`),
-		peerSnapshots: set.GetOrCreateCounter(`lentilpoint_store_peer_copies_total{table="` + table + `"}`),
+		storeCalls:    set.GetOrCreateCounter(series.Name("lentilpoint_store_reads_total", "table", table)),
+		storeFailures: set.GetOrCreateCounter(series.Name("lentilpoint_store_failures_total", "table", table)),
+		peerSnapshots: set.GetOrCreateCounter(series.Name("lentilpoint_store_peer_copies_total", "table", table)),
 		snapshot:      Snapshot{Table: table},
 		excludedPeers: map[string]time.Time{},
 	}
