Take no response without an id on a kept connection

Cause: the id of a response was only compared if there was one, so a refusal without an id counted as the answer of whatever request came next; the same held for a success without an id. A response without an id on a connection that has answered another request ends the connection and counts as an attempt that may have run. The first response on a connection may lack the id: a server may refuse before it has read the head, and no earlier request can have caused it. The spec of a reused connection answered without an id, unlike servers; it now echoes it and demands the same.

--- a/cmd/lentilpoint-bench/standin/server.go
+++ b/cmd/lentilpoint-bench/standin/server.go
@@ -19,6 +19,11 @@
 type ServerFaults struct {
 	// Refuse refuses requests with platform.HeaderNotRun, without running them.
 	Refuse bool
+	// RepeatRefusal writes a refusal once more on its connection, in the place of the
+	// answer of the next request, which runs.
+	RepeatRefusal bool
+	// AnonymousRefusal omits the id of the request in refusals that are repeated.
+	AnonymousRefusal bool
 	// LoseAnswer runs a plain request and closes the connection without an answer.
 	LoseAnswer bool
 	// Fail answers plain requests with status 500.
@@ -261,10 +266,31 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	case snapshot.faults.Refuse, wantsCopy && !snapshot.hasCopy:
+		if snapshot.faults.RepeatRefusal {
+			s.writeRefusalTwice(w, request, snapshot.faults.AnonymousRefusal)
+			return
+		}
 		w.Header().Set(platform.HeaderNotRun, "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
+	s.recordRun(r, string(body))
+	defer s.recordRunEnd()
+	if snapshot.faults.CrashOn != "" && snapshot.faults.CrashOn == string(body) {
+		s.Crash()
+		panic(http.ErrAbortHandler)
+	}
+	w.Header().Set(platform.HeaderSeal, "seal."+snapshot.id)
+	if s.Events > 0 {
+		s.serveStream(w, r, streamRequest{id: request, body: string(body), faults: snapshot.faults, fromCopy: wantsCopy})
+		return
+	}
+	s.servePlain(w, snapshot.faults, string(body))
+}
+
+// recordRun records that the server starts to run a request, and recordRunEnd that it
+// has ended.
+func (s *Server) recordRun(r *http.Request, body string) {
 	callWithTimeout(s, func(s *Server) bool {
 		s.openRequests++
 		for _, part := range strings.Split(r.Header.Get(platform.HeaderPrompt), ",") {
@@ -272,20 +298,43 @@
 				s.prompts[id] = true
 			}
 		}
-		s.runs = append(s.runs, Run{Server: s.id, Request: request, Body: string(body), Header: r.Header.Clone()})
+		s.runs = append(s.runs, Run{Server: s.id, Request: r.Header.Get(platform.HeaderRequestID), Body: body, Header: r.Header.Clone()})
 		return true
 	})
-	defer func() { callWithTimeout(s, func(s *Server) bool { s.openRequests--; return true }) }()
-	if snapshot.faults.CrashOn != "" && snapshot.faults.CrashOn == string(body) {
-		s.Crash()
-		panic(http.ErrAbortHandler)
+}
+
+func (s *Server) recordRunEnd() {
+	callWithTimeout(s, func(s *Server) bool { s.openRequests--; return true })
+}
+
+// writeRefusalTwice refuses a request, starts to run the next one on the connection,
+// and writes the refusal of the first one in the place of its answer.
+func (s *Server) writeRefusalTwice(w http.ResponseWriter, request string, anonymous bool) {
+	conn, buffer, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return
 	}
-	w.Header().Set(platform.HeaderSeal, "seal."+snapshot.id)
-	if s.Events > 0 {
-		s.serveStream(w, r, streamRequest{id: request, body: string(body), faults: snapshot.faults, fromCopy: wantsCopy})
+	defer func() { _ = conn.Close() }()
+	refusal := fmt.Sprintf("HTTP/1.1 503 Service Unavailable\r\n%s: 1\r\nContent-Length: 0\r\n", platform.HeaderNotRun)
+	if !anonymous {
+		refusal += fmt.Sprintf("%s: %s\r\n", platform.HeaderRequestID, request)
+	}
+	if _, err := io.WriteString(conn, refusal+"\r\n"); err != nil {
 		return
 	}
-	s.servePlain(w, snapshot.faults, string(body))
+	next, err := http.ReadRequest(buffer.Reader)
+	if err != nil {
+		return
+	}
+	body, err := io.ReadAll(next.Body)
+	if err != nil {
+		return
+	}
+	s.recordRun(next, string(body))
+	defer s.recordRunEnd()
+	_, _ = io.WriteString(conn, refusal+"\r\n")
+	// The run goes on until the relay closes the connection.
+	_, _ = buffer.ReadByte()
 }
 
 func (s *Server) servePlain(w http.ResponseWriter, faults ServerFaults, body string) {
--- a/entryhost/relay/exchange/connection.go
+++ b/entryhost/relay/exchange/connection.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -28,6 +29,8 @@
 	conn   net.Conn
 	limit  *headLimiter
 	reader *bufio.Reader
+	// reused is set once a response was read on conn.
+	reused bool
 }
 
 // headLimiter reads from a connection and fails once more than the remaining bytes
@@ -209,7 +212,7 @@
 	if err != nil {
 		return Error.Wrap(err)
 	}
-	c.conn = conn
+	c.conn, c.reused = conn, false
 	c.limit = &headLimiter{conn: conn}
 	c.reader = bufio.NewReaderSize(c.limit, 4<<10)
 	return nil
@@ -248,9 +251,10 @@
 	}
 	defer func() { _ = response.Body.Close() }()
 	head := c.protocol.Decode(response)
-	if head.RequestID != "" && head.RequestID != exchange.Attempt.RequestID {
-		return 0, false, &Failure{Phase: Sent, Err: Error.New("response carries the id of another request, %s", head.RequestID)}
+	if err := checkOwner(&head, exchange.Attempt.RequestID, c.reused); err != nil {
+		return 0, false, &Failure{Phase: Sent, Err: Error.Wrap(err)}
 	}
+	c.reused = true
 	if !sendEvent(exchange, Event{Head: &head}) {
 		return 0, false, &Failure{Phase: Answering, Err: context.Cause(exchange.Context)}
 	}
@@ -265,6 +269,20 @@
 	return idleTimeout, framed && !response.Close && c.reader.Buffered() == 0, nil
 }
 
+// checkOwner returns ErrUnrelated unless the response is that to the request. Servers
+// echo the id of a request, and a faulty one may send an earlier response once more.
+// The first response on a connection may lack the id, since a server may refuse a
+// request before it has read its head, and no earlier request can have caused it.
+func checkOwner(head *ResponseHead, requestID string, reused bool) error {
+	switch {
+	case head.RequestID == requestID, head.RequestID == "" && !reused:
+		return nil
+	case head.RequestID == "":
+		return fmt.Errorf("%w: it carries no id on a connection that served other requests", ErrUnrelated)
+	}
+	return fmt.Errorf("%w: it carries the id of another request, %s", ErrUnrelated, head.RequestID)
+}
+
 // readHead returns the first response that is not informational (1xx).
 func (c *Connection) readHead(request *http.Request) (*http.Response, error) {
 	c.limit.limited, c.limit.remaining = true, maxHeadBytes
--- a/entryhost/relay/exchange/exchange_test.go
+++ b/entryhost/relay/exchange/exchange_test.go
@@ -29,7 +29,7 @@
 
 // Decode implements Protocol.
 func (plainProtocol) Decode(response *http.Response) exchange.ResponseHead {
-	return exchange.ResponseHead{Status: response.StatusCode, RequestID: response.Header.Get("Id"), Header: response.Header}
+	return exchange.ResponseHead{Status: response.StatusCode, RequestID: response.Header.Get("Id"), NotRun: response.Header.Get("Not-Run") != "", Header: response.Header}
 }
 
 // startServer starts a server that sends the same raw response to each request and
@@ -62,18 +62,30 @@
 // runRequest sends one request on the connection and returns its last event, or
 // a zero event after 2 s.
 func runRequest(connection *exchange.Connection) exchange.Event {
+	_, last := runAttempt(connection, &exchange.Attempt{RequestID: "a"})
+	return last
+}
+
+// runAttempt sends the attempt on the connection and returns the head of its response,
+// or nil, and its last event, or a zero event after 2 s.
+func runAttempt(connection *exchange.Connection, attempt *exchange.Attempt) (*exchange.ResponseHead, exchange.Event) {
 	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
 	defer cancel()
 	events := make(chan exchange.Event, 16)
-	Expect(connection.Run(exchange.Exchange{Context: ctx, Attempt: &exchange.Attempt{RequestID: "a", Method: "GET", Target: "/", Host: "h", Header: http.Header{}}, Events: events})).To(Succeed())
+	attempt.Method, attempt.Target, attempt.Host, attempt.Header = "GET", "/", "h", http.Header{}
+	Expect(connection.Run(exchange.Exchange{Context: ctx, Attempt: attempt, Events: events})).To(Succeed())
+	var head *exchange.ResponseHead
 	for {
 		select {
 		case event := <-events:
+			if event.Head != nil {
+				head = event.Head
+			}
 			if event.End || event.Failed != nil {
-				return event
+				return head, event
 			}
 		case <-ctx.Done():
-			return exchange.Event{}
+			return head, exchange.Event{}
 		}
 	}
 }
@@ -89,7 +101,7 @@
 	keepOpen := func(net.Conn) {}
 
 	It("is reused after a complete response", func() {
-		connection := open(startServer("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", keepOpen))
+		connection := open(startServer("HTTP/1.1 200 OK\r\nId: a\r\nContent-Length: 2\r\n\r\nok", keepOpen))
 		Expect(runRequest(connection).End).To(BeTrue())
 		Expect((<-reports.C()).Idle).To(BeTrue())
 		Expect(runRequest(connection).End).To(BeTrue())
--- a/entryhost/relay/exchange/messages.go
+++ b/entryhost/relay/exchange/messages.go
@@ -14,6 +14,10 @@
 // Error is the class of errors of this package.
 var Error = errs.Class("exchange")
 
+// ErrUnrelated reports that a response arrived in the place of that to the attempt and
+// cannot be shown to belong to it. It proves nothing about the attempt.
+var ErrUnrelated = Error.New("the response cannot be related to the attempt")
+
 // Phase is the stage that an exchange had reached when it failed.
 type Phase int
 
--- a/entryhost/relay/forward/task.go
+++ b/entryhost/relay/forward/task.go
@@ -123,6 +123,11 @@
 	if cause != nil {
 		running.note.Cause = cause.Error()
 	}
+	if errors.Is(cause, exchange.ErrUnrelated) {
+		r.Metrics.GetOrCreateCounter(series.Name("lentilpoint_relay_unrelated_responses_total", "service", r.request.Service.Name)).Inc()
+		r.Logger.Warn("response cannot be related to its attempt; its connection is closed and the request may have run", eventcode.ResponseUnrelated.Attr(),
+			"request", r.request.ID, "server", running.note.Server, "reused", running.note.Reused, "error", cause)
+	}
 	r.summary.Attempts = append(r.summary.Attempts, running.note)
 	if outcome != dispatch.OutcomeNone {
 		r.counts = r.counts.add(outcome)
