Send a request to the same server again on a new connection

Streams broke off though a server was running them: an engine that had lost the copy of a run refused it, got the stream again without the copy, and wrote its refusal once more. Both attempts have the id of the request, so the relay took the refusal for that of the second attempt and left a running engine (TWICE, if another one is there). Cause: an engine that lost a copy is not excluded, and its connection was used again at once. Evidence: "does not end a stream that goes on at the server after its copy was refused there", and "is not read for a second attempt of the same request". An attempt says that its request was sent to the server before; its connection then closes the old socket, with all that is still to come on it, and dials again.

--- a/entryhost/relay/exchange/connection.go
+++ b/entryhost/relay/exchange/connection.go
@@ -162,6 +162,10 @@
 // runExchange runs one exchange. It returns how long the connection may stay
 // idle and whether it can be reused.
 func (c *Connection) runExchange(ctx context.Context, exchange Exchange) (time.Duration, bool) {
+	if c.conn != nil && exchange.Attempt.SentBefore {
+		_ = c.conn.Close()
+		c.conn = nil
+	}
 	if c.conn == nil {
 		if err := c.dial(exchange.Context); err != nil {
 			sendEvent(exchange, Event{Failed: &Failure{Phase: Unsent, Err: err}})
--- a/entryhost/relay/exchange/messages.go
+++ b/entryhost/relay/exchange/messages.go
@@ -51,6 +51,10 @@
 	// Instance is the id of the server that must run it.
 	Instance     string
 	Organisation string
+	// SentBefore is set if the request was sent to the server in an earlier attempt.
+	// The id does not tell the responses of both attempts apart, so this one needs a
+	// new connection.
+	SentBefore bool
 	// Remaining is the time left until the caller's deadline.
 	Remaining time.Duration
 	// LastEventID is the id of the last event that the caller received, or "".
--- a/entryhost/relay/exchange/stale_test.go
+++ b/entryhost/relay/exchange/stale_test.go
@@ -128,6 +128,19 @@
 		Entry("before the next request is read", step{answer: []string{refusalOfA}}, step{early: refusalWithout}),
 	)
 
+	It("is not read for a second attempt of the same request, which is sent on a new connection", func() {
+		address, ended := startScript(step{answer: []string{refusalOfA}}, step{answer: []string{refusalOfA, answerOfA}})
+		connection := open(address)
+		head, _ := runAttempt(connection, &exchange.Attempt{RequestID: "a"})
+		Expect(head.NotRun).To(BeTrue())
+		Expect((<-reports.C()).Idle).To(BeTrue())
+		head, event := runAttempt(connection, &exchange.Attempt{RequestID: "a", SentBefore: true})
+		Expect(event.End).To(BeTrue())
+		Expect(head.NotRun).To(BeTrue(), "the refusal of the second attempt")
+		Eventually(ended, time.Second).Should(Receive(Equal(1)), "the first connection is closed after one request")
+		Expect((<-reports.C()).Idle).To(BeTrue())
+	})
+
 	It("is valid without an id as the first response on a connection, which no earlier request can have caused", func() {
 		address, _ := startScript(step{answer: []string{refusalWithout}})
 		head, event := runAttempt(open(address), &exchange.Attempt{RequestID: "a"})
--- a/entryhost/relay/forward/task.go
+++ b/entryhost/relay/forward/task.go
@@ -6,6 +6,7 @@
 	"log/slog"
 	"maps"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -96,6 +97,7 @@
 	attempt.RequestID = r.request.ID
 	attempt.Instance = assignment.Server.ID
 	attempt.Organisation = r.request.Organisation
+	attempt.SentBefore = r.sentBefore(assignment.Server.ID)
 	attempt.Remaining = r.request.Deadline.Sub(now)
 	attempt.Method, attempt.Target, attempt.Host = r.request.Method, r.request.Target, r.request.Host
 	attempt.Header, attempt.Body = r.request.Header, r.request.Body
@@ -115,6 +117,11 @@
 	return running
 }
 
+// sentBefore reports whether an earlier attempt may have been sent to the server.
+func (r *requestTask) sentBefore(server string) bool {
+	return slices.ContainsFunc(r.summary.Attempts, func(note AttemptNote) bool { return note.Server == server })
+}
+
 // finish ends the attempt and releases its server with the outcome.
 func (r *requestTask) finish(running *runningAttempt, got *response, outcome dispatch.Outcome, cause error, latency time.Duration) {
 	running.cancel()
--- a/entryhost/relay/stale_test.go
+++ b/entryhost/relay/stale_test.go
@@ -1,6 +1,7 @@
 package relay_test
 
 import (
+	"fmt"
 	"net/http"
 	"time"
 
@@ -8,6 +9,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/lentilpoint/lentilpoint/cmd/lentilpoint-bench/standin"
+	"github.com/lentilpoint/lentilpoint/platform"
 )
 
 // Guards against servers that write an earlier refusal once more on a kept connection:
@@ -35,4 +37,32 @@
 		Entry("with the id of the earlier request", false),
 		Entry("without an id", true),
 	)
+
+	It("does not end a stream that goes on at the server after its copy was refused there", func() {
+		// Two engines remain: one that breaks off, and the holder of the backup, which
+		// has lost it.
+		s.engines[2].Crash()
+		s.store.Remove(platform.TableServers, s.engines[2].ID())
+		for _, engine := range s.engines[:2] {
+			engine.SetFaults(standin.ServerFaults{CutAfter: 5, RepeatRefusal: true})
+			engine.SetEventTime(30 * time.Millisecond)
+		}
+		Eventually(func() int { return s.caller().send("GET", "/-/none", "").status }, time.Second).Should(Equal(http.StatusNotFound))
+		// The holder writes no more than the refusals that it owes.
+		started := make(chan struct{})
+		go func() {
+			defer close(started)
+			Eventually(func() int { return len(runsOf(s.engines, "copy")) }, 2*time.Second, 5*time.Millisecond).Should(Equal(1))
+			for _, engine := range s.engines[:2] {
+				if len(runsOf([]*standin.Server{engine}, "copy")) == 0 {
+					engine.SetFaults(standin.ServerFaults{RepeatRefusal: true})
+				}
+			}
+		}()
+		got := s.caller().send("POST", "/advice/1", "copy")
+		Eventually(started, 3*time.Second).Should(BeClosed())
+		Expect(got.err).NotTo(HaveOccurred())
+		Expect(eventData(got.body)).To(Equal(wholeStream("copy")))
+		Expect(runsOf(s.engines, "copy")).To(HaveLen(2), fmt.Sprint(runsOf(s.engines, "copy")))
+	})
 })
