Keep a server whose address another entry names too

Callers got 503 for all requests of a service, for as long as odd entries stood there: an entry of another writer with the address of a server and a later start replaced that server's registration, although it was draining, of another service, of none that is configured, or named a server that does not exist. Nobody was sent to the address any more, or only under the wrong id, which the server answers with 421. Cause: of several entries at one address only the one with the latest start was kept. An entry now supersedes only one of the same service, and only if it takes work, so that an attempt shows who is there. A server that answers 421 with the id of a superseded registration at this address is in force again for as long as it is registered; the odd entry stays stale. Copies of a run's cache are not sent to the address of the run's own server under another id. A restarted server still replaces its former id.

--- a/entryhost/relay/catalog/messages.go
+++ b/entryhost/relay/catalog/messages.go
@@ -19,9 +19,11 @@
 type View struct {
 	// Config is nil until a configuration has been read.
 	Config *routing.Config
-	// Servers holds the valid registrations; of several at one address, only the
-	// one that started last.
-	Servers routing.Servers
+	// Servers holds the valid registrations; of several of a service at one address,
+	// only the one that started last, and those that are draining. Superseded holds
+	// the others.
+	Servers    routing.Servers
+	Superseded routing.Servers
 	// Moves holds the version moves that the operator ordered, by service.
 	Moves map[string]routing.Move
 }
--- a/entryhost/relay/catalog/task.go
+++ b/entryhost/relay/catalog/task.go
@@ -140,7 +140,7 @@
 	now := t.clock.Now()
 	merged, recheckAt := mergeRegistrations(t.view.Servers, t.registered, t.storeRecovered, now)
 	next := *t.view
-	next.Servers = merged.NewestPerAddress()
+	next.Servers, next.Superseded = merged.NewestPerAddress()
 	t.logChanges(t.view.Servers, next.Servers)
 	t.view = &next
 	t.publish(ctx)
--- a/entryhost/relay/dispatch/adopt.go
+++ b/entryhost/relay/dispatch/adopt.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/lentilpoint/lentilpoint/entryhost/relay/catalog"
 	"github.com/lentilpoint/lentilpoint/entryhost/relay/routing"
 	"github.com/lentilpoint/lentilpoint/eventcode"
 )
@@ -18,33 +19,52 @@
 const endedLifetime = time.Minute
 
 // recordEnded notes the servers whose registration has ended between two views.
-func (t *Task) recordEnded(before, after routing.Servers) {
+func (t *Task) recordEnded(before, after *catalog.View) {
 	now := t.Clock.Now()
-	for id := range before {
-		if _, found := after[id]; !found {
-			t.ended[id] = now
+	for _, servers := range []routing.Servers{before.Servers, before.Superseded} {
+		for id := range servers {
+			if !isRegistered(after, id) {
+				t.ended[id] = now
+			}
 		}
 	}
 	for id, at := range t.ended {
-		if _, registered := after[id]; registered || now.Sub(at) > endedLifetime {
+		if isRegistered(after, id) || now.Sub(at) > endedLifetime {
 			delete(t.ended, id)
 		}
 	}
 }
 
-// adoption is a restarted engine, found at the address of the previous process,
-// that has no registration yet.
+// isRegistered reports whether the view has a registration with the id.
+func isRegistered(view *catalog.View, id string) bool {
+	_, found := view.Servers[id]
+	_, superseded := view.Superseded[id]
+	return found || superseded
+}
+
+// adoption is a server that was found at the address of another registration: a
+// restarted engine that has no registration yet, or a server whose registration is
+// superseded.
 type adoption struct {
-	server    *routing.Server
+	server *routing.Server
+	// former is the registration that names the address.
 	former    *routing.Server
 	adoptedAt time.Time
+	// superseded is set if the server has a registration, which is in force for as
+	// long as it is there.
+	superseded bool
 }
 
 // identify checks whether the server at the address of a stale registration is
 // an engine, so that it can take work before its own registration arrives.
 // Another service may have taken over the address, so this is done only where a
-// single service has engines.
+// single service has engines. A server that has a registration with this address needs
+// no check: it was superseded by one of another writer.
 func (t *Task) identify(ctx context.Context, former *routing.Server, instance string) {
+	if server, found := t.view.Superseded[instance]; found && server.Address == former.Address && !t.isKnown(instance) {
+		t.adopt(adoption{server: server, former: former, adoptedAt: t.Clock.Now(), superseded: true})
+		return
+	}
 	if _, hasLeft := t.ended[instance]; hasLeft || t.isKnown(instance) || !t.isOnlyEngineService(former.Service) {
 		return
 	}
@@ -79,15 +99,21 @@
 	server := *message.former
 	server.ID = message.instance
 	server.Draining = false
+	t.adopt(adoption{server: &server, former: message.former, adoptedAt: t.Clock.Now()})
+}
+
+// adopt makes the server of an adoption available, and ends others at its address.
+func (t *Task) adopt(adopted adoption) {
+	server := adopted.server
 	for id, other := range t.adopted {
 		if other.server.Address == server.Address {
 			t.endAdoption(id)
 		}
 	}
-	t.adopted[server.ID] = adoption{server: &server, former: message.former, adoptedAt: t.Clock.Now()}
-	t.servers[server.ID] = &serverState{server: &server}
-	t.Logger.Info("restarted engine adopted before its registration", eventcode.ServerAdopted.Attr(), "server", server.ID,
-		"service", server.Service, "address", server.Address, "former", message.former.ID)
+	t.adopted[server.ID] = adopted
+	t.servers[server.ID] = &serverState{server: server}
+	t.Logger.Info("server adopted that answers at the address of another registration", eventcode.ServerAdopted.Attr(), "server", server.ID,
+		"service", server.Service, "address", server.Address, "former", adopted.former.ID, "superseded", adopted.superseded)
 }
 
 // isKnown reports whether the server is registered or adopted.
@@ -100,25 +126,39 @@
 }
 
 // expireAdoptions ends adoptions whose engine is registered, whose address is
-// registered to another process, or that exceed adoptionGrace.
+// registered to another process of the service, or that exceed adoptionGrace. A
+// superseded registration is applied instead, and its adoption lasts as long.
 func (t *Task) expireAdoptions() {
-	byAddress := make(map[string]*routing.Server, len(t.view.Servers))
-	for _, server := range t.view.Servers {
-		byAddress[server.Address] = server
-	}
 	for id, adopted := range t.adopted {
+		superseded, found := t.view.Superseded[id]
 		_, registered := t.view.Servers[id]
-		present, taken := byAddress[adopted.server.Address]
 		switch {
 		case registered:
 			delete(t.adopted, id)
-		case taken && present.ID != adopted.former.ID, t.Clock.Since(adopted.adoptedAt) > adoptionGrace:
+		case t.isTakenOver(adopted):
+			t.endAdoption(id)
+		case found && superseded.SameProcess(adopted.server):
+			adopted.server, adopted.superseded = superseded, true
+			t.adopted[id] = adopted
+			t.servers[id].server = superseded
+		case adopted.superseded, t.Clock.Since(adopted.adoptedAt) > adoptionGrace:
 			t.endAdoption(id)
 		}
 	}
 }
 
-// endAdoption removes an adopted engine that never registered.
+// isTakenOver reports whether another process of the service is registered at the
+// address than the one that was there before the adoption.
+func (t *Task) isTakenOver(adopted adoption) bool {
+	for _, server := range t.view.Servers {
+		if server.Address == adopted.server.Address && server.Service == adopted.server.Service && !server.Draining && server.ID != adopted.former.ID {
+			return true
+		}
+	}
+	return false
+}
+
+// endAdoption removes an adopted server that is not registered, or not any more.
 func (t *Task) endAdoption(id string) {
 	delete(t.adopted, id)
 	if state, found := t.servers[id]; found {
--- a/entryhost/relay/dispatch/adopt_test.go
+++ b/entryhost/relay/dispatch/adopt_test.go
@@ -1,11 +1,15 @@
 package dispatch
 
 import (
+	"context"
 	"time"
 
 	"github.com/jonboulle/clockwork"
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+
+	"github.com/lentilpoint/lentilpoint/entryhost/relay/catalog"
+	"github.com/lentilpoint/lentilpoint/entryhost/relay/routing"
 )
 
 var _ = Describe("an engine that answers at the address of a stale registration", func() {
@@ -35,3 +39,66 @@
 		Expect(dispatcher.isKnown("later")).To(BeTrue())
 	})
 })
+
+// Guards against an entry of another writer that has the address of a server and a later
+// start: the server would get no work as long as that entry is there.
+var _ = Describe("a server whose address has a later registration", func() {
+	at := func(id string) *routing.Server {
+		registered := server(id, "here")
+		registered.Address = "10.0.0.1:80"
+		return registered
+	}
+	odd := at("odd")
+	view := func(sound *routing.Server) *catalog.View {
+		shadowed := viewOf(odd)
+		shadowed.Superseded = routing.Servers{sound.ID: sound}
+		return shadowed
+	}
+	// misdirect sends an attempt to the odd entry, which the server at its address
+	// answers with its own id.
+	misdirect := func(ctx context.Context, dispatcher *Task) {
+		state := dispatcher.servers["odd"]
+		state.inFlight++
+		dispatcher.leases[1] = leaseState{server: state, service: "engine"}
+		dispatcher.handleRelease(ctx, Release{Lease: 1, Outcome: OutcomeMisdirected, Instance: "sound"})
+	}
+	usableIDs := func(dispatcher *Task) []string {
+		var ids []string
+		for _, c := range usable(&Acquire{}, dispatcher.candidates("engine", dispatcher.Clock.Now())) {
+			ids = append(ids, c.server.ID)
+		}
+		return ids
+	}
+
+	It("takes work again once it answers under its own id, for as long as it is registered", func(ctx SpecContext) {
+		dispatcher := newTestTask(Parameters{Self: "self"})
+		dispatcher.applyView(view(at("sound")))
+		Expect(usableIDs(dispatcher)).To(ConsistOf("odd"))
+		misdirect(ctx, dispatcher)
+		Expect(usableIDs(dispatcher)).To(ConsistOf("sound"))
+		dispatcher.Clock.(*clockwork.FakeClock).Advance(time.Hour)
+		dispatcher.applyView(view(at("sound")))
+		Expect(usableIDs(dispatcher)).To(ConsistOf("sound"))
+
+		By("and its state is that of its registration")
+		draining := at("sound")
+		draining.Draining = true
+		dispatcher.applyView(view(draining))
+		Expect(usableIDs(dispatcher)).To(BeEmpty())
+
+		By("and it takes none once its registration has ended")
+		dispatcher.applyView(view(at("sound")))
+		dispatcher.applyView(viewOf(odd))
+		Expect(dispatcher.isKnown("sound")).To(BeFalse())
+		Expect(dispatcher.ended).To(HaveKey("sound"))
+	})
+
+	It("takes no work if another one answers at the address", func(ctx SpecContext) {
+		dispatcher := newTestTask(Parameters{Self: "self"})
+		elsewhere := at("sound")
+		elsewhere.Address = "10.0.0.2:80"
+		dispatcher.applyView(view(elsewhere))
+		misdirect(ctx, dispatcher)
+		Expect(dispatcher.isKnown("sound")).To(BeFalse())
+	})
+})
--- a/entryhost/relay/dispatch/dispatch_test.go
+++ b/entryhost/relay/dispatch/dispatch_test.go
@@ -82,6 +82,12 @@
 		}
 	})
 
+	It("returns no backup at the address of the run's server, which another entry may name too", func() {
+		chosen, odd := server("a", "here"), server("odd", "there")
+		odd.Address = chosen.Address
+		Expect(chooseBackup(random, "here", &Acquire{}, []candidate{{server: chosen}, {server: odd}}, chosen)).To(BeNil())
+	})
+
 	It("returns no backup when there is only one server", func() {
 		chosen := server("a", "here")
 		Expect(chooseBackup(random, "here", &Acquire{}, []candidate{{server: chosen}}, chosen)).To(BeNil())
--- a/entryhost/relay/dispatch/policy.go
+++ b/entryhost/relay/dispatch/policy.go
@@ -176,7 +176,7 @@
 // when the data centres are cut off from each other.
 func chooseBackup(random *rand.Rand, dataCentre string, request *Acquire, candidates []candidate, chosen *routing.Server) *candidate {
 	candidates = filterCandidates(notExcluded(request, usable(request, candidates)), func(c *candidate) bool {
-		return c.server.ID != chosen.ID && !c.paused && !c.recovering
+		return c.server.ID != chosen.ID && c.server.Address != chosen.Address && !c.paused && !c.recovering
 	})
 	candidates = reachable(request, candidates)
 	candidates = filterUnlessEmpty(candidates, func(c *candidate) bool { return c.server.DataCentre != chosen.DataCentre })
--- a/entryhost/relay/dispatch/task.go
+++ b/entryhost/relay/dispatch/task.go
@@ -255,7 +255,7 @@
 // registered nor adopted stays in the table only while a probe of it is running;
 // leases keep their own reference to its state.
 func (t *Task) applyView(view *catalog.View) {
-	t.recordEnded(t.view.Servers, view.Servers)
+	t.recordEnded(t.view, view)
 	t.view = view
 	for id, server := range view.Servers {
 		state, found := t.servers[id]
--- a/entryhost/relay/routing/routing_test.go
+++ b/entryhost/relay/routing/routing_test.go
@@ -73,7 +73,21 @@
 		old := &Server{ID: "old", Address: "10.0.0.1:1", StartedAt: time.Second}
 		restarted := &Server{ID: "new", Address: "10.0.0.1:1", StartedAt: 2 * time.Second}
 		other := &Server{ID: "other", Address: "10.0.0.2:1"}
-		newest := Servers{"old": old, "new": restarted, "other": other}.NewestPerAddress()
+		newest, superseded := Servers{"old": old, "new": restarted, "other": other}.NewestPerAddress()
 		Expect(newest).To(Equal(Servers{"new": restarted, "other": other}))
+		Expect(superseded).To(Equal(Servers{"old": old}), "they are usable again if the server at the address has their id")
 	})
+
+	// Guards against entries of other writers that hide a sound server: nobody would
+	// send them a request, whose answer tells who is at the address.
+	DescribeTable("keep a server whose address has a later registration that takes no work of its service",
+		func(odd *Server) {
+			sound := &Server{ID: "sound", Service: "s", Address: "10.0.0.1:1", StartedAt: time.Second}
+			newest, superseded := Servers{"sound": sound, "odd": odd}.NewestPerAddress()
+			Expect(newest).To(HaveKeyWithValue("sound", sound))
+			Expect(superseded).To(BeEmpty())
+		},
+		Entry("since it is draining", &Server{ID: "odd", Service: "s", Address: "10.0.0.1:1", StartedAt: time.Hour, Draining: true}),
+		Entry("since it is of another service", &Server{ID: "odd", Service: "other", Address: "10.0.0.1:1", StartedAt: time.Hour}),
+	)
 })
--- a/entryhost/relay/routing/server.go
+++ b/entryhost/relay/routing/server.go
@@ -27,21 +27,34 @@
 // Servers is an immutable set of registrations by id.
 type Servers map[string]*Server
 
-// NewestPerAddress removes registrations whose address was taken over by a
-// later process, so that a server that crashed and restarted is not tried
-// under its old id.
-func (s Servers) NewestPerAddress() Servers {
-	byAddress := make(map[string]*Server, len(s))
+// NewestPerAddress separates the registrations whose address was taken over by a later
+// process, so that a server that crashed and restarted is not tried under its old id.
+//
+// A registration may come from another writer, so only one that takes work for the
+// service supersedes another: attempts at it show which process is at the address. One
+// that is draining or of another service would hide a server that nobody tries again.
+func (s Servers) NewestPerAddress() (newest, superseded Servers) {
+	type place struct{ address, service string }
+	latest := make(map[place]*Server, len(s))
 	for _, server := range s {
-		other, found := byAddress[server.Address]
-		if !found || server.StartedAt > other.StartedAt ||
-			server.StartedAt == other.StartedAt && server.ID > other.ID {
-			byAddress[server.Address] = server
+		at := place{server.Address, server.Service}
+		if other, found := latest[at]; !server.Draining && (!found || server.isLaterThan(other)) {
+			latest[at] = server
 		}
 	}
-	newest := make(Servers, len(byAddress))
-	for _, server := range byAddress {
-		newest[server.ID] = server
+	newest, superseded = make(Servers, len(s)), Servers{}
+	for id, server := range s {
+		if other, found := latest[place{server.Address, server.Service}]; found && other.isLaterThan(server) {
+			superseded[id] = server
+			continue
+		}
+		newest[id] = server
 	}
-	return newest
+	return newest, superseded
+}
+
+// isLaterThan reports whether the server started after the other one. Of two starts at
+// the same time, the one with the higher id counts as the later one.
+func (s *Server) isLaterThan(other *Server) bool {
+	return s.StartedAt > other.StartedAt || s.StartedAt == other.StartedAt && s.ID > other.ID
 }
--- a/eventcode/relay.go
+++ b/eventcode/relay.go
@@ -63,7 +63,7 @@
 	{ServerUsability, "server standing", "This host stopped or resumed sending new work to a server because of the outcomes of attempts.", "Look at the server if it repeats."},
 	{ServerSilent, "server silent", "A server did not answer a query about its runs; its streams continue on other servers.", "Look at the server if it repeats."},
 	{OutcomeNotDelivered, "release lost", "The dispatcher did not receive the outcome of an attempt in time.", "Report it with the log line."},
-	{ServerAdopted, "server adopted", "An engine restarted under another id and receives work before its registration arrives.", "Nothing."},
+	{ServerAdopted, "server adopted", "A server answered under its own id at the address of another registration and receives work: an engine that restarted and is not registered yet, or (superseded) a server whose address a later entry names too.", "If superseded: find the writer of the entry that the line names as former."},
 	{RelayMoveOrdered, "version move ordered", "The operator ordered a version move; this host takes part.", "Nothing."},
 	{RelayMoveDecided, "version move decided", "The host that holds the move wrote its next state from the evidence of all hosts.", "For a withdrawn move, compare the failures and times of both versions in the line."},
 	{RelayMoveRound, "version move round", "A round of a version move failed; the current stage stays in force.", "Check the store if it repeats."},
