Go on with a version move beside a row that cannot be read

One row of another writer among the evidence, or the state of a move that could not be read, failed each round of the move on all hosts: traffic stayed at its share, also on a faulty version. Cause: both reads failed as a whole. A row of evidence that cannot be read, or whose sample is out of range, is left out; an unreadable state counts as none, and the next holder replaces it under its version and decides by the evidence. Each is logged once, as event 2158; the client of the store gets the logger for that.

--- a/cmd/lentilpointd/relay.go
+++ b/cmd/lentilpointd/relay.go
@@ -48,13 +48,14 @@
 	logContext, stopLogWriter := context.WithCancel(context.WithoutCancel(ctx))
 	logDone := make(chan error, 1)
 	go func() { logDone <- writer.Serve(logContext) }()
+	logger := writer.Logger(slog.LevelInfo)
 	err := relay.Run(ctx, settings, relay.Environment{
 		Reload: reload.Source[relay.Settings]{
 			Read:    func() (relay.Settings, error) { return platform.ReadSettings(path) },
 			ModTime: func() (time.Time, error) { return platform.SettingsModTime(path) },
 			Signals: reloadRequests(ctx),
 		},
-		Adapter: platform.NewAdapter(settings, metricSet), Clock: clock, Metrics: metricSet, Logger: writer.Logger(slog.LevelInfo),
+		Adapter: platform.NewAdapter(settings, metricSet, logger), Clock: clock, Metrics: metricSet, Logger: logger,
 	})
 	stopLogWriter()
 	if logErr := <-logDone; logErr != nil {
--- a/entryhost/relay/relay_test.go
+++ b/entryhost/relay/relay_test.go
@@ -110,6 +110,7 @@
 	ctx, stop := context.WithCancel(s.ctx)
 	done := make(chan error, 1)
 	ended, set := make(chan struct{}), metrics.NewSet()
+	logger := slog.New(slog.NewTextHandler(io.Discard, nil))
 	go func() {
 		defer close(ended)
 		err := relay.Run(ctx, settings, relay.Environment{
@@ -117,8 +118,8 @@
 				Read:    func() (relay.Settings, error) { return settings, nil },
 				ModTime: func() (time.Time, error) { return time.Time{}, nil },
 			},
-			Adapter: platform.NewAdapter(settings, set), Clock: clockwork.NewRealClock(), Metrics: set,
-			Logger: slog.New(slog.NewTextHandler(io.Discard, nil)),
+			Adapter: platform.NewAdapter(settings, set, logger), Clock: clockwork.NewRealClock(), Metrics: set,
+			Logger: logger,
 		})
 		if err != nil {
 			GinkgoWriter.Println("relay failed:", err)
--- a/eventcode/relay.go
+++ b/eventcode/relay.go
@@ -38,6 +38,7 @@
 	SuspectDeath         Code = 2145
 	SuspectNotReported   Code = 2146
 	LoadsNotExchanged    Code = 2147
+	EntryIgnored         Code = 2158
 	ResponseUnrelated    Code = 2159
 )
 
@@ -78,5 +79,6 @@
 	{SuspectDeath, "suspect death", "A server died while it ran a request that it had not answered yet. After three such deaths within a minute, requests with the same fingerprint are refused on all hosts.", "If stopped is true, keep the content of the request that the line names for the developers of the service."},
 	{SuspectNotReported, "suspect untold", "Another entry host could not be informed of a request that crashes servers, or this host's list of such requests could not be read; such a request may reach more servers.", "Check the links between entry hosts if it repeats."},
 	{LoadsNotExchanged, "loads not exchanged", "The entry host that collects the attempts on the engines of a data centre did not answer; engines are chosen by this host's own attempts and the next collector is asked from then on.", "Look at the collector that the line names if it repeats."},
+	{EntryIgnored, "entry ignored", "The state of a version move, or the evidence of a host on it, cannot be read; the row is ignored and the others hold. The holder of the move replaces an unreadable state.", "Find the writer of the row that the line names."},
 	{ResponseUnrelated, "response unrelated", "A server sent a response in the place of that to an attempt, with the id of another request or, on a connection that had served others, without an id. It proves nothing: the connection is closed, and the attempt counts as one that may have run.", "Give the server and the time to the developers of its service: it writes responses more than once."},
 }
