Log a row that cannot be decoded once

Registrations and entry hosts were logged once before, and stay so. The errors name the versions of the rows, and the catalog compares them. The roster forgets rows that are gone, as the catalog does.

--- a/entryhost/relay/catalog/messages.go
+++ b/entryhost/relay/catalog/messages.go
@@ -28,7 +28,8 @@
 	Moves map[string]routing.Move
 }
 
-// Decoder decodes rows of the store.
+// Decoder decodes rows of the store. Errors of Config and Moves name the versions of the
+// rows, so that the same error is one about the same rows.
 type Decoder interface {
 	// Config returns the configuration among the operator's rows, or nil.
 	Config(rows map[string]mirror.Row) (*routing.Config, error)
--- a/entryhost/relay/catalog/task.go
+++ b/entryhost/relay/catalog/task.go
@@ -29,7 +29,10 @@
 	view *View
 	// rejectedRows maps the keys of undecodable rows to the version that was
 	// logged.
-	rejectedRows   map[string]uint64
+	rejectedRows map[string]uint64
+	// rejectedConfig and rejectedMoves are the errors that were logged last, or "".
+	rejectedConfig string
+	rejectedMoves  string
 	registered     routing.Servers
 	storeRecovered time.Time
 }
@@ -87,16 +90,17 @@
 func (t *Task) applyOrders(snapshot mirror.Snapshot) {
 	next := *t.view
 	config, err := t.decoder.Config(snapshot.Rows)
+	isNewError := replaceError(&t.rejectedConfig, err)
 	switch {
-	case err != nil:
+	case isNewError:
 		t.rejected.Inc()
 		t.logger.Warn("configuration cannot be decoded; keeping the one in force", eventcode.ConfigRejected.Attr(), "error", err, "table_version", snapshot.Version)
-	case config != nil && (next.Config == nil || config.Version != next.Config.Version):
+	case err == nil && config != nil && (next.Config == nil || config.Version != next.Config.Version):
 		t.logger.Info("configuration in force", eventcode.RelayConfigInForce.Attr(), "config_version", config.Version, "table_version", snapshot.Version)
 		next.Config = config
 	}
 	moves, err := t.decoder.Moves(snapshot.Rows)
-	if err != nil {
+	if replaceError(&t.rejectedMoves, err) {
 		t.rejected.Inc()
 		t.logger.Warn("version move cannot be decoded; ignoring it", eventcode.MoveRejected.Attr(), "error", err, "table_version", snapshot.Version)
 	}
@@ -104,6 +108,18 @@
 	t.view = &next
 }
 
+// replaceError replaces the text of the last error and reports whether err is another
+// error than that.
+func replaceError(last *string, err error) bool {
+	var text string
+	if err != nil {
+		text = err.Error()
+	}
+	isNew := text != "" && text != *last
+	*last = text
+	return isNew
+}
+
 // decodeServers decodes the registrations. A row that cannot be decoded is skipped
 // and logged once for each version of the row.
 func (t *Task) decodeServers(snapshot mirror.Snapshot) {
--- a/entryhost/relay/roster/roster.go
+++ b/entryhost/relay/roster/roster.go
@@ -131,6 +131,11 @@
 			t.hosts = append(t.hosts, host)
 		}
 	}
+	for key := range t.rejectedRows {
+		if _, found := snapshot.Rows[key]; !found {
+			delete(t.rejectedRows, key)
+		}
+	}
 	for _, subscriber := range t.subscribers {
 		if subscriber.TrySend(t.hosts) != nil {
 			t.logger.Warn("mailbox of a subscriber is full; it receives the list of entry hosts after the next change", eventcode.RosterNotRead.Attr(), "hosts", len(t.hosts))
