Do not use the name of another run's cache copy

A stream could go on from the memory of another request (MIXED): calls that copy the cache of a run share a kept connection to the engine, and an engine that writes an earlier answer once more gives the name of the copy of another run. These calls have no id that the answer could echo, and net/http takes what comes next on the connection for the answer. Evidence: a spec with a server that writes its answer once more gets the name of the copy before. Before: "the name of a copy of another run" got it as the copy of the second run. The dispatcher, which owns the state of engines, keeps which request each name was given for, for a minute and for as long as the process of the engine lives. A new connection for each copy would do it too, but connections have a price.

--- a/entryhost/relay/dispatch/copies.go
+++ b/entryhost/relay/dispatch/copies.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"time"
 
 	"github.com/lentilpoint/lentilpoint/entryhost/relay/exchange"
@@ -42,19 +43,53 @@
 		message.Reply.Send(CopyResult{Err: Error.New("no other server can hold a copy")})
 		return
 	}
-	source, holder := granted.server.server, granted.copyHolder.server
+	source, holder := granted.server, granted.copyHolder.server
+	address := source.server.Address
 	go func() {
 		copyContext, cancel := context.WithTimeout(ctx, copyTimeout)
 		defer cancel()
-		name, err := t.Prober.Copy(copyContext, source.Address, message.Request, holder.Address)
-		if err != nil {
-			message.Reply.Send(CopyResult{Err: err})
-			return
+		name, err := t.Prober.Copy(copyContext, address, message.Request, holder.Address)
+		made := copyMade{request: message, source: source, result: CopyResult{Err: err}}
+		if err == nil {
+			made.result = CopyResult{Holder: holder, Copy: exchange.CacheCopy{Address: address, Name: name}}
 		}
-		message.Reply.Send(CopyResult{Holder: holder, Copy: exchange.CacheCopy{Address: source.Address, Name: name}})
+		// The dispatcher always drains its mailbox; the context bounds the wait at its end.
+		_ = t.mailbox.Send(ctx, made)
 	}()
 }
 
+// copyOwner is the request whose cache a copy holds, and when its name was last
+// received.
+type copyOwner struct {
+	request string
+	namedAt time.Time
+}
+
+// copyOwnerLifetime is how long the owner of a copy is kept. Copies expire after some
+// seconds unless they are renewed, and an answer that is written once more comes with
+// one of the next calls on the connection.
+const copyOwnerLifetime = time.Minute
+
+// handleCopyMade passes on the result of a copy request. A name that the server has
+// given for another request is that of an earlier answer, and a run must not continue
+// from the cache of another one.
+func (t *Task) handleCopyMade(message copyMade) {
+	source, now := message.source, t.Clock.Now()
+	if message.result.Err == nil {
+		maps.DeleteFunc(source.copyOwners, func(_ string, owner copyOwner) bool { return now.Sub(owner.namedAt) > copyOwnerLifetime })
+		name := message.result.Copy.Name
+		if owner, found := source.copyOwners[name]; found && owner.request != message.request.Request {
+			message.result = CopyResult{Err: Error.New("server %s gave the name of a copy of another request, %s", source.server.ID, owner.request)}
+		} else {
+			if source.copyOwners == nil {
+				source.copyOwners = map[string]copyOwner{}
+			}
+			source.copyOwners[name] = copyOwner{request: message.request.Request, namedAt: now}
+		}
+	}
+	message.request.Reply.Send(message.result)
+}
+
 // chooseCopyHolder replaces the lease's holder of a requested copy by another
 // server, or by none if no candidate is left.
 func (t *Task) chooseCopyHolder(granted *leaseState, placement CopyPlacement) {
--- a/entryhost/relay/dispatch/copies_test.go
+++ b/entryhost/relay/dispatch/copies_test.go
@@ -43,6 +43,54 @@
 	return view
 }
 
+// handleCopyAnswer lets the dispatcher handle the engine's answer to a copy request,
+// unless the request was answered without one.
+func handleCopyAnswer(ctx context.Context, dispatcher *Task, reply chan CopyResult) {
+	GinkgoHelper()
+	Eventually(func() bool {
+		select {
+		case message := <-dispatcher.mailbox.C():
+			dispatcher.handle(ctx, message)
+		default:
+		}
+		return len(reply) > 0
+	}, time.Second, time.Millisecond).Should(BeTrue())
+}
+
+// repeatingProber answers each copy request with the name of the first copy, like an
+// engine that writes an earlier answer once more on a kept connection.
+type repeatingProber struct{ fakeProber }
+
+// Copy implements Prober.
+func (repeatingProber) Copy(context.Context, string, string, string) (string, error) {
+	return "first", nil
+}
+
+// Guards against streams that go on from the memory of another request.
+var _ = Describe("the name of a copy of another run", func() {
+	It("is not used, since the engine has written an earlier answer once more", func(ctx SpecContext) {
+		dispatcher := newTestTask(Parameters{Self: "self", Prober: repeatingProber{}})
+		dispatcher.applyView(viewOf(server("a", "here"), server("b", "there")))
+		requestCopy := func(request string) CopyResult {
+			assignments := make(chan Assignment, 1)
+			dispatcher.handle(ctx, Acquire{Service: "engine", Prefer: "a", Reply: task.Reply[Assignment](assignments)})
+			assigned := <-assignments
+			assigned.Connection.Close()
+			reply := make(chan CopyResult, 1)
+			dispatcher.handle(ctx, RequestCopy{Lease: assigned.Lease, Request: request, Reply: task.Reply[CopyResult](reply)})
+			handleCopyAnswer(ctx, dispatcher, reply)
+			return <-reply
+		}
+		Expect(requestCopy("one").Copy.Name).To(Equal("first"))
+		Expect(requestCopy("one").Copy.Name).To(Equal("first"), "an engine may name a renewed copy as before")
+		Expect(requestCopy("two").Err).To(HaveOccurred())
+
+		By("and may be used again long after the copy has expired")
+		dispatcher.Clock.(*clockwork.FakeClock).Advance(2 * time.Minute)
+		Expect(requestCopy("two").Copy.Name).To(Equal("first"))
+	})
+})
+
 var _ = Describe("the holder of a copy of a run's cache", func() {
 	var dispatcher *Task
 	var lost chan string
@@ -65,6 +113,7 @@
 	requestCopy := func(ctx context.Context, placement CopyPlacement) CopyResult {
 		reply := make(chan CopyResult, 1)
 		dispatcher.handle(ctx, RequestCopy{Lease: assigned.Lease, Request: "r", Placement: placement, Reply: task.Reply[CopyResult](reply)})
+		handleCopyAnswer(ctx, dispatcher, reply)
 		var result CopyResult
 		Eventually(reply).Should(Receive(&result))
 		return result
--- a/entryhost/relay/dispatch/messages.go
+++ b/entryhost/relay/dispatch/messages.go
@@ -252,6 +252,14 @@
 	Locate(ctx context.Context, host, service, prompt string) (string, error)
 }
 
+// copyMade is the answer of a server to a copy request.
+type copyMade struct {
+	request RequestCopy
+	// source is the server that made the copy.
+	source *serverState
+	result CopyResult
+}
+
 type checkDone struct {
 	server string
 	result CheckResult
@@ -276,6 +284,7 @@
 
 func (RequestCopy) isMessage()    {}
 func (DropCopy) isMessage()       {}
+func (copyMade) isMessage()       {}
 func (LendRetry) isMessage()      {}
 func (borrowResult) isMessage()   {}
 func (Locate) isMessage()         {}
--- a/entryhost/relay/dispatch/task.go
+++ b/entryhost/relay/dispatch/task.go
@@ -82,6 +82,8 @@
 	// pendingChecks receive the result of the running probe; nil if none runs.
 	pendingChecks []task.Reply[CheckResult]
 	cache         cacheList
+	// copyOwners are the requests whose copies the server has named, by name.
+	copyOwners map[string]copyOwner
 }
 
 // leaseState is the state of one lease.
@@ -236,6 +238,8 @@
 		t.handleBorrowResult(ctx, message)
 	case RequestCopy:
 		t.handleCopyRequest(ctx, message)
+	case copyMade:
+		t.handleCopyMade(message)
 	case DropCopy:
 		t.handleDropCopy(ctx, message)
 	case Locate:
