Pass on no response without an id but a first refusal

Callers got 404 for orders to a service with sound servers: an entry of another writer named the address of a process that is no server, and its answer, which needs no signature unless it is a success, was passed on. Cause: the first response on a connection was taken without the id that servers echo. Evidence: "does not make the relay pass on what a process that is no server of the service answers", and "is the only response that may lack an id". Before: 404 in place of 502, and the head was forwarded. After: both pass. A refusal may still lack the id as the first response on a connection. The raw servers of the specs of the exchange answered without an id, unlike servers; they echo it now, so that each spec still shows what it names. The spec of the lists now also has a host that follows another one.

--- a/entryhost/relay/exchange/connection.go
+++ b/entryhost/relay/exchange/connection.go
@@ -274,15 +274,17 @@
 }
 
 // checkOwner returns ErrUnrelated unless the response is that to the request. Servers
-// echo the id of a request, and a faulty one may send an earlier response once more.
-// The first response on a connection may lack the id, since a server may refuse a
-// request before it has read its head, and no earlier request can have caused it.
+// echo the id of a request, and a faulty one may send an earlier response once more. A
+// response without an id may come from a process that is no server of the service,
+// since an entry of another writer can name any address. Only a refusal may lack the
+// id, as the first response on a connection: a server may refuse a request before it
+// has read its head, and no earlier request can have caused it.
 func checkOwner(head *ResponseHead, requestID string, reused bool) error {
 	switch {
-	case head.RequestID == requestID, head.RequestID == "" && !reused:
+	case head.RequestID == requestID, head.RequestID == "" && head.NotRun && !reused:
 		return nil
 	case head.RequestID == "":
-		return fmt.Errorf("%w: it carries no id on a connection that served other requests", ErrUnrelated)
+		return fmt.Errorf("%w: it carries no id", ErrUnrelated)
 	}
 	return fmt.Errorf("%w: it carries the id of another request, %s", ErrUnrelated, head.RequestID)
 }
--- a/entryhost/relay/exchange/exchange_test.go
+++ b/entryhost/relay/exchange/exchange_test.go
@@ -108,7 +108,7 @@
 	})
 
 	It("fails a request as unsent if it was assigned while the connection ended, instead of leaving it without an event", func() {
-		connection := open(startServer("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", func(conn net.Conn) {
+		connection := open(startServer("HTTP/1.1 200 OK\r\nId: a\r\nContent-Length: 2\r\n\r\nok", func(conn net.Conn) {
 			time.Sleep(20 * time.Millisecond)
 			_ = conn.Close()
 		}))
@@ -127,8 +127,8 @@
 			runRequest(connection)
 			Eventually(func() bool { return (<-reports.C()).Idle }, time.Second).Should(BeFalse())
 		},
-		Entry("surplus bytes", "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nokHTTP/1.1 200 OK\r\n"),
-		Entry("a response with Connection: close", "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 2\r\n\r\nok"),
+		Entry("surplus bytes", "HTTP/1.1 200 OK\r\nId: a\r\nContent-Length: 2\r\n\r\nokHTTP/1.1 200 OK\r\n"),
+		Entry("a response with Connection: close", "HTTP/1.1 200 OK\r\nId: a\r\nConnection: close\r\nContent-Length: 2\r\n\r\nok"),
 		Entry("a response to another request", "HTTP/1.1 200 OK\r\nId: b\r\nContent-Length: 2\r\n\r\nok"),
 		Entry("a malformed response", "nonsense\r\n\r\n"),
 	)
@@ -161,7 +161,7 @@
 
 	It("reports its end also when its owner closed it, so that the owner's connection count stays correct", func() {
 		for range 20 {
-			connection := open(startServer("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", keepOpen))
+			connection := open(startServer("HTTP/1.1 200 OK\r\nId: a\r\nContent-Length: 2\r\n\r\nok", keepOpen))
 			Expect(runRequest(connection).End).To(BeTrue())
 			Expect((<-reports.C()).Idle).To(BeTrue())
 			connection.Close()
@@ -173,7 +173,7 @@
 
 	It("distinguishes a request that was not sent from one that may have run", func() {
 		Expect(runRequest(open("127.0.0.1:1")).Failed.Phase).To(Equal(exchange.Unsent))
-		broken := open(startServer("HTTP/1.1 200 OK\r\nContent-Length: 20\r\n\r\nok", func(conn net.Conn) { _ = conn.Close() }))
+		broken := open(startServer("HTTP/1.1 200 OK\r\nId: a\r\nContent-Length: 20\r\n\r\nok", func(conn net.Conn) { _ = conn.Close() }))
 		Expect(runRequest(broken).Failed.Phase).To(Equal(exchange.Answering))
 		silent := open(startServer("", func(conn net.Conn) { _ = conn.Close() }))
 		Expect(runRequest(silent).Failed.Phase).To(Equal(exchange.Sent))
--- a/entryhost/relay/exchange/stale_test.go
+++ b/entryhost/relay/exchange/stale_test.go
@@ -148,6 +148,16 @@
 		Expect(head.NotRun).To(BeTrue())
 	})
 
+	It("is the only response that may lack an id, since any process may listen at the address that an odd entry names", func() {
+		for _, text := range []string{answerWithout, "HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n", "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n"} {
+			address, _ := startScript(step{answer: []string{text}})
+			head, event := runAttempt(open(address), &exchange.Attempt{RequestID: "a"})
+			Expect(head).To(BeNil())
+			Expect(event.Failed).NotTo(BeNil())
+			Expect(event.Failed.Phase).To(Equal(exchange.Sent), "the request may have run")
+		}
+	})
+
 	It("does not harm a connection on which each response has the id of its request", func() {
 		address, _ := startScript(step{answer: []string{refusalOfA}}, step{answer: []string{answerOfB}}, step{answer: []string{answerOfA}})
 		connection := open(address)
--- a/entryhost/relay/odd_test.go
+++ b/entryhost/relay/odd_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"time"
 
@@ -101,7 +102,21 @@
 		return string(content)
 	}
 
-	It("does not stop or delay the list, and takes no request", func() {
+	It("does not make the relay pass on what a process that is no server of the service answers", func() {
+		stranger := httptest.NewServer(http.NotFoundHandler())
+		defer stranger.Close()
+		Expect(s.store.Put(platform.TableServers, "odd", entry(s.plain[0], map[string]any{"address": stranger.Listener.Addr().String()}))).To(Succeed())
+		for _, server := range s.plain {
+			s.store.Remove(platform.TableServers, server.ID())
+		}
+		Eventually(func() int { return s.caller().send("POST", "/order/1", "order").status }, 2*time.Second).Should(Equal(http.StatusBadGateway))
+		Expect(s.caller().send("POST", "/order/1", "order").status).To(Equal(http.StatusBadGateway), "a 404 would tell the caller not to come again")
+	})
+
+	It("does not stop or delay the list, also on a host that follows another one, and takes no request", func() {
+		second, _, _ := s.start(s.store.Address())
+		Eventually(readinessStatus(second), 5*time.Second).Should(Equal(http.StatusOK))
+		follower := caller{settings: second, header: s.caller().header}
 		deep := strings.Repeat("[", 10001) + strings.Repeat("]", 10001)
 		for i, value := range []any{
 			nil, 7, "x", []any{}, entry(s.plain[0], map[string]any{"address": "10.0.0.1:99999"}), entry(s.plain[0], map[string]any{"address": ":0"}),
@@ -125,8 +140,10 @@
 			Expect(s.caller().send("POST", "/order/1", "order").status).To(Equal(http.StatusOK))
 			return len(fresh.Runs())
 		}, 2*time.Second).Should(BeNumerically(">", 0), "the list is still followed")
+		Eventually(func() int { return follower.send("POST", "/order/1", "follower").status }, 2*time.Second).Should(Equal(http.StatusOK))
 		for range 20 {
 			Expect(s.caller().send("POST", "/order/1", "order").status).To(Equal(http.StatusOK))
+			Expect(follower.send("POST", "/order/1", "order").status).To(Equal(http.StatusOK))
 		}
 		exposed := readMetrics()
 		Expect(exposed).To(ContainSubstring("lentilpoint_catalog_rows_rejected_total 14\n"), "each is counted once")
