--- a/entryhost/relay/series/series_test.go
+++ b/entryhost/relay/series/series_test.go
@@ -2,6 +2,10 @@
 
 import (
 	"bytes"
+	"io/fs"
+	"os"
+	"path/filepath"
+	"regexp"
 	"testing"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -43,6 +47,24 @@
 	})
 })
 
+// Guards against names that are built elsewhere with a value of a configuration. The
+// ingress may build its own: the values of its labels are constants of the code.
+var _ = Describe("the sources of the relay", func() {
+	It("build names with labels only here", func() {
+		concatenated := regexp.MustCompile("GetOrCreate[A-Za-z]+\\([^)]*=\"` *\\+")
+		for _, root := range []string{"..", "../../../platform"} {
+			Expect(filepath.WalkDir(root, func(path string, entry fs.DirEntry, err error) error {
+				if err != nil || entry.IsDir() || filepath.Ext(path) != ".go" || filepath.Base(filepath.Dir(path)) == "ingress" {
+					return err
+				}
+				content, err := os.ReadFile(path)
+				Expect(concatenated.FindString(string(content))).To(BeEmpty(), path)
+				return err
+			})).To(Succeed())
+		}
+	})
+})
+
 // FuzzName guards against values for which the metrics library panics.
 func FuzzName(f *testing.F) {
 	f.Add(`shop\`)
--- a/eventcode/relay.go
+++ b/eventcode/relay.go
@@ -38,8 +38,11 @@
 	SuspectDeath         Code = 2145
 	SuspectNotReported   Code = 2146
 	LoadsNotExchanged    Code = 2147
-	EntryIgnored         Code = 2158
-	ResponseUnrelated    Code = 2159
+
+	RelayRequestUnanswered Code = 2148
+	SilentServerAwaited    Code = 2149
+	EntryIgnored           Code = 2158
+	ResponseUnrelated      Code = 2159
 )
 
 var relayEvents = []Entry{
@@ -78,6 +81,8 @@
 	{CopyOrdered, "copy ordered", "Another engine was ordered to copy the cache of a run, because the holder of the copy was lost or is not in this data centre.", "Nothing. With an error the run may have no copy; if its engine is then lost, the prompt is processed again."},
 	{SuspectDeath, "suspect death", "A server died while it ran a request that it had not answered yet. After three such deaths within a minute, requests with the same fingerprint are refused on all hosts.", "If stopped is true, keep the content of the request that the line names for the developers of the service."},
 	{SuspectNotReported, "suspect untold", "Another entry host could not be informed of a request that crashes servers, or this host's list of such requests could not be read; such a request may reach more servers.", "Check the links between entry hosts if it repeats."},
+	{RelayRequestUnanswered, "request unanswered", "The task of a request failed before it had answered. The caller got 502, or a stream that had begun was cut off.", "Report it with the log line."},
+	{SilentServerAwaited, "silent server awaited", "A server is silent under a request, and no other attempt is possible: the attempts of the route or the retry budget are used up, or no other server is usable. The request stays with the server.", "Look at the servers of the service if it repeats."},
 	{LoadsNotExchanged, "loads not exchanged", "The entry host that collects the attempts on the engines of a data centre did not answer; engines are chosen by this host's own attempts and the next collector is asked from then on.", "Look at the collector that the line names if it repeats."},
 	{EntryIgnored, "entry ignored", "The state of a version move, or the evidence of a host on it, cannot be read; the row is ignored and the others hold. The holder of the move replaces an unreadable state.", "Find the writer of the row that the line names."},
 	{ResponseUnrelated, "response unrelated", "A server sent a response in the place of that to an attempt, with the id of another request or without one. It proves nothing: the connection is closed, and the attempt counts as one that may have run.", "Give the server and the time to the developers of its service: it writes responses more than once, or its registration has the address of another process."},
