Take no response without an id for a request that has none

A request whose caller gave no id was "equal" to any response without one, so that a refusal written once more counted as its answer on a kept connection. Found while the rule for responses was read again; callers of the platform send ids, and its servers refuse requests without one. Evidence: "proves nothing about a request without an id either". Before: the head was forwarded. After: passes. Such a request gets a refusal that is the first response on its connection, and nothing else.

--- a/entryhost/relay/exchange/connection.go
+++ b/entryhost/relay/exchange/connection.go
@@ -281,7 +281,7 @@
 // has read its head, and no earlier request can have caused it.
 func checkOwner(head *ResponseHead, requestID string, reused bool) error {
 	switch {
-	case head.RequestID == requestID, head.RequestID == "" && head.NotRun && !reused:
+	case head.RequestID == requestID && requestID != "", head.RequestID == "" && head.NotRun && !reused:
 		return nil
 	case head.RequestID == "":
 		return fmt.Errorf("%w: it carries no id", ErrUnrelated)
--- a/entryhost/relay/exchange/stale_test.go
+++ b/entryhost/relay/exchange/stale_test.go
@@ -158,6 +158,21 @@
 		}
 	})
 
+	It("proves nothing about a request without an id either, unless it is the first response", func() {
+		address, _ := startScript(step{answer: []string{answerOfA}}, step{answer: []string{refusalWithout}})
+		connection := open(address)
+		_, event := runAttempt(connection, &exchange.Attempt{RequestID: "a"})
+		Expect(event.End).To(BeTrue())
+		Expect((<-reports.C()).Idle).To(BeTrue())
+		head, event := runAttempt(connection, &exchange.Attempt{})
+		Expect(head).To(BeNil())
+		Expect(event.Failed).NotTo(BeNil())
+
+		address, _ = startScript(step{answer: []string{refusalWithout}})
+		head, _ = runAttempt(open(address), &exchange.Attempt{})
+		Expect(head.NotRun).To(BeTrue())
+	})
+
 	It("does not harm a connection on which each response has the id of its request", func() {
 		address, _ := startScript(step{answer: []string{refusalOfA}}, step{answer: []string{answerOfB}}, step{answer: []string{answerOfA}})
 		connection := open(address)
