--- a/entryhost/relay/dispatch/task.go
+++ b/entryhost/relay/dispatch/task.go
@@ -12,6 +12,7 @@
 	"github.com/lentilpoint/lentilpoint/entryhost/relay/catalog"
 	"github.com/lentilpoint/lentilpoint/entryhost/relay/exchange"
 	"github.com/lentilpoint/lentilpoint/entryhost/relay/routing"
+	"github.com/lentilpoint/lentilpoint/entryhost/relay/series"
 	"github.com/lentilpoint/lentilpoint/eventcode"
 	"github.com/lentilpoint/lentilpoint/task"
 )
@@ -81,6 +82,8 @@
 	// pendingChecks receive the result of the running probe; nil if none runs.
 	pendingChecks []task.Reply[CheckResult]
 	cache         cacheList
+	// copyOwners are the requests whose copies the server has named, by name.
+	copyOwners map[string]copyOwner
 }
 
 // leaseState is the state of one lease.
@@ -235,6 +238,8 @@
 		t.handleBorrowResult(ctx, message)
 	case RequestCopy:
 		t.handleCopyRequest(ctx, message)
+	case copyMade:
+		t.handleCopyMade(message)
 	case DropCopy:
 		t.handleDropCopy(ctx, message)
 	case Locate:
@@ -254,7 +259,7 @@
 // registered nor adopted stays in the table only while a probe of it is running;
 // leases keep their own reference to its state.
 func (t *Task) applyView(view *catalog.View) {
-	t.recordEnded(t.view.Servers, view.Servers)
+	t.recordEnded(t.view, view)
 	t.view = view
 	for id, server := range view.Servers {
 		state, found := t.servers[id]
@@ -333,7 +338,7 @@
 	if message.Outcome == OutcomeMisdirected && message.Instance != "" {
 		t.identify(ctx, granted.server.server, message.Instance)
 	}
-	t.Metrics.GetOrCreateCounter(`lentilpoint_relay_attempts_total{service="` + granted.service + `",outcome="` + message.Outcome.String() + `"}`).Inc()
+	t.Metrics.GetOrCreateCounter(series.Name("lentilpoint_relay_attempts_total", "service", granted.service, "outcome", message.Outcome.String())).Inc()
 }
 
 // handleFirstEventSent counts an attempt as decoding instead of reading its
--- a/entryhost/relay/exchange/connection.go
+++ b/entryhost/relay/exchange/connection.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -28,6 +29,8 @@
 	conn   net.Conn
 	limit  *headLimiter
 	reader *bufio.Reader
+	// reused is set once a response was read on conn.
+	reused bool
 }
 
 // headLimiter reads from a connection and fails once more than the remaining bytes
@@ -159,6 +162,10 @@
 // runExchange runs one exchange. It returns how long the connection may stay
 // idle and whether it can be reused.
 func (c *Connection) runExchange(ctx context.Context, exchange Exchange) (time.Duration, bool) {
+	if c.conn != nil && exchange.Attempt.SentBefore {
+		_ = c.conn.Close()
+		c.conn = nil
+	}
 	if c.conn == nil {
 		if err := c.dial(exchange.Context); err != nil {
 			sendEvent(exchange, Event{Failed: &Failure{Phase: Unsent, Err: err}})
@@ -209,7 +216,7 @@
 	if err != nil {
 		return Error.Wrap(err)
 	}
-	c.conn = conn
+	c.conn, c.reused = conn, false
 	c.limit = &headLimiter{conn: conn}
 	c.reader = bufio.NewReaderSize(c.limit, 4<<10)
 	return nil
@@ -248,9 +255,10 @@
 	}
 	defer func() { _ = response.Body.Close() }()
 	head := c.protocol.Decode(response)
-	if head.RequestID != "" && head.RequestID != exchange.Attempt.RequestID {
-		return 0, false, &Failure{Phase: Sent, Err: Error.New("response carries the id of another request, %s", head.RequestID)}
+	if err := checkOwner(&head, exchange.Attempt.RequestID, c.reused); err != nil {
+		return 0, false, &Failure{Phase: Sent, Err: Error.Wrap(err)}
 	}
+	c.reused = true
 	if !sendEvent(exchange, Event{Head: &head}) {
 		return 0, false, &Failure{Phase: Answering, Err: context.Cause(exchange.Context)}
 	}
@@ -265,6 +273,22 @@
 	return idleTimeout, framed && !response.Close && c.reader.Buffered() == 0, nil
 }
 
+// checkOwner returns ErrUnrelated unless the response is that to the request. Servers
+// echo the id of a request, and a faulty one may send an earlier response once more. A
+// response without an id may come from a process that is no server of the service,
+// since an entry of another writer can name any address. Only a refusal may lack the
+// id, as the first response on a connection: a server may refuse a request before it
+// has read its head, and no earlier request can have caused it.
+func checkOwner(head *ResponseHead, requestID string, reused bool) error {
+	switch {
+	case head.RequestID == requestID && requestID != "", head.RequestID == "" && head.NotRun && !reused:
+		return nil
+	case head.RequestID == "":
+		return fmt.Errorf("%w: it carries no id", ErrUnrelated)
+	}
+	return fmt.Errorf("%w: it carries the id of another request, %s", ErrUnrelated, head.RequestID)
+}
+
 // readHead returns the first response that is not informational (1xx).
 func (c *Connection) readHead(request *http.Request) (*http.Response, error) {
 	c.limit.limited, c.limit.remaining = true, maxHeadBytes
--- a/entryhost/relay/exchange/exchange_test.go
+++ b/entryhost/relay/exchange/exchange_test.go
@@ -29,7 +29,7 @@
 
 // Decode implements Protocol.
 func (plainProtocol) Decode(response *http.Response) exchange.ResponseHead {
-	return exchange.ResponseHead{Status: response.StatusCode, RequestID: response.Header.Get("Id"), Header: response.Header}
+	return exchange.ResponseHead{Status: response.StatusCode, RequestID: response.Header.Get("Id"), NotRun: response.Header.Get("Not-Run") != "", Header: response.Header}
 }
 
 // startServer starts a server that sends the same raw response to each request and
@@ -62,18 +62,30 @@
 // runRequest sends one request on the connection and returns its last event, or
 // a zero event after 2 s.
 func runRequest(connection *exchange.Connection) exchange.Event {
+	_, last := runAttempt(connection, &exchange.Attempt{RequestID: "a"})
+	return last
+}
+
+// runAttempt sends the attempt on the connection and returns the head of its response,
+// or nil, and its last event, or a zero event after 2 s.
+func runAttempt(connection *exchange.Connection, attempt *exchange.Attempt) (*exchange.ResponseHead, exchange.Event) {
 	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
 	defer cancel()
 	events := make(chan exchange.Event, 16)
-	Expect(connection.Run(exchange.Exchange{Context: ctx, Attempt: &exchange.Attempt{RequestID: "a", Method: "GET", Target: "/", Host: "h", Header: http.Header{}}, Events: events})).To(Succeed())
+	attempt.Method, attempt.Target, attempt.Host, attempt.Header = "GET", "/", "h", http.Header{}
+	Expect(connection.Run(exchange.Exchange{Context: ctx, Attempt: attempt, Events: events})).To(Succeed())
+	var head *exchange.ResponseHead
 	for {
 		select {
 		case event := <-events:
+			if event.Head != nil {
+				head = event.Head
+			}
 			if event.End || event.Failed != nil {
-				return event
+				return head, event
 			}
 		case <-ctx.Done():
-			return exchange.Event{}
+			return head, exchange.Event{}
 		}
 	}
 }
@@ -89,14 +101,14 @@
 	keepOpen := func(net.Conn) {}
 
 	It("is reused after a complete response", func() {
-		connection := open(startServer("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", keepOpen))
+		connection := open(startServer("HTTP/1.1 200 OK\r\nId: a\r\nContent-Length: 2\r\n\r\nok", keepOpen))
 		Expect(runRequest(connection).End).To(BeTrue())
 		Expect((<-reports.C()).Idle).To(BeTrue())
 		Expect(runRequest(connection).End).To(BeTrue())
 	})
 
 	It("fails a request as unsent if it was assigned while the connection ended, instead of leaving it without an event", func() {
-		connection := open(startServer("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", func(conn net.Conn) {
+		connection := open(startServer("HTTP/1.1 200 OK\r\nId: a\r\nContent-Length: 2\r\n\r\nok", func(conn net.Conn) {
 			time.Sleep(20 * time.Millisecond)
 			_ = conn.Close()
 		}))
@@ -115,8 +127,8 @@
 			runRequest(connection)
 			Eventually(func() bool { return (<-reports.C()).Idle }, time.Second).Should(BeFalse())
 		},
-		Entry("surplus bytes", "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nokHTTP/1.1 200 OK\r\n"),
-		Entry("a response with Connection: close", "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 2\r\n\r\nok"),
+		Entry("surplus bytes", "HTTP/1.1 200 OK\r\nId: a\r\nContent-Length: 2\r\n\r\nokHTTP/1.1 200 OK\r\n"),
+		Entry("a response with Connection: close", "HTTP/1.1 200 OK\r\nId: a\r\nConnection: close\r\nContent-Length: 2\r\n\r\nok"),
 		Entry("a response to another request", "HTTP/1.1 200 OK\r\nId: b\r\nContent-Length: 2\r\n\r\nok"),
 		Entry("a malformed response", "nonsense\r\n\r\n"),
 	)
@@ -149,7 +161,7 @@
 
 	It("reports its end also when its owner closed it, so that the owner's connection count stays correct", func() {
 		for range 20 {
-			connection := open(startServer("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", keepOpen))
+			connection := open(startServer("HTTP/1.1 200 OK\r\nId: a\r\nContent-Length: 2\r\n\r\nok", keepOpen))
 			Expect(runRequest(connection).End).To(BeTrue())
 			Expect((<-reports.C()).Idle).To(BeTrue())
 			connection.Close()
@@ -161,7 +173,7 @@
 
 	It("distinguishes a request that was not sent from one that may have run", func() {
 		Expect(runRequest(open("127.0.0.1:1")).Failed.Phase).To(Equal(exchange.Unsent))
-		broken := open(startServer("HTTP/1.1 200 OK\r\nContent-Length: 20\r\n\r\nok", func(conn net.Conn) { _ = conn.Close() }))
+		broken := open(startServer("HTTP/1.1 200 OK\r\nId: a\r\nContent-Length: 20\r\n\r\nok", func(conn net.Conn) { _ = conn.Close() }))
 		Expect(runRequest(broken).Failed.Phase).To(Equal(exchange.Answering))
 		silent := open(startServer("", func(conn net.Conn) { _ = conn.Close() }))
 		Expect(runRequest(silent).Failed.Phase).To(Equal(exchange.Sent))
--- a/entryhost/relay/exchange/messages.go
+++ b/entryhost/relay/exchange/messages.go
@@ -14,6 +14,10 @@
 // Error is the class of errors of this package.
 var Error = errs.Class("exchange")
 
+// ErrUnrelated reports that a response arrived in the place of that to the attempt and
+// cannot be shown to belong to it. It proves nothing about the attempt.
+var ErrUnrelated = Error.New("the response cannot be related to the attempt")
+
 // Phase is the stage that an exchange had reached when it failed.
 type Phase int
 
@@ -47,6 +51,10 @@
 	// Instance is the id of the server that must run it.
 	Instance     string
 	Organisation string
+	// SentBefore is set if the request was sent to the server in an earlier attempt.
+	// The id does not tell the responses of both attempts apart, so this one needs a
+	// new connection.
+	SentBefore bool
 	// Remaining is the time left until the caller's deadline.
 	Remaining time.Duration
 	// LastEventID is the id of the last event that the caller received, or "".
--- a/entryhost/relay/forward/reserve.go
+++ b/entryhost/relay/forward/reserve.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/lentilpoint/lentilpoint/entryhost/relay/dispatch"
 	"github.com/lentilpoint/lentilpoint/entryhost/relay/exchange"
+	"github.com/lentilpoint/lentilpoint/entryhost/relay/series"
 	"github.com/lentilpoint/lentilpoint/eventcode"
 )
 
@@ -42,7 +43,7 @@
 // logSilenceWait logs and counts that the request stays with a silent server because
 // no other attempt is possible.
 func (r *requestTask) logSilenceWait(running *runningAttempt, cause error) {
-	r.Metrics.GetOrCreateCounter(`lentilpoint_relay_silence_waits_total{service="` + r.request.Service.Name + `"}`).Inc()
+	r.Metrics.GetOrCreateCounter(series.Name("lentilpoint_relay_silence_waits_total", "service", r.request.Service.Name)).Inc()
 	r.Logger.Info("request waits for a silent server", eventcode.SilentServerAwaited.Attr(), "request", r.request.ID, "server", running.note.Server,
 		"cause", cause, "runs", r.counts.runs, "max_attempts", r.request.Route.MaxAttempts, "resumable", r.request.Route.Resumable)
 }
