--- a/entryhost/relay/dispatch/restart_test.go
+++ b/entryhost/relay/dispatch/restart_test.go
@@ -21,10 +21,12 @@
 // plainHeads passes attempts and responses on as they are.
 type plainHeads struct{}
 
-func (plainHeads) Encode(*exchange.Attempt) http.Header { return http.Header{} }
+func (plainHeads) Encode(attempt *exchange.Attempt) http.Header {
+	return http.Header{"Id": {attempt.RequestID}}
+}
 
 func (plainHeads) Decode(response *http.Response) exchange.ResponseHead {
-	return exchange.ResponseHead{Status: response.StatusCode, Sealed: true, Header: http.Header{}}
+	return exchange.ResponseHead{Status: response.StatusCode, RequestID: response.Header.Get("Id"), Sealed: true, Header: http.Header{}}
 }
 
 var _ = Describe("a dispatcher that panics", func() {
@@ -42,6 +44,7 @@
 			case <-goOn:
 			case <-r.Context().Done():
 			}
+			w.Header().Set("Id", r.Header.Get("Id"))
 			_, _ = w.Write([]byte("answer"))
 		}))
 		DeferCleanup(backend.Close)
@@ -75,7 +78,7 @@
 		Expect(err).NotTo(HaveOccurred())
 		Expect(assignment.Server).NotTo(BeNil())
 		events := make(chan exchange.Event, 8)
-		attempt := &exchange.Attempt{Method: http.MethodGet, Target: "/", Host: "test", Header: http.Header{}}
+		attempt := &exchange.Attempt{RequestID: "r", Method: http.MethodGet, Target: "/", Host: "test", Header: http.Header{}}
 		Expect(assignment.Connection.Run(exchange.Exchange{Context: context.Background(), Attempt: attempt, Events: events})).To(Succeed())
 		Eventually(started, 5*time.Second).Should(Receive())
 		return events
--- a/entryhost/relay/forward/begun_test.go
+++ b/entryhost/relay/forward/begun_test.go
@@ -36,6 +36,7 @@
 		// The engine sends one event and breaks off, until the last one.
 		engine := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 			last, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
+			w.Header().Set("Id", r.Header.Get("Id"))
 			_, _ = fmt.Fprintf(w, "id: %d\n\n", last+1)
 			_ = http.NewResponseController(w).Flush()
 			if last < losses {
--- a/entryhost/relay/forward/reserve.go
+++ b/entryhost/relay/forward/reserve.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/lentilpoint/lentilpoint/entryhost/relay/dispatch"
 	"github.com/lentilpoint/lentilpoint/entryhost/relay/exchange"
+	"github.com/lentilpoint/lentilpoint/entryhost/relay/series"
 	"github.com/lentilpoint/lentilpoint/eventcode"
 )
 
@@ -49,7 +50,7 @@
 	if len(running.events) > 0 {
 		return
 	}
-	r.Metrics.GetOrCreateCounter(`lentilpoint_relay_silence_waits_total{service="` + r.request.Service.Name + `"}`).Inc()
+	r.Metrics.GetOrCreateCounter(series.Name("lentilpoint_relay_silence_waits_total", "service", r.request.Service.Name)).Inc()
 	r.Logger.Info("request waits for a silent server", eventcode.SilentServerAwaited.Attr(), "request", r.request.ID, "server", running.note.Server,
 		"cause", cause, "runs", r.counts.runs, "max_attempts", r.request.Route.MaxAttempts, "resumable", r.request.Route.Resumable)
 }
--- a/entryhost/relay/forward/task.go
+++ b/entryhost/relay/forward/task.go
@@ -6,6 +6,7 @@
 	"log/slog"
 	"maps"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -14,6 +15,7 @@
 	"github.com/lentilpoint/lentilpoint/entryhost/relay/dispatch"
 	"github.com/lentilpoint/lentilpoint/entryhost/relay/exchange"
 	"github.com/lentilpoint/lentilpoint/entryhost/relay/routing"
+	"github.com/lentilpoint/lentilpoint/entryhost/relay/series"
 	"github.com/lentilpoint/lentilpoint/entryhost/relay/suspects"
 	"github.com/lentilpoint/lentilpoint/eventcode"
 	"github.com/lentilpoint/lentilpoint/model"
@@ -101,6 +103,7 @@
 	attempt.RequestID = r.request.ID
 	attempt.Instance = assignment.Server.ID
 	attempt.Organisation = r.request.Organisation
+	attempt.SentBefore = r.sentBefore(assignment.Server.ID)
 	attempt.Remaining = r.request.Deadline.Sub(now)
 	attempt.Method, attempt.Target, attempt.Host = r.request.Method, r.request.Target, r.request.Host
 	attempt.Header, attempt.Body = r.request.Header, r.request.Body
@@ -120,6 +123,11 @@
 	return running
 }
 
+// sentBefore reports whether an earlier attempt may have been sent to the server.
+func (r *requestTask) sentBefore(server string) bool {
+	return slices.ContainsFunc(r.summary.Attempts, func(note AttemptNote) bool { return note.Server == server })
+}
+
 // finish ends the attempt and releases its server with the outcome.
 func (r *requestTask) finish(running *runningAttempt, got *response, outcome dispatch.Outcome, cause error, latency time.Duration) {
 	running.cancel()
@@ -128,6 +136,11 @@
 	if cause != nil {
 		running.note.Cause = cause.Error()
 	}
+	if errors.Is(cause, exchange.ErrUnrelated) {
+		r.Metrics.GetOrCreateCounter(series.Name("lentilpoint_relay_unrelated_responses_total", "service", r.request.Service.Name)).Inc()
+		r.Logger.Warn("response cannot be related to its attempt; its connection is closed and the request may have run", eventcode.ResponseUnrelated.Attr(),
+			"request", r.request.ID, "server", running.note.Server, "reused", running.note.Reused, "error", cause)
+	}
 	r.summary.Attempts = append(r.summary.Attempts, running.note)
 	if outcome != dispatch.OutcomeNone && r.reserved == nil {
 		r.count(running, outcome)
@@ -230,7 +243,7 @@
 
 // logRetry logs and counts that the request goes to another server.
 func (r *requestTask) logRetry(running *runningAttempt, outcome dispatch.Outcome, cause error, lastEvent string) {
-	r.Metrics.GetOrCreateCounter(`lentilpoint_relay_retries_total{service="` + r.request.Service.Name + `",reason="` + outcome.String() + `"}`).Inc()
+	r.Metrics.GetOrCreateCounter(series.Name("lentilpoint_relay_retries_total", "service", r.request.Service.Name, "reason", outcome.String())).Inc()
 	r.Logger.Info("request is retried on another server", eventcode.RequestRerouted.Attr(), "request", r.request.ID, "route", r.request.Route.Name,
 		"server", running.note.Server, "data_centre", running.note.DataCentre, "outcome", outcome.String(), "cause", cause, "runs", r.counts.runs,
 		"rejections", r.counts.rejections, "unsent", r.counts.unsent, "last_event", lastEvent,
@@ -255,7 +268,7 @@
 
 func (r *requestTask) sendFault(fault *model.Fault) {
 	r.summary.Fault = fault
-	r.Metrics.GetOrCreateCounter(`lentilpoint_relay_refusals_total{reason="` + string(fault.Reason) + `"}`).Inc()
+	r.Metrics.GetOrCreateCounter(series.Name("lentilpoint_relay_refusals_total", "reason", string(fault.Reason))).Inc()
 	if err := r.caller.Refuse(fault); err != nil {
 		r.summary.CallerLeft = true
 	}
