Keep the rounds of a version move while views arrive

Callers could be kept on a faulty version for as long as the configuration or the registrations changed more than once a second.

Cause: the mover set its timer for the next round anew after each view of the catalog. Views that arrive more often than roundInterval postponed the round each time, so the host neither reported evidence nor followed a new stage, and a holder neither decided nor renewed its heartbeat.

Test: a view each 250 ms for 2.5 s of a fake clock. Before, 0 rounds ("Expected <int>: 0 to be >= <int>: 2"); after, 2 or more, 10 of 10 runs with the race detector.

The timer now runs from one round to the next, independent of views.

--- a/entryhost/relay/moves/task.go
+++ b/entryhost/relay/moves/task.go
@@ -77,10 +77,12 @@
 		case view := <-m.views.C():
 			m.updateMoves(view)
 		case <-nextRound:
+			nextRound = nil
 			m.runRounds(ctx)
 		}
-		nextRound = nil
-		if m.hasActiveMove() {
+		// A view must not restart the timer: views that arrive more often than
+		// roundInterval would then postpone the round for as long as they come.
+		if nextRound == nil && m.hasActiveMove() {
 			nextRound = m.Clock.After(roundInterval)
 		}
 	}
