Take views of the catalog while the store holds up a version move

Callers of a host could get no answer, or a refusal after a second, while a version move was in progress and the store was slow or down.

Cause: the mover ran the store calls of a round, up to 0.9 s, in its own goroutine and read no views meanwhile. Its mailbox holds 8; the ninth view blocked the catalog, for which every request of the host waits for at most 1 s. A storm of configurations, or registrations that lapse together at the end of an outage of the store, make that many views.

Test: a store that does not answer and 24 views within 300 ms.

Each round now runs in a goroutine of its own on copies of the moves and returns them to the task, which remains the only owner of its state. An order that was replaced during the round keeps its own progress. At most one round runs, and the end of the task waits for it.

--- a/entryhost/relay/moves/task.go
+++ b/entryhost/relay/moves/task.go
@@ -48,16 +48,23 @@
 	phase routing.Phase
 }
 
-// Mover is the task that carries out the moves of all services.
+// Mover is the task that carries out the moves of all services. The store may take
+// long to answer, so each round runs in a goroutine of its own, with copies of the
+// moves; the task takes views meanwhile.
 type Mover struct {
 	Parameters
 	views task.Mailbox[*catalog.View]
 	moves map[string]*move
+	// rounds receives the moves after a round; at most one round runs.
+	rounds chan map[string]move
 }
 
 // NewMover returns a mover without moves; it receives them through Views.
 func NewMover(parameters Parameters) *Mover {
-	return &Mover{Parameters: parameters, views: task.NewMailbox[*catalog.View](viewsCapacity), moves: map[string]*move{}}
+	return &Mover{
+		Parameters: parameters, views: task.NewMailbox[*catalog.View](viewsCapacity), moves: map[string]*move{},
+		rounds: make(chan map[string]move, 1),
+	}
 }
 
 // Views receives the views of the catalog.
@@ -70,19 +77,27 @@
 // move is active.
 func (m *Mover) Serve(ctx context.Context) error {
 	var nextRound <-chan time.Time
+	running := false
 	for {
 		select {
 		case <-ctx.Done():
+			if running {
+				// The round ends with the context.
+				<-m.rounds
+			}
 			return nil
 		case view := <-m.views.C():
 			m.updateMoves(view)
 		case <-nextRound:
-			nextRound = nil
-			m.runRounds(ctx)
+			nextRound, running = nil, true
+			go m.runRounds(ctx, m.activeMoves())
+		case after := <-m.rounds:
+			running = false
+			m.recordRound(after)
 		}
 		// A view must not restart the timer: views that arrive more often than
 		// roundInterval would then postpone the round for as long as they come.
-		if nextRound == nil && m.hasActiveMove() {
+		if nextRound == nil && !running && len(m.activeMoves()) > 0 {
 			nextRound = m.Clock.After(roundInterval)
 		}
 	}
@@ -104,28 +119,40 @@
 	}
 }
 
-func (m *Mover) hasActiveMove() bool {
-	for _, move := range m.moves {
+// activeMoves returns copies of the moves that have not ended on this host.
+func (m *Mover) activeMoves() map[string]move {
+	active := map[string]move{}
+	for service, move := range m.moves {
 		if move.phase != routing.PhaseCompleted && move.phase != routing.PhaseWithdrawn {
-			return true
+			active[service] = *move
 		}
 	}
-	return false
+	return active
 }
 
-// runRounds runs one round of each active move within roundsTimeout.
-func (m *Mover) runRounds(ctx context.Context) {
+// recordRound takes over the progress of the moves after a round, except for those
+// that were ordered anew meanwhile.
+func (m *Mover) recordRound(after map[string]move) {
+	for service, move := range after {
+		if known, found := m.moves[service]; found && known.order.Order == move.order.Order {
+			*known = move
+		}
+	}
+}
+
+// runRounds runs one round of each active move within roundsTimeout, outside of the
+// task's goroutine, and sends the moves after it to the task.
+func (m *Mover) runRounds(ctx context.Context, active map[string]move) {
 	ctx, cancel := context.WithTimeout(ctx, roundsTimeout)
 	defer cancel()
-	for service, move := range m.moves {
-		if move.phase == routing.PhaseCompleted || move.phase == routing.PhaseWithdrawn {
-			continue
-		}
-		if err := m.runRound(ctx, service, move); err != nil {
+	for service, move := range active {
+		if err := m.runRound(ctx, service, &move); err != nil {
 			m.Metrics.GetOrCreateCounter("lentilpoint_relay_move_round_failures_total").Inc()
 			m.Logger.Warn("version move round failed; keeping the current stage", eventcode.RelayMoveRound.Attr(), "service", service, "error", err)
 		}
+		active[service] = move
 	}
+	m.rounds <- active
 }
 
 // runRound writes this host's evidence, decides on the next state if this host is
--- a/entryhost/relay/moves/task_test.go
+++ b/entryhost/relay/moves/task_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -15,23 +16,29 @@
 )
 
 // standinStore answers at once, or, if hangs is set, only when the context of the
-// call ends. It counts the rounds that began.
+// call ends. It receives the rounds that began and the orders of written evidence.
 type standinStore struct {
-	hangs  bool
+	hangs  atomic.Bool
 	rounds chan struct{}
+	orders chan uint64
 }
 
 func (s *standinStore) ReadState(ctx context.Context, _ string) (State, error) {
 	s.rounds <- struct{}{}
-	if s.hangs {
+	if s.hangs.Load() {
 		<-ctx.Done()
 		return State{}, ctx.Err()
 	}
 	return State{}, nil
 }
 
-func (s *standinStore) WriteState(context.Context, State) error                  { return nil }
-func (s *standinStore) WriteEvidence(context.Context, string, Evidence) error    { return nil }
+func (s *standinStore) WriteState(context.Context, State) error { return nil }
+
+func (s *standinStore) WriteEvidence(_ context.Context, _ string, evidence Evidence) error {
+	s.orders <- evidence.Order
+	return nil
+}
+
 func (s *standinStore) ReadEvidence(context.Context, string) ([]Evidence, error) { return nil, nil }
 
 // standinTraffic has no samples and accepts every stage.
@@ -50,7 +57,7 @@
 
 	BeforeEach(func() {
 		clock = clockwork.NewFakeClock()
-		store = &standinStore{rounds: make(chan struct{}, 100)}
+		store = &standinStore{rounds: make(chan struct{}, 100), orders: make(chan uint64, 100)}
 		mover = NewMover(Parameters{
 			Self: "host", Store: store, Traffic: standinTraffic{}, Limits: ExposureLimits{Share: 0.1, Slack: 50},
 			Clock: clock, Metrics: metrics.NewSet(), Logger: slog.New(slog.DiscardHandler),
@@ -80,4 +87,35 @@
 		}
 		Expect(len(store.rounds)).To(BeNumerically(">=", 2), "in 2.5 s")
 	})
+
+	// Guards against a store that answers late holding up the catalog, for which
+	// every request of the host waits.
+	It("takes views while the store does not answer", func() {
+		store.hangs.Store(true)
+		start()
+		Expect(mover.Views().Send(context.Background(), view)).To(Succeed())
+		Expect(clock.BlockUntilContext(context.Background(), 1)).To(Succeed())
+		clock.Advance(roundInterval)
+		Eventually(store.rounds).Should(Receive(), "the round waits for the store")
+		ctx, cancel := context.WithTimeout(context.Background(), roundsTimeout/3)
+		defer cancel()
+		for number := range 3 * viewsCapacity {
+			Expect(mover.Views().Send(ctx, view)).To(Succeed(), "view %d", number)
+		}
+	})
+
+	It("carries out an order that replaces another one during a round", func() {
+		store.hangs.Store(true)
+		start()
+		Expect(mover.Views().Send(context.Background(), view)).To(Succeed())
+		Expect(clock.BlockUntilContext(context.Background(), 1)).To(Succeed())
+		clock.Advance(roundInterval)
+		Eventually(store.rounds).Should(Receive())
+		store.hangs.Store(false)
+		replaced := &catalog.View{Moves: map[string]routing.Move{"engine": {Service: "engine", Target: "v3", Order: 8, Duration: time.Minute}}}
+		Expect(mover.Views().Send(context.Background(), replaced)).To(Succeed())
+		Expect(clock.BlockUntilContext(context.Background(), 1)).To(Succeed(), "the round has ended")
+		clock.Advance(roundInterval)
+		Eventually(store.orders).Should(Receive(BeEquivalentTo(8)))
+	})
 })
