Count the evidence of a version move when it arrives, by route

Cause: an attempt became evidence when its server was released, which for a stream is many seconds after its first event. A slow version hands in its evidence last, and what waited there was not reported at all. The evidence was also summed over all routes, which hides a version that is faulty on one of them, and the exposure counted only attempts that had ended.

Each host now reports by route, for the target and the other versions: the attempts sent, histograms of the times to the first answer and of each 16 further events, of the attempts that still wait for one of these, and of callers that left while they waited. An attempt that has waited 2.5 times longer than the median of the other versions counts as slow. The target is faulty if a rate of failures or of slow steps, on a route or over all routes, is beyond the former tolerances and has a chance below 0.001 under the other versions' rate. The sum over the routes expects on each route the rate of the other versions there. Counting begins at the order, so that the other versions have samples when the target gets its first request.

The rows of the evidence and of the state get new fields; the old ones keep their meaning, and rows of hosts of the previous build are compared as before.

--- a/entryhost/relay/dispatch/assign.go
+++ b/entryhost/relay/dispatch/assign.go
@@ -72,7 +72,10 @@
 // grant leases the chosen server to the request and answers it.
 func (t *Task) grant(ctx context.Context, request Acquire, chosen *candidate, candidates []candidate, deferred bool, now time.Time) {
 	state := t.servers[chosen.server.ID]
-	granted := leaseState{server: state, service: request.Service, organisation: request.Organisation, retry: request.Retry}
+	granted := leaseState{
+		server: state, service: request.Service, organisation: request.Organisation, retry: request.Retry,
+		route: request.Route, stepStarted: now, fromCopy: request.OnlyPreferred,
+	}
 	assignment := Assignment{Server: state.server}
 	if deferred {
 		assignment.Deferred = true
@@ -91,6 +94,7 @@
 	assignment.Lease = t.lastLease
 	state.inFlight++
 	t.leases[assignment.Lease] = granted
+	t.recordSent(granted)
 	request.Reply.Send(assignment)
 	t.reportAttempt(ctx, state.server)
 }
--- a/entryhost/relay/dispatch/messages.go
+++ b/entryhost/relay/dispatch/messages.go
@@ -152,6 +152,12 @@
 	Lease Lease
 }
 
+// EventsSent reports moves.EventsPerPace further events of an attempt since the first
+// one or the last such message.
+type EventsSent struct {
+	Lease Lease
+}
+
 // CheckResult is the result of a probe of a server's runs.
 type CheckResult struct {
 	Alive bool
@@ -284,6 +290,7 @@
 func (Release) isMessage()        {}
 func (SetBudget) isMessage()      {}
 func (FirstEventSent) isMessage() {}
+func (EventsSent) isMessage()     {}
 func (Check) isMessage()          {}
 func (checkDone) isMessage()      {}
 func (identifyResult) isMessage() {}
--- a/entryhost/relay/dispatch/task.go
+++ b/entryhost/relay/dispatch/task.go
@@ -99,6 +99,12 @@
 	// has sent an event.
 	retry    bool
 	decoding bool
+	// route is the request's route. stepStarted is when the step of the response
+	// began that the attempt is waiting for; see moves.Sample. fromCopy is set if the
+	// attempt continues from a copy of the run's cache and reads no prompt.
+	route       string
+	stepStarted time.Time
+	fromCopy    bool
 }
 
 // Task is the dispatcher. It owns the state of all servers.
@@ -225,6 +231,8 @@
 		t.budgets = map[string]*budget{}
 	case FirstEventSent:
 		t.handleFirstEventSent(message)
+	case EventsSent:
+		t.handleEventsSent(message)
 	case SetStage:
 		t.handleSetStage(message)
 	case GetSamples:
@@ -329,7 +337,7 @@
 	}
 	t.markLoadChanged(granted.server.server)
 	t.recordOutcome(granted.server, message.Outcome)
-	t.recordSample(granted.server.server, message.Outcome, message.Latency)
+	t.recordEnd(granted, message.Outcome, message.Latency)
 	if message.Outcome == OutcomeMisdirected && message.Instance != "" {
 		t.identify(ctx, granted.server.server, message.Instance)
 	}
@@ -343,7 +351,8 @@
 	if !found || granted.decoding {
 		return
 	}
-	granted.decoding = true
+	t.recordAnswer(granted)
+	granted.decoding, granted.stepStarted = true, t.Clock.Now()
 	granted.server.decoding++
 	t.leases[message.Lease] = granted
 	t.markLoadChanged(granted.server.server)
--- a/entryhost/relay/dispatch/versions.go
+++ b/entryhost/relay/dispatch/versions.go
@@ -17,14 +17,7 @@
 // GetSamples asks for the outcomes counted for both versions in a move.
 type GetSamples struct {
 	Service string
-	Reply   task.Reply[VersionSamples]
-}
-
-// VersionSamples are the outcomes of the target version and of all other
-// versions.
-type VersionSamples struct {
-	Target moves.Sample
-	Other  moves.Sample
+	Reply   task.Reply[map[string]moves.Versions]
 }
 
 func (SetStage) isMessage()   {}
@@ -42,17 +35,57 @@
 }
 
 // Samples implements moves.Traffic.
-func (t Traffic) Samples(ctx context.Context, service string) (target, other moves.Sample, err error) {
-	got, err := task.Call(ctx, t.Dispatcher, func(reply task.Reply[VersionSamples]) Message {
+func (t Traffic) Samples(ctx context.Context, service string) (map[string]moves.Versions, error) {
+	return task.Call(ctx, t.Dispatcher, func(reply task.Reply[map[string]moves.Versions]) Message {
 		return GetSamples{Service: service, Reply: reply}
 	})
-	return got.Target, got.Other, err
 }
 
+// maxSampledRoutes bounds the routes whose samples are kept apart, and with them the
+// row of this host's evidence. Further routes share the samples of otherRoutes.
+const (
+	maxSampledRoutes = 32
+	otherRoutes      = "other routes"
+)
+
 // moveState is the dispatcher's state of one service's version move.
 type moveState struct {
-	stage   routing.Stage
-	samples VersionSamples
+	stage routing.Stage
+	// samples are the samples of both versions by route.
+	samples map[string]*moves.Versions
+}
+
+// routeKey returns the key of a route's samples.
+func (m *moveState) routeKey(route string) string {
+	if _, found := m.samples[route]; found || len(m.samples) < maxSampledRoutes {
+		return route
+	}
+	return otherRoutes
+}
+
+// routeSamples returns the samples of a route.
+func (m *moveState) routeSamples(route string) *moves.Versions {
+	key := m.routeKey(route)
+	if m.samples[key] == nil {
+		m.samples[key] = &moves.Versions{}
+	}
+	return m.samples[key]
+}
+
+// moveOf returns the state of the service's version move, or nil. Samples are counted
+// from the order on, so that those of the other versions exist when the first stage is
+// in force. A new order discards the samples of the previous one.
+func (t *Task) moveOf(service string) *moveState {
+	state := t.moves[service]
+	order, ordered := t.view.Moves[service]
+	if ordered && (state == nil || state.stage.Order < order.Order) {
+		state = &moveState{
+			stage:   routing.Stage{Service: service, Target: order.Target, Order: order.Order},
+			samples: map[string]*moves.Versions{},
+		}
+		t.moves[service] = state
+	}
+	return state
 }
 
 // stageOf returns the stage in force for the service. While an order has no
@@ -69,35 +102,113 @@
 	return state.stage, true
 }
 
-// handleSetStage puts a stage in force; a new order discards the samples of the
-// previous one.
+// handleSetStage puts a stage in force. The view with its order may arrive later; a
+// stage of an earlier order is out of date.
 func (t *Task) handleSetStage(message SetStage) {
-	state := t.moves[message.Stage.Service]
-	if state == nil || state.stage.Order != message.Stage.Order {
-		state = &moveState{}
-		t.moves[message.Stage.Service] = state
+	state := t.moveOf(message.Stage.Service)
+	switch {
+	case state == nil || state.stage.Order < message.Stage.Order:
+		t.moves[message.Stage.Service] = &moveState{stage: message.Stage, samples: map[string]*moves.Versions{}}
+	case state.stage.Order == message.Stage.Order:
+		state.stage = message.Stage
 	}
-	state.stage = message.Stage
 }
 
-// handleSamples returns the counted outcomes to the mover.
+// handleSamples returns the samples to the mover, with the attempts that are waiting.
 func (t *Task) handleSamples(message GetSamples) {
-	var samples VersionSamples
-	if state := t.moves[message.Service]; state != nil {
-		samples = state.samples
+	routes := map[string]moves.Versions{}
+	state := t.moveOf(message.Service)
+	if state == nil {
+		message.Reply.Send(routes)
+		return
 	}
-	message.Reply.Send(samples)
+	for route, samples := range state.samples {
+		routes[route] = *samples
+	}
+	now := t.Clock.Now()
+	for _, granted := range t.leases {
+		if granted.service != message.Service || granted.skipsStep() {
+			continue
+		}
+		key := state.routeKey(granted.route)
+		samples := routes[key]
+		stepOf(sampleOf(&samples, state, granted), granted).Waiting.Add(now.Sub(granted.stepStarted))
+		routes[key] = samples
+	}
+	message.Reply.Send(routes)
 }
 
-// recordSample counts an attempt's outcome for the version of its server.
-func (t *Task) recordSample(server *routing.Server, outcome Outcome, latency time.Duration) {
-	state := t.moves[server.Service]
-	if state == nil || outcome == OutcomeNone || outcome == OutcomeUnreachable || outcome == OutcomeMisdirected {
+// skipsStep reports whether the time of the attempt's current step says nothing about
+// the version: an attempt that continues from a copy of a cache reads no prompt.
+func (l leaseState) skipsStep() bool { return l.fromCopy && !l.decoding }
+
+// sampleOf returns the sample of the version that serves the attempt.
+func sampleOf(versions *moves.Versions, state *moveState, granted leaseState) *moves.Sample {
+	if granted.server.server.Version == state.stage.Target {
+		return &versions.Target
+	}
+	return &versions.Other
+}
+
+// stepOf returns the step of the response that the attempt is waiting for.
+func stepOf(sample *moves.Sample, granted leaseState) *moves.Step {
+	if granted.decoding {
+		return &sample.Pace
+	}
+	return &sample.Answers
+}
+
+// recordSent counts an attempt for the version of its server.
+func (t *Task) recordSent(granted leaseState) {
+	if state := t.moveOf(granted.service); state != nil {
+		sampleOf(state.routeSamples(granted.route), state, granted).Sent++
+	}
+}
+
+// recordAnswer counts the time to the first event of an attempt. It is counted when the
+// event arrives, since a stream may run for many seconds after it, and those of a slow
+// version run longest.
+func (t *Task) recordAnswer(granted leaseState) {
+	t.recordStep(granted, func(step *moves.Step, took time.Duration) { step.Done.Add(took) })
+}
+
+// handleEventsSent counts the time that further events of an attempt took.
+func (t *Task) handleEventsSent(message EventsSent) {
+	granted, found := t.leases[message.Lease]
+	if !found || !granted.decoding {
+		return
+	}
+	t.recordStep(granted, func(step *moves.Step, took time.Duration) { step.Done.Add(took) })
+	granted.stepStarted = t.Clock.Now()
+	t.leases[message.Lease] = granted
+}
+
+// recordStep passes the attempt's step and the time that it has taken to record.
+func (t *Task) recordStep(granted leaseState, record func(step *moves.Step, took time.Duration)) {
+	state := t.moveOf(granted.service)
+	if state == nil || granted.skipsStep() {
+		return
+	}
+	sample := sampleOf(state.routeSamples(granted.route), state, granted)
+	record(stepOf(sample, granted), t.Clock.Since(granted.stepStarted))
+}
+
+// recordEnd counts the outcome of an attempt for the version of its server.
+func (t *Task) recordEnd(granted leaseState, outcome Outcome, latency time.Duration) {
+	state := t.moveOf(granted.service)
+	if state == nil {
 		return
 	}
-	sample := &state.samples.Other
-	if server.Version == state.stage.Target {
-		sample = &state.samples.Target
+	sample := sampleOf(state.routeSamples(granted.route), state, granted)
+	switch outcome {
+	case OutcomeUnreachable, OutcomeMisdirected:
+		// The attempt did not reach the server.
+		sample.Sent = max(sample.Sent-1, 0)
+		return
+	case OutcomeNone:
+		// The caller left. How long it had waited may still show a slow version.
+		t.recordStep(granted, func(step *moves.Step, waited time.Duration) { step.Left.Add(waited) })
+		return
 	}
 	sample.Count++
 	if outcome != OutcomeSuccess {
@@ -105,6 +216,10 @@
 		return
 	}
 	sample.LatencySum += latency
+	if !granted.decoding {
+		// A complete response, or a stream whose first event was not reported.
+		sample.Answers.Done.Add(latency)
+	}
 }
 
 // filterVersions removes the servers of versions that the request may not use.
--- a/entryhost/relay/forward/stream.go
+++ b/entryhost/relay/forward/stream.go
@@ -6,6 +6,7 @@
 
 	"github.com/lentilpoint/lentilpoint/entryhost/relay/dispatch"
 	"github.com/lentilpoint/lentilpoint/entryhost/relay/exchange"
+	"github.com/lentilpoint/lentilpoint/entryhost/relay/moves"
 	"github.com/lentilpoint/lentilpoint/eventcode"
 	"github.com/lentilpoint/lentilpoint/model"
 	"github.com/lentilpoint/lentilpoint/task"
@@ -310,8 +311,14 @@
 		}
 	}
 	s.lastEvent = now
+	before := running.note.Events
 	running.note.Events += events
 	r.summary.Events += events
+	if before > 0 && (before-1)/moves.EventsPerPace < (running.note.Events-1)/moves.EventsPerPace {
+		if r.Dispatcher.TrySend(dispatch.EventsSent{Lease: running.assignment.Lease}) != nil {
+			r.Metrics.GetOrCreateCounter("lentilpoint_relay_paces_dropped_total").Inc()
+		}
+	}
 }
 
 // check asks the dispatcher whether the attempt's server is alive.
--- /dev/null
+++ b/entryhost/relay/moves/evidence.go
@@ -0,0 +1,203 @@
+package moves
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// bucketsPerOctave sets the resolution of a histogram: the bounds of its buckets
+	// are 19 % apart, far less than the factor by which a slow version differs.
+	bucketsPerOctave = 4
+	// histogramBuckets covers 1 ms to 131 s; the longest time budget of a request is
+	// below a minute.
+	histogramBuckets = 17 * bucketsPerOctave
+)
+
+// Histogram counts durations. Bucket i holds those from 2^(i/bucketsPerOctave) ms up
+// to the bound of the next bucket; the first and the last one hold also what lies
+// beyond them.
+type Histogram [histogramBuckets]int
+
+// bucketOf returns the bucket of a duration.
+func bucketOf(d time.Duration) int {
+	if d <= time.Millisecond {
+		return 0
+	}
+	return min(int(bucketsPerOctave*math.Log2(float64(d)/float64(time.Millisecond))), histogramBuckets-1)
+}
+
+// bucketStart returns the lowest duration in a bucket.
+func bucketStart(bucket float64) time.Duration {
+	return time.Duration(math.Exp2(bucket/bucketsPerOctave) * float64(time.Millisecond))
+}
+
+// Add counts a duration.
+func (h *Histogram) Add(d time.Duration) { h[bucketOf(d)]++ }
+
+// Count returns the number of durations.
+func (h *Histogram) Count() int {
+	var count int
+	for _, n := range h {
+		count += n
+	}
+	return count
+}
+
+// median returns the middle of the bucket of the median, or 0 if the histogram is empty.
+func (h *Histogram) median() time.Duration {
+	half, seen := (h.Count()+1)/2, 0
+	for bucket, n := range h {
+		if seen += n; n > 0 && seen >= half {
+			return bucketStart(float64(bucket) + 0.5)
+		}
+	}
+	return 0
+}
+
+// countOver returns how many durations are certainly not below the limit.
+func (h *Histogram) countOver(limit time.Duration) int {
+	var count int
+	for bucket, n := range h {
+		if bucketStart(float64(bucket)) >= limit {
+			count += n
+		}
+	}
+	return count
+}
+
+// Step holds how long attempts took for one step of their responses.
+type Step struct {
+	// Done holds the times of the attempts that have completed the step.
+	Done Histogram
+	// Waiting holds how long attempts in progress have waited for the step so far. A
+	// slow version completes its steps last, so without them it would look unused.
+	Waiting Histogram
+	// Left holds how long attempts had waited that ended before the step without
+	// evidence about the server, for example because the caller left.
+	Left Histogram
+}
+
+// Sample sums up the responses of one version.
+type Sample struct {
+	// Sent is the number of attempts that were sent, including those in progress. Hosts
+	// of builds that do not count it report 0.
+	Sent int
+	// Count is the number of attempts that have ended, of which Failed failed.
+	Count  int
+	Failed int
+	// LatencySum is the sum of the response times of attempts that did not fail.
+	LatencySum time.Duration
+	// Answers are the times to the complete response or the first event of a stream,
+	// Pace the times that each further EventsPerPace events of a stream took.
+	Answers Step
+	Pace    Step
+}
+
+// EventsPerPace is the number of events over which the pace of a stream is measured.
+// It is enough for the pauses that other prompts on the engine cause to even out, and
+// a normal stream takes about a second for it.
+const EventsPerPace = 16
+
+// Versions holds the samples of both sides of a move.
+type Versions struct {
+	// Target is the sample of the version that the traffic moves to, Other that of all
+	// other versions.
+	Target Sample
+	Other  Sample
+}
+
+// Evidence holds the samples that one host took during a move.
+type Evidence struct {
+	Host  string
+	Order uint64
+	// Routes holds the samples by route. Hosts of builds that do not tell routes apart
+	// report Total alone.
+	Routes map[string]Versions
+	// Total sums up the counts, failures and latencies of all routes.
+	Total Versions
+}
+
+// NewEvidence returns the evidence of a host.
+func NewEvidence(host string, order uint64, routes map[string]Versions) Evidence {
+	evidence := Evidence{Host: host, Order: order, Routes: routes}
+	for _, versions := range routes {
+		evidence.Total = evidence.Total.add(versions)
+	}
+	return evidence
+}
+
+// Observation is the evidence of all hosts by route. The samples of hosts that do not
+// tell routes apart are those of the route "".
+type Observation map[string]Versions
+
+// sumEvidence adds up the evidence of all hosts on one order.
+func sumEvidence(evidence []Evidence, order uint64) Observation {
+	seen := Observation{}
+	for _, report := range evidence {
+		if report.Order != order {
+			continue
+		}
+		if len(report.Routes) == 0 {
+			seen[""] = seen[""].add(report.Total)
+		}
+		for route, versions := range report.Routes {
+			seen[route] = seen[route].add(versions)
+		}
+	}
+	return seen
+}
+
+// total returns the sums over all routes.
+func (o Observation) total() Versions {
+	var total Versions
+	for _, versions := range o {
+		total = total.add(versions)
+	}
+	return total
+}
+
+func (v Versions) add(other Versions) Versions {
+	return Versions{Target: v.Target.add(other.Target), Other: v.Other.add(other.Other)}
+}
+
+func (s Sample) add(other Sample) Sample {
+	return Sample{
+		Sent: s.sent() + other.sent(), Count: s.Count + other.Count, Failed: s.Failed + other.Failed, LatencySum: s.LatencySum + other.LatencySum,
+		Answers: s.Answers.add(other.Answers), Pace: s.Pace.add(other.Pace),
+	}
+}
+
+// sent returns the number of attempts that were sent, as far as it is known.
+func (s Sample) sent() int { return max(s.Sent, s.Count) }
+
+// answered returns the number of attempts that sent a first answer, as far as it is
+// known.
+func (s Sample) answered() int { return max(s.Answers.Done.Count(), s.succeeded()) }
+
+func (s Sample) succeeded() int { return s.Count - s.Failed }
+
+func (s Sample) failureRate() float64 {
+	if s.Count == 0 {
+		return 0
+	}
+	return float64(s.Failed) / float64(s.Count)
+}
+
+func (s Sample) meanLatency() time.Duration {
+	if s.succeeded() == 0 {
+		return 0
+	}
+	return s.LatencySum / time.Duration(s.succeeded())
+}
+
+func (s Step) add(other Step) Step {
+	return Step{Done: s.Done.add(other.Done), Waiting: s.Waiting.add(other.Waiting), Left: s.Left.add(other.Left)}
+}
+
+func (h Histogram) add(other Histogram) Histogram {
+	for bucket, n := range other {
+		h[bucket] += n
+	}
+	return h
+}
--- a/entryhost/relay/moves/messages.go
+++ b/entryhost/relay/moves/messages.go
@@ -28,6 +28,8 @@
 	Phase routing.Phase
 	// Share is the fraction of requests that go to the target, from 0 to 1.
 	Share float64
+	// Reason is why the move was withdrawn.
+	Reason string
 	// Holder is the host that decides on the move. It increments Heartbeat in
 	// each round; the other hosts detect its failure by an unchanged Heartbeat.
 	Holder    string
@@ -36,30 +38,6 @@
 	Version uint64
 }
 
-// Sample sums up the responses of one version.
-type Sample struct {
-	// Count is the number of requests, of which Failed failed.
-	Count  int
-	Failed int
-	// LatencySum is the sum of the response times of requests that did not fail.
-	LatencySum time.Duration
-}
-
-// add returns the sum of both samples.
-func (s Sample) add(other Sample) Sample {
-	return Sample{Count: s.Count + other.Count, Failed: s.Failed + other.Failed, LatencySum: s.LatencySum + other.LatencySum}
-}
-
-// Evidence holds the samples that one host took during a move.
-type Evidence struct {
-	Host  string
-	Order uint64
-	// Target is the sample of the version that the traffic moves to, Other that
-	// of all other versions.
-	Target Sample
-	Other  Sample
-}
-
 // Store persists states and evidence.
 type Store interface {
 	// ReadState returns the state of the service's latest move, or a zero State.
--- a/entryhost/relay/moves/moves_test.go
+++ b/entryhost/relay/moves/moves_test.go
@@ -20,6 +20,11 @@
 	return Sample{Count: count, Failed: failed, LatencySum: time.Duration(count-failed) * mean}
 }
 
+// sums returns the observation from hosts that report only the sums over all routes.
+func sums(target, other Sample) Observation {
+	return Observation{"": {Target: target, Other: other}}
+}
+
 var _ = Describe("the comparison of versions", func() {
 	other := sample(200, 28, 30*time.Millisecond)
 
@@ -34,16 +39,15 @@
 })
 
 var _ = Describe("the holder of a move", func() {
-	limits := ExposureLimits{Share: 0.1, Slack: 50}
 	state := State{Order: 7, Phase: routing.PhaseActive}
 
 	It("withdraws a faulty version even when the move's time is nearly over", func() {
-		got := nextState(state, sample(10, 8, 0), sample(100, 0, time.Millisecond), time.Hour, time.Second, limits)
+		got := nextState(state, progress{seen: sums(sample(10, 8, 0), sample(100, 0, time.Millisecond)), elapsed: time.Hour, duration: time.Second}, limits)
 		Expect(got.Phase).To(Equal(routing.PhaseWithdrawn))
 	})
 
 	It("completes the move to a good version before the move's time is over", func() {
-		got := nextState(state, sample(10, 0, time.Millisecond), sample(100, 0, time.Millisecond), 8*time.Second, 10*time.Second, limits)
+		got := nextState(state, progress{seen: sums(sample(10, 0, time.Millisecond), sample(100, 0, time.Millisecond)), elapsed: 8 * time.Second, duration: 10 * time.Second}, limits)
 		Expect(got.Phase).To(Equal(routing.PhaseCompleted))
 	})
 
@@ -52,7 +56,7 @@
 			var target, other Sample
 			state := state
 			for range rapid.IntRange(1, 100).Draw(t, "rounds") {
-				state = nextState(state, target, other, 0, time.Hour, limits)
+				state = nextState(state, progress{seen: sums(target, other), duration: time.Hour}, limits)
 				requests := rapid.IntRange(0, 60).Draw(t, "requests")
 				exposed := int(float64(requests) * state.Share)
 				target.Count += exposed
@@ -65,7 +69,131 @@
 	})
 
 	It("counts only the evidence on its own order", func() {
-		target, _ := sumEvidence([]Evidence{{Order: 6, Target: sample(5, 5, 0)}, {Order: 7, Target: sample(2, 0, 0)}}, 7)
-		Expect(target.Count).To(Equal(2))
+		seen := sumEvidence([]Evidence{{Order: 6, Total: Versions{Target: sample(5, 5, 0)}}, {Order: 7, Total: Versions{Target: sample(2, 0, 0)}}}, 7)
+		Expect(seen.total().Target.Count).To(Equal(2))
+	})
+})
+
+// times returns a histogram with count times.
+func times(count int, each time.Duration) (h Histogram) {
+	h[bucketOf(each)] = count
+	return h
+}
+
+// streams returns the sample of a version of which some streams have sent their first
+// event and others wait for it.
+func streams(answered int, took time.Duration, waiting int, waited time.Duration) Sample {
+	return Sample{Sent: answered + waiting, Answers: Step{Done: times(answered, took), Waiting: times(waiting, waited)}}
+}
+
+// limits are those of the small deployments.
+var limits = ExposureLimits{Share: 0.1, Slack: 50}
+
+// decide returns the state that follows an active one at a time of a move of 15 s.
+func decide(seen Observation, elapsed time.Duration) State {
+	return nextState(State{Order: 7, Phase: routing.PhaseActive}, progress{seen: seen, elapsed: elapsed, duration: 15 * time.Second}, limits)
+}
+
+// Guards against evidence that arrives only with the end of an attempt: the streams of a
+// slow version end last, and a version without evidence was taken for a good one.
+var _ = Describe("streams that have not ended", func() {
+	good := streams(30, 1300*time.Millisecond, 4, 500*time.Millisecond)
+
+	It("show a slow version although none of its streams has sent an event", func() {
+		got := decide(Observation{"chat": {Target: streams(0, 0, 4, 4*time.Second), Other: good}}, 7*time.Second)
+		Expect(got.Phase).To(Equal(routing.PhaseWithdrawn))
+		Expect(got.Reason).To(HavePrefix("faulty"))
+	})
+
+	It("show a slow version by their first events", func() {
+		got := decide(Observation{"chat": {Target: streams(4, 5*time.Second, 0, 0), Other: good}}, 7*time.Second)
+		Expect(got.Phase).To(Equal(routing.PhaseWithdrawn))
+	})
+
+	It("show a version whose first events come in time and whose further events are slow", func() {
+		target, other := streams(6, 1300*time.Millisecond, 0, 0), good
+		target.Pace, other.Pace = Step{Waiting: times(5, 3*time.Second)}, Step{Done: times(60, 700*time.Millisecond)}
+		got := decide(Observation{"chat": {Target: target, Other: other}}, 7*time.Second)
+		Expect(got.Phase).To(Equal(routing.PhaseWithdrawn))
+		Expect(got.Reason).To(ContainSubstring("slow events"))
+	})
+
+	It("show a slow version whose callers give up before the first event", func() {
+		target := Sample{Sent: 5, Answers: Step{Left: times(5, 6*time.Second)}}
+		Expect(decide(Observation{"chat": {Target: target, Other: good}}, 7*time.Second).Phase).To(Equal(routing.PhaseWithdrawn))
+	})
+
+	It("are no evidence against a version while they have waited no longer than on the others", func() {
+		got := decide(Observation{"chat": {Target: streams(0, 0, 12, 2*time.Second), Other: good}}, 7*time.Second)
+		Expect(got.Phase).To(Equal(routing.PhaseActive))
+	})
+
+	It("withdraw no version if the streams of the other versions are as slow", func() {
+		congested := streams(10, 1300*time.Millisecond, 20, 5*time.Second)
+		got := decide(Observation{"chat": {Target: streams(3, 1300*time.Millisecond, 6, 5*time.Second), Other: congested}}, 7*time.Second)
+		Expect(got.Phase).To(Equal(routing.PhaseActive))
+	})
+})
+
+var _ = Describe("evidence by route", func() {
+	other := sample(400, 8, 30*time.Millisecond)
+
+	It("shows a version that fails on one route only, which the sum over the routes hides", func() {
+		all := Versions{Target: sample(100, 6, 30*time.Millisecond), Other: other.add(other)}
+		Expect(isFaulty(all.Target, all.Other)).To(BeFalse(), "the sum")
+		got := decide(Observation{"pay": {Target: sample(8, 6, 30*time.Millisecond), Other: other}, "list": {Target: sample(92, 0, 30*time.Millisecond), Other: other}}, 7*time.Second)
+		Expect(got.Phase).To(Equal(routing.PhaseWithdrawn))
+		Expect(got.Reason).To(ContainSubstring(`"pay"`))
+	})
+
+	It("does not take a version for slow that gets more requests of a slower route", func() {
+		seen := Observation{
+			"chat": {Target: streams(12, 1300*time.Millisecond, 0, 0), Other: streams(12, 1300*time.Millisecond, 0, 0)},
+			"tiny": {Target: streams(4, 100*time.Millisecond, 0, 0), Other: streams(200, 100*time.Millisecond, 0, 0)},
+		}
+		Expect(decide(seen, 7*time.Second).Phase).To(Equal(routing.PhaseActive))
+	})
+
+	It("finds by the sum over the routes what no route shows alone", func() {
+		seen := Observation{}
+		for _, route := range []string{"a", "b", "c", "d", "e"} {
+			seen[route] = Versions{Target: streams(0, 0, 1, 9*time.Second), Other: streams(20, time.Second, 0, 0)}
+		}
+		Expect(decide(seen, 7*time.Second).Phase).To(Equal(routing.PhaseWithdrawn))
+	})
+})
+
+var _ = Describe("a histogram", func() {
+	It("counts as over a limit only what certainly is", func() {
+		rapid.Check(GinkgoT(), func(t *rapid.T) {
+			took := time.Duration(rapid.Int64Range(0, int64(100*time.Second)).Draw(t, "took"))
+			limit := time.Duration(rapid.Int64Range(int64(2*time.Millisecond), int64(100*time.Second)).Draw(t, "limit"))
+			var h Histogram
+			h.Add(took)
+			if h.countOver(limit) > 0 && took < limit-time.Microsecond {
+				t.Fatalf("%v counts as over %v", took, limit)
+			}
+			if h.countOver(limit) == 0 && took > limit*5/4 {
+				t.Fatalf("%v does not count as over %v", took, limit)
+			}
+		})
+	})
+
+	It("has a median within a bucket of the exact one", func() {
+		var h Histogram
+		for ms := 1; ms <= 1001; ms++ {
+			h.Add(time.Duration(ms) * time.Millisecond)
+		}
+		Expect(h.median()).To(BeNumerically("~", 500*time.Millisecond, 60*time.Millisecond))
+		Expect((&Histogram{}).median()).To(BeZero())
+	})
+})
+
+var _ = Describe("the probability of bad responses by chance", func() {
+	It("is that of the binomial distribution", func() {
+		Expect(binomialTail(4, 4, 0.1)).To(BeNumerically("~", 1e-4, 1e-9))
+		Expect(binomialTail(10, 5, 0.5)).To(BeNumerically("~", 0.623, 0.001))
+		Expect(binomialTail(10, 0, 0.5)).To(Equal(1.0))
+		Expect(binomialTail(10, 5, 1)).To(Equal(1.0))
 	})
 })
--- a/entryhost/relay/moves/policy.go
+++ b/entryhost/relay/moves/policy.go
@@ -1,6 +1,10 @@
 package moves
 
 import (
+	"fmt"
+	"maps"
+	"math"
+	"slices"
 	"time"
 
 	"github.com/lentilpoint/lentilpoint/entryhost/relay/routing"
@@ -28,30 +32,148 @@
 	// completionFraction is the fraction of the move's duration after which it is
 	// completed; the rest is reserved for an outage of the store.
 	completionFraction = 0.75
-	// minFailures is the number of failures below which the failure rate is ignored.
+	// minFailures is the number of failures or slow responses below which their rate is
+	// ignored.
 	minFailures = 4
-	// failureRateFactor and failureRateMargin bound the target's failure rate:
-	// it may reach the rate of the other versions times the factor plus the margin.
+	// failureRateFactor and failureRateMargin bound the target's rate of failures or
+	// slow responses: it may reach the rate of the other versions times the factor plus
+	// the margin.
 	failureRateFactor = 2.0
 	failureRateMargin = 0.1
+	// faultyChance is how likely so many failures or slow responses may be by chance for
+	// the target to count as faulty. It is low, since several rates are compared in each
+	// round of a move.
+	faultyChance = 0.001
 	// minLatencySamples is the number of successful responses below which the mean
 	// latency is ignored. latencyFactor is the highest ratio of the target's mean
-	// latency to that of the other versions.
+	// latency to that of the other versions, and of one response's time to the median
+	// of the other versions; a response that takes longer is slow.
 	minLatencySamples = 8
 	latencyFactor     = 2.5
+	// minReferenceSamples is the number of times of the other versions below which they
+	// have no median.
+	minReferenceSamples = 4
 	// holderTimeoutRounds is the number of rounds without a heartbeat after
 	// which another host takes over the move.
 	holderTimeoutRounds = 3
 )
 
-// sumEvidence adds up the evidence of all hosts on one order.
-func sumEvidence(evidence []Evidence, order uint64) (target, other Sample) {
-	for _, report := range evidence {
-		if report.Order == order {
-			target, other = target.add(report.Target), other.add(report.Other)
+// tally counts responses of the target of one kind, those of them that are bad, and how
+// many of them would be bad on the other versions.
+type tally struct {
+	count    int
+	bad      int
+	expected float64
+}
+
+func (t tally) add(other tally) tally {
+	return tally{count: t.count + other.count, bad: t.bad + other.bad, expected: t.expected + other.expected}
+}
+
+// isFaulty reports whether the target's rate is beyond the tolerances, and hardly by
+// chance.
+func (t tally) isFaulty() bool {
+	if t.bad < minFailures {
+		return false
+	}
+	rate, base := float64(t.bad)/float64(t.count), t.expected/float64(t.count)
+	return rate > failureRateFactor*base+failureRateMargin && binomialTail(t.count, t.bad, base) < faultyChance
+}
+
+// binomialTail returns the probability of at least bad of count events that each have
+// the given probability.
+func binomialTail(count, bad int, probability float64) float64 {
+	if bad <= 0 || probability >= 1 {
+		return 1
+	}
+	var tail float64
+	for k := bad; k <= count; k++ {
+		tail += math.Exp(logChoose(count, k) + float64(k)*math.Log(probability) + float64(count-k)*math.Log1p(-probability))
+	}
+	return tail
+}
+
+func logChoose(n, k int) float64 {
+	all, _ := math.Lgamma(float64(n + 1))
+	chosen, _ := math.Lgamma(float64(k + 1))
+	rest, _ := math.Lgamma(float64(n - k + 1))
+	return all - chosen - rest
+}
+
+// smoothedRate returns the rate of bad responses. With few responses it stays away from
+// 0, so that one bad response of the target does not stand out.
+func smoothedRate(bad, count int) float64 { return (float64(bad) + 0.5) / (float64(count) + 1) }
+
+// failures counts the target's failed attempts. Those in progress have not failed yet.
+func failures(v Versions) tally {
+	count := v.Target.sent()
+	return tally{count: count, bad: v.Target.Failed, expected: float64(count) * smoothedRate(v.Other.Failed, max(v.Other.sent(), v.Other.Failed))}
+}
+
+// slowness counts the target's attempts that took or have been waiting latencyFactor
+// times longer for a step than the other versions usually take.
+func slowness(target, other Step) tally {
+	if other.Done.Count() < minReferenceSamples {
+		return tally{}
+	}
+	limit := time.Duration(latencyFactor * float64(other.Done.median()))
+	count, bad := target.slow(limit)
+	otherCount, otherBad := other.slow(limit)
+	return tally{count: count, bad: bad, expected: float64(count) * smoothedRate(otherBad, otherCount)}
+}
+
+// slow returns how many attempts are known to have taken longer or not longer than the
+// limit, and how many have taken longer.
+func (s Step) slow(limit time.Duration) (count, over int) {
+	overdue := s.Waiting.countOver(limit) + s.Left.countOver(limit)
+	return s.Done.Count() + overdue, s.Done.countOver(limit) + overdue
+}
+
+// comparison is one rate of the target on one route, or on all routes together.
+type comparison struct {
+	route string
+	kind  string
+	tally tally
+}
+
+// compare returns the rates of the target by route and over all routes. The sums over
+// the routes use the rates of the other versions on each route, since the shares differ
+// by route.
+func (o Observation) compare() []comparison {
+	var all []comparison
+	var failed, answers, pace tally
+	for _, route := range slices.Sorted(maps.Keys(o)) {
+		if route == "" {
+			// Those of hosts that do not tell routes apart; see isFaulty.
+			continue
+		}
+		v := o[route]
+		f, a, p := failures(v), slowness(v.Target.Answers, v.Other.Answers), slowness(v.Target.Pace, v.Other.Pace)
+		failed, answers, pace = failed.add(f), answers.add(a), pace.add(p)
+		all = append(all, comparison{route, "failures", f}, comparison{route, "slow answers", a}, comparison{route, "slow events", p})
+	}
+	return append(all, comparison{"all", "failures", failed}, comparison{"all", "slow answers", answers}, comparison{"all", "slow events", pace})
+}
+
+// faults returns why the target is faulty, or "".
+func (o Observation) faults() string {
+	for _, c := range o.compare() {
+		if c.tally.isFaulty() {
+			return c.String()
 		}
 	}
-	return target, other
+	for route, v := range o {
+		if isSlower(v.Target, v.Other) || route == "" && isFaulty(v.Target, v.Other) {
+			return fmt.Sprintf("route %q: %d failures of %d, mean time %d ms; other versions %d of %d, %d ms", route, v.Target.Failed, v.Target.Count,
+				v.Target.meanLatency().Milliseconds(), v.Other.Failed, v.Other.Count, v.Other.meanLatency().Milliseconds())
+		}
+	}
+	return ""
+}
+
+// String describes the comparison in a reason.
+func (c comparison) String() string {
+	return fmt.Sprintf("route %q: %d %s of %d, %.1f expected from the other versions", c.route, c.tally.bad, c.kind, c.tally.count, c.tally.expected)
 }
 
 // isFaulty reports whether the target fails more often or responds more slowly
@@ -60,38 +182,38 @@
 	if target.Failed >= minFailures && target.failureRate() > failureRateFactor*other.failureRate()+failureRateMargin {
 		return true
 	}
-	return target.succeeded() >= minLatencySamples && other.succeeded() >= minLatencySamples && target.meanLatency() > time.Duration(latencyFactor*float64(other.meanLatency()))
+	return isSlower(target, other)
 }
 
-func (s Sample) succeeded() int { return s.Count - s.Failed }
-
-func (s Sample) failureRate() float64 {
-	if s.Count == 0 {
-		return 0
-	}
-	return float64(s.Failed) / float64(s.Count)
+// isSlower compares the mean times of attempts that have ended. A few responses that
+// take very long show in it, though they are no large part.
+func isSlower(target, other Sample) bool {
+	return target.succeeded() >= minLatencySamples && other.succeeded() >= minLatencySamples && target.meanLatency() > time.Duration(latencyFactor*float64(other.meanLatency()))
 }
 
-func (s Sample) meanLatency() time.Duration {
-	if s.succeeded() == 0 {
-		return 0
-	}
-	return s.LatencySum / time.Duration(s.succeeded())
+// progress is what the holder of a move knows when it decides.
+type progress struct {
+	elapsed  time.Duration
+	duration time.Duration
+	// seen is the evidence since the order.
+	seen Observation
 }
 
 // nextState returns the state that the holder writes next.
-func nextState(state State, target, other Sample, elapsed, duration time.Duration, limits ExposureLimits) State {
+func nextState(state State, p progress, limits ExposureLimits) State {
 	state.Heartbeat++
-	exposed := float64(target.Count)
-	allowed := usedExposureFraction * (limits.Share*float64(target.Count+other.Count) + limits.Slack)
+	state.Reason = ""
+	total := p.seen.total()
+	allowed := usedExposureFraction * (limits.Share*float64(total.Target.sent()+total.Other.sent()) + limits.Slack)
+	fault := p.seen.faults()
 	switch {
-	case isFaulty(target, other):
-		state.Phase, state.Share = routing.PhaseWithdrawn, 0
-	case elapsed >= time.Duration(completionFraction*float64(duration)):
+	case fault != "":
+		state.Phase, state.Share, state.Reason = routing.PhaseWithdrawn, 0, "faulty: "+fault
+	case p.elapsed >= time.Duration(completionFraction*float64(p.duration)):
 		state.Phase, state.Share = routing.PhaseCompleted, 1
-	case exposed >= allowed:
+	case float64(total.Target.sent()) >= allowed:
 		state.Share = 0
-	case target.succeeded() >= minProvenResponses:
+	case total.Target.succeeded() >= minProvenResponses:
 		state.Share = provenShare
 	default:
 		state.Share = initialShare
--- a/entryhost/relay/moves/task.go
+++ b/entryhost/relay/moves/task.go
@@ -19,9 +19,9 @@
 type Traffic interface {
 	// SetStage puts a stage in force on this host.
 	SetStage(ctx context.Context, stage routing.Stage) error
-	// Samples returns this host's samples of the target and of the other versions
-	// in the service's move.
-	Samples(ctx context.Context, service string) (target, other Sample, err error)
+	// Samples returns this host's samples of both versions in the service's move, by
+	// route.
+	Samples(ctx context.Context, service string) (map[string]Versions, error)
 }
 
 // Parameters holds the dependencies of a Mover.
@@ -167,11 +167,11 @@
 	} else {
 		move.staleRounds = 0
 	}
-	target, other, err := m.Traffic.Samples(ctx, service)
+	routes, err := m.Traffic.Samples(ctx, service)
 	if err != nil {
 		return err
 	}
-	if err := m.Store.WriteEvidence(ctx, service, Evidence{Host: m.Self, Order: move.order.Order, Target: target, Other: other}); err != nil {
+	if err := m.Store.WriteEvidence(ctx, service, NewEvidence(m.Self, move.order.Order, routes)); err != nil {
 		return err
 	}
 	if m.isHolder(state, move) {
@@ -198,12 +198,12 @@
 	if err != nil {
 		return state, err
 	}
-	target, other := sumEvidence(evidence, move.order.Order)
+	seen := sumEvidence(evidence, move.order.Order)
 	if state.Order != move.order.Order {
 		state = State{Service: service, Target: move.order.Target, Order: move.order.Order, Phase: routing.PhaseActive, Version: state.Version}
 	}
 	state.Holder = m.Self
-	proposed := nextState(state, target, other, m.Clock.Since(move.startedAt), move.order.Duration, m.Limits)
+	proposed := nextState(state, progress{elapsed: m.Clock.Since(move.startedAt), duration: move.order.Duration, seen: seen}, m.Limits)
 	err = m.Store.WriteState(ctx, proposed)
 	if errors.Is(err, ErrConflict) {
 		return m.Store.ReadState(ctx, service)
@@ -212,12 +212,27 @@
 		// The write may have taken effect; the next round reads the state.
 		return state, err
 	}
-	m.Logger.Info("version move decided", eventcode.RelayMoveDecided.Attr(), "service", service, "target", proposed.Target, "phase", int(proposed.Phase),
-		"share", proposed.Share, "target_count", target.Count, "target_failed", target.Failed, "target_mean_ms", target.meanLatency().Milliseconds(),
-		"other_count", other.Count, "other_failed", other.Failed, "other_mean_ms", other.meanLatency().Milliseconds())
+	m.logDecision(proposed, seen)
 	return proposed, nil
 }
 
+// logDecision logs a state that this host has written and the evidence for it.
+func (m *Mover) logDecision(decided State, seen Observation) {
+	total := seen.total()
+	rates := make([]string, 0, len(seen))
+	for _, c := range seen.compare() {
+		if c.tally.count > 0 {
+			rates = append(rates, c.String())
+		}
+	}
+	m.Logger.Info("version move decided", eventcode.RelayMoveDecided.Attr(), "service", decided.Service, "target", decided.Target, "phase", int(decided.Phase),
+		"share", decided.Share, "reason", decided.Reason,
+		"target_sent", total.Target.sent(), "target_answered", total.Target.answered(), "target_waiting", total.Target.Answers.Waiting.Count(),
+		"target_count", total.Target.Count, "target_failed", total.Target.Failed, "target_mean_ms", total.Target.meanLatency().Milliseconds(),
+		"other_sent", total.Other.sent(), "other_answered", total.Other.answered(), "other_waiting", total.Other.Answers.Waiting.Count(),
+		"other_count", total.Other.Count, "other_failed", total.Other.Failed, "other_mean_ms", total.Other.meanLatency().Milliseconds(), "rates", rates)
+}
+
 // applyStage applies the stage of the state on this host.
 func (m *Mover) applyStage(ctx context.Context, state State, move *move) error {
 	move.state = state
--- a/entryhost/relay/moves/task_test.go
+++ b/entryhost/relay/moves/task_test.go
@@ -16,11 +16,14 @@
 )
 
 // standinStore answers at once, or, if hangs is set, only when the context of the
-// call ends. It receives the rounds that began and the orders of written evidence.
+// call ends. It receives the rounds that began, the orders of written evidence and the
+// written states.
 type standinStore struct {
 	hangs  atomic.Bool
+	state  State
 	rounds chan struct{}
 	orders chan uint64
+	states chan State
 }
 
 func (s *standinStore) ReadState(ctx context.Context, _ string) (State, error) {
@@ -29,10 +32,13 @@
 		<-ctx.Done()
 		return State{}, ctx.Err()
 	}
-	return State{}, nil
+	return s.state, nil
 }
 
-func (s *standinStore) WriteState(context.Context, State) error { return nil }
+func (s *standinStore) WriteState(_ context.Context, state State) error {
+	s.states <- state
+	return nil
+}
 
 func (s *standinStore) WriteEvidence(_ context.Context, _ string, evidence Evidence) error {
 	s.orders <- evidence.Order
@@ -41,25 +47,29 @@
 
 func (s *standinStore) ReadEvidence(context.Context, string) ([]Evidence, error) { return nil, nil }
 
-// standinTraffic has no samples and accepts every stage.
-type standinTraffic struct{}
+// standinTraffic has no samples and receives the stages.
+type standinTraffic struct{ stages chan routing.Stage }
 
-func (standinTraffic) SetStage(context.Context, routing.Stage) error { return nil }
-func (standinTraffic) Samples(context.Context, string) (target, other Sample, err error) {
-	return Sample{}, Sample{}, nil
+func (t standinTraffic) SetStage(_ context.Context, stage routing.Stage) error {
+	t.stages <- stage
+	return nil
 }
 
+func (standinTraffic) Samples(context.Context, string) (map[string]Versions, error) { return nil, nil }
+
 var _ = Describe("the mover", func() {
 	var clock *clockwork.FakeClock
 	var store *standinStore
+	var traffic standinTraffic
 	var mover *Mover
 	view := &catalog.View{Moves: map[string]routing.Move{"engine": {Service: "engine", Target: "v2", Order: 7, Duration: time.Minute}}}
 
 	BeforeEach(func() {
 		clock = clockwork.NewFakeClock()
-		store = &standinStore{rounds: make(chan struct{}, 100), orders: make(chan uint64, 100)}
+		store = &standinStore{rounds: make(chan struct{}, 100), orders: make(chan uint64, 100), states: make(chan State, 100)}
+		traffic = standinTraffic{stages: make(chan routing.Stage, 100)}
 		mover = NewMover(Parameters{
-			Self: "host", Store: store, Traffic: standinTraffic{}, Limits: ExposureLimits{Share: 0.1, Slack: 50},
+			Self: "host", Store: store, Traffic: traffic, Limits: ExposureLimits{Share: 0.1, Slack: 50},
 			Clock: clock, Metrics: metrics.NewSet(), Logger: slog.New(slog.DiscardHandler),
 		})
 	})
--- a/eventcode/relay.go
+++ b/eventcode/relay.go
@@ -64,7 +64,7 @@
 	{OutcomeNotDelivered, "release lost", "The dispatcher did not receive the outcome of an attempt in time.", "Report it with the log line."},
 	{ServerAdopted, "server adopted", "An engine restarted under another id and receives work before its registration arrives.", "Nothing."},
 	{RelayMoveOrdered, "version move ordered", "The operator ordered a version move; this host takes part.", "Nothing."},
-	{RelayMoveDecided, "version move decided", "The host that holds the move wrote its next state from the evidence of all hosts.", "For a withdrawn move, compare the failures and times of both versions in the line."},
+	{RelayMoveDecided, "version move decided", "The host that holds the move wrote its next state from the evidence of all hosts.", "For a withdrawn move, read the reason in the line and compare the rates of both versions by route."},
 	{RelayMoveRound, "version move round", "A round of a version move failed; the current stage stays in force.", "Check the store if it repeats."},
 	{CacheListFailed, "cache list failed", "An engine did not report which prompts its cache holds; for a resumed stream, another engine may have to process the prompt again.", "Look at the engine if it repeats."},
 	{CopyNotDeleted, "copy lapses", "The cache copy of a run that has ended could not be deleted; the engines delete it after its lifetime.", "Nothing."},
