Find a version that turns faulty after many good responses

A version that fails or slows down only later kept its traffic until its faults outweighed all its good responses since the order.

Cause: the holder compared sums over the whole move only. After 300 good responses, 20 failures in a row are 6 in 100, within the tolerances.

The holder keeps what it observed in its last five rounds and compares what is new since then by the same rules. Attempts that wait are those of now. A host that restarts counts from 0 again; its differences are cut off at 0.

Test: 300 good responses of the target, then 20 failures. Without the new comparison the phase is 1 (active), with it 3 (withdrawn).

--- a/entryhost/relay/moves/evidence.go
+++ b/entryhost/relay/moves/evidence.go
@@ -157,6 +157,17 @@
 	return total
 }
 
+// since returns what was observed after an earlier observation. Attempts in progress
+// are those of now.
+func (o Observation) since(earlier Observation) Observation {
+	recent := make(Observation, len(o))
+	for route, versions := range o {
+		before := earlier[route]
+		recent[route] = Versions{Target: versions.Target.since(before.Target), Other: versions.Other.since(before.Other)}
+	}
+	return recent
+}
+
 func (v Versions) add(other Versions) Versions {
 	return Versions{Target: v.Target.add(other.Target), Other: v.Other.add(other.Other)}
 }
@@ -168,6 +179,15 @@
 	}
 }
 
+// since returns the difference to an earlier sample. A host that restarted counts from
+// 0 again, so no difference is below 0.
+func (s Sample) since(earlier Sample) Sample {
+	return Sample{
+		Sent: max(s.sent()-earlier.sent(), 0), Count: max(s.Count-earlier.Count, 0), Failed: max(s.Failed-earlier.Failed, 0),
+		LatencySum: max(s.LatencySum-earlier.LatencySum, 0), Answers: s.Answers.since(earlier.Answers), Pace: s.Pace.since(earlier.Pace),
+	}
+}
+
 // sent returns the number of attempts that were sent, as far as it is known.
 func (s Sample) sent() int { return max(s.Sent, s.Count) }
 
@@ -195,9 +215,20 @@
 	return Step{Done: s.Done.add(other.Done), Waiting: s.Waiting.add(other.Waiting), Left: s.Left.add(other.Left)}
 }
 
+func (s Step) since(earlier Step) Step {
+	return Step{Done: s.Done.since(earlier.Done), Waiting: s.Waiting, Left: s.Left.since(earlier.Left)}
+}
+
 func (h Histogram) add(other Histogram) Histogram {
 	for bucket, n := range other {
 		h[bucket] += n
 	}
 	return h
 }
+
+func (h Histogram) since(earlier Histogram) Histogram {
+	for bucket, n := range earlier {
+		h[bucket] = max(h[bucket]-n, 0)
+	}
+	return h
+}
--- a/entryhost/relay/moves/moves_test.go
+++ b/entryhost/relay/moves/moves_test.go
@@ -163,6 +163,37 @@
 	})
 })
 
+var _ = Describe("a version that turns faulty later", func() {
+	It("is found by the latest responses, which its many good ones hide", func() {
+		before := Observation{"list": {Target: sample(300, 0, 30*time.Millisecond), Other: sample(3000, 30, 30*time.Millisecond)}}
+		seen := Observation{"list": {Target: sample(320, 20, 30*time.Millisecond), Other: sample(3200, 32, 30*time.Millisecond)}}
+		p := progress{seen: seen, elapsed: 7 * time.Second, duration: 15 * time.Second}
+		Expect(nextState(State{Phase: routing.PhaseActive}, p, limits).Phase).To(Equal(routing.PhaseActive), "without the latest")
+		p.recent = seen.since(before)
+		Expect(nextState(State{Phase: routing.PhaseActive}, p, limits).Phase).To(Equal(routing.PhaseWithdrawn))
+	})
+
+	It("is compared over the last rounds in which the holder decided", func() {
+		m := &move{}
+		for count := range 2 * recentRounds {
+			p := m.observe(Observation{"list": {Target: sample(10*count, 0, 0)}}, time.Time{})
+			if count < recentRounds {
+				Expect(p.recent).To(BeNil())
+				continue
+			}
+			Expect(p.recent["list"].Target.Count).To(Equal(10 * recentRounds))
+		}
+		Expect(m.history).To(HaveLen(recentRounds))
+	})
+
+	It("is not taken for one after a host has restarted and counts anew", func() {
+		earlier := Observation{"list": {Target: sample(50, 0, time.Millisecond), Other: sample(50, 5, time.Millisecond)}}
+		recent := Observation{"list": {Target: sample(3, 0, time.Millisecond), Other: sample(3, 0, time.Millisecond)}}.since(earlier)
+		Expect(recent["list"].Target).To(Equal(Sample{}))
+		Expect(recent.faults()).To(BeEmpty())
+	})
+})
+
 var _ = Describe("a histogram", func() {
 	It("counts as over a limit only what certainly is", func() {
 		rapid.Check(GinkgoT(), func(t *rapid.T) {
--- a/entryhost/relay/moves/policy.go
+++ b/entryhost/relay/moves/policy.go
@@ -53,6 +53,9 @@
 	// minReferenceSamples is the number of times of the other versions below which they
 	// have no median.
 	minReferenceSamples = 4
+	// recentRounds is the number of rounds that are compared by themselves, so that a
+	// target that turns faulty after many good responses is found.
+	recentRounds = 5
 	// holderTimeoutRounds is the number of rounds without a heartbeat after
 	// which another host takes over the move.
 	holderTimeoutRounds = 3
@@ -195,8 +198,9 @@
 type progress struct {
 	elapsed  time.Duration
 	duration time.Duration
-	// seen is the evidence since the order.
-	seen Observation
+	// seen is the evidence since the order, recent that of the last recentRounds.
+	seen   Observation
+	recent Observation
 }
 
 // nextState returns the state that the holder writes next.
@@ -206,6 +210,9 @@
 	total := p.seen.total()
 	allowed := usedExposureFraction * (limits.Share*float64(total.Target.sent()+total.Other.sent()) + limits.Slack)
 	fault := p.seen.faults()
+	if fault == "" {
+		fault = p.recent.faults()
+	}
 	switch {
 	case fault != "":
 		state.Phase, state.Share, state.Reason = routing.PhaseWithdrawn, 0, "faulty: "+fault
--- a/entryhost/relay/moves/task.go
+++ b/entryhost/relay/moves/task.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"log/slog"
+	"slices"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -46,6 +47,9 @@
 	staleRounds int
 	// phase is the phase in force on this host.
 	phase routing.Phase
+	// history holds the observations of the last recentRounds rounds in which this host
+	// decided, oldest first.
+	history []Observation
 }
 
 // Mover is the task that carries out the moves of all services. The store may take
@@ -203,7 +207,7 @@
 		state = State{Service: service, Target: move.order.Target, Order: move.order.Order, Phase: routing.PhaseActive, Version: state.Version}
 	}
 	state.Holder = m.Self
-	proposed := nextState(state, progress{elapsed: m.Clock.Since(move.startedAt), duration: move.order.Duration, seen: seen}, m.Limits)
+	proposed := nextState(state, move.observe(seen, m.Clock.Now()), m.Limits)
 	err = m.Store.WriteState(ctx, proposed)
 	if errors.Is(err, ErrConflict) {
 		return m.Store.ReadState(ctx, service)
@@ -216,6 +220,18 @@
 	return proposed, nil
 }
 
+// observe records an observation and returns it with what is new since the rounds
+// before. While there are too few rounds, nothing is recent.
+func (m *move) observe(seen Observation, now time.Time) progress {
+	p := progress{elapsed: now.Sub(m.startedAt), duration: m.order.Duration, seen: seen}
+	if len(m.history) == recentRounds {
+		p.recent = seen.since(m.history[0])
+		m.history = m.history[1:]
+	}
+	m.history = append(slices.Clip(m.history), seen)
+	return p
+}
+
 // logDecision logs a state that this host has written and the evidence for it.
 func (m *Mover) logDecision(decided State, seen Observation) {
 	total := seen.total()
