Complete a version move only on evidence

Cause: a move was completed by the clock at three quarters of its duration, whatever was known of the target. With 5 in 100 of 4.7 streams a second the target had got about three by then, none of which had ended.

A move is now completed only if the target has answered a quarter of the requests, 3 at least and 8 at most, each route with some traffic has 3 answers, and no rate is suspicious (chance below 0.02). Without that it is withdrawn at nine tenths of its duration, with the reason in the state, the log and a counter: another order costs less than a slow version for all. That a good version is proven in time with little traffic, each route with less than 8 requests on the target gets a share that brings these within half of the duration, 0.4 at most (0.8 if not even 3 are on their way then), and no more than the initial one while six requests wait for an answer. All shares together stay within the allowed exposure for the next 2 s, with requests in progress counted as exposed.

Tests: policy specs, and three relay specs with stand-in engines of a second version. On the code before, the specs of slow versions fail ("Expected completed to equal rolled_back", twice) and the good version of a service with two streams a second was completed on 1 answer.

--- a/entryhost/relay/dispatch/assign.go
+++ b/entryhost/relay/dispatch/assign.go
@@ -13,7 +13,7 @@
 	now := t.Clock.Now()
 	candidates := t.candidates(request.Service, now)
 	if stage, moving := t.stageOf(request.Service); moving {
-		candidates = filterVersions(stage, request.Point, candidates)
+		candidates = filterVersions(stage.OfRoute(request.Route), request.Point, candidates)
 	}
 	chosen := t.pickServer(&request, candidates)
 	if chosen == nil {
--- a/entryhost/relay/dispatch/versions_test.go
+++ b/entryhost/relay/dispatch/versions_test.go
@@ -121,6 +121,13 @@
 		Expect(got[otherRoutes].Target.Sent).To(Equal(2 * maxSampledRoutes))
 	})
 
+	It("send a route with a share of its own to the target by that share", func(ctx SpecContext) {
+		dispatcher.handleSetStage(SetStage{Stage: routing.Stage{
+			Service: "engine", Target: "v2", Order: 7, Phase: routing.PhaseActive, RouteShares: map[string]float64{"chat": 1},
+		}})
+		Expect(acquire(ctx, "chat").Server.ID).To(Equal("new"))
+		Expect(acquire(ctx, "list").Server.ID).To(Equal("old"))
+	})
 })
 
 // histogramOf returns the histogram of one time.
--- a/entryhost/relay/moves/messages.go
+++ b/entryhost/relay/moves/messages.go
@@ -28,7 +28,9 @@
 	Phase routing.Phase
 	// Share is the fraction of requests that go to the target, from 0 to 1.
 	Share float64
-	// Reason is why the move was withdrawn.
+	// RouteShares holds the shares of routes that need another one than Share.
+	RouteShares map[string]float64
+	// Reason is why the move was withdrawn, or why the target is not proven yet.
 	Reason string
 	// Holder is the host that decides on the move. It increments Heartbeat in
 	// each round; the other hosts detect its failure by an unchanged Heartbeat.
--- a/entryhost/relay/moves/moves_test.go
+++ b/entryhost/relay/moves/moves_test.go
@@ -194,6 +194,84 @@
 	})
 })
 
+// Guards against a move that is completed by the clock: the old servers are stopped then.
+var _ = Describe("the end of a move", func() {
+	good := streams(40, 1300*time.Millisecond, 4, 500*time.Millisecond)
+
+	DescribeTable("is completed only with evidence",
+		func(seen Observation, elapsed time.Duration, phase routing.Phase) {
+			Expect(decide(seen, elapsed).Phase).To(Equal(phase))
+		},
+		Entry("a proven version", Observation{"chat": {Target: streams(9, 1300*time.Millisecond, 0, 0), Other: good}}, 12*time.Second, routing.PhaseCompleted),
+		Entry("a proven version before its time", Observation{"chat": {Target: streams(9, 1300*time.Millisecond, 0, 0), Other: good}}, 9*time.Second, routing.PhaseActive),
+		Entry("no request has reached the target", Observation{"chat": {Other: good}}, 12*time.Second, routing.PhaseActive),
+		Entry("no request has reached the target until the end", Observation{"chat": {Other: good}}, 14*time.Second, routing.PhaseWithdrawn),
+		Entry("no evidence at all until the end", Observation{}, 14*time.Second, routing.PhaseWithdrawn),
+		Entry("streams stand at the target and none has answered", Observation{"chat": {Target: streams(0, 0, 3, 2*time.Second), Other: good}}, 14*time.Second, routing.PhaseWithdrawn),
+		Entry("too few slow answers to call it faulty", Observation{"chat": {Target: streams(3, 5*time.Second, 0, 0), Other: streams(9, time.Second, 0, 0)}}, 14*time.Second, routing.PhaseWithdrawn),
+		Entry("little traffic, and a quarter of it on the target", Observation{"chat": {Target: streams(3, time.Second, 0, 0), Other: streams(9, time.Second, 0, 0)}}, 12*time.Second, routing.PhaseCompleted),
+		Entry("a route without evidence", Observation{"chat": {Target: streams(9, time.Second, 0, 0), Other: good}, "pay": {Other: good}}, 14*time.Second, routing.PhaseWithdrawn),
+		Entry("a route with hardly any traffic", Observation{"chat": {Target: streams(9, time.Second, 0, 0), Other: good}, "rare": {Other: streams(2, time.Second, 0, 0)}}, 12*time.Second, routing.PhaseCompleted),
+		Entry("a route with little traffic while there is time to wait for it", Observation{"chat": {Target: streams(9, time.Second, 0, 0), Other: good}, "rare": {Other: streams(8, time.Second, 0, 0)}}, 11*time.Second, routing.PhaseActive),
+		Entry("a route with little traffic afterwards", Observation{"chat": {Target: streams(9, time.Second, 0, 0), Other: good}, "rare": {Other: streams(8, time.Second, 0, 0)}}, 12*time.Second, routing.PhaseCompleted),
+		Entry("a route with little traffic on which all answers were slow", Observation{"chat": {Target: streams(9, time.Second, 0, 0), Other: good}, "rare": {Target: streams(2, 5*time.Second, 0, 0), Other: streams(8, time.Second, 0, 0)}}, 14*time.Second, routing.PhaseWithdrawn),
+	)
+
+	It("states why a move was withdrawn", func() {
+		got := decide(Observation{"chat": {Other: good}}, 14*time.Second)
+		Expect(got.Reason).To(Equal("unproven: 0 answers of 8 needed"))
+		Expect(got.result()).To(Equal(resultUnproven))
+		Expect(decide(Observation{"chat": {Target: streams(8, 9*time.Second, 0, 0), Other: good}}, 14*time.Second).result()).To(Equal(resultFaulty))
+	})
+})
+
+var _ = Describe("the share of a version on trial", func() {
+	It("is raised on a route with so little traffic that the initial one would bring no evidence in time", func() {
+		got := decide(Observation{"chat": {Other: streams(4, time.Second, 0, 0)}}, 2*time.Second)
+		Expect(got.RouteShares["chat"]).To(BeNumerically("~", maxTrialShare, 0.01))
+	})
+
+	It("is not raised on a route with much traffic", func() {
+		got := decide(Observation{"chat": {Other: streams(2000, time.Second, 0, 0)}}, 2*time.Second)
+		Expect(got.RouteShares["chat"]).To(BeNumerically("<=", initialShare))
+	})
+
+	It("is not raised while the target has answered none of several requests", func() {
+		got := decide(Observation{"chat": {Target: streams(0, 0, maxUnanswered, time.Second), Other: streams(10, time.Second, 0, 0)}}, 2*time.Second)
+		Expect(got.RouteShares).To(BeEmpty())
+	})
+
+	It("counts requests in progress as exposed, which a slow version has most of", func() {
+		got := decide(Observation{"chat": {Target: streams(0, 0, 60, time.Second), Other: streams(200, time.Second, 0, 0)}}, 2*time.Second)
+		Expect(got.Share).To(BeZero())
+	})
+
+	It("never exceeds the allowed exposure while no request is answered", func() {
+		rapid.Check(GinkgoT(), func(t *rapid.T) {
+			routes := rapid.IntRange(1, 5).Draw(t, "routes")
+			seen := Observation{}
+			perRound := rapid.IntRange(0, 200).Draw(t, "requests")
+			for round := range rapid.IntRange(1, 60).Draw(t, "rounds") {
+				elapsed := time.Duration(round) * time.Second
+				state := nextState(State{Phase: routing.PhaseActive}, progress{seen: seen, elapsed: elapsed, duration: time.Minute}, limits)
+				for route := range routes {
+					name := string(rune('a' + route))
+					stage := routing.Stage{Share: state.Share, RouteShares: state.RouteShares}.OfRoute(name)
+					v := seen[name]
+					exposed := int(float64(perRound) * stage.Share)
+					v.Target.Sent += exposed
+					v.Other.Sent += perRound - exposed
+					seen[name] = v
+				}
+			}
+			total := seen.total()
+			if limit := limits.Share*float64(total.Target.Sent+total.Other.Sent) + limits.Slack; float64(total.Target.Sent) > limit {
+				t.Fatalf("target received %d requests, %v are allowed", total.Target.Sent, limit)
+			}
+		})
+	})
+})
+
 var _ = Describe("a histogram", func() {
 	It("counts as over a limit only what certainly is", func() {
 		rapid.Check(GinkgoT(), func(t *rapid.T) {
--- a/entryhost/relay/moves/policy.go
+++ b/entryhost/relay/moves/policy.go
@@ -5,6 +5,7 @@
 	"maps"
 	"math"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/lentilpoint/lentilpoint/entryhost/relay/routing"
@@ -27,11 +28,33 @@
 	// minProvenResponses is the number of successful responses that allow
 	// provenShare.
 	minProvenResponses = 20
+	// maxTrialShare is the highest share of a route with so little traffic that
+	// initialShare would bring no evidence in time. Most requests stay on the other
+	// versions.
+	maxTrialShare = 0.4
+	// lateTrialShare is the share of a route after the trial if it lacks even the answers
+	// that completion needs and none is on its way.
+	lateTrialShare = 0.8
+	// maxUnanswered is the number of requests that may wait for an answer of the target
+	// before routes lose their larger share. More of them would show a slow version no
+	// sooner.
+	maxUnanswered = 6
+	// trialRequests is the number of requests of each route that the target receives
+	// within trialFraction of the move's duration, if the limits allow it. They suffice
+	// to find a faulty version and to prove a good one, and the rest of the time
+	// suffices for slow responses.
+	trialRequests = 8
+	trialFraction = 0.5
 	// usedExposureFraction is the fraction of the allowed exposure that is used.
 	usedExposureFraction = 0.6
-	// completionFraction is the fraction of the move's duration after which it is
-	// completed; the rest is reserved for an outage of the store.
+	// exposureLookahead is the time for which a share must stay within the allowed
+	// exposure: a round, and the time until all hosts follow it.
+	exposureLookahead = 2 * time.Second
+	// completionFraction is the fraction of the move's duration at which it is completed
+	// if the target is proven; the rest is reserved for an outage of the store. After withdrawalFraction the move to an unproven target is withdrawn: a
+	// good version costs another order then, a faulty one would cost all requests.
 	completionFraction = 0.75
+	withdrawalFraction = 0.9
 	// minFailures is the number of failures or slow responses below which their rate is
 	// ignored.
 	minFailures = 4
@@ -40,10 +63,11 @@
 	// the margin.
 	failureRateFactor = 2.0
 	failureRateMargin = 0.1
-	// faultyChance is how likely so many failures or slow responses may be by chance for
-	// the target to count as faulty. It is low, since several rates are compared in each
-	// round of a move.
-	faultyChance = 0.001
+	// faultyChance is how likely so many failures or slow responses may be by chance
+	// for the target to count as faulty, and suspectChance for it to be unproven. The
+	// first is low, since several rates are compared in each round of a move.
+	faultyChance  = 0.001
+	suspectChance = 0.02
 	// minLatencySamples is the number of successful responses below which the mean
 	// latency is ignored. latencyFactor is the highest ratio of the target's mean
 	// latency to that of the other versions, and of one response's time to the median
@@ -53,6 +77,16 @@
 	// minReferenceSamples is the number of times of the other versions below which they
 	// have no median.
 	minReferenceSamples = 4
+	// A target is proven by provingShare of all answers of the service, but by at least
+	// minProvingAnswers and at most maxProvingAnswers.
+	provingShare      = 0.25
+	minProvingAnswers = 3
+	maxProvingAnswers = 8
+	// A version may be faulty on one route only, so routes with minRouteRequests since the
+	// order need minProvingAnswers of the target. After completionFraction only routes with
+	// minLateRouteRequests do: one that falls silent must not stop the move.
+	minRouteRequests     = 6
+	minLateRouteRequests = 20
 	// recentRounds is the number of rounds that are compared by themselves, so that a
 	// target that turns faulty after many good responses is found.
 	recentRounds = 5
@@ -73,16 +107,18 @@
 	return tally{count: t.count + other.count, bad: t.bad + other.bad, expected: t.expected + other.expected}
 }
 
-// isFaulty reports whether the target's rate is beyond the tolerances, and hardly by
-// chance.
-func (t tally) isFaulty() bool {
-	if t.bad < minFailures {
+// isWorse reports whether the target's rate is beyond the tolerances and that by chance
+// only in so many cases.
+func (t tally) isWorse(chance float64) bool {
+	if t.count == 0 {
 		return false
 	}
 	rate, base := float64(t.bad)/float64(t.count), t.expected/float64(t.count)
-	return rate > failureRateFactor*base+failureRateMargin && binomialTail(t.count, t.bad, base) < faultyChance
+	return rate > failureRateFactor*base+failureRateMargin && binomialTail(t.count, t.bad, base) < chance
 }
 
+func (t tally) isFaulty() bool { return t.bad >= minFailures && t.isWorse(faultyChance) }
+
 // binomialTail returns the probability of at least bad of count events that each have
 // the given probability.
 func binomialTail(count, bad int, probability float64) float64 {
@@ -179,6 +215,28 @@
 	return fmt.Sprintf("route %q: %d %s of %d, %.1f expected from the other versions", c.route, c.tally.bad, c.kind, c.tally.count, c.tally.expected)
 }
 
+// doubts returns why the target is not proven to be as good as the other versions, or
+// "". Routes with minRequests need evidence of their own.
+func (o Observation) doubts(minRequests int) string {
+	for _, c := range o.compare() {
+		if c.tally.isWorse(suspectChance) {
+			return c.String()
+		}
+	}
+	total := o.total()
+	answered, all := total.Target.answered(), total.Target.answered()+total.Other.answered()
+	if needed := min(max(int(provingShare*float64(all)), minProvingAnswers), maxProvingAnswers); answered < needed {
+		return fmt.Sprintf("%d answers of %d needed", answered, needed)
+	}
+	for _, route := range slices.Sorted(maps.Keys(o)) {
+		v := o[route]
+		if answered := v.Target.answered(); route != "" && answered < minProvingAnswers && v.Target.sent()+v.Other.sent() >= minRequests {
+			return fmt.Sprintf("route %q: %d answers of %d needed", route, answered, minProvingAnswers)
+		}
+	}
+	return ""
+}
+
 // isFaulty reports whether the target fails more often or responds more slowly
 // than the other versions, beyond the tolerances.
 func isFaulty(target, other Sample) bool {
@@ -206,24 +264,90 @@
 // nextState returns the state that the holder writes next.
 func nextState(state State, p progress, limits ExposureLimits) State {
 	state.Heartbeat++
-	state.Reason = ""
-	total := p.seen.total()
-	allowed := usedExposureFraction * (limits.Share*float64(total.Target.sent()+total.Other.sent()) + limits.Slack)
+	state.Reason, state.RouteShares = "", nil
 	fault := p.seen.faults()
 	if fault == "" {
 		fault = p.recent.faults()
 	}
+	minRequests := minRouteRequests
+	if p.elapsed >= time.Duration(completionFraction*float64(p.duration)) {
+		minRequests = minLateRouteRequests
+	}
+	doubt := p.seen.doubts(minRequests)
+	late := p.elapsed >= time.Duration(withdrawalFraction*float64(p.duration))
 	switch {
 	case fault != "":
-		state.Phase, state.Share, state.Reason = routing.PhaseWithdrawn, 0, "faulty: "+fault
-	case p.elapsed >= time.Duration(completionFraction*float64(p.duration)):
+		state.Phase, state.Share, state.Reason = routing.PhaseWithdrawn, 0, resultFaulty+": "+fault
+	case doubt == "" && p.elapsed >= time.Duration(completionFraction*float64(p.duration)):
 		state.Phase, state.Share = routing.PhaseCompleted, 1
-	case float64(total.Target.sent()) >= allowed:
-		state.Share = 0
-	case total.Target.succeeded() >= minProvenResponses:
-		state.Share = provenShare
+	case late:
+		state.Phase, state.Share, state.Reason = routing.PhaseWithdrawn, 0, resultUnproven+": "+doubt
 	default:
-		state.Share = initialShare
+		state.Reason = doubt
+		state.Share, state.RouteShares = shares(p, doubt == "", limits)
 	}
 	return state
 }
+
+// The results of moves; each is a label of the counter of moves, and the reason of a
+// withdrawn move begins with its result.
+const (
+	resultCompleted = "completed"
+	resultFaulty    = "faulty"
+	resultUnproven  = "unproven"
+)
+
+// result returns the result of a move, or "" while it is active.
+func (s State) result() string {
+	switch {
+	case s.Phase == routing.PhaseCompleted:
+		return resultCompleted
+	case s.Phase != routing.PhaseWithdrawn:
+		return ""
+	case strings.HasPrefix(s.Reason, resultUnproven):
+		return resultUnproven
+	default:
+		return resultFaulty
+	}
+}
+
+// shares returns the target's share of the traffic and those of routes that need
+// another one. A route with little traffic gets a larger share, so that the evidence
+// on it arrives in time.
+func shares(p progress, proven bool, limits ExposureLimits) (share float64, routes map[string]float64) {
+	total := p.seen.total()
+	share = initialShare
+	if proven && total.Target.succeeded() >= minProvenResponses {
+		share = provenShare
+	}
+	elapsed := max(p.elapsed, roundInterval)
+	trialTime := time.Duration(trialFraction * float64(p.duration))
+	trialLeft := max(trialTime-p.elapsed, roundInterval)
+	unanswered := total.Target.Answers.Waiting.Count()
+	routes = map[string]float64{}
+	var planned float64
+	for route, v := range p.seen {
+		sent := v.Target.sent() + v.Other.sent()
+		perSecond := float64(sent) / elapsed.Seconds()
+		if missing := trialRequests - v.Target.sent(); route != "" && sent > 0 && missing > 0 && unanswered < maxUnanswered {
+			limit := maxTrialShare
+			if p.elapsed > trialTime && v.Target.answered()+v.Target.Answers.Waiting.Count() < minProvingAnswers {
+				limit = lateTrialShare
+			}
+			routes[route] = max(min(float64(missing)/(perSecond*trialLeft.Seconds()), limit), share)
+		}
+		routeShare, found := routes[route]
+		if !found {
+			routeShare = share
+		}
+		planned += routeShare * perSecond * exposureLookahead.Seconds()
+	}
+	allowed := usedExposureFraction * (limits.Share*float64(total.Target.sent()+total.Other.sent()) + limits.Slack)
+	if room := max(allowed-float64(total.Target.sent()), 0); planned > room {
+		share *= room / planned
+		for route := range routes {
+			routes[route] *= room / planned
+		}
+	}
+	return share, routes
+}
--- a/entryhost/relay/moves/task.go
+++ b/entryhost/relay/moves/task.go
@@ -217,6 +217,9 @@
 		return state, err
 	}
 	m.logDecision(proposed, seen)
+	if result := proposed.result(); result != "" {
+		m.Metrics.GetOrCreateCounter(`lentilpoint_relay_moves_ended_total{service="` + service + `",result="` + result + `"}`).Inc()
+	}
 	return proposed, nil
 }
 
@@ -242,7 +245,7 @@
 		}
 	}
 	m.Logger.Info("version move decided", eventcode.RelayMoveDecided.Attr(), "service", decided.Service, "target", decided.Target, "phase", int(decided.Phase),
-		"share", decided.Share, "reason", decided.Reason,
+		"share", decided.Share, "route_shares", decided.RouteShares, "reason", decided.Reason,
 		"target_sent", total.Target.sent(), "target_answered", total.Target.answered(), "target_waiting", total.Target.Answers.Waiting.Count(),
 		"target_count", total.Target.Count, "target_failed", total.Target.Failed, "target_mean_ms", total.Target.meanLatency().Milliseconds(),
 		"other_sent", total.Other.sent(), "other_answered", total.Other.answered(), "other_waiting", total.Other.Answers.Waiting.Count(),
@@ -255,7 +258,7 @@
 	if state.Order != move.order.Order {
 		return nil
 	}
-	if err := m.Traffic.SetStage(ctx, routing.Stage{Service: state.Service, Target: state.Target, Order: state.Order, Phase: state.Phase, Share: state.Share}); err != nil {
+	if err := m.Traffic.SetStage(ctx, routing.Stage{Service: state.Service, Target: state.Target, Order: state.Order, Phase: state.Phase, Share: state.Share, RouteShares: state.RouteShares}); err != nil {
 		return err
 	}
 	move.phase = state.Phase
--- a/entryhost/relay/relay_test.go
+++ b/entryhost/relay/relay_test.go
@@ -9,6 +9,7 @@
 	"log/slog"
 	"net/http"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -167,11 +168,17 @@
 
 func (c caller) send(method, path, body string) answer {
 	requestCount++
+	return c.sendAs(fmt.Sprintf("request-%d", requestCount), method, path, body)
+}
+
+// sendAs sends a request with the given id. It may be called from any goroutine.
+func (c caller) sendAs(id, method, path, body string) answer {
+	defer GinkgoRecover()
 	request, err := http.NewRequest(method, "http://"+c.settings.FrontAddress+path, strings.NewReader(body))
 	Expect(err).NotTo(HaveOccurred())
 	request.Host = "site.example"
 	request.Header = c.header.Clone()
-	request.Header.Set(platform.HeaderRequestID, fmt.Sprintf("request-%d", requestCount))
+	request.Header.Set(platform.HeaderRequestID, id)
 	client := http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
 	response, err := client.Do(request)
 	if err != nil {
@@ -588,6 +595,54 @@
 		Expect(fresh.Runs()).To(HaveLen(exposed))
 	})
 
+	// moveEngines starts an engine of another version with the given times and orders the
+	// move to it, while callers send streams at the given interval. It returns the state in
+	// which the move ended, "" if it had not, and the requests for streams that were sent.
+	moveEngines := func(options standin.ServerOptions, interval time.Duration) (fresh *standin.Server, state string, sent int) {
+		options.Name, options.Service, options.Zone, options.Version, options.Events = "fresh", "engine", "zone-0", "v2", streamEvents
+		fresh, err := standin.StartServer(s.ctx, options, s.store)
+		Expect(err).NotTo(HaveOccurred())
+		const duration = 9 * time.Second
+		Expect(s.store.Put(platform.TableOrders, platform.PrefixMove+"engine", map[string]any{"service": "engine", "target": "v2", "duration_s": duration.Seconds()})).To(Succeed())
+		var callers sync.WaitGroup
+		defer callers.Wait()
+		c := s.caller()
+		for started := time.Now(); time.Since(started) < duration; sent++ {
+			requestCount++
+			id := fmt.Sprintf("request-%d", requestCount)
+			callers.Go(func() { c.sendAs(id, "POST", "/advice/1", id) })
+			time.Sleep(interval)
+			var status struct{ State string }
+			if row := s.store.Row(platform.TableStatus, platform.PrefixMove+"engine"); row != nil {
+				Expect(json.Unmarshal(row, &status)).To(Succeed())
+			}
+			if status.State == "completed" || status.State == "rolled_back" {
+				return fresh, status.State, sent
+			}
+		}
+		return fresh, "", sent
+	}
+
+	// Guards against evidence that is counted only when a stream has ended: the streams of
+	// a slow version outlast the move, which was completed on no evidence.
+	It("withdraws the move to a version whose streams are several times slower, before one of them has ended", func() {
+		fresh, state, sent := moveEngines(standin.ServerOptions{PromptTime: 600 * time.Millisecond, EventTime: 300 * time.Millisecond}, 100*time.Millisecond)
+		Expect(state).To(Equal("rolled_back"))
+		Expect(float64(len(fresh.Runs()))).To(BeNumerically("<=", 0.1*float64(sent)+50))
+	})
+
+	It("withdraws the move to a version whose streams start in time and then send events several times slower", func() {
+		fresh, state, sent := moveEngines(standin.ServerOptions{PromptTime: 20 * time.Millisecond, EventTime: 70 * time.Millisecond}, 100*time.Millisecond)
+		Expect(state).To(Equal("rolled_back"))
+		Expect(float64(len(fresh.Runs()))).To(BeNumerically("<=", 0.1*float64(sent)+50))
+	})
+
+	It("completes the move to a good version of a service that gets two streams a second", func() {
+		fresh, state, _ := moveEngines(standin.ServerOptions{PromptTime: 20 * time.Millisecond, EventTime: 10 * time.Millisecond}, 500*time.Millisecond)
+		Expect(state).To(Equal("completed"))
+		Expect(len(fresh.Runs())).To(BeNumerically(">=", 3), "no move is completed without evidence")
+	})
+
 	It("serves metrics with a counter for each reason", func() {
 		Expect(s.caller().send("GET", "/nothing/1", "").status).To(Equal(http.StatusNotFound))
 		response, err := http.Get("http://" + s.relay.MetricsAddress + "/metrics")
--- a/entryhost/relay/routing/move.go
+++ b/entryhost/relay/routing/move.go
@@ -42,6 +42,16 @@
 	Order   uint64
 	Phase   Phase
 	Share   float64
+	// RouteShares holds the shares of routes that have another one than Share.
+	RouteShares map[string]float64
+}
+
+// OfRoute returns the stage for the requests of a route.
+func (s Stage) OfRoute(route string) Stage {
+	if share, found := s.RouteShares[route]; found {
+		s.Share = share
+	}
+	return s
 }
 
 // Allows reports whether a request may go to a server of the version. Point is
