Reduce the share of a version on trial while the store is out of reach

A faulty version could keep up to 0.8 of a route while no host was able to withdraw it, since the larger shares of a trial stay in force in an outage of the store.

Cause: a host keeps the last stage that it read. That was at most 0.2 before routes had shares of their own.

After three failed rounds in a row a host gives the target the initial share of 0.05 and logs event 2155; the next round that succeeds puts the stage of the store in force again.

Test: a store that hangs after a stage with 0.8 for a route. Without the change no other stage follows ("Timed out after 2.006s").

--- a/entryhost/relay/moves/policy.go
+++ b/entryhost/relay/moves/policy.go
@@ -93,6 +93,9 @@
 	// holderTimeoutRounds is the number of rounds without a heartbeat after
 	// which another host takes over the move.
 	holderTimeoutRounds = 3
+	// maxFailedRounds is the number of consecutive failed rounds after which this host
+	// reduces the target's share; the store's answers are lost or late now and then.
+	maxFailedRounds = 3
 )
 
 // tally counts responses of the target of one kind, those of them that are bad, and how
--- a/entryhost/relay/moves/task.go
+++ b/entryhost/relay/moves/task.go
@@ -45,6 +45,8 @@
 	state State
 	// staleRounds counts the consecutive rounds without a new heartbeat.
 	staleRounds int
+	// failedRounds counts the consecutive failed rounds.
+	failedRounds int
 	// phase is the phase in force on this host.
 	phase routing.Phase
 	// history holds the observations of the last recentRounds rounds in which this host
@@ -146,19 +148,42 @@
 
 // runRounds runs one round of each active move within roundsTimeout, outside of the
 // task's goroutine, and sends the moves after it to the task.
-func (m *Mover) runRounds(ctx context.Context, active map[string]move) {
-	ctx, cancel := context.WithTimeout(ctx, roundsTimeout)
+func (m *Mover) runRounds(taskCtx context.Context, active map[string]move) {
+	ctx, cancel := context.WithTimeout(taskCtx, roundsTimeout)
 	defer cancel()
 	for service, move := range active {
-		if err := m.runRound(ctx, service, &move); err != nil {
+		err := m.runRound(ctx, service, &move)
+		if err == nil {
+			move.failedRounds = 0
+		} else {
+			move.failedRounds++
 			m.Metrics.GetOrCreateCounter("lentilpoint_relay_move_round_failures_total").Inc()
 			m.Logger.Warn("version move round failed; keeping the current stage", eventcode.RelayMoveRound.Attr(), "service", service, "error", err)
 		}
+		if move.failedRounds == maxFailedRounds {
+			m.pauseTrial(taskCtx, service, &move)
+		}
 		active[service] = move
 	}
 	m.rounds <- active
 }
 
+// pauseTrial reduces the target's share on this host to the initial one. While the store
+// cannot be reached, no host withdraws a faulty target, so none may get more.
+func (m *Mover) pauseTrial(ctx context.Context, service string, move *move) {
+	if move.state.Order != move.order.Order || move.state.Phase != routing.PhaseActive {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, roundsTimeout)
+	defer cancel()
+	paused := move.state
+	paused.Share, paused.RouteShares = min(paused.Share, initialShare), nil
+	m.Logger.Warn("version move paused; the store cannot be reached", eventcode.RelayMovePaused.Attr(), "service", service, "target", paused.Target, "share", paused.Share)
+	if err := m.applyStage(ctx, paused, move); err != nil {
+		m.Logger.Error("paused stage not delivered to the dispatcher", eventcode.RelayMoveRound.Attr(), "service", service, "error", err)
+	}
+}
+
 // runRound writes this host's evidence, decides on the next state if this host is
 // the holder, and applies the current stage on this host.
 func (m *Mover) runRound(ctx context.Context, service string, move *move) error {
--- a/entryhost/relay/moves/task_test.go
+++ b/entryhost/relay/moves/task_test.go
@@ -128,4 +128,38 @@
 		clock.Advance(roundInterval)
 		Eventually(store.orders).Should(Receive(BeEquivalentTo(8)))
 	})
+
+	// Guards against a version on trial that keeps a large share of a route while no host
+	// can withdraw it.
+	It("reduces the target's share while the store cannot be reached", func() {
+		store.state = State{
+			Service: "engine", Target: "v2", Order: 7, Phase: routing.PhaseActive, Holder: "other",
+			Share: provenShare, RouteShares: map[string]float64{"chat": lateTrialShare},
+		}
+		start()
+		Expect(mover.Views().Send(context.Background(), view)).To(Succeed())
+		// round lets the next round run.
+		round := func() {
+			Expect(clock.BlockUntilContext(context.Background(), 1)).To(Succeed())
+			clock.Advance(roundInterval)
+			Eventually(store.rounds).Should(Receive())
+		}
+		round()
+		var stage routing.Stage
+		Eventually(traffic.stages).Should(Receive(&stage))
+		Expect(stage.OfRoute("chat").Share).To(Equal(lateTrialShare))
+		store.hangs.Store(true)
+		for range maxFailedRounds {
+			round()
+		}
+		Eventually(traffic.stages, 2*time.Second).Should(Receive(&stage))
+		Expect(stage.Phase).To(Equal(routing.PhaseActive))
+		Expect(stage.OfRoute("chat").Share).To(Equal(initialShare))
+
+		By("and follows the stage of the store again")
+		store.hangs.Store(false)
+		round()
+		Eventually(traffic.stages).Should(Receive(&stage))
+		Expect(stage.OfRoute("chat").Share).To(Equal(lateTrialShare))
+	})
 })
--- a/eventcode/relay.go
+++ b/eventcode/relay.go
@@ -38,6 +38,7 @@
 	SuspectDeath         Code = 2145
 	SuspectNotReported   Code = 2146
 	LoadsNotExchanged    Code = 2147
+	RelayMovePaused      Code = 2155
 )
 
 var relayEvents = []Entry{
@@ -77,4 +78,5 @@
 	{SuspectDeath, "suspect death", "A server died while it ran a request that it had not answered yet. After three such deaths within a minute, requests with the same fingerprint are refused on all hosts.", "If stopped is true, keep the content of the request that the line names for the developers of the service."},
 	{SuspectNotReported, "suspect untold", "Another entry host could not be informed of a request that crashes servers, or this host's list of such requests could not be read; such a request may reach more servers.", "Check the links between entry hosts if it repeats."},
 	{LoadsNotExchanged, "loads not exchanged", "The entry host that collects the attempts on the engines of a data centre did not answer; engines are chosen by this host's own attempts and the next collector is asked from then on.", "Look at the collector that the line names if it repeats."},
+	{RelayMovePaused, "version move paused", "This host could not run several rounds of a version move in a row; it sends the new version no more than the initial share until it can.", "Check the store."},
 }
