Let a host that takes over a version move know when it was ordered

After a restart of the holder a good version could be completed after its time, and a trial began anew.

Cause: each host measured a move from when it first read the order, which after a restart is the time of the restart.

The state of the move holds the time since the order at the last decision. A host whose own measure is shorter takes that one.

Test: a host that takes over a state that is 50 s old.

--- a/entryhost/relay/moves/messages.go
+++ b/entryhost/relay/moves/messages.go
@@ -36,6 +36,9 @@
 	// each round; the other hosts detect its failure by an unchanged Heartbeat.
 	Holder    string
 	Heartbeat uint64
+	// Elapsed is the time from the order to the last decision. A host that has restarted
+	// learns from it how much of the move's duration is over.
+	Elapsed time.Duration
 	// Version is the version of the row, for the next conditional write.
 	Version uint64
 }
--- a/entryhost/relay/moves/policy.go
+++ b/entryhost/relay/moves/policy.go
@@ -267,7 +267,7 @@
 // nextState returns the state that the holder writes next.
 func nextState(state State, p progress, limits ExposureLimits) State {
 	state.Heartbeat++
-	state.Reason, state.RouteShares = "", nil
+	state.Reason, state.RouteShares, state.Elapsed = "", nil, p.elapsed
 	fault := p.seen.faults()
 	if fault == "" {
 		fault = p.recent.faults()
--- a/entryhost/relay/moves/task.go
+++ b/entryhost/relay/moves/task.go
@@ -191,6 +191,7 @@
 	if err != nil {
 		return err
 	}
+	move.alignStart(state, m.Clock.Now())
 	if state.Order == move.order.Order && state.Heartbeat == move.state.Heartbeat {
 		move.staleRounds++
 	} else {
@@ -248,6 +249,14 @@
 	return proposed, nil
 }
 
+// alignStart moves the start of the move back if the state shows that it was ordered
+// earlier than this host knows, for example because this host has restarted.
+func (m *move) alignStart(state State, now time.Time) {
+	if startedAt := now.Add(-state.Elapsed); state.Order == m.order.Order && startedAt.Before(m.startedAt) {
+		m.startedAt = startedAt
+	}
+}
+
 // observe records an observation and returns it with what is new since the rounds
 // before. While there are too few rounds, nothing is recent.
 func (m *move) observe(seen Observation, now time.Time) progress {
--- a/entryhost/relay/moves/task_test.go
+++ b/entryhost/relay/moves/task_test.go
@@ -162,4 +162,21 @@
 		Eventually(traffic.stages).Should(Receive(&stage))
 		Expect(stage.OfRoute("chat").Share).To(Equal(lateTrialShare))
 	})
+
+	// Guards against a host that takes the time of its own start for that of the order:
+	// the move would end after its time.
+	It("continues the time of a move that it takes over after a restart", func() {
+		store.state = State{Service: "engine", Target: "v2", Order: 7, Phase: routing.PhaseActive, Holder: "other", Elapsed: 50 * time.Second}
+		start()
+		Expect(mover.Views().Send(context.Background(), view)).To(Succeed())
+		var state State
+		for range holderTimeoutRounds + 1 {
+			Expect(clock.BlockUntilContext(context.Background(), 1)).To(Succeed())
+			clock.Advance(roundInterval)
+			Eventually(store.rounds).Should(Receive())
+		}
+		Eventually(store.states).Should(Receive(&state))
+		Expect(state.Holder).To(Equal("host"))
+		Expect(state.Elapsed).To(BeNumerically(">=", 50*time.Second))
+	})
 })
