Move all traffic to the new version before its move is completed

Cause: the operator stops the old servers on "completed" at once, and the other hosts read that state in their next round, up to a second later. Until then they knew only servers that were gone.

A proven target now gets all traffic for two rounds while the old servers still run, and the move is completed after that. It begins two rounds before three quarters of the duration, so the completion is not later than before. A version that turns out to be faulty under the whole load is withdrawn in that time, with the old servers there to take the traffic back.

Test: a relay spec with two hosts whose rounds are half a round apart and old servers that stop on the completion.

--- a/entryhost/relay/moves/messages.go
+++ b/entryhost/relay/moves/messages.go
@@ -30,6 +30,9 @@
 	Share float64
 	// RouteShares holds the shares of routes that need another one than Share.
 	RouteShares map[string]float64
+	// Handover is the number of decisions for which all traffic goes to the target while
+	// the old servers still run.
+	Handover int
 	// Reason is why the move was withdrawn, or why the target is not proven yet.
 	Reason string
 	// Holder is the host that decides on the move. It increments Heartbeat in
--- a/entryhost/relay/moves/moves_test.go
+++ b/entryhost/relay/moves/moves_test.go
@@ -46,11 +46,33 @@
 		Expect(got.Phase).To(Equal(routing.PhaseWithdrawn))
 	})
 
-	It("completes the move to a good version before the move's time is over", func() {
-		got := nextState(state, progress{seen: sums(sample(10, 0, time.Millisecond), sample(100, 0, time.Millisecond)), elapsed: 8 * time.Second, duration: 10 * time.Second}, limits)
+	// Guards against old servers that stop while other hosts still send them requests.
+	It("completes the move to a good version before the move's time is over, after all traffic has left the old servers", func() {
+		got := state
+		seen := sums(sample(10, 0, time.Millisecond), sample(100, 0, time.Millisecond))
+		for _, elapsed := range []time.Duration{15, 16} {
+			got = nextState(got, progress{seen: seen, elapsed: elapsed * time.Second, duration: 20 * time.Second}, limits)
+			Expect(got.Phase).To(Equal(routing.PhaseActive))
+			Expect(got.Share).To(Equal(1.0))
+		}
+		got = nextState(got, progress{seen: seen, elapsed: 17 * time.Second, duration: 20 * time.Second}, limits)
 		Expect(got.Phase).To(Equal(routing.PhaseCompleted))
 	})
 
+	It("completes a short move before its time is over", func() {
+		seen := sums(sample(10, 0, time.Millisecond), sample(100, 0, time.Millisecond))
+		got := nextState(state, progress{seen: seen, elapsed: 3 * time.Second, duration: 4 * time.Second}, limits)
+		Expect(got.Share).To(Equal(1.0))
+		Expect(nextState(got, progress{seen: seen, elapsed: 3700 * time.Millisecond, duration: 4 * time.Second}, limits).Phase).To(Equal(routing.PhaseCompleted))
+	})
+
+	It("withdraws a version that turns out to be faulty under the whole load", func() {
+		got := nextState(state, progress{seen: sums(sample(10, 0, time.Millisecond), sample(100, 0, time.Millisecond)), elapsed: 15 * time.Second, duration: 20 * time.Second}, limits)
+		Expect(got.Share).To(Equal(1.0))
+		got = nextState(got, progress{seen: sums(sample(60, 30, time.Millisecond), sample(100, 0, time.Millisecond)), elapsed: 16 * time.Second, duration: 20 * time.Second}, limits)
+		Expect(got.Phase).To(Equal(routing.PhaseWithdrawn))
+	})
+
 	It("never exceeds the allowed exposure of an unproven version", func() {
 		rapid.Check(GinkgoT(), func(t *rapid.T) {
 			var target, other Sample
@@ -94,6 +116,18 @@
 	return nextState(State{Order: 7, Phase: routing.PhaseActive}, progress{seen: seen, elapsed: elapsed, duration: 15 * time.Second}, limits)
 }
 
+// decideWhole returns the state in which a move is that has had the same evidence for
+// the rounds of a handover.
+func decideWhole(seen Observation, elapsed time.Duration) State {
+	state := State{Order: 7, Phase: routing.PhaseActive}
+	for range handoverRounds + 1 {
+		if state.Phase == routing.PhaseActive {
+			state = nextState(state, progress{seen: seen, elapsed: elapsed, duration: 15 * time.Second}, limits)
+		}
+	}
+	return state
+}
+
 // Guards against evidence that arrives only with the end of an attempt: the streams of a
 // slow version end last, and a version without evidence was taken for a good one.
 var _ = Describe("streams that have not ended", func() {
@@ -200,7 +234,7 @@
 
 	DescribeTable("is completed only with evidence",
 		func(seen Observation, elapsed time.Duration, phase routing.Phase) {
-			Expect(decide(seen, elapsed).Phase).To(Equal(phase))
+			Expect(decideWhole(seen, elapsed).Phase).To(Equal(phase))
 		},
 		Entry("a proven version", Observation{"chat": {Target: streams(9, 1300*time.Millisecond, 0, 0), Other: good}}, 12*time.Second, routing.PhaseCompleted),
 		Entry("a proven version before its time", Observation{"chat": {Target: streams(9, 1300*time.Millisecond, 0, 0), Other: good}}, 9*time.Second, routing.PhaseActive),
--- a/entryhost/relay/moves/policy.go
+++ b/entryhost/relay/moves/policy.go
@@ -51,10 +51,16 @@
 	// exposure: a round, and the time until all hosts follow it.
 	exposureLookahead = 2 * time.Second
 	// completionFraction is the fraction of the move's duration at which it is completed
-	// if the target is proven; the rest is reserved for an outage of the store. After withdrawalFraction the move to an unproven target is withdrawn: a
+	// if the target is proven; the rest is reserved for an outage of the store. The
+	// handover comes before it, but not before minTrialFraction. After withdrawalFraction the move to an unproven target is withdrawn: a
 	// good version costs another order then, a faulty one would cost all requests.
 	completionFraction = 0.75
+	minTrialFraction   = 0.5
 	withdrawalFraction = 0.9
+	// handoverRounds is the number of rounds in which all traffic goes to a proven target
+	// before the move is completed. The old servers stop on completion, so every host must
+	// have left them before, and a target that is faulty under load can be withdrawn still.
+	handoverRounds = 2
 	// minFailures is the number of failures or slow responses below which their rate is
 	// ignored.
 	minFailures = 4
@@ -277,12 +283,17 @@
 		minRequests = minLateRouteRequests
 	}
 	doubt := p.seen.doubts(minRequests)
+	// In the handover, only a fault stops the move: the other versions get no traffic that
+	// the target could be compared with.
+	proven := state.Handover > 0 || doubt == ""
 	late := p.elapsed >= time.Duration(withdrawalFraction*float64(p.duration))
 	switch {
 	case fault != "":
 		state.Phase, state.Share, state.Reason = routing.PhaseWithdrawn, 0, resultFaulty+": "+fault
-	case doubt == "" && p.elapsed >= time.Duration(completionFraction*float64(p.duration)):
+	case proven && (late || state.Handover >= handoverRounds):
 		state.Phase, state.Share = routing.PhaseCompleted, 1
+	case proven && p.elapsed >= handoverStart(p.duration):
+		state.Handover, state.Share = state.Handover+1, 1
 	case late:
 		state.Phase, state.Share, state.Reason = routing.PhaseWithdrawn, 0, resultUnproven+": "+doubt
 	default:
@@ -314,6 +325,12 @@
 	}
 }
 
+// handoverStart returns the time after the order at which all traffic goes to a proven
+// target.
+func handoverStart(duration time.Duration) time.Duration {
+	return max(time.Duration(minTrialFraction*float64(duration)), time.Duration(completionFraction*float64(duration))-handoverRounds*roundInterval)
+}
+
 // shares returns the target's share of the traffic and those of routes that need
 // another one. A route with little traffic gets a larger share, so that the evidence
 // on it arrives in time.
--- a/entryhost/relay/moves/task.go
+++ b/entryhost/relay/moves/task.go
@@ -169,9 +169,10 @@
 }
 
 // pauseTrial reduces the target's share on this host to the initial one. While the store
-// cannot be reached, no host withdraws a faulty target, so none may get more.
+// cannot be reached, no host withdraws a faulty target, so none may get more. In the
+// handover the old servers may have stopped since, so the traffic stays on the target.
 func (m *Mover) pauseTrial(ctx context.Context, service string, move *move) {
-	if move.state.Order != move.order.Order || move.state.Phase != routing.PhaseActive {
+	if move.state.Order != move.order.Order || move.state.Phase != routing.PhaseActive || move.state.Handover > 0 {
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, roundsTimeout)
@@ -279,7 +280,7 @@
 		}
 	}
 	m.Logger.Info("version move decided", eventcode.RelayMoveDecided.Attr(), "service", decided.Service, "target", decided.Target, "phase", int(decided.Phase),
-		"share", decided.Share, "route_shares", decided.RouteShares, "reason", decided.Reason,
+		"share", decided.Share, "handover", decided.Handover, "route_shares", decided.RouteShares, "reason", decided.Reason,
 		"target_sent", total.Target.sent(), "target_answered", total.Target.answered(), "target_waiting", total.Target.Answers.Waiting.Count(),
 		"target_count", total.Target.Count, "target_failed", total.Target.Failed, "target_mean_ms", total.Target.meanLatency().Milliseconds(),
 		"other_sent", total.Other.sent(), "other_answered", total.Other.answered(), "other_waiting", total.Other.Answers.Waiting.Count(),
--- a/entryhost/relay/relay_test.go
+++ b/entryhost/relay/relay_test.go
@@ -579,6 +579,40 @@
 		Expect(fresh.Runs()).To(HaveLen(before + 5))
 	})
 
+	// Guards against hosts that learn of the completion after the old servers, which stop on
+	// it, and refuse requests until then.
+	It("answers all requests on all hosts while the old servers stop on the completion of a move", func() {
+		moveTo(standin.ServerFaults{})
+		// The host that starts first decides. The rounds of the other one come half a round
+		// later.
+		Eventually(func() []byte { return s.store.Row(platform.TableStatus, platform.PrefixMove+"shop") }, 5*time.Second).ShouldNot(BeNil())
+		time.Sleep(500 * time.Millisecond)
+		other, _, _ := s.start(s.store.Address(), s.relay.PeerAddress)
+		Eventually(readinessStatus(other), 5*time.Second).Should(Equal(http.StatusOK))
+		callers := []caller{s.caller(), s.caller()}
+		callers[1].settings = other
+		var statuses []int
+		var stoppedAt time.Time
+		for started := time.Now(); time.Since(started) < 9*time.Second && (stoppedAt.IsZero() || time.Since(stoppedAt) < 1500*time.Millisecond); time.Sleep(10 * time.Millisecond) {
+			for _, c := range callers {
+				statuses = append(statuses, c.send("GET", "/stock/1", "").status)
+			}
+			var status struct{ State string }
+			if row := s.store.Row(platform.TableStatus, platform.PrefixMove+"shop"); row != nil {
+				Expect(json.Unmarshal(row, &status)).To(Succeed())
+			}
+			if status.State == "completed" && stoppedAt.IsZero() {
+				stoppedAt = time.Now()
+				for _, server := range s.plain {
+					s.store.Remove(platform.TableServers, server.ID())
+					server.Crash()
+				}
+			}
+		}
+		Expect(stoppedAt).NotTo(BeZero(), "the move is completed")
+		Expect(statuses).To(HaveEach(http.StatusOK))
+	})
+
 	It("withdraws the move to a faulty version, which receives a small share and then nothing", func() {
 		fresh := moveTo(standin.ServerFaults{Fail: true})
 		Expect(sendUntilMoveEnds()).To(Equal("rolled_back"))
