Keep a good version on routes on which requests fail by themselves

Only the first attempt of a request counts as failed or not. A route needs as many answers as the other versions would give to three requests.

Tests: a dispatcher spec for repeated attempts, and policy specs for each cause, of which the three on good versions fail on the code before.

--- a/entryhost/relay/dispatch/versions.go
+++ b/entryhost/relay/dispatch/versions.go
@@ -160,8 +160,14 @@
 
 // recordSent counts an attempt for the version of its server.
 func (t *Task) recordSent(granted leaseState) {
-	if state := t.moveOf(granted.service); state != nil {
-		sampleOf(state.routeSamples(granted.route), state, granted).Sent++
+	state := t.moveOf(granted.service)
+	if state == nil {
+		return
+	}
+	sample := sampleOf(state.routeSamples(granted.route), state, granted)
+	sample.Sent++
+	if granted.retry {
+		sample.Retried++
 	}
 }
 
@@ -204,22 +210,28 @@
 	case OutcomeUnreachable, OutcomeMisdirected:
 		// The attempt did not reach the server.
 		sample.Sent = max(sample.Sent-1, 0)
+		if granted.retry {
+			sample.Retried = max(sample.Retried-1, 0)
+		}
 		return
 	case OutcomeNone:
 		// The caller left. How long it had waited may still show a slow version.
 		t.recordStep(granted, func(step *moves.Step, waited time.Duration) { step.Left.Add(waited) })
 		return
 	}
-	sample.Count++
-	if outcome != OutcomeSuccess {
-		sample.Failed++
-		return
-	}
-	sample.LatencySum += latency
-	if !granted.decoding {
+	if outcome == OutcomeSuccess && !granted.decoding {
 		// A complete response, or a stream whose first event was not reported.
 		sample.Answers.Done.Add(latency)
 	}
+	switch {
+	case granted.retry:
+	case outcome == OutcomeSuccess:
+		sample.Count++
+		sample.LatencySum += latency
+	default:
+		sample.Count++
+		sample.Failed++
+	}
 }
 
 // filterVersions removes the servers of versions that the request may not use.
--- a/entryhost/relay/dispatch/versions_test.go
+++ b/entryhost/relay/dispatch/versions_test.go
@@ -86,6 +86,17 @@
 		Expect(got.Count).To(BeZero())
 	})
 
+	// Guards against a good version that is withdrawn for one request that fails on every
+	// server and is repeated on each.
+	It("hold the failure of a request once, however often it is repeated", func(ctx SpecContext) {
+		for attempt := range 3 {
+			reply := make(chan Assignment, 1)
+			dispatcher.handle(ctx, Acquire{Service: "engine", Route: "chat", Retry: attempt > 0, Reply: task.Reply[Assignment](reply)})
+			dispatcher.handle(ctx, Release{Lease: (<-reply).Lease, Outcome: OutcomeFailed})
+		}
+		Expect(samples()["chat"].Target).To(Equal(moves.Sample{Sent: 3, Retried: 2, Count: 1, Failed: 1}))
+	})
+
 	It("do not count an attempt that reached no server", func(ctx SpecContext) {
 		dispatcher.handle(ctx, Release{Lease: acquire(ctx, "chat").Lease, Outcome: OutcomeUnreachable})
 		Expect(samples()["chat"].Target).To(Equal(moves.Sample{}))
--- a/entryhost/relay/moves/evidence.go
+++ b/entryhost/relay/moves/evidence.go
@@ -81,9 +81,13 @@
 // Sample sums up the responses of one version.
 type Sample struct {
 	// Sent is the number of attempts that were sent, including those in progress. Hosts
-	// of builds that do not count it report 0.
-	Sent int
-	// Count is the number of attempts that have ended, of which Failed failed.
+	// of builds that do not count it report 0. Retried of them repeat a request after
+	// another attempt.
+	Sent    int
+	Retried int
+	// Count is the number of first attempts of requests that have ended, of which Failed
+	// failed. A request that fails often fails on each server, so its further attempts
+	// are no evidence of their own.
 	Count  int
 	Failed int
 	// LatencySum is the sum of the response times of attempts that did not fail.
@@ -174,7 +178,7 @@
 
 func (s Sample) add(other Sample) Sample {
 	return Sample{
-		Sent: s.sent() + other.sent(), Count: s.Count + other.Count, Failed: s.Failed + other.Failed, LatencySum: s.LatencySum + other.LatencySum,
+		Sent: s.sent() + other.sent(), Retried: s.Retried + other.Retried, Count: s.Count + other.Count, Failed: s.Failed + other.Failed, LatencySum: s.LatencySum + other.LatencySum,
 		Answers: s.Answers.add(other.Answers), Pace: s.Pace.add(other.Pace),
 	}
 }
@@ -183,7 +187,7 @@
 // 0 again, so no difference is below 0.
 func (s Sample) since(earlier Sample) Sample {
 	return Sample{
-		Sent: max(s.sent()-earlier.sent(), 0), Count: max(s.Count-earlier.Count, 0), Failed: max(s.Failed-earlier.Failed, 0),
+		Sent: max(s.sent()-earlier.sent(), 0), Retried: max(s.Retried-earlier.Retried, 0), Count: max(s.Count-earlier.Count, 0), Failed: max(s.Failed-earlier.Failed, 0),
 		LatencySum: max(s.LatencySum-earlier.LatencySum, 0), Answers: s.Answers.since(earlier.Answers), Pace: s.Pace.since(earlier.Pace),
 	}
 }
@@ -191,10 +195,23 @@
 // sent returns the number of attempts that were sent, as far as it is known.
 func (s Sample) sent() int { return max(s.Sent, s.Count) }
 
+// first returns the number of first attempts that were sent, as far as it is known.
+func (s Sample) first() int { return max(s.Sent-s.Retried, s.Count) }
+
 // answered returns the number of attempts that sent a first answer, as far as it is
 // known.
 func (s Sample) answered() int { return max(s.Answers.Done.Count(), s.succeeded()) }
 
+// answersOf returns how many of so many requests are usually answered: on some routes
+// most requests fail, or their callers leave.
+func (s Sample) answersOf(requests int) int {
+	share := 1.0
+	if s.sent() > 0 {
+		share = min(float64(s.answered())/float64(s.sent()), 1)
+	}
+	return int(share*float64(requests) + 0.5)
+}
+
 func (s Sample) succeeded() int { return s.Count - s.Failed }
 
 func (s Sample) failureRate() float64 {
--- a/entryhost/relay/moves/moves_test.go
+++ b/entryhost/relay/moves/moves_test.go
@@ -180,6 +180,18 @@
 		Expect(got.Reason).To(ContainSubstring(`"pay"`))
 	})
 
+	// Guards against a good version that is withdrawn on a route that fails 14 in 100
+	// requests by itself: callers repeat these, and they fail again.
+	It("does not take a version for faulty on which three requests failed twice", func() {
+		seen := Observation{"check": {Target: sample(7, 6, 30*time.Millisecond), Other: sample(60, 9, 30*time.Millisecond)}}
+		Expect(decide(seen, 7*time.Second).Phase).To(Equal(routing.PhaseActive))
+	})
+
+	It("takes a version for faulty that fails a third of the requests on a route that does not fail by itself", func() {
+		seen := Observation{"chat": {Target: sample(15, 5, time.Second), Other: sample(30, 0, time.Second)}}
+		Expect(decide(seen, 7*time.Second).Phase).To(Equal(routing.PhaseWithdrawn))
+	})
+
 	It("does not take a version for slow that gets more requests of a slower route", func() {
 		seen := Observation{
 			"chat": {Target: streams(12, 1300*time.Millisecond, 0, 0), Other: streams(12, 1300*time.Millisecond, 0, 0)},
@@ -245,6 +257,8 @@
 		Entry("too few slow answers to call it faulty", Observation{"chat": {Target: streams(3, 5*time.Second, 0, 0), Other: streams(9, time.Second, 0, 0)}}, 14*time.Second, routing.PhaseWithdrawn),
 		Entry("little traffic, and a quarter of it on the target", Observation{"chat": {Target: streams(3, time.Second, 0, 0), Other: streams(9, time.Second, 0, 0)}}, 12*time.Second, routing.PhaseCompleted),
 		Entry("a route without evidence", Observation{"chat": {Target: streams(9, time.Second, 0, 0), Other: good}, "pay": {Other: good}}, 14*time.Second, routing.PhaseWithdrawn),
+		Entry("a route on which hardly a request is answered on the other versions", Observation{"chat": {Target: streams(9, time.Second, 0, 0), Other: good}, "gone": {Target: sample(6, 6, 0), Other: sample(40, 38, time.Millisecond)}}, 12*time.Second, routing.PhaseCompleted),
+		Entry("two slow answers of fourteen, which are usual", Observation{"chat": {Target: streams(12, 30*time.Millisecond, 0, 0).add(streams(2, 150*time.Millisecond, 0, 0)), Other: streams(70, 30*time.Millisecond, 0, 0)}}, 12*time.Second, routing.PhaseCompleted),
 		Entry("a route with hardly any traffic", Observation{"chat": {Target: streams(9, time.Second, 0, 0), Other: good}, "rare": {Other: streams(2, time.Second, 0, 0)}}, 12*time.Second, routing.PhaseCompleted),
 		Entry("a route with little traffic while there is time to wait for it", Observation{"chat": {Target: streams(9, time.Second, 0, 0), Other: good}, "rare": {Other: streams(8, time.Second, 0, 0)}}, 11*time.Second, routing.PhaseActive),
 		Entry("a route with little traffic afterwards", Observation{"chat": {Target: streams(9, time.Second, 0, 0), Other: good}, "rare": {Other: streams(8, time.Second, 0, 0)}}, 12*time.Second, routing.PhaseCompleted),
