--- a/entryhost/relay/moves/messages.go
+++ b/entryhost/relay/moves/messages.go
@@ -28,38 +28,24 @@
 	Phase routing.Phase
 	// Share is the fraction of requests that go to the target, from 0 to 1.
 	Share float64
+	// RouteShares holds the shares of routes that need another one than Share.
+	RouteShares map[string]float64
+	// Handover is the number of decisions for which all traffic goes to the target while
+	// the old servers still run.
+	Handover int
+	// Reason is why the move was withdrawn, or why the target is not proven yet.
+	Reason string
 	// Holder is the host that decides on the move. It increments Heartbeat in
 	// each round; the other hosts detect its failure by an unchanged Heartbeat.
 	Holder    string
 	Heartbeat uint64
+	// Elapsed is the time from the order to the last decision. A host that has restarted
+	// learns from it how much of the move's duration is over.
+	Elapsed time.Duration
 	// Version is the version of the row, for the next conditional write.
 	Version uint64
 }
 
-// Sample sums up the responses of one version.
-type Sample struct {
-	// Count is the number of requests, of which Failed failed.
-	Count  int
-	Failed int
-	// LatencySum is the sum of the response times of requests that did not fail.
-	LatencySum time.Duration
-}
-
-// add returns the sum of both samples.
-func (s Sample) add(other Sample) Sample {
-	return Sample{Count: s.Count + other.Count, Failed: s.Failed + other.Failed, LatencySum: s.LatencySum + other.LatencySum}
-}
-
-// Evidence holds the samples that one host took during a move.
-type Evidence struct {
-	Host  string
-	Order uint64
-	// Target is the sample of the version that the traffic moves to, Other that
-	// of all other versions.
-	Target Sample
-	Other  Sample
-}
-
 // Store persists states and evidence.
 type Store interface {
 	// ReadState returns the state of the service's latest move, or a zero State.
--- a/entryhost/relay/moves/task.go
+++ b/entryhost/relay/moves/task.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"log/slog"
+	"slices"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -11,6 +12,7 @@
 
 	"github.com/lentilpoint/lentilpoint/entryhost/relay/catalog"
 	"github.com/lentilpoint/lentilpoint/entryhost/relay/routing"
+	"github.com/lentilpoint/lentilpoint/entryhost/relay/series"
 	"github.com/lentilpoint/lentilpoint/eventcode"
 	"github.com/lentilpoint/lentilpoint/task"
 )
@@ -19,9 +21,9 @@
 type Traffic interface {
 	// SetStage puts a stage in force on this host.
 	SetStage(ctx context.Context, stage routing.Stage) error
-	// Samples returns this host's samples of the target and of the other versions
-	// in the service's move.
-	Samples(ctx context.Context, service string) (target, other Sample, err error)
+	// Samples returns this host's samples of both versions in the service's move, by
+	// route.
+	Samples(ctx context.Context, service string) (map[string]Versions, error)
 }
 
 // Parameters holds the dependencies of a Mover.
@@ -44,20 +46,32 @@
 	state State
 	// staleRounds counts the consecutive rounds without a new heartbeat.
 	staleRounds int
+	// failedRounds counts the consecutive failed rounds.
+	failedRounds int
 	// phase is the phase in force on this host.
 	phase routing.Phase
+	// history holds the observations of the last recentRounds rounds in which this host
+	// decided, oldest first.
+	history []Observation
 }
 
-// Mover is the task that carries out the moves of all services.
+// Mover is the task that carries out the moves of all services. The store may take
+// long to answer, so each round runs in a goroutine of its own, with copies of the
+// moves; the task takes views meanwhile.
 type Mover struct {
 	Parameters
 	views task.Mailbox[*catalog.View]
 	moves map[string]*move
+	// rounds receives the moves after a round; at most one round runs.
+	rounds chan map[string]move
 }
 
 // NewMover returns a mover without moves; it receives them through Views.
 func NewMover(parameters Parameters) *Mover {
-	return &Mover{Parameters: parameters, views: task.NewMailbox[*catalog.View](viewsCapacity), moves: map[string]*move{}}
+	return &Mover{
+		Parameters: parameters, views: task.NewMailbox[*catalog.View](viewsCapacity), moves: map[string]*move{},
+		rounds: make(chan map[string]move, 1),
+	}
 }
 
 // Views receives the views of the catalog.
@@ -70,17 +84,27 @@
 // move is active.
 func (m *Mover) Serve(ctx context.Context) error {
 	var nextRound <-chan time.Time
+	running := false
 	for {
 		select {
 		case <-ctx.Done():
+			if running {
+				// The round ends with the context.
+				<-m.rounds
+			}
 			return nil
 		case view := <-m.views.C():
 			m.updateMoves(view)
 		case <-nextRound:
-			m.runRounds(ctx)
+			nextRound, running = nil, true
+			go m.runRounds(ctx, m.activeMoves())
+		case after := <-m.rounds:
+			running = false
+			m.recordRound(after)
 		}
-		nextRound = nil
-		if m.hasActiveMove() {
+		// A view must not restart the timer: views that arrive more often than
+		// roundInterval would then postpone the round for as long as they come.
+		if nextRound == nil && !running && len(m.activeMoves()) > 0 {
 			nextRound = m.Clock.After(roundInterval)
 		}
 	}
@@ -102,27 +126,63 @@
 	}
 }
 
-func (m *Mover) hasActiveMove() bool {
-	for _, move := range m.moves {
+// activeMoves returns copies of the moves that have not ended on this host.
+func (m *Mover) activeMoves() map[string]move {
+	active := map[string]move{}
+	for service, move := range m.moves {
 		if move.phase != routing.PhaseCompleted && move.phase != routing.PhaseWithdrawn {
-			return true
+			active[service] = *move
 		}
 	}
-	return false
+	return active
 }
 
-// runRounds runs one round of each active move within roundsTimeout.
-func (m *Mover) runRounds(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, roundsTimeout)
-	defer cancel()
-	for service, move := range m.moves {
-		if move.phase == routing.PhaseCompleted || move.phase == routing.PhaseWithdrawn {
-			continue
+// recordRound takes over the progress of the moves after a round, except for those
+// that were ordered anew meanwhile.
+func (m *Mover) recordRound(after map[string]move) {
+	for service, move := range after {
+		if known, found := m.moves[service]; found && known.order.Order == move.order.Order {
+			*known = move
 		}
-		if err := m.runRound(ctx, service, move); err != nil {
+	}
+}
+
+// runRounds runs one round of each active move within roundsTimeout, outside of the
+// task's goroutine, and sends the moves after it to the task.
+func (m *Mover) runRounds(taskCtx context.Context, active map[string]move) {
+	ctx, cancel := context.WithTimeout(taskCtx, roundsTimeout)
+	defer cancel()
+	for service, move := range active {
+		err := m.runRound(ctx, service, &move)
+		if err == nil {
+			move.failedRounds = 0
+		} else {
+			move.failedRounds++
 			m.Metrics.GetOrCreateCounter("lentilpoint_relay_move_round_failures_total").Inc()
 			m.Logger.Warn("version move round failed; keeping the current stage", eventcode.RelayMoveRound.Attr(), "service", service, "error", err)
 		}
+		if move.failedRounds == maxFailedRounds {
+			m.pauseTrial(taskCtx, service, &move)
+		}
+		active[service] = move
+	}
+	m.rounds <- active
+}
+
+// pauseTrial reduces the target's share on this host to the initial one. While the store
+// cannot be reached, no host withdraws a faulty target, so none may get more. In the
+// handover the old servers may have stopped since, so the traffic stays on the target.
+func (m *Mover) pauseTrial(ctx context.Context, service string, move *move) {
+	if move.state.Order != move.order.Order || move.state.Phase != routing.PhaseActive || move.state.Handover > 0 {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, roundsTimeout)
+	defer cancel()
+	paused := move.state
+	paused.Share, paused.RouteShares = min(paused.Share, initialShare), nil
+	m.Logger.Warn("version move paused; the store cannot be reached", eventcode.RelayMovePaused.Attr(), "service", service, "target", paused.Target, "share", paused.Share)
+	if err := m.applyStage(ctx, paused, move); err != nil {
+		m.Logger.Error("paused stage not delivered to the dispatcher", eventcode.RelayMoveRound.Attr(), "service", service, "error", err)
 	}
 }
 
@@ -133,16 +193,17 @@
 	if err != nil {
 		return err
 	}
+	move.alignStart(state, m.Clock.Now())
 	if state.Order == move.order.Order && state.Heartbeat == move.state.Heartbeat {
 		move.staleRounds++
 	} else {
 		move.staleRounds = 0
 	}
-	target, other, err := m.Traffic.Samples(ctx, service)
+	routes, err := m.Traffic.Samples(ctx, service)
 	if err != nil {
 		return err
 	}
-	if err := m.Store.WriteEvidence(ctx, service, Evidence{Host: m.Self, Order: move.order.Order, Target: target, Other: other}); err != nil {
+	if err := m.Store.WriteEvidence(ctx, service, NewEvidence(m.Self, move.order.Order, routes)); err != nil {
 		return err
 	}
 	if m.isHolder(state, move) {
@@ -169,12 +230,12 @@
 	if err != nil {
 		return state, err
 	}
-	target, other := sumEvidence(evidence, move.order.Order)
+	seen := sumEvidence(evidence, move.order.Order)
 	if state.Order != move.order.Order {
 		state = State{Service: service, Target: move.order.Target, Order: move.order.Order, Phase: routing.PhaseActive, Version: state.Version}
 	}
 	state.Holder = m.Self
-	proposed := nextState(state, target, other, m.Clock.Since(move.startedAt), move.order.Duration, m.Limits)
+	proposed := nextState(state, move.observe(seen, m.Clock.Now()), m.Limits)
 	err = m.Store.WriteState(ctx, proposed)
 	if errors.Is(err, ErrConflict) {
 		return m.Store.ReadState(ctx, service)
@@ -183,19 +244,57 @@
 		// The write may have taken effect; the next round reads the state.
 		return state, err
 	}
-	m.Logger.Info("version move decided", eventcode.RelayMoveDecided.Attr(), "service", service, "target", proposed.Target, "phase", int(proposed.Phase),
-		"share", proposed.Share, "target_count", target.Count, "target_failed", target.Failed, "target_mean_ms", target.meanLatency().Milliseconds(),
-		"other_count", other.Count, "other_failed", other.Failed, "other_mean_ms", other.meanLatency().Milliseconds())
+	m.logDecision(proposed, seen)
+	if result := proposed.result(); result != "" {
+		m.Metrics.GetOrCreateCounter(series.Name("lentilpoint_relay_moves_ended_total", "service", service, "result", result)).Inc()
+	}
 	return proposed, nil
 }
 
+// alignStart moves the start of the move back if the state shows that it was ordered
+// earlier than this host knows, for example because this host has restarted.
+func (m *move) alignStart(state State, now time.Time) {
+	if startedAt := now.Add(-state.Elapsed); state.Order == m.order.Order && startedAt.Before(m.startedAt) {
+		m.startedAt = startedAt
+	}
+}
+
+// observe records an observation and returns it with what is new since the rounds
+// before. While there are too few rounds, nothing is recent.
+func (m *move) observe(seen Observation, now time.Time) progress {
+	p := progress{elapsed: now.Sub(m.startedAt), duration: m.order.Duration, seen: seen}
+	if len(m.history) == recentRounds {
+		p.recent = seen.since(m.history[0])
+		m.history = m.history[1:]
+	}
+	m.history = append(slices.Clip(m.history), seen)
+	return p
+}
+
+// logDecision logs a state that this host has written and the evidence for it.
+func (m *Mover) logDecision(decided State, seen Observation) {
+	total := seen.total()
+	rates := make([]string, 0, len(seen))
+	for _, c := range seen.compare() {
+		if c.tally.count > 0 {
+			rates = append(rates, c.String())
+		}
+	}
+	m.Logger.Info("version move decided", eventcode.RelayMoveDecided.Attr(), "service", decided.Service, "target", decided.Target, "phase", int(decided.Phase),
+		"share", decided.Share, "handover", decided.Handover, "route_shares", decided.RouteShares, "reason", decided.Reason,
+		"target_sent", total.Target.sent(), "target_answered", total.Target.answered(), "target_waiting", total.Target.Answers.Waiting.Count(),
+		"target_count", total.Target.Count, "target_failed", total.Target.Failed, "target_mean_ms", total.Target.meanLatency().Milliseconds(),
+		"other_sent", total.Other.sent(), "other_answered", total.Other.answered(), "other_waiting", total.Other.Answers.Waiting.Count(),
+		"other_count", total.Other.Count, "other_failed", total.Other.Failed, "other_mean_ms", total.Other.meanLatency().Milliseconds(), "rates", rates)
+}
+
 // applyStage applies the stage of the state on this host.
 func (m *Mover) applyStage(ctx context.Context, state State, move *move) error {
 	move.state = state
 	if state.Order != move.order.Order {
 		return nil
 	}
-	if err := m.Traffic.SetStage(ctx, routing.Stage{Service: state.Service, Target: state.Target, Order: state.Order, Phase: state.Phase, Share: state.Share}); err != nil {
+	if err := m.Traffic.SetStage(ctx, routing.Stage{Service: state.Service, Target: state.Target, Order: state.Order, Phase: state.Phase, Share: state.Share, RouteShares: state.RouteShares}); err != nil {
 		return err
 	}
 	move.phase = state.Phase
--- a/eventcode/relay.go
+++ b/eventcode/relay.go
@@ -41,6 +41,7 @@
 
 	RelayRequestUnanswered Code = 2148
 	SilentServerAwaited    Code = 2149
+	RelayMovePaused        Code = 2155
 	EntryIgnored           Code = 2158
 	ResponseUnrelated      Code = 2159
 )
@@ -69,7 +70,7 @@
 	{OutcomeNotDelivered, "release lost", "The dispatcher did not receive the outcome of an attempt in time, or did not reply to a request, which is then refused.", "Report it with the log line."},
 	{ServerAdopted, "server adopted", "A server answered under its own id at the address of another registration and receives work: an engine that restarted and is not registered yet, or (superseded) a server whose address a later entry names too.", "If superseded: find the writer of the entry that the line names as former."},
 	{RelayMoveOrdered, "version move ordered", "The operator ordered a version move; this host takes part.", "Nothing."},
-	{RelayMoveDecided, "version move decided", "The host that holds the move wrote its next state from the evidence of all hosts.", "For a withdrawn move, compare the failures and times of both versions in the line."},
+	{RelayMoveDecided, "version move decided", "The host that holds the move wrote its next state from the evidence of all hosts.", "For a withdrawn move, read the reason in the line and compare the rates of both versions by route."},
 	{RelayMoveRound, "version move round", "A round of a version move failed; the current stage stays in force.", "Check the store if it repeats."},
 	{CacheListFailed, "cache list failed", "An engine did not report which prompts its cache holds; for a resumed stream, another engine may have to process the prompt again.", "Look at the engine if it repeats."},
 	{CopyNotDeleted, "copy lapses", "The cache copy of a run that has ended could not be deleted; the engines delete it after its lifetime.", "Nothing."},
@@ -86,4 +87,5 @@
 	{LoadsNotExchanged, "loads not exchanged", "The entry host that collects the attempts on the engines of a data centre did not answer; engines are chosen by this host's own attempts and the next collector is asked from then on.", "Look at the collector that the line names if it repeats."},
 	{EntryIgnored, "entry ignored", "The state of a version move, or the evidence of a host on it, cannot be read; the row is ignored and the others hold. The holder of the move replaces an unreadable state.", "Find the writer of the row that the line names."},
 	{ResponseUnrelated, "response unrelated", "A server sent a response in the place of that to an attempt, with the id of another request or without one. It proves nothing: the connection is closed, and the attempt counts as one that may have run.", "Give the server and the time to the developers of its service: it writes responses more than once, or its registration has the address of another process."},
+	{RelayMovePaused, "version move paused", "This host could not run several rounds of a version move in a row; it sends the new version no more than the initial share until it can.", "Check the store."},
 }
