Test streams that end with their connection

An answer, a stream too, may come with neither a length nor chunks and end with its connection; a stream that ends inside an event has been broken off. No test showed that the relay keeps to it.

The stand-in engine now sends such streams and ends a stream inside an event, in chunks or not.

--- a/cmd/lentilpoint-bench/standin/server.go
+++ b/cmd/lentilpoint-bench/standin/server.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -32,6 +33,12 @@
 	// CrashOn crashes the server when it starts to run a request with this body; "" is
 	// off.
 	CrashOn string
+	// Unframed sends streams without a length and without chunks, so that they end
+	// with the connection.
+	Unframed bool
+	// EndInEvent ends a stream in the middle of the event after this number of
+	// events of an attempt; 0 is off.
+	EndInEvent int
 	// HangAfter sends nothing more on a stream after this number of events of an
 	// attempt; 0 is off.
 	HangAfter int
@@ -343,11 +350,21 @@
 	defer func() {
 		callWithTimeout(s, func(s *Server) bool { delete(s.lastEvents, request.id); return true })
 	}()
+	if faults.Unframed {
+		var end func()
+		if w, end = startUnframed(w); w == nil {
+			return
+		}
+		defer end()
+	}
 	for number := last + 1; number <= s.Events; number++ {
 		sent := number - last - 1
 		switch {
 		case faults.CutAfter > 0 && sent >= faults.CutAfter:
 			panic(http.ErrAbortHandler)
+		case faults.EndInEvent > 0 && sent >= faults.EndInEvent:
+			_, _ = fmt.Fprintf(w, "id: %d\nda", number)
+			return
 		case faults.HangAfter > 0 && sent >= faults.HangAfter:
 			<-r.Context().Done()
 			return
@@ -361,6 +378,33 @@
 	}
 }
 
+// unframedWriter writes the body of an answer to a connection as it is.
+type unframedWriter struct {
+	http.ResponseWriter
+	conn net.Conn
+}
+
+// Write implements io.Writer.
+func (w unframedWriter) Write(data []byte) (int, error) { return w.conn.Write(data) }
+
+// Flush implements http.Flusher; all data has been sent.
+func (w unframedWriter) Flush() {}
+
+// startUnframed sends the head of an answer that has neither a length nor chunks. The
+// returned function ends the answer by closing the connection.
+func startUnframed(w http.ResponseWriter) (http.ResponseWriter, func()) {
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return nil, nil
+	}
+	head := "HTTP/1.1 200 OK\r\nConnection: close\r\n"
+	for name := range w.Header() {
+		head += name + ": " + w.Header().Get(name) + "\r\n"
+	}
+	_, _ = io.WriteString(conn, head+"\r\n")
+	return unframedWriter{ResponseWriter: w, conn: conn}, func() { _ = conn.Close() }
+}
+
 // sleep reports whether the pause has elapsed before the end of the context.
 func sleep(ctx context.Context, pause time.Duration) bool {
 	select {
