Stop requests by the part of a prompt that crashes engines

Cause: a request was counted only against its own fingerprint of caller, method, path and body. Requests of which no two are alike each count from zero, so each may crash three engines, and the sound requests on these engines begin anew.

Change: deaths are also counted by the shared parts of prompts, on two hosts for each service. A part is suspected after three deaths that have no other common cause, as far as their times tell, under requests of different content; a death is explained by one signature only, so that requests that were on the same engine by chance are not suspected. Before a signature is stopped, all hosts are asked for answers to requests with its parts; a part that was answered after the deaths or a short time ago is not blamed. Requests that hold the whole signature are refused on all hosts at once, and those that run unanswered are ended. An answer narrows or ends a stop. Hosts that start or were cut off learn the stops from others.

Why it works: the part is the only thing that the deaths have in common, and the sound parts are told from it by the answers that the fleet gives all the time.

--- a/cmd/lentilpoint-bench/standin/server.go
+++ b/cmd/lentilpoint-bench/standin/server.go
@@ -33,6 +33,9 @@
 	// CrashOn crashes the server when it starts to run a request with this body; "" is
 	// off.
 	CrashOn string
+	// CrashOnPart crashes an engine when it would send the first event of a request
+	// with this part of a prompt that is not the last; "" is off.
+	CrashOnPart string
 	// Unframed sends streams without a length and without chunks, so that they end
 	// with the connection.
 	Unframed bool
@@ -346,6 +349,10 @@
 	if !request.fromCopy && !sleep(r.Context(), s.PromptTime) {
 		return
 	}
+	if faults.CrashOnPart != "" && hasSharedPart(r.Header.Get(platform.HeaderPrompt), faults.CrashOnPart) {
+		s.Crash()
+		panic(http.ErrAbortHandler)
+	}
 	w.Header().Set("Content-Type", "text/event-stream")
 	defer func() {
 		callWithTimeout(s, func(s *Server) bool { delete(s.lastEvents, request.id); return true })
@@ -378,6 +385,17 @@
 	}
 }
 
+// hasSharedPart reports whether a prompt has a part that is not its last one.
+func hasSharedPart(prompt, part string) bool {
+	parts := strings.Split(prompt, ",")
+	for _, entry := range parts[:len(parts)-1] {
+		if id, _, _ := strings.Cut(entry, ":"); id == part {
+			return true
+		}
+	}
+	return false
+}
+
 // unframedWriter writes the body of an answer to a connection as it is.
 type unframedWriter struct {
 	http.ResponseWriter
--- a/entryhost/relay/forward/forward_test.go
+++ b/entryhost/relay/forward/forward_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/http"
 	"strings"
 	"testing"
 	"time"
@@ -23,6 +24,9 @@
 // lineCodec parses the id from a first line "id: N".
 type lineCodec struct{}
 
+// PromptParts implements Codec.
+func (lineCodec) PromptParts(http.Header) []string { return nil }
+
 // EventID implements Codec.
 func (lineCodec) EventID(event []byte) int64 {
 	var id int64
--- a/entryhost/relay/forward/messages.go
+++ b/entryhost/relay/forward/messages.go
@@ -51,11 +51,14 @@
 	Refuse(fault *model.Fault) error
 }
 
-// Codec parses the events of a stream.
+// Codec parses the events of a stream, and the prompt of a request.
 type Codec interface {
 	// EventID returns the id of an event, or 0 for events without an id, such as
 	// comments.
 	EventID(event []byte) int64
+	// PromptParts returns the ids of the parts of a request's prompt, in order; the
+	// last one is specific to the request or its session.
+	PromptParts(header http.Header) []string
 }
 
 // Summary is the result of a request, for its log line.
--- a/entryhost/relay/forward/policy.go
+++ b/entryhost/relay/forward/policy.go
@@ -65,6 +65,9 @@
 	refuseAsNotRun
 	// failAsUnknown answers that the request may have run.
 	failAsUnknown
+	// failAsStopped answers that requests like this one are stopped, and that this one
+	// may have run.
+	failAsStopped
 )
 
 // afterPlain decides what follows an attempt of a request with a single complete
--- a/entryhost/relay/forward/stream.go
+++ b/entryhost/relay/forward/stream.go
@@ -147,8 +147,8 @@
 	}
 	s.copies.attemptEnded(running.note.Events > 0)
 	next := afterStream(r.request.Route, outcome, r.counts, s.headSent)
-	if next == retry && outcome == dispatch.OutcomeBroken && r.isStopped(ctx) {
-		next = failAsUnknown
+	if next == retry && outcome == dispatch.OutcomeBroken && r.stoppedAfterLoss(ctx) {
+		next = failAsStopped
 	}
 	switch next {
 	case retry:
@@ -158,6 +158,12 @@
 		r.deliver(got)
 	case refuseAsNotRun:
 		r.refuseNotRun(model.ReasonBackendFailed, "all engines that were tried stated that they did not run the request", "wait and send the request again")
+	case failAsStopped:
+		if s.headSent {
+			r.failStream(s)
+		} else {
+			r.refuseStopped(true)
+		}
 	case failAsUnknown:
 		r.failStream(s)
 	}
@@ -177,7 +183,8 @@
 func (r *requestTask) handleStreamContextEnd(ctx context.Context, s *streamState) {
 	if s.headSent {
 		r.summary.Broken = true
-		r.summary.CallerLeft = context.Cause(ctx) != errDeadline
+		cause := context.Cause(ctx)
+		r.summary.CallerLeft = cause != errDeadline && cause != errStopped
 		return
 	}
 	r.answerContextEnd(ctx, r.counts.runs > 0 || len(r.summary.Attempts) > 0)
@@ -303,6 +310,7 @@
 		s.longestGap = max(s.longestGap, now.Sub(s.lastEvent))
 	} else {
 		running.firstEvent = now.Sub(running.started)
+		r.reportAnswerBegun()
 		// If the mailbox is full, the dispatcher's load figures are only less
 		// exact.
 		if r.Dispatcher.TrySend(dispatch.FirstEventSent{Lease: running.assignment.Lease}) != nil {
--- a/entryhost/relay/forward/task.go
+++ b/entryhost/relay/forward/task.go
@@ -42,13 +42,18 @@
 	defer cancel()
 	run := &requestTask{Forwarder: f, request: request, caller: caller, exclude: map[string]bool{}, avoid: map[string]bool{}, trafficPoint: rand.Float64()}
 	run.fingerprint = suspects.NewFingerprint(request.Organisation, request.Method, request.Host, request.Target, string(request.Body))
-	if run.isStopped(ctx) {
-		run.refuseNotRun(model.ReasonSuspectRequest, "servers died each time this request ran", "do not send it again; keep its content for the developers of the service")
-		return run.summary
-	}
 	if request.Route.Kind == routing.Streaming {
+		run.prompt = suspects.NewPrompt(request.Service.Name, f.Codec.PromptParts(request.Header))
+		watched, end := run.watchStops(ctx)
+		defer end()
+		ctx = watched
+	}
+	switch {
+	case run.isStopped(ctx):
+		run.refuseStopped(false)
+	case request.Route.Kind == routing.Streaming:
 		run.serveStream(ctx)
-	} else {
+	default:
 		run.servePlain(ctx)
 	}
 	return run.summary
@@ -71,6 +76,11 @@
 	// fingerprint is equal for all requests with the same organisation and
 	// content.
 	fingerprint suspects.Fingerprint
+	// prompt holds the parts of a stream's prompt.
+	prompt suspects.Prompt
+	// watch is informed if the request is stopped; it is nil once a server has begun
+	// to answer, and for requests that are no streams.
+	watch *suspects.Watch
 	// trafficPoint is uniform in [0, 1) and selects the version during a version
 	// move.
 	trafficPoint float64
@@ -232,7 +242,11 @@
 // answerContextEnd answers a request whose context ended. The answer states that
 // the request has not run only if no attempt may have run it.
 func (r *requestTask) answerContextEnd(ctx context.Context, mayHaveRun bool) {
-	if !errors.Is(context.Cause(ctx), errDeadline) {
+	switch {
+	case errors.Is(context.Cause(ctx), errStopped):
+		r.refuseStopped(mayHaveRun)
+		return
+	case !errors.Is(context.Cause(ctx), errDeadline):
 		r.summary.CallerLeft = true
 		return
 	}
--- a/entryhost/relay/fx.go
+++ b/entryhost/relay/fx.go
@@ -100,7 +100,7 @@
 
 func provideSuspects(settings Settings, clock clockwork.Clock, set *metrics.Set, logger *slog.Logger) *suspects.Task {
 	return suspects.NewTask(suspects.Parameters{
-		Self: settings.PeerAddress, Peers: peering.SuspectReporter{}, RefusesConnections: exchange.RefusesConnections, Clock: clock, Metrics: set, Logger: logger,
+		Self: settings.PeerAddress, Seeds: settings.SeedList(), Peers: peering.SuspectReporter{}, RefusesConnections: exchange.RefusesConnections, Clock: clock, Metrics: set, Logger: logger,
 	})
 }
 
--- a/entryhost/relay/suspects/policy.go
+++ b/entryhost/relay/suspects/policy.go
@@ -21,8 +21,8 @@
 	// maxFingerprints limits the fingerprints in the table, which stays below 1
 	// MB with all their deaths. Deaths of further ones are not counted.
 	maxFingerprints = 4096
-	// maxTrackers is the number of hosts that count the deaths of a fingerprint,
-	// so that the loss of one host loses no count.
+	// maxTrackers is the number of hosts that count the deaths of a fingerprint or
+	// a service, so that the loss of one host loses no count.
 	maxTrackers = 2
 )
 
@@ -96,13 +96,13 @@
 }
 
 // trackers returns the addresses of the hosts that count the deaths of a
-// fingerprint. All hosts with the same host list choose the same ones.
-func trackers(fingerprint Fingerprint, self string, hosts []routing.Host) []string {
+// fingerprint or a service, the key. All hosts with the same host list choose the same
+// ones.
+func trackers(key, self string, hosts []routing.Host) []string {
 	addresses := []string{self}
 	for _, host := range hosts {
 		addresses = append(addresses, host.Address)
 	}
-	key := fingerprint.String()
 	slices.SortFunc(addresses, func(a, b string) int {
 		if routing.RendezvousWeight(a, key) > routing.RendezvousWeight(b, key) {
 			return -1
--- /dev/null
+++ b/entryhost/relay/suspects/signatures.go
@@ -0,0 +1,346 @@
+package suspects
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+	"time"
+)
+
+const (
+	// distinctRequests is the number of requests of different content that must
+	// have died with a part before it is stopped. A single request may die for a
+	// reason of its own, which its fingerprint stops.
+	distinctRequests = 2
+	// incidentGap is the time within which deaths count as one if the later server
+	// had the request before the earlier one died. A zone that fails takes many
+	// servers at once, with the requests on all of them.
+	incidentGap = 250 * time.Millisecond
+	// startSlack covers the difference between the times that messages from two hosts
+	// take, when the start of an attempt is compared with a death.
+	startSlack = 10 * time.Millisecond
+	// sameDeath is the time within which reports about the same server are about
+	// the same death; a crashed server is back after some seconds, and may have the
+	// id that it had.
+	sameDeath = time.Second
+	// maxServices, maxDeaths, maxRequestsPerDeath and maxReportedParts limit what is
+	// kept of deaths, at most 400 KB for each service. Of more deaths the newest
+	// count.
+	maxServices         = 32
+	maxDeaths           = 24
+	maxRequestsPerDeath = 16
+	maxReportedParts    = 16
+	// maxStops limits the signatures that are stopped; the oldest one yields.
+	maxStops = 64
+)
+
+// Signature is a set of parts of prompts, sorted. Requests that hold all of them
+// crash servers. It has more than one part as long as nothing tells which of them is
+// the cause.
+type Signature []Part
+
+// key returns a text that is equal for equal signatures.
+func (s Signature) key() string {
+	texts := make([]string, len(s))
+	for i, part := range s {
+		texts[i] = string(part)
+	}
+	return strings.Join(texts, ",")
+}
+
+// isWithin reports whether all parts of the signature are among the parts.
+func (s Signature) isWithin(parts []Part) bool {
+	for _, part := range s {
+		if !slices.Contains(parts, part) {
+			return false
+		}
+	}
+	return len(s) > 0
+}
+
+// without returns the signature without the parts for which drop returns true.
+func (s Signature) without(drop func(Part) bool) Signature {
+	return slices.DeleteFunc(slices.Clone(s), drop)
+}
+
+// deadRequest is a request that a server had not begun to answer when it died.
+type deadRequest struct {
+	// parts are those that may be the cause.
+	parts []Part
+	// began is when the attempt began.
+	began time.Duration
+}
+
+// serverDeath is the death of one server and the requests on it that it had not begun
+// to answer, by their content.
+type serverDeath struct {
+	server   string
+	at       time.Duration
+	requests map[Fingerprint]deadRequest
+}
+
+// holds reports whether a request on the server had the part.
+func (d serverDeath) holds(part Part) bool {
+	for _, request := range d.requests {
+		if slices.Contains(request.parts, part) {
+			return true
+		}
+	}
+	return false
+}
+
+// deathLog holds the recent deaths by service, oldest first.
+type deathLog map[string][]serverDeath
+
+// add records that a server died while it had the request that a report is about. at is
+// the time of the death.
+func (l deathLog) add(report PromptDeath, at time.Duration) {
+	if _, found := l[report.Service]; !found && len(l) >= maxServices {
+		return
+	}
+	request := deadRequest{parts: report.Parts[:min(len(report.Parts), maxReportedParts)], began: at - report.Ran}
+	deaths := l[report.Service]
+	for _, death := range deaths {
+		if death.server == report.Server && (at-death.at).Abs() < sameDeath {
+			if len(death.requests) < maxRequestsPerDeath {
+				death.requests[report.Content] = request
+			}
+			return
+		}
+	}
+	deaths = append(deaths, serverDeath{server: report.Server, at: at, requests: map[Fingerprint]deadRequest{report.Content: request}})
+	// Reports of several hosts may overtake each other.
+	slices.SortStableFunc(deaths, func(a, b serverDeath) int { return cmp.Compare(a.at, b.at) })
+	l[report.Service] = deaths[max(0, len(deaths)-maxDeaths):]
+}
+
+// expire removes deaths that no longer count.
+func (l deathLog) expire(now time.Duration) {
+	for service, deaths := range l {
+		deaths = slices.DeleteFunc(deaths, func(death serverDeath) bool { return now-death.at >= deathWindow })
+		l[service] = deaths
+		if len(deaths) == 0 {
+			delete(l, service)
+		}
+	}
+}
+
+// suspicion is a signature with the evidence against it.
+type suspicion struct {
+	signature Signature
+	// servers are the servers that died under it, requests the number of requests
+	// of different content that held it.
+	servers  []string
+	requests int
+}
+
+// suspicions returns the signatures that enough servers died under, the strongest
+// first. A death is explained by one signature only: requests that were on the same
+// server by chance are not suspected for it. A part that was answered after a death is
+// not its cause, and one that was answered a short time ago is trusted.
+func (l deathLog) suspicions(service string, answered *answeredParts, now time.Duration) []suspicion {
+	var found []suspicion
+	unexplained := suspectedOnly(l[service], answered, now)
+	for {
+		leading, enough := leadingPart(unexplained)
+		if !enough {
+			return found
+		}
+		next := suspicion{}
+		contents := map[Fingerprint]bool{}
+		var remaining []serverDeath
+		for _, death := range unexplained {
+			if !death.holds(leading) {
+				remaining = append(remaining, death)
+				continue
+			}
+			next.servers = append(next.servers, death.server)
+			for content, request := range death.requests {
+				if !slices.Contains(request.parts, leading) {
+					continue
+				}
+				contents[content] = true
+				if next.signature == nil {
+					next.signature = request.parts
+				}
+				next.signature = next.signature.without(func(part Part) bool { return !slices.Contains(request.parts, part) })
+			}
+		}
+		// A part that was answered some time ago is less likely to be the cause than one
+		// of which no answer is known, and requests with other parts may hold the cause.
+		unknown := next.signature.without(func(part Part) bool { _, found := answered.last(part); return found })
+		if len(unknown) > 0 {
+			next.signature = unknown
+		}
+		slices.Sort(next.signature)
+		next.requests = len(contents)
+		found = append(found, next)
+		unexplained = remaining
+	}
+}
+
+// suspectedOnly returns the deaths within the window with only the parts that may be
+// their cause.
+func suspectedOnly(deaths []serverDeath, answered *answeredParts, now time.Duration) []serverDeath {
+	var kept []serverDeath
+	for _, death := range deaths {
+		if now-death.at >= deathWindow {
+			continue
+		}
+		requests := map[Fingerprint]deadRequest{}
+		for content, request := range death.requests {
+			request.parts = slices.DeleteFunc(slices.Clone(request.parts), func(part Part) bool {
+				at, found := answered.last(part)
+				return found && (at >= death.at || now-at < trustedAfterAnswer)
+			})
+			if len(request.parts) > 0 {
+				requests[content] = request
+			}
+		}
+		if len(requests) > 0 {
+			kept = append(kept, serverDeath{server: death.server, at: death.at, requests: requests})
+		}
+	}
+	return kept
+}
+
+// partEvidence counts what speaks against one part.
+type partEvidence struct {
+	// incidents are deaths that have no common cause other than the part, as far as
+	// their times tell.
+	incidents int
+	// lastIncident is the time of the last one.
+	lastIncident time.Duration
+	deaths       int
+	contents     map[Fingerprint]bool
+}
+
+// add counts a death under requests with the part, the last of which began at a time.
+func (e *partEvidence) add(death serverDeath, began time.Duration) {
+	e.deaths++
+	if e.incidents == 0 || death.at-e.lastIncident >= incidentGap || began >= e.lastIncident-startSlack {
+		e.incidents++
+		e.lastIncident = death.at
+	}
+}
+
+// evidenceByPart counts what speaks against each part.
+func evidenceByPart(deaths []serverDeath) map[Part]*partEvidence {
+	evidence := map[Part]*partEvidence{}
+	for _, death := range deaths {
+		began := map[Part]time.Duration{}
+		for content, request := range death.requests {
+			for _, part := range request.parts {
+				if evidence[part] == nil {
+					evidence[part] = &partEvidence{contents: map[Fingerprint]bool{}}
+				}
+				evidence[part].contents[content] = true
+				if latest, found := began[part]; !found || request.began > latest {
+					began[part] = request.began
+				}
+			}
+		}
+		for part, at := range began {
+			evidence[part].add(death, at)
+		}
+	}
+	return evidence
+}
+
+// leadingPart returns the part with the most incidents, and of several the one with
+// the most deaths and then requests. It reports whether they are enough to stop it.
+func leadingPart(deaths []serverDeath) (Part, bool) {
+	var leading Part
+	var most *partEvidence
+	for part, entry := range evidenceByPart(deaths) {
+		if entry.incidents < deathsToStop || len(entry.contents) < distinctRequests {
+			continue
+		}
+		if most == nil || entry.outweighs(most) || !most.outweighs(entry) && part < leading {
+			leading, most = part, entry
+		}
+	}
+	return leading, most != nil
+}
+
+// outweighs reports whether the evidence is stronger than the other.
+func (e *partEvidence) outweighs(other *partEvidence) bool {
+	switch {
+	case e.incidents != other.incidents:
+		return e.incidents > other.incidents
+	case e.deaths != other.deaths:
+		return e.deaths > other.deaths
+	default:
+		return len(e.contents) > len(other.contents)
+	}
+}
+
+// stop is a stopped signature. After stopDuration its requests run again on
+// probation: one more death stops them again at once.
+type stop struct {
+	signature    Signature
+	stoppedUntil time.Duration
+	// forgottenAt is the end of the probation.
+	forgottenAt time.Duration
+}
+
+// stopList holds the stopped signatures, the oldest first.
+type stopList []stop
+
+// find returns the stop that covers the parts: all parts of its signature are among
+// them.
+func (l stopList) find(parts []Part, now time.Duration) (stop, bool) {
+	for _, entry := range l {
+		if now < entry.stoppedUntil && entry.signature.isWithin(parts) {
+			return entry, true
+		}
+	}
+	return stop{}, false
+}
+
+// onProbation returns the signature among the parts that was stopped before and runs
+// again.
+func (l stopList) onProbation(parts []Part, now time.Duration) (Signature, bool) {
+	for _, entry := range l {
+		if now >= entry.stoppedUntil && now < entry.forgottenAt && entry.signature.isWithin(parts) {
+			return entry.signature, true
+		}
+	}
+	return nil, false
+}
+
+// add returns the list with the signature stopped until a time.
+func (l stopList) add(signature Signature, until time.Duration) stopList {
+	return l.insert(stop{signature: signature, stoppedUntil: until, forgottenAt: until + stopDuration})
+}
+
+// insert returns the list with the stop. Entries whose signature holds all parts of its
+// signature are dropped.
+func (l stopList) insert(added stop) stopList {
+	kept := slices.DeleteFunc(slices.Clone(l), func(entry stop) bool { return added.signature.isWithin(entry.signature) })
+	kept = append(kept, added)
+	return kept[max(0, len(kept)-maxStops):]
+}
+
+// clear returns the list without the parts, each of which a server has begun to
+// answer, and the signatures that were narrowed or removed.
+func (l stopList) clear(parts []Part) (stopList, []Signature) {
+	var kept stopList
+	var changed []Signature
+	for _, entry := range l {
+		narrowed := entry.signature.without(func(part Part) bool { return slices.Contains(parts, part) })
+		if len(narrowed) < len(entry.signature) {
+			changed = append(changed, entry.signature)
+			entry.signature = narrowed
+		}
+		if len(narrowed) > 0 {
+			kept = append(kept, entry)
+		}
+	}
+	return kept, changed
+}
+
+// expire returns the list without stops whose probation has ended.
+func (l stopList) expire(now time.Duration) stopList {
+	return slices.DeleteFunc(slices.Clone(l), func(entry stop) bool { return now >= entry.forgottenAt })
+}
--- a/entryhost/relay/suspects/suspects_test.go
+++ b/entryhost/relay/suspects/suspects_test.go
@@ -77,13 +77,13 @@
 		for i := range 9 {
 			hosts = append(hosts, routing.Host{Address: fmt.Sprintf("10.0.0.%d:7", i)})
 		}
-		expected := trackers(crashing, hosts[0].Address, hosts[1:])
+		expected := trackers(crashing.String(), hosts[0].Address, hosts[1:])
 		Expect(expected).To(HaveLen(maxTrackers))
 		for i := range hosts {
 			others := append(append([]routing.Host{}, hosts[i+1:]...), hosts[:i]...)
-			Expect(trackers(crashing, hosts[i].Address, others)).To(Equal(expected))
+			Expect(trackers(crashing.String(), hosts[i].Address, others)).To(Equal(expected))
 		}
-		Expect(trackers(crashing, "alone", nil)).To(Equal([]string{"alone"}))
+		Expect(trackers(crashing.String(), "alone", nil)).To(Equal([]string{"alone"}))
 	})
 })
 
@@ -102,6 +102,28 @@
 	return p[host].Mailbox().Send(ctx, cleared)
 }
 
+func (p localPeers) SendPromptDeath(ctx context.Context, host string, death PromptDeath) error {
+	return p[host].Mailbox().Send(ctx, death)
+}
+
+func (p localPeers) SendPromptStop(ctx context.Context, host string, stopped PromptStop) error {
+	return p[host].Mailbox().Send(ctx, stopped)
+}
+
+func (p localPeers) SendPromptAnswered(ctx context.Context, host string, answered PromptAnswered) error {
+	return p[host].Mailbox().Send(ctx, answered)
+}
+
+func (p localPeers) Answered(ctx context.Context, host string, parts []Part) (map[Part]time.Duration, error) {
+	return task.Call(ctx, p[host].Mailbox(), func(reply task.Reply[map[Part]time.Duration]) Message {
+		return AskAnswered{Parts: parts, Reply: reply}
+	})
+}
+
+func (p localPeers) Stops(ctx context.Context, host string) (KnownStops, error) {
+	return task.Call(ctx, p[host].Mailbox(), func(reply task.Reply[KnownStops]) Message { return AskStops{Reply: reply} })
+}
+
 var _ = Describe("hosts that exchange deaths and stops", func() {
 	var tasks localPeers
 	var addresses []string
@@ -152,4 +174,108 @@
 		}
 		Consistently(stopped(addresses[0]), 4*confirmDelay).Should(BeFalse())
 	})
+
+	dead := prompt("", "first", "dead")
+	promptStoppedOn := func(host *Task) func() bool {
+		return func() bool {
+			got, err := task.Call(context.Background(), host.Mailbox(), func(reply task.Reply[bool]) Message {
+				return CheckStopped{Fingerprint: NewFingerprint("new"), Prompt: dead, Reply: reply}
+			})
+			Expect(err).NotTo(HaveOccurred())
+			return got
+		}
+	}
+	promptStopped := func(address string) func() bool { return promptStoppedOn(tasks[address]) }
+	// crash reports the death of a server under a request of its own on a host.
+	crash := func(number int, address string) {
+		own := fmt.Sprint("own", number)
+		Expect(tasks[address].Mailbox().TrySend(AttemptBroken{
+			Fingerprint: NewFingerprint(own), Server: fmt.Sprint(number), Address: "dead", Service: engines, Prompt: prompt(own, "first", "dead"), Ran: time.Millisecond,
+		})).To(Succeed())
+		time.Sleep(3 * confirmDelay)
+	}
+	answerOn := func(address string, ids ...string) {
+		Expect(tasks[address].Mailbox().TrySend(AnswerBegun{Prompt: prompt("sound", ids...)})).To(Succeed())
+	}
+
+	It("all stop requests with a part under which servers died on three hosts, and end those that run", func() {
+		ended := make(chan struct{}, 2)
+		running := Watch{Prompt: dead, Ended: make(chan struct{}), Stop: func() { ended <- struct{}{} }}
+		sound := Watch{Prompt: prompt("", "first"), Ended: make(chan struct{}), Stop: func() { ended <- struct{}{} }}
+		for _, watch := range []*Watch{&running, &sound} {
+			Expect(tasks[addresses[4]].Mailbox().TrySend(CheckStopped{Prompt: watch.Prompt, Watch: watch})).To(Succeed())
+		}
+		answerOn(addresses[3], "first")
+		for i := range deathsToStop {
+			Expect(ended).NotTo(Receive())
+			crash(i, addresses[i])
+		}
+		for _, address := range addresses {
+			Eventually(promptStopped(address)).Should(BeTrue(), address)
+		}
+		Eventually(ended).Should(Receive())
+		Consistently(ended).ShouldNot(Receive(), "a request without the part goes on")
+	})
+
+	It("stop nothing that a server answered on any of them after the deaths", func() {
+		crash(0, addresses[0])
+		crash(1, addresses[1])
+		answerOn(addresses[4], "first", "dead")
+		crash(2, addresses[2])
+		Consistently(promptStopped(addresses[0]), 4*confirmDelay).Should(BeFalse())
+	})
+
+	It("all serve requests with a stopped part again once a server answers one", func() {
+		for i := range deathsToStop {
+			crash(i, addresses[i])
+		}
+		Eventually(promptStopped(addresses[4])).Should(BeTrue())
+		answerOn(addresses[0], "first", "dead")
+		for _, address := range addresses {
+			Eventually(promptStopped(address)).Should(BeFalse(), address)
+		}
+	})
+
+	It("tell a host that starts later what is stopped", func() {
+		for i := range deathsToStop {
+			crash(i, addresses[i])
+		}
+		Eventually(promptStopped(addresses[4])).Should(BeTrue())
+		ctx, cancel := context.WithCancel(context.Background())
+		DeferCleanup(cancel)
+		late := NewTask(Parameters{
+			Self: "late", Seeds: addresses[:1], Peers: tasks, Clock: clockwork.NewRealClock(), Metrics: metrics.NewSet(), Logger: slog.New(slog.NewTextHandler(io.Discard, nil)),
+		})
+		go func() { _ = late.Serve(ctx) }()
+		// Requests of the stopped kind must not reach servers after that time.
+		Eventually(promptStoppedOn(late), 3*time.Second).Should(BeTrue())
+	})
+
+	It("stop a part on a host that was cut off when the others stopped it, unless it knows of a later answer", func() {
+		peers := &failingPeers{localPeers: tasks, failures: make(chan struct{}, 1)}
+		peers.failures <- struct{}{}
+		sender := NewTask(Parameters{Self: "sender", Peers: peers, Clock: clockwork.NewRealClock(), Metrics: metrics.NewSet(), Logger: slog.New(slog.NewTextHandler(io.Discard, nil))})
+		go sender.deliverStop(context.Background(), addresses[0], PromptStop{Signature: signature("dead"), StoppedFor: stopDuration, ForgottenIn: 2 * stopDuration})
+		Eventually(promptStopped(addresses[0]), 2*stopSendInterval).Should(BeTrue())
+		Expect(tasks[addresses[1]].Mailbox().TrySend(AnswerBegun{Prompt: dead})).To(Succeed())
+		Expect(tasks[addresses[1]].Mailbox().TrySend(PromptStop{Signature: signature("dead"), StoppedFor: stopDuration - time.Second, ForgottenIn: stopDuration})).To(Succeed())
+		for _, address := range addresses {
+			Eventually(promptStopped(address)).Should(BeFalse(), address)
+		}
+	})
 })
+
+// failingPeers fails to send a stop once for each message in failures.
+type failingPeers struct {
+	localPeers
+	failures chan struct{}
+}
+
+func (p *failingPeers) SendPromptStop(ctx context.Context, host string, stopped PromptStop) error {
+	select {
+	case <-p.failures:
+		return Error.New("unreachable")
+	default:
+		return p.localPeers.SendPromptStop(ctx, host, stopped)
+	}
+}
--- a/entryhost/relay/suspects/task.go
+++ b/entryhost/relay/suspects/task.go
@@ -32,7 +32,9 @@
 // Parameters are the dependencies and settings of the task.
 type Parameters struct {
 	// Self is the address of this host among the entry hosts.
-	Self               string
+	Self string
+	// Seeds are addresses of entry hosts that are asked while no other is known.
+	Seeds              []string
 	Peers              Peers
 	RefusesConnections RefusesConnections
 	Clock              clockwork.Clock
@@ -48,12 +50,27 @@
 	hostLists    task.Mailbox[[]routing.Host]
 	deaths       *metrics.Counter
 	stops        *metrics.Counter
+	promptStops  *metrics.Counter
+	cancelled    *metrics.Counter
 	sendFailures *metrics.Counter
 
 	// The fields below are accessed only by the task's goroutine.
 	createdAt time.Time
 	table     deathTable
 	hosts     []routing.Host
+	// promptDeaths, answered and stopped hold the evidence for and against parts of
+	// prompts, and those that are stopped.
+	promptDeaths deathLog
+	answered     *answeredParts
+	stopped      stopList
+	// asking holds the keys of the signatures about which other hosts are being asked.
+	asking map[string]bool
+	// watches holds the requests that no server has begun to answer.
+	watches map[*Watch]struct{}
+	// learned is set once the stops of other hosts are known, learning while they are
+	// being asked for the learnRounds-th time.
+	learned, learning bool
+	learnRounds       int
 }
 
 // NewTask returns a task with an empty table and no known hosts.
@@ -62,8 +79,11 @@
 		Parameters: parameters, mailbox: task.NewMailbox[Message](mailboxSize), hostLists: task.NewMailbox[[]routing.Host](hostsSize),
 		deaths:       parameters.Metrics.GetOrCreateCounter("lentilpoint_relay_suspect_deaths_total"),
 		stops:        parameters.Metrics.GetOrCreateCounter("lentilpoint_relay_suspect_stops_total"),
+		promptStops:  parameters.Metrics.GetOrCreateCounter("lentilpoint_relay_suspect_prompt_stops_total"),
+		cancelled:    parameters.Metrics.GetOrCreateCounter("lentilpoint_relay_suspect_runs_ended_total"),
 		sendFailures: parameters.Metrics.GetOrCreateCounter("lentilpoint_relay_suspect_untold_total"),
-		createdAt:    parameters.Clock.Now(), table: deathTable{},
+		createdAt:    parameters.Clock.Now(), table: deathTable{}, promptDeaths: deathLog{}, answered: newAnsweredParts(),
+		asking: map[string]bool{}, watches: map[*Watch]struct{}{},
 	}
 }
 
@@ -80,26 +100,59 @@
 func (t *Task) Serve(ctx context.Context) error {
 	expire := t.Clock.NewTicker(expireInterval)
 	defer expire.Stop()
+	learn := t.Clock.NewTicker(learnInterval)
+	defer learn.Stop()
+	t.learn(ctx)
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
 		case <-expire.Chan():
-			t.table.expire(t.now())
+			t.expire()
+		case <-learn.Chan():
+			if t.learn(ctx); t.learnRounds >= learnRounds {
+				learn.Stop()
+			}
 		case hosts := <-t.hostLists.C():
-			t.hosts = hosts
+			known := len(t.hosts) > 0
+			if t.hosts = hosts; !known {
+				t.learn(ctx)
+			}
 		case message := <-t.mailbox.C():
 			t.handle(ctx, message)
 		}
 	}
 }
 
+func (t *Task) expire() {
+	t.table.expire(t.now())
+	t.promptDeaths.expire(t.now())
+	t.stopped = t.stopped.expire(t.now())
+	t.expireWatches()
+}
+
 func (t *Task) now() time.Duration { return t.Clock.Since(t.createdAt) }
 
 func (t *Task) handle(ctx context.Context, message Message) {
 	switch message := message.(type) {
 	case CheckStopped:
-		message.Reply.Send(t.table.isStopped(message.Fingerprint, t.now()))
+		t.handleCheck(message)
+	case AnswerBegun:
+		t.handleAnswerBegun(ctx, message)
+	case PromptDeath:
+		t.handlePromptDeath(ctx, message)
+	case PromptStop:
+		t.handlePromptStop(ctx, message)
+	case PromptAnswered:
+		t.handlePromptAnswered(message)
+	case AskAnswered:
+		message.Reply.Send(t.ages(message.Parts))
+	case AskStops:
+		message.Reply.Send(t.knownStops())
+	case answersCollected:
+		t.handleAnswersCollected(ctx, message)
+	case stopsCollected:
+		t.handleStopsCollected(message)
 	case AttemptBroken:
 		go t.confirmDeath(ctx, message)
 	case RequestCompleted:
@@ -108,6 +161,7 @@
 		t.handleDeath(ctx, message)
 	case Stop:
 		t.table.stop(message.Fingerprint, t.now())
+		t.stopWatched()
 	case Clear:
 		t.table.clear(message.Fingerprint, t.now())
 	}
@@ -116,13 +170,21 @@
 // confirmDeath reports a death if the server that broke off refuses connections
 // after confirmDelay.
 func (t *Task) confirmDeath(ctx context.Context, attempt AttemptBroken) {
+	brokeAt := t.Clock.Now()
 	select {
 	case <-ctx.Done():
 		return
 	case <-t.Clock.After(confirmDelay):
 	}
-	if t.RefusesConnections(ctx, attempt.Address) {
-		_ = t.mailbox.Send(ctx, Death{Fingerprint: attempt.Fingerprint, Request: attempt.Request, Server: attempt.Server})
+	if !t.RefusesConnections(ctx, attempt.Address) {
+		return
+	}
+	_ = t.mailbox.Send(ctx, Death{Fingerprint: attempt.Fingerprint, Request: attempt.Request, Server: attempt.Server})
+	if len(attempt.Prompt.Shared) > 0 {
+		_ = t.mailbox.Send(ctx, PromptDeath{
+			Service: attempt.Service, Server: attempt.Server, Request: attempt.Request, Content: contentOf(attempt.Fingerprint, attempt.Prompt), Parts: attempt.Prompt.Shared,
+			Ago: t.Clock.Since(brokeAt), Ran: attempt.Ran,
+		})
 	}
 }
 
@@ -135,12 +197,13 @@
 		"deaths", len(t.table[death.Fingerprint].deaths), "stopped", stopped)
 	if !death.Told {
 		death.Told = true
-		t.sendToTrackers(ctx, death.Fingerprint, func(ctx context.Context, host string) error { return t.Peers.SendDeath(ctx, host, death) })
+		t.sendToTrackers(ctx, death.Fingerprint.String(), func(ctx context.Context, host string) error { return t.Peers.SendDeath(ctx, host, death) })
 	}
 	if !stopped {
 		return
 	}
 	t.stops.Inc()
+	t.stopWatched()
 	for _, host := range t.hosts {
 		t.sendTo(ctx, host.Address, func(ctx context.Context, host string) error {
 			return t.Peers.SendStop(ctx, host, Stop{Fingerprint: death.Fingerprint})
@@ -154,13 +217,14 @@
 	if !t.table.clear(fingerprint, t.now()) {
 		return
 	}
-	t.sendToTrackers(ctx, fingerprint, func(ctx context.Context, host string) error {
+	t.sendToTrackers(ctx, fingerprint.String(), func(ctx context.Context, host string) error {
 		return t.Peers.SendClear(ctx, host, Clear{Fingerprint: fingerprint})
 	})
 }
 
-func (t *Task) sendToTrackers(ctx context.Context, fingerprint Fingerprint, send func(ctx context.Context, host string) error) {
-	for _, tracker := range trackers(fingerprint, t.Self, t.hosts) {
+// sendToTrackers sends a message to the trackers of a fingerprint or a service.
+func (t *Task) sendToTrackers(ctx context.Context, key string, send func(ctx context.Context, host string) error) {
+	for _, tracker := range trackers(key, t.Self, t.hosts) {
 		if tracker != t.Self {
 			t.sendTo(ctx, tracker, send)
 		}
@@ -173,9 +237,6 @@
 	go func() {
 		sendContext, cancel := context.WithTimeout(ctx, sendTimeout)
 		defer cancel()
-		if err := send(sendContext, host); err != nil {
-			t.sendFailures.Inc()
-			t.Logger.Info("message about a request that crashes servers not delivered to an entry host", eventcode.SuspectNotReported.Attr(), "host", host, "error", err)
-		}
+		t.noteSendFailure(host, send(sendContext, host))
 	}()
 }
--- a/eventcode/relay.go
+++ b/eventcode/relay.go
@@ -38,6 +38,11 @@
 	SuspectDeath         Code = 2145
 	SuspectNotReported   Code = 2146
 	LoadsNotExchanged    Code = 2147
+	SuspectPartsDeath    Code = 2150
+	SuspectPartsStopped  Code = 2151
+	SuspectPartsCleared  Code = 2152
+	SuspectRunEnded      Code = 2153
+	SuspectStopsLearned  Code = 2154
 )
 
 var relayEvents = []Entry{
@@ -77,4 +82,9 @@
 	{SuspectDeath, "suspect death", "A server died while it ran a request that it had not answered yet. After three such deaths within a minute, requests with the same fingerprint are refused on all hosts.", "If stopped is true, keep the content of the request that the line names for the developers of the service."},
 	{SuspectNotReported, "suspect untold", "Another entry host could not be informed of a request that crashes servers, or this host's list of such requests could not be read; such a request may reach more servers.", "Check the links between entry hosts if it repeats."},
 	{LoadsNotExchanged, "loads not exchanged", "The entry host that collects the attempts on the engines of a data centre did not answer; engines are chosen by this host's own attempts and the next collector is asked from then on.", "Look at the collector that the line names if it repeats."},
+	{SuspectPartsDeath, "suspect parts death", "A server died while it had a request that it had not begun to answer, and no server has answered requests with the named parts of its prompt in the last seconds.", "Nothing unless event 2151 follows."},
+	{SuspectPartsStopped, "suspect parts stopped", "Three servers died under requests of different content that hold the named parts of a prompt, and no host knows of an answer to them since. Such requests are refused on all hosts for ten minutes, or until a server answers one.", "Keep the parts that the line names for the developers of the service; events 2150 name the requests."},
+	{SuspectPartsCleared, "suspect parts cleared", "A server began to answer a request with a stopped part of a prompt, so the part is sound and no longer a reason to refuse requests.", "Nothing."},
+	{SuspectRunEnded, "suspect run ended", "A request was stopped while a server had it but had not begun to answer, so that it does not crash that server.", "As for event 2145 or 2151, which name the reason."},
+	{SuspectStopsLearned, "suspect stops learned", "This host took over requests that other hosts have stopped, or found no host to ask for them after its start.", "If the line names no signature, check the links between entry hosts; such requests may reach more servers."},
 }
