Tell hosts that start or were cut off which requests are stopped

What callers saw: a request of equal content that had crashed three servers was refused by all hosts, but a host that started afterwards, or that could not be reached at that moment, sent it to three servers again.

Cause: a stop by fingerprint was sent once, to the hosts known at that time.

--- a/entryhost/relay/suspects/messages.go
+++ b/entryhost/relay/suspects/messages.go
@@ -168,7 +168,7 @@
 	Reply task.Reply[map[Part]time.Duration]
 }
 
-// AskStops asks for the stopped signatures that the host knows.
+// AskStops asks for the stopped fingerprints and signatures that the host knows.
 type AskStops struct {
 	Reply task.Reply[KnownStops]
 }
@@ -176,6 +176,8 @@
 // KnownStops is the answer to AskStops.
 type KnownStops struct {
 	Stops []PromptStop
+	// Fingerprints has the time for which each stopped fingerprint still is.
+	Fingerprints map[Fingerprint]time.Duration
 	// Learned is false while the host has not learned the stops of others since its
 	// start, so that others may know more.
 	Learned bool
@@ -192,7 +194,8 @@
 
 // stopsCollected is the result of asking other hosts for their stops.
 type stopsCollected struct {
-	stops []PromptStop
+	stops        []PromptStop
+	fingerprints map[Fingerprint]time.Duration
 	// answers is the number of hosts that answered, failures of those that did not,
 	// and learned is set if one of them knew the stops of others.
 	answers  int
--- a/entryhost/relay/suspects/policy.go
+++ b/entryhost/relay/suspects/policy.go
@@ -69,13 +69,24 @@
 	return true
 }
 
-// stop stops a fingerprint whose deaths another host counted.
-func (t deathTable) stop(fingerprint Fingerprint, now time.Duration) {
-	if _, found := t[fingerprint]; found || len(t) < maxFingerprints {
-		t[fingerprint] = record{stoppedUntil: now + stopDuration}
+// stop stops a fingerprint, whose deaths another host counted, until a time.
+func (t deathTable) stop(fingerprint Fingerprint, until time.Duration) {
+	if entry, found := t[fingerprint]; found || len(t) < maxFingerprints {
+		t[fingerprint] = record{stoppedUntil: max(until, entry.stoppedUntil)}
 	}
 }
 
+// stopped returns the stopped fingerprints and the time for which they still are.
+func (t deathTable) stopped(now time.Duration) map[Fingerprint]time.Duration {
+	found := map[Fingerprint]time.Duration{}
+	for fingerprint, entry := range t {
+		if entry.isStopped(now) {
+			found[fingerprint] = entry.stoppedUntil - now
+		}
+	}
+	return found
+}
+
 func (t deathTable) isStopped(fingerprint Fingerprint, now time.Duration) bool {
 	return t[fingerprint].isStopped(now)
 }
--- a/entryhost/relay/suspects/prompts.go
+++ b/entryhost/relay/suspects/prompts.go
@@ -203,20 +203,27 @@
 	t.stopped = t.stopped.add(suspected.signature, t.now()+stopDuration)
 	t.stopWatched()
 	message := PromptStop{Signature: suspected.signature, StoppedFor: stopDuration, ForgottenIn: 2 * stopDuration}
+	t.deliver(ctx, func(ctx context.Context, host string, elapsed time.Duration) error {
+		return t.Peers.SendPromptStop(ctx, host, message.after(elapsed))
+	})
+}
+
+// deliver sends a stop to all other hosts.
+func (t *Task) deliver(ctx context.Context, send func(ctx context.Context, host string, elapsed time.Duration) error) {
 	for _, host := range t.hosts {
-		go t.deliverStop(ctx, host.Address, message)
+		go t.deliverTo(ctx, host.Address, send)
 	}
 }
 
-// deliverStop sends a stop to a host until it is delivered, the host proves to run an
-// older build, or stopSendTimeout has passed.
-func (t *Task) deliverStop(ctx context.Context, host string, message PromptStop) {
+// deliverTo sends a stop to a host until it is delivered, the host proves to run an older
+// build, or stopSendTimeout has passed.
+func (t *Task) deliverTo(ctx context.Context, host string, send func(ctx context.Context, host string, elapsed time.Duration) error) {
 	ctx, cancel := context.WithTimeout(ctx, stopSendTimeout)
 	defer cancel()
 	decidedAt := t.Clock.Now()
 	for {
 		sendContext, cancelSend := context.WithTimeout(ctx, sendTimeout)
-		err := t.Peers.SendPromptStop(sendContext, host, message.after(t.Clock.Since(decidedAt)))
+		err := send(sendContext, host, t.Clock.Since(decidedAt))
 		cancelSend()
 		if err == nil {
 			return
@@ -268,7 +275,7 @@
 
 // knownStops returns the stops of this host, for one that starts.
 func (t *Task) knownStops() KnownStops {
-	known := KnownStops{Learned: t.learned}
+	known := KnownStops{Learned: t.learned, Fingerprints: t.table.stopped(t.now())}
 	for _, entry := range t.stopped {
 		known.Stops = append(known.Stops, PromptStop{Signature: entry.signature, StoppedFor: max(0, entry.stoppedUntil-t.now()), ForgottenIn: entry.forgottenAt - t.now()})
 	}
@@ -311,7 +318,7 @@
 // collectStops asks hosts for their stops until maxLearnHosts have answered that have
 // learned those of others.
 func (t *Task) collectStops(ctx context.Context, candidates []string) {
-	var collected stopsCollected
+	collected := stopsCollected{fingerprints: map[Fingerprint]time.Duration{}}
 	learned := 0
 	for _, host := range candidates {
 		askContext, cancel := context.WithTimeout(ctx, sendTimeout)
@@ -324,6 +331,9 @@
 		}
 		collected.answers++
 		collected.stops = append(collected.stops, known.Stops[:min(len(known.Stops), maxStops)]...)
+		for fingerprint, stoppedFor := range known.Fingerprints {
+			collected.fingerprints[fingerprint] = max(stoppedFor, collected.fingerprints[fingerprint])
+		}
 		if known.Learned {
 			collected.learned = true
 			learned++
@@ -341,6 +351,9 @@
 	for _, message := range collected.stops {
 		t.applyStop(message)
 	}
+	for fingerprint, stoppedFor := range collected.fingerprints {
+		t.table.stop(fingerprint, t.now()+min(stoppedFor, stopDuration))
+	}
 	t.learned = t.learned || collected.learned || t.learnRounds >= learnRounds
 	if t.learnRounds >= learnRounds && !collected.learned {
 		t.Logger.Info("no host that was asked had learned the stopped requests of others", eventcode.SuspectStopsLearned.Attr(), "answers", collected.answers, "failures", collected.failures)
--- a/entryhost/relay/suspects/suspects_test.go
+++ b/entryhost/relay/suspects/suspects_test.go
@@ -54,7 +54,7 @@
 
 	It("keeps a stopped request stopped even if a late answer arrives", func() {
 		t := deathTable{}
-		t.stop(crashing, 0)
+		t.stop(crashing, stopDuration)
 		Expect(t.clear(crashing, 0)).To(BeFalse())
 		Expect(t.isStopped(crashing, 0)).To(BeTrue())
 		Expect(t.isStopped(crashing, stopDuration)).To(BeFalse())
@@ -149,9 +149,9 @@
 		}
 	})
 
-	stopped := func(address string) func() bool {
+	stoppedOn := func(host *Task) func() bool {
 		return func() bool {
-			got, err := task.Call(context.Background(), tasks[address].Mailbox(), func(reply task.Reply[bool]) Message {
+			got, err := task.Call(context.Background(), host.Mailbox(), func(reply task.Reply[bool]) Message {
 				return CheckStopped{Fingerprint: crashing, Reply: reply}
 			})
 			Expect(err).NotTo(HaveOccurred())
@@ -159,6 +159,8 @@
 		}
 	}
 
+	stopped := func(address string) func() bool { return stoppedOn(tasks[address]) }
+
 	It("all stop a request whose three deaths were seen on three hosts", func() {
 		for i := range deathsToStop {
 			Expect(tasks[addresses[i]].Mailbox().TrySend(AttemptBroken{Fingerprint: crashing, Server: fmt.Sprint(i), Address: "dead"})).To(Succeed())
@@ -186,6 +188,16 @@
 		}
 	}
 	promptStopped := func(address string) func() bool { return promptStoppedOn(tasks[address]) }
+	// startLate starts a host that knows the first one from its settings.
+	startLate := func() *Task {
+		ctx, cancel := context.WithCancel(context.Background())
+		DeferCleanup(cancel)
+		late := NewTask(Parameters{
+			Self: "late", Seeds: addresses[:1], Peers: tasks, Clock: clockwork.NewRealClock(), Metrics: metrics.NewSet(), Logger: slog.New(slog.NewTextHandler(io.Discard, nil)),
+		})
+		go func() { _ = late.Serve(ctx) }()
+		return late
+	}
 	// crash reports the death of a server under a request of its own on a host.
 	crash := func(number int, address string) {
 		own := fmt.Sprint("own", number)
@@ -236,17 +248,38 @@
 		}
 	})
 
+	It("tell a host that starts later which requests of equal content are stopped", func() {
+		for i := range deathsToStop {
+			Expect(tasks[addresses[i]].Mailbox().TrySend(AttemptBroken{Fingerprint: crashing, Server: fmt.Sprint(i), Address: "dead"})).To(Succeed())
+		}
+		Eventually(stopped(addresses[0])).Should(BeTrue())
+		Eventually(stoppedOn(startLate()), 3*time.Second).Should(BeTrue())
+	})
+
+	It("stop a request of equal content on a host that was cut off when the others stopped it", func() {
+		peers := &failingPeers{localPeers: tasks, failures: make(chan struct{}, 1)}
+		peers.failures <- struct{}{}
+		sender := NewTask(Parameters{
+			Self: "sender", Peers: peers, Clock: clockwork.NewRealClock(), Metrics: metrics.NewSet(), Logger: slog.New(slog.NewTextHandler(io.Discard, nil)),
+			RefusesConnections: func(context.Context, string) bool { return true },
+		})
+		ctx, cancel := context.WithCancel(context.Background())
+		DeferCleanup(cancel)
+		go func() { _ = sender.Serve(ctx) }()
+		Expect(sender.Hosts().Send(ctx, []routing.Host{{Address: addresses[0]}})).To(Succeed())
+		time.Sleep(confirmDelay)
+		for i := range deathsToStop {
+			Expect(sender.Mailbox().TrySend(Death{Fingerprint: crashing, Server: fmt.Sprint(i), Told: true})).To(Succeed())
+		}
+		Eventually(stopped(addresses[0]), 3*stopSendInterval).Should(BeTrue())
+	})
+
 	It("tell a host that starts later what is stopped", func() {
 		for i := range deathsToStop {
 			crash(i, addresses[i])
 		}
 		Eventually(promptStopped(addresses[4])).Should(BeTrue())
-		ctx, cancel := context.WithCancel(context.Background())
-		DeferCleanup(cancel)
-		late := NewTask(Parameters{
-			Self: "late", Seeds: addresses[:1], Peers: tasks, Clock: clockwork.NewRealClock(), Metrics: metrics.NewSet(), Logger: slog.New(slog.NewTextHandler(io.Discard, nil)),
-		})
-		go func() { _ = late.Serve(ctx) }()
+		late := startLate()
 		// Requests of the stopped kind must not reach servers after that time.
 		Eventually(promptStoppedOn(late), 3*time.Second).Should(BeTrue())
 	})
@@ -255,7 +288,9 @@
 		peers := &failingPeers{localPeers: tasks, failures: make(chan struct{}, 1)}
 		peers.failures <- struct{}{}
 		sender := NewTask(Parameters{Self: "sender", Peers: peers, Clock: clockwork.NewRealClock(), Metrics: metrics.NewSet(), Logger: slog.New(slog.NewTextHandler(io.Discard, nil))})
-		go sender.deliverStop(context.Background(), addresses[0], PromptStop{Signature: signature("dead"), StoppedFor: stopDuration, ForgottenIn: 2 * stopDuration})
+		go sender.deliverTo(context.Background(), addresses[0], func(ctx context.Context, host string, _ time.Duration) error {
+			return peers.SendPromptStop(ctx, host, PromptStop{Signature: signature("dead"), StoppedFor: stopDuration, ForgottenIn: 2 * stopDuration})
+		})
 		Eventually(promptStopped(addresses[0]), 2*stopSendInterval).Should(BeTrue())
 		Expect(tasks[addresses[1]].Mailbox().TrySend(AnswerBegun{Prompt: dead})).To(Succeed())
 		Expect(tasks[addresses[1]].Mailbox().TrySend(PromptStop{Signature: signature("dead"), StoppedFor: stopDuration - time.Second, ForgottenIn: stopDuration})).To(Succeed())
@@ -271,6 +306,15 @@
 	failures chan struct{}
 }
 
+func (p *failingPeers) SendStop(ctx context.Context, host string, stopped Stop) error {
+	select {
+	case <-p.failures:
+		return Error.New("unreachable")
+	default:
+		return p.localPeers.SendStop(ctx, host, stopped)
+	}
+}
+
 func (p *failingPeers) SendPromptStop(ctx context.Context, host string, stopped PromptStop) error {
 	select {
 	case <-p.failures:
--- a/entryhost/relay/suspects/task.go
+++ b/entryhost/relay/suspects/task.go
@@ -160,7 +160,7 @@
 	case Death:
 		t.handleDeath(ctx, message)
 	case Stop:
-		t.table.stop(message.Fingerprint, t.now())
+		t.table.stop(message.Fingerprint, t.now()+stopDuration)
 		t.stopWatched()
 	case Clear:
 		t.table.clear(message.Fingerprint, t.now())
@@ -204,11 +204,9 @@
 	}
 	t.stops.Inc()
 	t.stopWatched()
-	for _, host := range t.hosts {
-		t.sendTo(ctx, host.Address, func(ctx context.Context, host string) error {
-			return t.Peers.SendStop(ctx, host, Stop{Fingerprint: death.Fingerprint})
-		})
-	}
+	t.deliver(ctx, func(ctx context.Context, host string, _ time.Duration) error {
+		return t.Peers.SendStop(ctx, host, Stop{Fingerprint: death.Fingerprint})
+	})
 }
 
 // handleRequestCompleted clears a fingerprint for which this host has a death,
