Try a stopped part again, and end no request for its fingerprint alone

And a stop of a signature removed the evidence against it.

Change: only stops of signatures end running requests, since they rest on requests of different content and on what all hosts know. After 30 s the first tracker of the service lets one request with the signature run; an answer clears it on all hosts.

Why it works: a trial costs one engine at most if the stop is right, and ends it if it is wrong.

--- a/entryhost/relay/forward/suspects.go
+++ b/entryhost/relay/forward/suspects.go
@@ -14,13 +14,13 @@
 // errStopped is the cause of a context that ended because the request was stopped.
 var errStopped = Error.New("servers died under requests like this one")
 
-// watchStops makes the returned context end with errStopped when the request is stopped
+// watchStops makes the returned context end with errStopped when the prompt is stopped
 // before a server has begun to answer it. The watch takes effect with the next
 // isStopped.
 func (r *requestTask) watchStops(ctx context.Context) (context.Context, context.CancelFunc) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	r.watch = &suspects.Watch{
-		Fingerprint: r.fingerprint, Prompt: r.prompt, Request: r.request.ID, Ended: ctx.Done(), Stop: func() { cancel(errStopped) },
+		Prompt: r.prompt, Request: r.request.ID, Ended: ctx.Done(), Stop: func() { cancel(errStopped) },
 	}
 	return ctx, func() { cancel(nil) }
 }
@@ -30,7 +30,7 @@
 // request runs.
 func (r *requestTask) isStopped(ctx context.Context) bool {
 	stopped, err := task.Call(ctx, r.Suspects, func(reply task.Reply[bool]) suspects.Message {
-		return suspects.CheckStopped{Fingerprint: r.fingerprint, Prompt: r.prompt, Watch: r.watch, Reply: reply}
+		return suspects.CheckStopped{Fingerprint: r.fingerprint, Service: r.request.Service.Name, Prompt: r.prompt, Watch: r.watch, Reply: reply}
 	})
 	if err != nil && ctx.Err() == nil {
 		r.Logger.Warn("suspect check failed; the request runs unchecked", eventcode.SuspectNotReported.Attr(), "request", r.request.ID, "error", err)
@@ -40,20 +40,24 @@
 
 // evidenceDelay is the time between the loss of a stream's server and the next attempt. It
 // covers the check of whether the server died, 30 ms, and the messages between hosts about
-// it, so that a request that crashes servers is stopped before it reaches another one. A
-// prompt takes about a second to read.
+// it, so that a request with a part of a prompt that crashes servers is stopped before it
+// reaches another one. A prompt takes about a second to read.
 const evidenceDelay = 60 * time.Millisecond
 
 // stoppedAfterLoss reports whether the request is stopped after a server broke off. If no
-// server has begun to answer it, it first waits for the evidence.
+// server has begun to answer it, it then waits for the evidence about its prompt; a stop
+// ends the context.
 func (r *requestTask) stoppedAfterLoss(ctx context.Context) bool {
-	if r.watch != nil {
+	if r.isStopped(ctx) {
+		return true
+	}
+	if r.watch != nil && len(r.prompt.Shared) > 0 {
 		select {
 		case <-ctx.Done():
 		case <-r.Clock.After(evidenceDelay):
 		}
 	}
-	return r.isStopped(ctx)
+	return false
 }
 
 // reportSuspect reports a completed request, or an attempt that broke off before
--- a/entryhost/relay/suspects/messages.go
+++ b/entryhost/relay/suspects/messages.go
@@ -50,17 +50,17 @@
 // prompt, are stopped.
 type CheckStopped struct {
 	Fingerprint Fingerprint
+	Service     string
 	Prompt      Prompt
-	// Watch, if not nil, is informed if the request is stopped later.
+	// Watch, if not nil, is informed if the prompt is stopped later.
 	Watch *Watch
 	Reply task.Reply[bool]
 }
 
-// Watch is informed when a request is stopped that no server has begun to answer, so
-// that it does not crash the server that has it.
+// Watch is informed when the prompt of a request is stopped that no server has begun to
+// answer, so that it does not crash the server that has it.
 type Watch struct {
-	Fingerprint Fingerprint
-	Prompt      Prompt
+	Prompt Prompt
 	// Request is the id of the request, for logs.
 	Request string
 	// Ended is closed when the request has ended.
--- a/entryhost/relay/suspects/prompts.go
+++ b/entryhost/relay/suspects/prompts.go
@@ -32,32 +32,44 @@
 	// back.
 	stopSendTimeout  = 30 * time.Second
 	stopSendInterval = time.Second
+	// trialAfter is the time after which one request with a stopped signature runs, on
+	// one host. If the stop is wrong, nothing else may show it, since no other such
+	// request runs; if it is right, one more server dies.
+	trialAfter = 30 * time.Second
 )
 
-// isStopped reports whether requests with the fingerprint or with the prompt are
-// stopped.
-func (t *Task) isStopped(fingerprint Fingerprint, prompt Prompt) bool {
-	if t.table.isStopped(fingerprint, t.now()) {
-		return true
-	}
-	_, stopped := t.stopped.find(prompt.Shared, t.now())
-	return stopped
-}
-
 // handleCheck answers whether a request is stopped, and watches it if it is not.
 func (t *Task) handleCheck(check CheckStopped) {
-	stopped := t.isStopped(check.Fingerprint, check.Prompt)
-	if !stopped && check.Watch != nil && len(t.watches) < maxWatches {
-		t.watches[check.Watch] = struct{}{}
+	entry, stopped := t.stopped.find(check.Prompt.Shared, t.now())
+	switch {
+	case t.table.isStopped(check.Fingerprint, t.now()):
+		check.Reply.Send(true)
+	case stopped && t.mayTry(check, entry):
+		// Its watch would end it with the next stop.
+		t.stopped = t.stopped.withTrial(entry.signature, t.now()+stopDuration)
+		t.Logger.Info("request with stopped parts of a prompt runs on trial", eventcode.SuspectPartsCleared.Attr(), "signature", entry.signature, "request", check.Watch.Request)
+		check.Reply.Send(false)
+	default:
+		if !stopped && check.Watch != nil && len(t.watches) < maxWatches {
+			t.watches[check.Watch] = struct{}{}
+		}
+		check.Reply.Send(stopped)
 	}
-	check.Reply.Send(stopped)
 }
 
-// stopWatched ends the watched requests that are stopped now.
+// mayTry reports whether a request may run on trial. Only the first tracker of the service
+// makes trials, so that one server is lost at most.
+func (t *Task) mayTry(check CheckStopped, entry stop) bool {
+	return check.Watch != nil && t.now() >= entry.trialAt && trackers(check.Service, t.Self, t.hosts)[0] == t.Self
+}
+
+// stopWatched ends the watched requests whose prompts are stopped now. Those whose
+// fingerprint is stopped go on: a sound request may meet three servers that fail by
+// themselves, and its answer would clear it.
 func (t *Task) stopWatched() {
 	t.expireWatches()
 	for watch := range t.watches {
-		if t.isStopped(watch.Fingerprint, watch.Prompt) {
+		if _, stopped := t.stopped.find(watch.Prompt.Shared, t.now()); stopped {
 			delete(t.watches, watch)
 			t.cancelled.Inc()
 			t.Logger.Info("request is ended before a server begins to answer it, as it would crash the server", eventcode.SuspectRunEnded.Attr(), "request", watch.Request)
@@ -261,7 +273,9 @@
 		return nil
 	}
 	stoppedFor := min(message.StoppedFor, stopDuration)
-	t.stopped = t.stopped.insert(stop{signature: message.Signature, stoppedUntil: t.now() + stoppedFor, forgottenAt: t.now() + min(message.ForgottenIn, 2*stopDuration)})
+	t.stopped = t.stopped.insert(stop{
+		signature: message.Signature, trialAt: t.now() + stoppedFor - stopDuration + trialAfter, stoppedUntil: t.now() + stoppedFor, forgottenAt: t.now() + min(message.ForgottenIn, 2*stopDuration),
+	})
 	t.Logger.Info("another host stopped requests with these parts of a prompt", eventcode.SuspectStopsLearned.Attr(), "signature", message.Signature, "stopped_s", stoppedFor.Seconds())
 	decidedAt := t.now() + stoppedFor - stopDuration
 	var sound []Part
--- a/entryhost/relay/suspects/signatures.go
+++ b/entryhost/relay/suspects/signatures.go
@@ -278,7 +278,9 @@
 // stop is a stopped signature. After stopDuration its requests run again on
 // probation: one more death stops them again at once.
 type stop struct {
-	signature    Signature
+	signature Signature
+	// trialAt is when one request may run on trial.
+	trialAt      time.Duration
 	stoppedUntil time.Duration
 	// forgottenAt is the end of the probation.
 	forgottenAt time.Duration
@@ -311,7 +313,18 @@
 
 // add returns the list with the signature stopped until a time.
 func (l stopList) add(signature Signature, until time.Duration) stopList {
-	return l.insert(stop{signature: signature, stoppedUntil: until, forgottenAt: until + stopDuration})
+	return l.insert(stop{signature: signature, trialAt: until - stopDuration + trialAfter, stoppedUntil: until, forgottenAt: until + stopDuration})
+}
+
+// withTrial returns the list with another time for the next trial of a signature.
+func (l stopList) withTrial(signature Signature, at time.Duration) stopList {
+	list := slices.Clone(l)
+	for i := range list {
+		if slices.Equal(list[i].signature, signature) {
+			list[i].trialAt = at
+		}
+	}
+	return list
 }
 
 // insert returns the list with the stop. Entries whose signature holds all parts of its
--- a/entryhost/relay/suspects/suspects_test.go
+++ b/entryhost/relay/suspects/suspects_test.go
@@ -323,3 +323,47 @@
 		return p.localPeers.SendPromptStop(ctx, host, stopped)
 	}
 }
+
+var _ = Describe("a stopped part of a prompt", func() {
+	var clock *clockwork.FakeClock
+	var host *Task
+	stopped := signature("part")
+	holding := prompt("own", "part")
+
+	BeforeEach(func() {
+		clock = clockwork.NewFakeClock()
+		host = NewTask(Parameters{Self: "host", Clock: clock, Metrics: metrics.NewSet(), Logger: slog.New(slog.NewTextHandler(io.Discard, nil))})
+		host.handle(context.Background(), PromptStop{Signature: stopped, StoppedFor: stopDuration, ForgottenIn: 2 * stopDuration})
+	})
+
+	check := func() bool {
+		reply := make(chan bool, 1)
+		host.handle(context.Background(), CheckStopped{Service: engines, Prompt: holding, Watch: &Watch{Prompt: holding, Stop: func() {}}, Reply: reply})
+		return <-reply
+	}
+
+	It("is tried with one request after some time, on one host, so that a wrong stop ends with its answer", func() {
+		Expect(check()).To(BeTrue())
+		clock.Advance(trialAfter)
+		Expect(check()).To(BeFalse())
+		Expect(check()).To(BeTrue(), "one request is tried")
+		host.handle(context.Background(), AnswerBegun{Prompt: holding})
+		Expect(check()).To(BeFalse())
+	})
+
+	It("is tried by no other host than the first tracker of the service", func() {
+		for i := range 50 {
+			host.hosts = append(host.hosts, routing.Host{Address: fmt.Sprint("other", i)})
+		}
+		Expect(trackers(engines, host.Self, host.hosts)[0]).NotTo(Equal(host.Self))
+		clock.Advance(trialAfter)
+		Expect(check()).To(BeTrue())
+	})
+
+	It("is stopped again by one death after the stop has ended", func() {
+		clock.Advance(stopDuration)
+		Expect(check()).To(BeFalse())
+		host.handle(context.Background(), PromptDeath{Service: engines, Server: "s", Parts: holding.Shared})
+		Expect(check()).To(BeTrue())
+	})
+})
--- a/entryhost/relay/suspects/task.go
+++ b/entryhost/relay/suspects/task.go
@@ -161,7 +161,6 @@
 		t.handleDeath(ctx, message)
 	case Stop:
 		t.table.stop(message.Fingerprint, t.now()+stopDuration)
-		t.stopWatched()
 	case Clear:
 		t.table.clear(message.Fingerprint, t.now())
 	}
@@ -203,7 +202,6 @@
 		return
 	}
 	t.stops.Inc()
-	t.stopWatched()
 	t.deliver(ctx, func(ctx context.Context, host string, _ time.Duration) error {
 		return t.Peers.SendStop(ctx, host, Stop{Fingerprint: death.Fingerprint})
 	})
