Do not blame a stream for an engine that was dead before it came

Cause: a zone's engines had crashed, and the request was sent to three of them in turn on connections from before. An engine sends its first token after a step of 6 ms or more, so it cannot have died of that request.

Change: a stream that breaks off on a reused connection within 8 ms is no evidence. Plain requests still count, since they may crash a server at once.

--- a/entryhost/relay/forward/forward_test.go
+++ b/entryhost/relay/forward/forward_test.go
@@ -164,6 +164,18 @@
 	)
 })
 
+var _ = Describe("an attempt that broke off", func() {
+	DescribeTable("counts as the cause of a crash unless the server may have been dead before",
+		func(kind routing.Kind, reused bool, ran time.Duration, want bool) {
+			Expect(mayHaveCrashed(kind, reused, ran)).To(Equal(want))
+		},
+		Entry("a stream that is reset at once on an old connection, as after a zone's crash", routing.Streaming, true, 2*time.Millisecond, false),
+		Entry("a stream on an old connection whose prompt was read", routing.Streaming, true, time.Second, true),
+		Entry("a stream on a new connection", routing.Streaming, false, 2*time.Millisecond, true),
+		Entry("a plain request, which may crash a server at once", routing.NonIdempotent, true, 2*time.Millisecond, true),
+	)
+})
+
 var _ = Describe("the head of a response", func() {
 	DescribeTable("is a success only if it is signed by the server and not encoded",
 		func(head exchange.ResponseHead, want dispatch.Outcome) {
--- a/entryhost/relay/forward/policy.go
+++ b/entryhost/relay/forward/policy.go
@@ -125,6 +125,19 @@
 	}
 }
 
+// minRunTime is the time after which a stream that broke off on a reused connection may
+// have crashed its engine. An engine that had died before resets the connection within a
+// round trip, at most 3 ms; one that lives sends its first token after a step of 6 ms and
+// more.
+const minRunTime = 8 * time.Millisecond
+
+// mayHaveCrashed reports whether a request whose attempt broke off before its first event
+// or complete response after a time may be what crashed the server. A request to a server
+// that was dead already, on a connection from before, shows nothing.
+func mayHaveCrashed(kind routing.Kind, reused bool, ran time.Duration) bool {
+	return kind != routing.Streaming || !reused || ran >= minRunTime
+}
+
 // outcomeOfFailure returns the outcome of a failed exchange.
 func outcomeOfFailure(failure *exchange.Failure) dispatch.Outcome {
 	if failure.Phase == exchange.Unsent {
--- a/entryhost/relay/forward/suspects.go
+++ b/entryhost/relay/forward/suspects.go
@@ -65,13 +65,14 @@
 // server, since content that crashes servers does so when they start to run it.
 func (r *requestTask) reportSuspect(running *runningAttempt, outcome dispatch.Outcome) {
 	var message suspects.Message
+	ran := r.Clock.Since(running.started)
 	switch {
 	case outcome == dispatch.OutcomeSuccess:
 		message = suspects.RequestCompleted{Fingerprint: r.fingerprint}
-	case outcome == dispatch.OutcomeBroken && running.note.Events == 0:
+	case outcome == dispatch.OutcomeBroken && running.note.Events == 0 && mayHaveCrashed(r.request.Route.Kind, running.note.Reused, ran):
 		message = suspects.AttemptBroken{
 			Fingerprint: r.fingerprint, Request: r.request.ID, Server: running.note.Server, Address: running.assignment.Server.Address,
-			Service: r.request.Service.Name, Prompt: r.prompt, Ran: r.Clock.Since(running.started),
+			Service: r.request.Service.Name, Prompt: r.prompt, Ran: ran,
 		}
 	default:
 		return
