Do not blame a part of prompts when many engines fail together

Cause: deaths within 0.25 s count once, but when engines fail together every few seconds, a part that few requests have and that no server could answer meanwhile collects three deaths. The trackers did not see that most of the engines that died with it had no request with that part, since deaths under requests of trusted parts were not reported.

Change: all deaths under unanswered prompts are reported, and a death counts against a part only if at least half of the engines that died within 0.1 s of it had a request with it.

Why it works: engines that a part crashes do not die together with others, or these have a request with the same part.

--- a/entryhost/relay/suspects/prompts.go
+++ b/entryhost/relay/suspects/prompts.go
@@ -136,12 +136,12 @@
 // died. It reports a death that this host saw to the trackers of the service.
 func (t *Task) handlePromptDeath(ctx context.Context, death PromptDeath) {
 	death.Parts = t.answered.untrusted(death.Parts, t.now(), maxReportedParts)
-	if len(death.Parts) == 0 {
-		return
-	}
+	// A death without suspected parts counts too: it shows a failure of many servers.
 	t.promptDeaths.add(death, t.now()-death.Ago)
-	t.Logger.Info("server died under a request with parts of a prompt that none has answered of late", eventcode.SuspectPartsDeath.Attr(), "request", death.Request,
-		"server", death.Server, "parts", death.Parts, "reported", death.Told)
+	if len(death.Parts) > 0 {
+		t.Logger.Info("server died under a request with parts of a prompt that none has answered of late", eventcode.SuspectPartsDeath.Attr(), "request", death.Request,
+			"server", death.Server, "parts", death.Parts, "reported", death.Told)
+	}
 	if !death.Told {
 		death.Told = true
 		t.sendToTrackers(ctx, death.Service, func(ctx context.Context, host string) error { return t.Peers.SendPromptDeath(ctx, host, death) })
--- a/entryhost/relay/suspects/signatures.go
+++ b/entryhost/relay/suspects/signatures.go
@@ -16,6 +16,9 @@
 	// had the request before the earlier one died. A zone that fails takes many
 	// servers at once, with the requests on all of them.
 	incidentGap = 250 * time.Millisecond
+	// commonFailureTime is the time within which servers die of one failure, such as
+	// that of a zone.
+	commonFailureTime = 100 * time.Millisecond
 	// startSlack covers the difference between the times that messages from two hosts
 	// take, when the start of an attempt is compared with a death.
 	startSlack = 10 * time.Millisecond
@@ -24,10 +27,10 @@
 	// id that it had.
 	sameDeath = time.Second
 	// maxServices, maxDeaths, maxRequestsPerDeath and maxReportedParts limit what is
-	// kept of deaths, at most 400 KB for each service. Of more deaths the newest
+	// kept of deaths, at most 800 KB for each service. Of more deaths the newest
 	// count.
 	maxServices         = 32
-	maxDeaths           = 24
+	maxDeaths           = 48
 	maxRequestsPerDeath = 16
 	maxReportedParts    = 16
 	// maxStops limits the signatures that are stopped; the oldest one yields.
@@ -79,16 +82,6 @@
 	requests map[Fingerprint]deadRequest
 }
 
-// holds reports whether a request on the server had the part.
-func (d serverDeath) holds(part Part) bool {
-	for _, request := range d.requests {
-		if slices.Contains(request.parts, part) {
-			return true
-		}
-	}
-	return false
-}
-
 // deathLog holds the recent deaths by service, oldest first.
 type deathLog map[string][]serverDeath
 
@@ -140,15 +133,16 @@
 // not its cause, and one that was answered a short time ago is trusted.
 func (l deathLog) suspicions(service string, answered *answeredParts, now time.Duration) []suspicion {
 	var found []suspicion
-	unexplained := suspectedOnly(l[service], answered, now)
+	all := examine(l[service], answered, now)
+	unexplained := all
 	for {
-		leading, enough := leadingPart(unexplained)
+		leading, enough := leadingPart(unexplained, all)
 		if !enough {
 			return found
 		}
 		next := suspicion{}
 		contents := map[Fingerprint]bool{}
-		var remaining []serverDeath
+		var remaining []examinedDeath
 		for _, death := range unexplained {
 			if !death.holds(leading) {
 				remaining = append(remaining, death)
@@ -179,29 +173,59 @@
 	}
 }
 
-// suspectedOnly returns the deaths within the window with only the parts that may be
-// their cause.
-func suspectedOnly(deaths []serverDeath, answered *answeredParts, now time.Duration) []serverDeath {
-	var kept []serverDeath
+// examinedDeath is a death with only the parts that may be its cause.
+type examinedDeath struct {
+	serverDeath
+
+	// began has these parts, with the time when the last attempt with each began.
+	began map[Part]time.Duration
+}
+
+// holds reports whether a request on the server had the part.
+func (d examinedDeath) holds(part Part) bool {
+	_, found := d.began[part]
+	return found
+}
+
+// examine returns the deaths within the window with only the parts that may be their cause,
+// also those without any.
+func examine(deaths []serverDeath, answered *answeredParts, now time.Duration) []examinedDeath {
+	var examined []examinedDeath
 	for _, death := range deaths {
 		if now-death.at >= deathWindow {
 			continue
 		}
-		requests := map[Fingerprint]deadRequest{}
+		kept := examinedDeath{serverDeath: serverDeath{server: death.server, at: death.at, requests: map[Fingerprint]deadRequest{}}, began: map[Part]time.Duration{}}
 		for content, request := range death.requests {
 			request.parts = slices.DeleteFunc(slices.Clone(request.parts), func(part Part) bool {
 				at, found := answered.last(part)
 				return found && (at >= death.at || now-at < trustedAfterAnswer)
 			})
-			if len(request.parts) > 0 {
-				requests[content] = request
+			kept.requests[content] = request
+			for _, part := range request.parts {
+				if latest, found := kept.began[part]; !found || request.began > latest {
+					kept.began[part] = request.began
+				}
 			}
 		}
-		if len(requests) > 0 {
-			kept = append(kept, serverDeath{server: death.server, at: death.at, requests: requests})
+		examined = append(examined, kept)
+	}
+	return examined
+}
+
+// isCommonFailure reports whether a server died together with others of which most had no
+// request with the part, as when a zone fails.
+func isCommonFailure(death examinedDeath, part Part, all []examinedDeath) bool {
+	together, holding := 0, 0
+	for _, other := range all {
+		if (other.at - death.at).Abs() <= commonFailureTime {
+			together++
+			if other.holds(part) {
+				holding++
+			}
 		}
 	}
-	return kept
+	return 2*holding < together
 }
 
 // partEvidence counts what speaks against one part.
@@ -224,35 +248,35 @@
 	}
 }
 
-// evidenceByPart counts what speaks against each part.
-func evidenceByPart(deaths []serverDeath) map[Part]*partEvidence {
+// evidenceByPart counts what speaks against each part in deaths that no other part
+// explains, of all deaths.
+func evidenceByPart(unexplained, all []examinedDeath) map[Part]*partEvidence {
 	evidence := map[Part]*partEvidence{}
-	for _, death := range deaths {
-		began := map[Part]time.Duration{}
-		for content, request := range death.requests {
-			for _, part := range request.parts {
-				if evidence[part] == nil {
-					evidence[part] = &partEvidence{contents: map[Fingerprint]bool{}}
-				}
-				evidence[part].contents[content] = true
-				if latest, found := began[part]; !found || request.began > latest {
-					began[part] = request.began
+	for _, death := range unexplained {
+		for part, began := range death.began {
+			if isCommonFailure(death, part, all) {
+				continue
+			}
+			if evidence[part] == nil {
+				evidence[part] = &partEvidence{contents: map[Fingerprint]bool{}}
+			}
+			evidence[part].add(death.serverDeath, began)
+			for content, request := range death.requests {
+				if slices.Contains(request.parts, part) {
+					evidence[part].contents[content] = true
 				}
 			}
 		}
-		for part, at := range began {
-			evidence[part].add(death, at)
-		}
 	}
 	return evidence
 }
 
 // leadingPart returns the part with the most incidents, and of several the one with
 // the most deaths and then requests. It reports whether they are enough to stop it.
-func leadingPart(deaths []serverDeath) (Part, bool) {
+func leadingPart(unexplained, all []examinedDeath) (Part, bool) {
 	var leading Part
 	var most *partEvidence
-	for part, entry := range evidenceByPart(deaths) {
+	for part, entry := range evidenceByPart(unexplained, all) {
 		if entry.incidents < deathsToStop || len(entry.contents) < distinctRequests {
 			continue
 		}
--- a/entryhost/relay/suspects/signatures_test.go
+++ b/entryhost/relay/suspects/signatures_test.go
@@ -77,6 +77,29 @@
 		Expect(suspected(2 * time.Second)).To(BeEmpty())
 	})
 
+	It("are none when many servers die at once again and again, each under requests with other parts", func() {
+		for round := range 10 {
+			for i := range 5 {
+				at := time.Duration(round)*3*time.Second + time.Duration(i)*10*time.Millisecond
+				id := fmt.Sprint(round, "-", i)
+				log.add(deathUnder(id, id, ran, fmt.Sprint("rare", (round+i)%4*3+i%3)), at)
+			}
+		}
+		Expect(suspected(30 * time.Second)).To(BeEmpty())
+	})
+
+	It("hold a part under which servers die while others fail together now and then", func() {
+		for i := range 3 {
+			at := time.Duration(i+1) * 4 * time.Second
+			log.add(deathUnder(fmt.Sprint("s", i), fmt.Sprint("own", i), ran, "dead"), at)
+			for j := range 5 {
+				id := fmt.Sprint(i, "-", j)
+				log.add(deathUnder(id, id, ran), at+time.Second)
+			}
+		}
+		Expect(suspected(14 * time.Second)).To(Equal([]Signature{signature("dead")}))
+	})
+
 	It("count deaths that follow each other fast if the later attempt began after the earlier death", func() {
 		for i := range 3 {
 			log.add(deathUnder(fmt.Sprint("s", i), fmt.Sprint("own", i%2), 20*time.Millisecond, "dead"), time.Second+time.Duration(i)*30*time.Millisecond)
--- a/entryhost/relay/suspects/task.go
+++ b/entryhost/relay/suspects/task.go
@@ -179,7 +179,7 @@
 		return
 	}
 	_ = t.mailbox.Send(ctx, Death{Fingerprint: attempt.Fingerprint, Request: attempt.Request, Server: attempt.Server})
-	if len(attempt.Prompt.Shared) > 0 {
+	if len(attempt.Prompt.All) > 0 {
 		_ = t.mailbox.Send(ctx, PromptDeath{
 			Service: attempt.Service, Server: attempt.Server, Request: attempt.Request, Content: contentOf(attempt.Fingerprint, attempt.Prompt), Parts: attempt.Prompt.Shared,
 			Ago: t.Clock.Since(brokeAt), Ran: attempt.Ran,
