Count the contents of streams where common failures show

A stream that crashes engines by its content as a whole cost four of them.

Cause: the deaths under one content were counted by the trackers of its fingerprint, who know nothing of other deaths at the same moment; and its stop was looked up before the third death could be confirmed.

Change: the trackers of the service count contents of streams too, as one more part that only requests of that content have, with the same rules for common failures and answers. A stream that broke off waits for the evidence on both. Requests without a prompt are counted by fingerprint as before.

The spec that expected nothing for a single request that crashes servers now expects its content and none of its parts, which is as strict: its parts are still not blamed.

--- a/entryhost/relay/forward/suspects.go
+++ b/entryhost/relay/forward/suspects.go
@@ -40,24 +40,20 @@
 
 // evidenceDelay is the time between the loss of a stream's server and the next attempt. It
 // covers the check of whether the server died, 30 ms, and the messages between hosts about
-// it, so that a request with a part of a prompt that crashes servers is stopped before it
-// reaches another one. A prompt takes about a second to read.
+// it, so that a request that crashes servers is stopped before it reaches another one. A prompt takes about a second to read.
 const evidenceDelay = 60 * time.Millisecond
 
 // stoppedAfterLoss reports whether the request is stopped after a server broke off. If no
-// server has begun to answer it, it then waits for the evidence about its prompt; a stop
-// ends the context.
+// server has begun to answer it, it first waits for the evidence; a stop of its prompt ends
+// the context.
 func (r *requestTask) stoppedAfterLoss(ctx context.Context) bool {
-	if r.isStopped(ctx) {
-		return true
-	}
-	if r.watch != nil && len(r.prompt.Shared) > 0 {
+	if r.watch != nil {
 		select {
 		case <-ctx.Done():
 		case <-r.Clock.After(evidenceDelay):
 		}
 	}
-	return false
+	return r.isStopped(ctx)
 }
 
 // reportSuspect reports a completed request, or an attempt that broke off before
--- a/entryhost/relay/forward/task.go
+++ b/entryhost/relay/forward/task.go
@@ -43,7 +43,7 @@
 	run := &requestTask{Forwarder: f, request: request, caller: caller, exclude: map[string]bool{}, avoid: map[string]bool{}, trafficPoint: rand.Float64()}
 	run.fingerprint = suspects.NewFingerprint(request.Organisation, request.Method, request.Host, request.Target, string(request.Body))
 	if request.Route.Kind == routing.Streaming {
-		run.prompt = suspects.NewPrompt(request.Service.Name, f.Codec.PromptParts(request.Header))
+		run.prompt = suspects.NewPrompt(request.Service.Name, run.fingerprint, f.Codec.PromptParts(request.Header))
 		watched, end := run.watchStops(ctx)
 		defer end()
 		ctx = watched
--- a/entryhost/relay/prompts_test.go
+++ b/entryhost/relay/prompts_test.go
@@ -102,6 +102,20 @@
 		Expect(deadlyRuns(s.engines)).To(HaveLen(crashes))
 	})
 
+	It("stop a single stream that crashes engines after its third one, and no other with the same first part", func() {
+		for _, engine := range s.engines {
+			engine.SetFaults(standin.ServerFaults{CrashOnPart: "rare"})
+		}
+		for i := range 4 {
+			requests = 100
+			Expect(send(hosts[i%len(hosts)], "aa:200,rare:10").status).NotTo(Equal(http.StatusOK))
+			time.Sleep(300 * time.Millisecond)
+		}
+		Expect(len(runsOf(s.engines, "body-101"))).To(BeNumerically("<=", 3))
+		requests = 200
+		Expect(send(hosts[0], "aa:200").status).To(Equal(http.StatusOK))
+	})
+
 	It("stop nothing when engines crash again and again under sound requests", func() {
 		for i := range 8 {
 			go func() {
--- a/entryhost/relay/suspects/messages.go
+++ b/entryhost/relay/suspects/messages.go
@@ -126,10 +126,11 @@
 type PromptDeath struct {
 	Service string
 	Server  string
-	// Request is the id of the request, for logs, and Content its fingerprint.
+	// Request is the id of the request, for logs, and Content stands for its content.
 	Request string
-	Content Fingerprint
-	// Parts are the shared parts of the prompt that the host does not trust.
+	Content Part
+	// Parts are the content and the shared parts of the prompt, as far as the host
+	// does not trust them.
 	Parts []Part
 	// Ago is the time since the death, and Ran the time for which the server had the
 	// request.
--- a/entryhost/relay/suspects/parts.go
+++ b/entryhost/relay/suspects/parts.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/hex"
 	"hash/fnv"
+	"strings"
 	"time"
 )
 
@@ -14,18 +15,24 @@
 	// hash, since ids come from callers and are kept, sent and logged.
 	maxPartIDBytes = 40
 	// maxAnswered is the number of parts in each of the two generations of
-	// answeredParts; 70 streams a second with two parts of their own each fill half
-	// of it in deathWindow on no host that is known, and it stays below 2 MB.
-	maxAnswered = 8192
+	// answeredParts. 70 streams a second have 8,400 contents and last parts in
+	// deathWindow; both generations stay below 3 MB.
+	maxAnswered = 12288
 	// trustedAfterAnswer is how long no death counts against a part that a server
 	// has answered. When servers of several data centres crash at once, requests
 	// with the same sound part die on many of them.
 	trustedAfterAnswer = 10 * time.Second
 )
 
-// Part identifies one part of a prompt at one service.
+// Part identifies one part of a prompt at one service, or the whole content of a request.
 type Part string
 
+// contentMark begins the parts that stand for the whole content of a request.
+const contentMark = "#"
+
+// isContent reports whether the part stands for the whole content of a request.
+func (p Part) isContent() bool { return strings.HasPrefix(string(p), contentMark) }
+
 // NewPart returns the part with the given id at a service.
 func NewPart(service, id string) Part {
 	if len(id) > maxPartIDBytes {
@@ -36,33 +43,52 @@
 	return Part(service + "/" + id)
 }
 
-// Prompt holds the parts of a request's prompt, each once.
+// Prompt holds the parts of a request's prompt, each once. It is zero for requests without
+// one.
 type Prompt struct {
+	// Content stands for the whole content of the request, with its last part.
+	Content Part
 	// Shared are the parts that other requests may have too: all but the last.
 	Shared []Part
-	// All holds the last part as well.
-	All []Part
+	// Last is the last part.
+	Last Part
 }
 
-// NewPrompt returns the prompt with the given ids of parts at a service. Parts beyond
-// maxPromptParts are ignored.
-func NewPrompt(service string, ids []string) Prompt {
-	var prompt Prompt
+// NewPrompt returns the prompt with the given ids of parts of a request with the
+// fingerprint at a service. Parts beyond maxPromptParts are ignored.
+func NewPrompt(service string, fingerprint Fingerprint, ids []string) Prompt {
+	if len(ids) == 0 {
+		return Prompt{}
+	}
+	content := NewFingerprint(append([]string{fingerprint.String()}, ids...)...)
+	prompt := Prompt{Content: Part(contentMark + service + "/" + content.String()), Last: NewPart(service, ids[len(ids)-1])}
 	seen := map[Part]bool{}
-	for i, id := range ids[:min(len(ids), maxPromptParts)] {
+	for _, id := range ids[:min(len(ids)-1, maxPromptParts)] {
 		part := NewPart(service, id)
-		if seen[part] {
-			continue
-		}
-		seen[part] = true
-		prompt.All = append(prompt.All, part)
-		if i < len(ids)-1 {
+		if !seen[part] {
+			seen[part] = true
 			prompt.Shared = append(prompt.Shared, part)
 		}
 	}
 	return prompt
 }
 
+// suspects returns the parts that may be the reason why servers die under the request.
+func (p Prompt) suspects() []Part {
+	if p.Content == "" {
+		return nil
+	}
+	return append([]Part{p.Content}, p.Shared...)
+}
+
+// all returns all parts.
+func (p Prompt) all() []Part {
+	if p.Content == "" {
+		return nil
+	}
+	return append(p.suspects(), p.Last)
+}
+
 // answeredParts holds when servers last began to answer requests with a part. It has
 // two generations, so that it is bounded and drops old entries without a scan: an
 // answer is known for deathWindow at least, unless more than maxAnswered parts are
@@ -112,13 +138,3 @@
 	}
 	return left
 }
-
-// contentOf returns the fingerprint that tells requests of different content apart, also
-// if they differ only in the last part of their prompt.
-func contentOf(fingerprint Fingerprint, prompt Prompt) Fingerprint {
-	texts := []string{fingerprint.String()}
-	for _, part := range prompt.All {
-		texts = append(texts, string(part))
-	}
-	return NewFingerprint(texts...)
-}
--- a/entryhost/relay/suspects/prompts.go
+++ b/entryhost/relay/suspects/prompts.go
@@ -40,7 +40,7 @@
 
 // handleCheck answers whether a request is stopped, and watches it if it is not.
 func (t *Task) handleCheck(check CheckStopped) {
-	entry, stopped := t.stopped.find(check.Prompt.Shared, t.now())
+	entry, stopped := t.stopped.find(check.Prompt.suspects(), t.now())
 	switch {
 	case t.table.isStopped(check.Fingerprint, t.now()):
 		check.Reply.Send(true)
@@ -58,18 +58,17 @@
 }
 
 // mayTry reports whether a request may run on trial. Only the first tracker of the service
-// makes trials, so that one server is lost at most.
+// makes trials, so that one server is lost at most, and only for parts, since a wrong stop of
+// one content concerns one request.
 func (t *Task) mayTry(check CheckStopped, entry stop) bool {
-	return check.Watch != nil && t.now() >= entry.trialAt && trackers(check.Service, t.Self, t.hosts)[0] == t.Self
+	return !entry.signature[0].isContent() && check.Watch != nil && t.now() >= entry.trialAt && trackers(check.Service, t.Self, t.hosts)[0] == t.Self
 }
 
-// stopWatched ends the watched requests whose prompts are stopped now. Those whose
-// fingerprint is stopped go on: a sound request may meet three servers that fail by
-// themselves, and its answer would clear it.
+// stopWatched ends the watched requests whose prompts are stopped now.
 func (t *Task) stopWatched() {
 	t.expireWatches()
 	for watch := range t.watches {
-		if _, stopped := t.stopped.find(watch.Prompt.Shared, t.now()); stopped {
+		if _, stopped := t.stopped.find(watch.Prompt.suspects(), t.now()); stopped {
 			delete(t.watches, watch)
 			t.cancelled.Inc()
 			t.Logger.Info("request is ended before a server begins to answer it, as it would crash the server", eventcode.SuspectRunEnded.Attr(), "request", watch.Request)
@@ -94,10 +93,10 @@
 // if one of them is stopped.
 func (t *Task) handleAnswerBegun(ctx context.Context, message AnswerBegun) {
 	delete(t.watches, message.Watch)
-	for _, part := range message.Prompt.All {
+	for _, part := range message.Prompt.all() {
 		t.answered.add(part, t.now(), t.now())
 	}
-	if cleared := t.clearStops(message.Prompt.All); len(cleared) > 0 {
+	if cleared := t.clearStops(message.Prompt.all()); len(cleared) > 0 {
 		t.broadcast(ctx, func(ctx context.Context, host string) error {
 			return t.Peers.SendPromptAnswered(ctx, host, PromptAnswered{Parts: cleared})
 		})
@@ -135,11 +134,12 @@
 // handlePromptDeath records the parts of the prompt of a request under which a server
 // died. It reports a death that this host saw to the trackers of the service.
 func (t *Task) handlePromptDeath(ctx context.Context, death PromptDeath) {
+	t.deaths.Inc()
 	death.Parts = t.answered.untrusted(death.Parts, t.now(), maxReportedParts)
 	// A death without suspected parts counts too: it shows a failure of many servers.
 	t.promptDeaths.add(death, t.now()-death.Ago)
 	if len(death.Parts) > 0 {
-		t.Logger.Info("server died under a request with parts of a prompt that none has answered of late", eventcode.SuspectPartsDeath.Attr(), "request", death.Request,
+		t.Logger.Info("server died under a request; none has answered these parts of its prompt of late", eventcode.SuspectPartsDeath.Attr(), "request", death.Request,
 			"server", death.Server, "parts", death.Parts, "reported", death.Told)
 	}
 	if !death.Told {
@@ -209,7 +209,7 @@
 
 // stopSignature stops a signature on all hosts.
 func (t *Task) stopSignature(ctx context.Context, suspected suspicion) {
-	t.Logger.Warn("requests with these parts of a prompt crash servers; they are stopped on all hosts", eventcode.SuspectPartsStopped.Attr(), "signature", suspected.signature,
+	t.Logger.Warn("requests with this content or these parts of a prompt crash servers; they are stopped on all hosts", eventcode.SuspectPartsStopped.Attr(), "signature", suspected.signature,
 		"servers", suspected.servers, "requests", suspected.requests, "minutes", stopDuration.Minutes())
 	t.promptStops.Inc()
 	t.stopped = t.stopped.add(suspected.signature, t.now()+stopDuration)
@@ -276,7 +276,7 @@
 	t.stopped = t.stopped.insert(stop{
 		signature: message.Signature, trialAt: t.now() + stoppedFor - stopDuration + trialAfter, stoppedUntil: t.now() + stoppedFor, forgottenAt: t.now() + min(message.ForgottenIn, 2*stopDuration),
 	})
-	t.Logger.Info("another host stopped requests with these parts of a prompt", eventcode.SuspectStopsLearned.Attr(), "signature", message.Signature, "stopped_s", stoppedFor.Seconds())
+	t.Logger.Info("another host stopped requests with this content or these parts of a prompt", eventcode.SuspectStopsLearned.Attr(), "signature", message.Signature, "stopped_s", stoppedFor.Seconds())
 	decidedAt := t.now() + stoppedFor - stopDuration
 	var sound []Part
 	for _, part := range message.Signature {
--- a/entryhost/relay/suspects/signatures.go
+++ b/entryhost/relay/suspects/signatures.go
@@ -10,7 +10,7 @@
 const (
 	// distinctRequests is the number of requests of different content that must
 	// have died with a part before it is stopped. A single request may die for a
-	// reason of its own, which its fingerprint stops.
+	// reason of its own; then only its content is stopped.
 	distinctRequests = 2
 	// incidentGap is the time within which deaths count as one if the later server
 	// had the request before the earlier one died. A zone that fails takes many
@@ -79,7 +79,7 @@
 type serverDeath struct {
 	server   string
 	at       time.Duration
-	requests map[Fingerprint]deadRequest
+	requests map[Part]deadRequest
 }
 
 // deathLog holds the recent deaths by service, oldest first.
@@ -101,7 +101,7 @@
 			return
 		}
 	}
-	deaths = append(deaths, serverDeath{server: report.Server, at: at, requests: map[Fingerprint]deadRequest{report.Content: request}})
+	deaths = append(deaths, serverDeath{server: report.Server, at: at, requests: map[Part]deadRequest{report.Content: request}})
 	// Reports of several hosts may overtake each other.
 	slices.SortStableFunc(deaths, func(a, b serverDeath) int { return cmp.Compare(a.at, b.at) })
 	l[report.Service] = deaths[max(0, len(deaths)-maxDeaths):]
@@ -141,7 +141,7 @@
 			return found
 		}
 		next := suspicion{}
-		contents := map[Fingerprint]bool{}
+		contents := map[Part]bool{}
 		var remaining []examinedDeath
 		for _, death := range unexplained {
 			if !death.holds(leading) {
@@ -160,6 +160,11 @@
 				next.signature = next.signature.without(func(part Part) bool { return !slices.Contains(request.parts, part) })
 			}
 		}
+		if leading.isContent() {
+			next.signature = Signature{leading}
+		} else {
+			next.signature = next.signature.without(Part.isContent)
+		}
 		// A part that was answered some time ago is less likely to be the cause than one
 		// of which no answer is known, and requests with other parts may hold the cause.
 		unknown := next.signature.without(func(part Part) bool { _, found := answered.last(part); return found })
@@ -195,7 +200,7 @@
 		if now-death.at >= deathWindow {
 			continue
 		}
-		kept := examinedDeath{serverDeath: serverDeath{server: death.server, at: death.at, requests: map[Fingerprint]deadRequest{}}, began: map[Part]time.Duration{}}
+		kept := examinedDeath{serverDeath: serverDeath{server: death.server, at: death.at, requests: map[Part]deadRequest{}}, began: map[Part]time.Duration{}}
 		for content, request := range death.requests {
 			request.parts = slices.DeleteFunc(slices.Clone(request.parts), func(part Part) bool {
 				at, found := answered.last(part)
@@ -236,7 +241,7 @@
 	// lastIncident is the time of the last one.
 	lastIncident time.Duration
 	deaths       int
-	contents     map[Fingerprint]bool
+	contents     map[Part]bool
 }
 
 // add counts a death under requests with the part, the last of which began at a time.
@@ -258,7 +263,7 @@
 				continue
 			}
 			if evidence[part] == nil {
-				evidence[part] = &partEvidence{contents: map[Fingerprint]bool{}}
+				evidence[part] = &partEvidence{contents: map[Part]bool{}}
 			}
 			evidence[part].add(death.serverDeath, began)
 			for content, request := range death.requests {
@@ -277,7 +282,7 @@
 	var leading Part
 	var most *partEvidence
 	for part, entry := range evidenceByPart(unexplained, all) {
-		if entry.incidents < deathsToStop || len(entry.contents) < distinctRequests {
+		if entry.incidents < deathsToStop || len(entry.contents) < distinctRequests && !part.isContent() {
 			continue
 		}
 		if most == nil || entry.outweighs(most) || !most.outweighs(entry) && part < leading {
--- a/entryhost/relay/suspects/signatures_test.go
+++ b/entryhost/relay/suspects/signatures_test.go
@@ -13,12 +13,15 @@
 const engines = "engines"
 
 // prompt returns a prompt with the shared parts and a last one of its own.
-func prompt(own string, shared ...string) Prompt { return NewPrompt(engines, append(shared, own)) }
+func prompt(own string, shared ...string) Prompt {
+	return NewPrompt(engines, NewFingerprint(own), append(shared, own))
+}
 
 // deathUnder is a report that a server died under a request of its own content after it
 // had it for a time.
 func deathUnder(server, own string, ran time.Duration, shared ...string) PromptDeath {
-	return PromptDeath{Service: engines, Server: server, Content: NewFingerprint(own), Parts: prompt(own, shared...).Shared, Ran: ran}
+	dead := prompt(own, shared...)
+	return PromptDeath{Service: engines, Server: server, Content: dead.Content, Parts: dead.suspects(), Ran: ran}
 }
 
 func signature(ids ...string) Signature {
@@ -63,11 +66,24 @@
 		Expect(suspected(3*time.Second+deathWindow)).To(BeEmpty(), "deaths count for a limited time")
 	})
 
-	It("are none for a single request that crashes servers, which may do so for another reason than a part", func() {
+	It("hold the content of a single request that crashes servers and none of its parts, which need not be the reason", func() {
 		for i := range 5 {
 			log.add(deathUnder(fmt.Sprint("s", i), "own", ran, "sound"), time.Duration(i)*2*time.Second)
+			if i < 2 {
+				Expect(suspected(4 * time.Second)).To(BeEmpty())
+			}
 		}
-		Expect(suspected(10 * time.Second)).To(BeEmpty())
+		Expect(suspected(10 * time.Second)).To(Equal([]Signature{{prompt("own", "sound").Content}}))
+	})
+
+	It("do not hold the content of a request that three failures of many servers met", func() {
+		for round := range 3 {
+			for i := range 5 {
+				at := time.Duration(round+1) * 5 * time.Second
+				log.add(deathUnder(fmt.Sprint(round, i), fmt.Sprint("own", i), ran), at)
+			}
+		}
+		Expect(suspected(15 * time.Second)).To(BeEmpty())
 	})
 
 	It("are none when a zone fails and many servers die at once under requests with a part", func() {
@@ -194,12 +210,12 @@
 		for i := range 10 * maxPromptParts {
 			ids = append(ids, strings.Repeat("x", 1000)+fmt.Sprint(i))
 		}
-		long := NewPrompt(engines, ids)
-		Expect(long.All).To(HaveLen(maxPromptParts))
-		Expect(len(long.All[0])).To(BeNumerically("<", 2*maxPartIDBytes))
+		long := NewPrompt(engines, NewFingerprint("long"), ids)
+		Expect(long.Shared).To(HaveLen(maxPromptParts))
+		Expect(len(long.Shared[0])).To(BeNumerically("<", 2*maxPartIDBytes))
 		for i := range 10 * maxDeaths {
 			for content := range 2 * maxRequestsPerDeath {
-				report := PromptDeath{Service: engines, Server: fmt.Sprint(i), Content: NewFingerprint(fmt.Sprint(content)), Parts: long.Shared}
+				report := PromptDeath{Service: engines, Server: fmt.Sprint(i), Content: prompt(fmt.Sprint(content)).Content, Parts: long.suspects()}
 				log.add(report, time.Duration(i)*sameDeath)
 			}
 		}
@@ -223,11 +239,16 @@
 
 var _ = Describe("the parts of a prompt", func() {
 	It("share all but the last one, which belongs to the request", func() {
-		got := NewPrompt(engines, []string{"a", "b", "a", "c"})
+		got := prompt("c", "a", "b", "a")
 		Expect(got.Shared).To(Equal([]Part(signature("a", "b"))))
-		Expect(got.All).To(Equal([]Part(signature("a", "b", "c"))))
-		Expect(NewPrompt(engines, []string{"a"}).Shared).To(BeEmpty())
-		Expect(NewPrompt(engines, nil).All).To(BeEmpty())
+		Expect(got.Last).To(Equal(NewPart(engines, "c")))
+		Expect(prompt("a").Shared).To(BeEmpty())
+		Expect(NewPrompt(engines, NewFingerprint("x"), nil)).To(BeZero(), "a request without a prompt is known by its fingerprint")
+	})
+
+	It("do not tell requests of different content apart, but their contents do", func() {
+		Expect(prompt("c", "a").Content).NotTo(Equal(prompt("d", "a").Content))
+		Expect(NewPrompt(engines, NewFingerprint("x"), []string{"a"}).Content).NotTo(Equal(NewPrompt(engines, NewFingerprint("y"), []string{"a"}).Content))
 	})
 
 	It("are other ones at another service, whose servers may bear them", func() {
--- a/entryhost/relay/suspects/suspects_test.go
+++ b/entryhost/relay/suspects/suspects_test.go
@@ -363,7 +363,7 @@
 	It("is stopped again by one death after the stop has ended", func() {
 		clock.Advance(stopDuration)
 		Expect(check()).To(BeFalse())
-		host.handle(context.Background(), PromptDeath{Service: engines, Server: "s", Parts: holding.Shared})
+		host.handle(context.Background(), PromptDeath{Service: engines, Server: "s", Content: holding.Content, Parts: holding.suspects()})
 		Expect(check()).To(BeTrue())
 	})
 })
--- a/entryhost/relay/suspects/task.go
+++ b/entryhost/relay/suspects/task.go
@@ -178,13 +178,14 @@
 	if !t.RefusesConnections(ctx, attempt.Address) {
 		return
 	}
-	_ = t.mailbox.Send(ctx, Death{Fingerprint: attempt.Fingerprint, Request: attempt.Request, Server: attempt.Server})
-	if len(attempt.Prompt.All) > 0 {
-		_ = t.mailbox.Send(ctx, PromptDeath{
-			Service: attempt.Service, Server: attempt.Server, Request: attempt.Request, Content: contentOf(attempt.Fingerprint, attempt.Prompt), Parts: attempt.Prompt.Shared,
-			Ago: t.Clock.Since(brokeAt), Ran: attempt.Ran,
-		})
+	if attempt.Prompt.Content == "" {
+		_ = t.mailbox.Send(ctx, Death{Fingerprint: attempt.Fingerprint, Request: attempt.Request, Server: attempt.Server})
+		return
 	}
+	_ = t.mailbox.Send(ctx, PromptDeath{
+		Service: attempt.Service, Server: attempt.Server, Request: attempt.Request, Content: attempt.Prompt.Content, Parts: attempt.Prompt.suspects(),
+		Ago: t.Clock.Since(brokeAt), Ran: attempt.Ran,
+	})
 }
 
 // handleDeath counts a death. It reports a death that this host saw to the
