Bound the trials of stopped parts and describe how they are found

A host that learned a stop at its start could make a trial at once, if it was the first tracker of the service, after the trial of the tracker before it: with hosts that are restarted in turn each restart could cost an engine.

--- a/entryhost/relay/forward/suspects.go
+++ b/entryhost/relay/forward/suspects.go
@@ -25,8 +25,8 @@
 	return ctx, func() { cancel(nil) }
 }
 
-// isStopped reports whether requests with this fingerprint or with parts of this prompt
-// are stopped because servers died under them. If the suspects task does not answer, the
+// isStopped reports whether requests of this content or with parts of this prompt are
+// stopped because servers died under them. If the suspects task does not answer, the
 // request runs.
 func (r *requestTask) isStopped(ctx context.Context) bool {
 	stopped, err := task.Call(ctx, r.Suspects, func(reply task.Reply[bool]) suspects.Message {
@@ -40,7 +40,8 @@
 
 // evidenceDelay is the time between the loss of a stream's server and the next attempt. It
 // covers the check of whether the server died, 30 ms, and the messages between hosts about
-// it, so that a request that crashes servers is stopped before it reaches another one. A prompt takes about a second to read.
+// it, so that a request that crashes servers is stopped before it reaches another one. A
+// prompt takes about a second to read.
 const evidenceDelay = 60 * time.Millisecond
 
 // stoppedAfterLoss reports whether the request is stopped after a server broke off. If no
@@ -58,7 +59,8 @@
 
 // reportSuspect reports a completed request, or an attempt that broke off before
 // its first event or complete response. Such an attempt may have crashed the
-// server, since content that crashes servers does so when they start to run it.
+// server, since content that crashes servers does so when they start to run it, or a
+// stream when they begin to answer it.
 func (r *requestTask) reportSuspect(running *runningAttempt, outcome dispatch.Outcome) {
 	var message suspects.Message
 	ran := r.Clock.Since(running.started)
--- a/entryhost/relay/suspects/prompts.go
+++ b/entryhost/relay/suspects/prompts.go
@@ -13,9 +13,9 @@
 )
 
 const (
-	// maxWatches limits the requests that are informed of a stop; a host has about
-	// 400 streams that wait for their first event when all engines are busy. Further
-	// ones are checked only when they begin and before each further attempt.
+	// maxWatches limits the requests that are informed of a stop. 70 streams a second
+	// are 700 within expireInterval, after which those that ended are forgotten.
+	// Further ones are checked only when they begin and before each further attempt.
 	maxWatches = 4096
 	// maxLearnHosts is the number of hosts that have learned the stops of others
 	// which are asked for them in one round, and maxLearnCalls the number of all
@@ -131,8 +131,8 @@
 	t.clearStops(message.Parts)
 }
 
-// handlePromptDeath records the parts of the prompt of a request under which a server
-// died. It reports a death that this host saw to the trackers of the service.
+// handlePromptDeath records the content and the parts of the prompt of a request under
+// which a server died. It reports a death that this host saw to the trackers of the service.
 func (t *Task) handlePromptDeath(ctx context.Context, death PromptDeath) {
 	t.deaths.Inc()
 	death.Parts = t.answered.untrusted(death.Parts, t.now(), maxReportedParts)
@@ -274,7 +274,8 @@
 	}
 	stoppedFor := min(message.StoppedFor, stopDuration)
 	t.stopped = t.stopped.insert(stop{
-		signature: message.Signature, trialAt: t.now() + stoppedFor - stopDuration + trialAfter, stoppedUntil: t.now() + stoppedFor, forgottenAt: t.now() + min(message.ForgottenIn, 2*stopDuration),
+		signature: message.Signature, trialAt: t.now() + trialAfter,
+		stoppedUntil: t.now() + stoppedFor, forgottenAt: t.now() + min(message.ForgottenIn, 2*stopDuration),
 	})
 	t.Logger.Info("another host stopped requests with this content or these parts of a prompt", eventcode.SuspectStopsLearned.Attr(), "signature", message.Signature, "stopped_s", stoppedFor.Seconds())
 	decidedAt := t.now() + stoppedFor - stopDuration
--- a/entryhost/relay/suspects/signatures.go
+++ b/entryhost/relay/suspects/signatures.go
@@ -28,7 +28,7 @@
 	sameDeath = time.Second
 	// maxServices, maxDeaths, maxRequestsPerDeath and maxReportedParts limit what is
 	// kept of deaths, at most 800 KB for each service. Of more deaths the newest
-	// count.
+	// count, and of more parts that are not trusted the first of the prompt.
 	maxServices         = 32
 	maxDeaths           = 48
 	maxRequestsPerDeath = 16
