--- a/entryhost/relay/forward/stream.go
+++ b/entryhost/relay/forward/stream.go
@@ -35,25 +35,26 @@
 	}
 	s := &streamState{events: events, promptHolder: r.locate(ctx), copies: newCopies()}
 	for {
-		assignment, attempt, err := r.acquireAttempt(ctx, s)
+		next, err := r.nextAttempt(func() (plannedAttempt, error) { return r.acquireAttempt(ctx, s, time.Time{}) })
 		if err != nil {
 			r.handleStreamContextEnd(ctx, s)
 			return
 		}
+		assignment := next.assignment
 		if assignment.Server == nil {
 			if s.headSent {
-				r.summary.Broken = true
-				r.summary.Fault = model.NotRun(model.KindUnavailable, model.ReasonBackendFailed, string(assignment.Refusal), "")
+				r.cutStream(model.KindUnavailable, model.ReasonBackendFailed, "the engine was lost and no other was assigned: "+string(assignment.Refusal))
 				return
 			}
 			r.answerNoServer(assignment)
 			return
 		}
-		running := r.start(ctx, assignment, attempt)
+		running := r.start(ctx, assignment, next.attempt)
 		got, outcome, cause := r.forwardEvents(ctx, running, s)
 		if outcome == dispatch.OutcomeSuccess {
 			r.finish(running, got, outcome, nil, running.firstEvent)
 			r.dropCopy(s)
+			r.endStream(s, got.head)
 			return
 		}
 		if ctx.Err() != nil {
@@ -70,11 +71,12 @@
 }
 
 // acquireAttempt gets a server for the next attempt: the holder of a copy of the
-// run's cache if one is usable, else the best server.
-func (r *requestTask) acquireAttempt(ctx context.Context, s *streamState) (dispatch.Assignment, *exchange.Attempt, error) {
+// run's cache if one is usable, else the best server. It waits until waitUntil for a
+// server, or as long as the route allows if that is zero.
+func (r *requestTask) acquireAttempt(ctx context.Context, s *streamState, waitUntil time.Time) (plannedAttempt, error) {
 	acquire := dispatch.Acquire{
 		Backup:   r.request.Service.Engine != nil && r.request.Service.Engine.CacheBackup && r.request.Route.Resumable,
-		CopyLost: s.copies.lost,
+		CopyLost: s.copies.lost, WaitUntil: waitUntil,
 	}
 	attempt := &exchange.Attempt{LastEventID: s.events.lastEventID()}
 	for held := s.copies.takeResumable(); held.Holder != nil; held = s.copies.takeResumable() {
@@ -82,13 +84,28 @@
 		assignment, err := r.acquire(ctx, acquire)
 		if err != nil || assignment.Server != nil {
 			attempt.CacheCopy = held.Copy
-			return r.prepare(assignment, attempt, s), attempt, err
+			return plannedAttempt{assignment: r.prepare(assignment, attempt, s), attempt: attempt}, err
 		}
 		acquire.OnlyPreferred = false
 	}
 	acquire.Prefer, s.promptHolder = s.promptHolder, ""
 	assignment, err := r.acquire(ctx, acquire)
-	return r.prepare(assignment, attempt, s), attempt, err
+	return plannedAttempt{assignment: r.prepare(assignment, attempt, s), attempt: attempt}, err
+}
+
+// reserveStream reserves the attempt that replaces a silent one, as reserve does. The
+// copies of the silent attempt's cache serve the new one.
+func (r *requestTask) reserveStream(ctx context.Context, running *runningAttempt, s *streamState) bool {
+	if afterStream(r.request.Route, dispatch.OutcomeSilent, r.counts.add(dispatch.OutcomeSilent), s.headSent) != retry {
+		return false
+	}
+	before := s.copies
+	s.copies.attemptEnded(running.note.Events > 0)
+	if r.reserve(running, func() (plannedAttempt, error) { return r.acquireAttempt(ctx, s, r.Clock.Now()) }) {
+		return true
+	}
+	s.copies = before
+	return false
 }
 
 // locate returns the id of an engine whose cache holds the prompt of a stream
@@ -139,6 +156,10 @@
 // another one. If not, the caller has received its final answer.
 func (r *requestTask) decideNext(ctx context.Context, running *runningAttempt, s *streamState, got *response, outcome dispatch.Outcome, cause error) bool {
 	s.events.discardPartial()
+	if r.reserved != nil {
+		r.logRetry(running, outcome, cause, s.events.lastEventID())
+		return true
+	}
 	if running.attempt.CacheCopy.Name != "" && outcome == dispatch.OutcomeRejected {
 		// The copy is gone, which is no evidence about the server.
 		r.counts.rejections--
@@ -159,11 +180,7 @@
 	case refuseAsNotRun:
 		r.refuseNotRun(model.ReasonBackendFailed, "all engines that were tried stated that they did not run the request", "wait and send the request again")
 	case failAsStopped:
-		if s.headSent {
-			r.failStream(s)
-		} else {
-			r.refuseStopped(true)
-		}
+		r.failStopped(s)
 	case failAsUnknown:
 		r.failStream(s)
 	}
@@ -174,17 +191,29 @@
 // stream is cut off so that it does not look complete.
 func (r *requestTask) failStream(s *streamState) {
 	if s.headSent {
-		r.summary.Broken = true
+		r.cutStream(model.KindUnavailable, model.ReasonBackendFailed, "the engines failed and no attempt is left")
 		return
 	}
 	r.failMayHaveRun(model.KindUnavailable, model.ReasonBackendFailed, "the engines failed and no attempt is left", "send the request again")
 }
 
+// cutStream ends a stream whose head was sent. The fault only explains it in the log:
+// the caller sees its connection close.
+func (r *requestTask) cutStream(kind model.Kind, reason model.Reason, message string) {
+	r.summary.Broken = true
+	r.summary.Fault = &model.Fault{Kind: kind, Reason: reason, Executed: model.ExecutedUnknown, Message: message}
+}
+
 func (r *requestTask) handleStreamContextEnd(ctx context.Context, s *streamState) {
-	if s.headSent {
-		r.summary.Broken = true
-		cause := context.Cause(ctx)
-		r.summary.CallerLeft = cause != errDeadline && cause != errStopped
+	switch {
+	case s.headSent && context.Cause(ctx) == errStopped:
+		r.failStopped(s)
+		return
+	case s.headSent && context.Cause(ctx) != errDeadline:
+		r.summary.Broken, r.summary.CallerLeft = true, true
+		return
+	case s.headSent:
+		r.cutStream(model.KindDeadline, model.ReasonDeadlinePassed, "the stream was not complete before the deadline")
 		return
 	}
 	r.answerContextEnd(ctx, r.counts.runs > 0 || len(r.summary.Attempts) > 0)
@@ -223,7 +252,7 @@
 				monitor.resetTimer(0)
 				continue
 			}
-			if err := monitor.handleTimeout(ctx); err != nil {
+			if err := monitor.handleTimeout(ctx); err != nil && monitor.giveUp(ctx, err) {
 				return nil, dispatch.OutcomeSilent, err
 			}
 		case result := <-monitor.checkResults:
@@ -231,7 +260,7 @@
 				monitor.resetTimer(0)
 				continue
 			}
-			if err := monitor.handleCheckResult(result); err != nil {
+			if err := monitor.handleCheckResult(result); err != nil && monitor.giveUp(ctx, err) {
 				return nil, dispatch.OutcomeSilent, err
 			}
 		}
@@ -259,7 +288,7 @@
 	}
 	events, progress, broken := s.events.add(event.Data)
 	for _, data := range events {
-		if err := r.sendEvent(running, s, (*got).head, data); err != nil {
+		if err := r.sendEvent(s, (*got).head, data); err != nil {
 			r.summary.CallerLeft = true
 			return dispatch.OutcomeNone, true, err
 		}
@@ -287,18 +316,32 @@
 
 // sendEvent sends one event to the caller, preceded by the head if it was not
 // sent yet.
-func (r *requestTask) sendEvent(running *runningAttempt, s *streamState, head *exchange.ResponseHead, data []byte) error {
-	if !s.headSent {
-		s.headSent = true
-		r.summary.Status = head.Status
-		r.summary.FirstEvent = r.Clock.Since(r.request.Arrived)
-		if err := r.caller.Begin(head.Status, head.Header); err != nil {
-			return err
-		}
+func (r *requestTask) sendEvent(s *streamState, head *exchange.ResponseHead, data []byte) error {
+	if err := r.sendHead(s, head); err != nil {
+		return err
 	}
 	return r.caller.Event(data)
 }
 
+// sendHead sends the head of the stream to the caller if it was not sent yet.
+func (r *requestTask) sendHead(s *streamState, head *exchange.ResponseHead) error {
+	if s.headSent {
+		return nil
+	}
+	s.headSent = true
+	r.summary.Status = head.Status
+	r.summary.FirstEvent = r.Clock.Since(r.request.Arrived)
+	return r.caller.Begin(head.Status, head.Header)
+}
+
+// endStream completes a stream. One without events, such as a stream that is resumed
+// after its last event, is answered by its head alone.
+func (r *requestTask) endStream(s *streamState, head *exchange.ResponseHead) {
+	if err := r.sendHead(s, head); err != nil {
+		r.summary.CallerLeft = true
+	}
+}
+
 // recordProgress records that a number of new events of an attempt were sent to the
 // caller.
 func (r *requestTask) recordProgress(running *runningAttempt, s *streamState, events int) {
--- a/entryhost/relay/forward/suspects.go
+++ b/entryhost/relay/forward/suspects.go
@@ -91,6 +91,15 @@
 	}
 }
 
+// failStopped ends a stream that is stopped after an attempt reached a server.
+func (r *requestTask) failStopped(s *streamState) {
+	if s.headSent {
+		r.cutStream(model.KindUnavailable, model.ReasonSuspectRequest, errStopped.Error())
+		return
+	}
+	r.refuseStopped(true)
+}
+
 // refuseStopped answers a request that is stopped. mayHaveRun is set if an attempt
 // reached a server.
 func (r *requestTask) refuseStopped(mayHaveRun bool) {
--- a/entryhost/relay/forward/task.go
+++ b/entryhost/relay/forward/task.go
@@ -6,6 +6,7 @@
 	"log/slog"
 	"maps"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -14,6 +15,7 @@
 	"github.com/lentilpoint/lentilpoint/entryhost/relay/dispatch"
 	"github.com/lentilpoint/lentilpoint/entryhost/relay/exchange"
 	"github.com/lentilpoint/lentilpoint/entryhost/relay/routing"
+	"github.com/lentilpoint/lentilpoint/entryhost/relay/series"
 	"github.com/lentilpoint/lentilpoint/entryhost/relay/suspects"
 	"github.com/lentilpoint/lentilpoint/eventcode"
 	"github.com/lentilpoint/lentilpoint/model"
@@ -56,6 +58,9 @@
 	default:
 		run.servePlain(ctx)
 	}
+	if run.reserved != nil {
+		run.returnServer(run.reserved.assignment)
+	}
 	return run.summary
 }
 
@@ -84,6 +89,9 @@
 	// trafficPoint is uniform in [0, 1) and selects the version during a version
 	// move.
 	trafficPoint float64
+	// reserved is the next attempt, which replaces one that is being given up, or
+	// nil.
+	reserved *plannedAttempt
 }
 
 // runningAttempt is an attempt in progress.
@@ -105,6 +113,7 @@
 	attempt.RequestID = r.request.ID
 	attempt.Instance = assignment.Server.ID
 	attempt.Organisation = r.request.Organisation
+	attempt.SentBefore = r.sentBefore(assignment.Server.ID)
 	attempt.Remaining = r.request.Deadline.Sub(now)
 	attempt.Method, attempt.Target, attempt.Host = r.request.Method, r.request.Target, r.request.Host
 	attempt.Header, attempt.Body = r.request.Header, r.request.Body
@@ -124,6 +133,11 @@
 	return running
 }
 
+// sentBefore reports whether an earlier attempt may have been sent to the server.
+func (r *requestTask) sentBefore(server string) bool {
+	return slices.ContainsFunc(r.summary.Attempts, func(note AttemptNote) bool { return note.Server == server })
+}
+
 // finish ends the attempt and releases its server with the outcome.
 func (r *requestTask) finish(running *runningAttempt, got *response, outcome dispatch.Outcome, cause error, latency time.Duration) {
 	running.cancel()
@@ -132,12 +146,14 @@
 	if cause != nil {
 		running.note.Cause = cause.Error()
 	}
-	r.summary.Attempts = append(r.summary.Attempts, running.note)
-	if outcome != dispatch.OutcomeNone {
-		r.counts = r.counts.add(outcome)
+	if errors.Is(cause, exchange.ErrUnrelated) {
+		r.Metrics.GetOrCreateCounter(series.Name("lentilpoint_relay_unrelated_responses_total", "service", r.request.Service.Name)).Inc()
+		r.Logger.Warn("response cannot be related to its attempt; its connection is closed and the request may have run", eventcode.ResponseUnrelated.Attr(),
+			"request", r.request.ID, "server", running.note.Server, "reused", running.note.Reused, "error", cause)
 	}
-	if outcome == dispatch.OutcomeSilent {
-		r.avoid[running.note.DataCentre] = true
+	r.summary.Attempts = append(r.summary.Attempts, running.note)
+	if outcome != dispatch.OutcomeNone && r.reserved == nil {
+		r.count(running, outcome)
 	}
 	r.reportSuspect(running, outcome)
 	// The dispatcher always drains its mailbox; blocking here keeps its counts
@@ -153,6 +169,14 @@
 	}
 }
 
+// count adds an attempt to the counts that decide what may follow it.
+func (r *requestTask) count(running *runningAttempt, outcome dispatch.Outcome) {
+	r.counts = r.counts.add(outcome)
+	if outcome == dispatch.OutcomeSilent {
+		r.avoid[running.note.DataCentre] = true
+	}
+}
+
 // releaseTimeout bounds the wait for room in the dispatcher's mailbox.
 const releaseTimeout = 2 * time.Second
 
@@ -164,7 +188,9 @@
 	acquire.Exclude, acquire.Avoid = maps.Clone(r.exclude), maps.Clone(r.avoid)
 	acquire.Retry = r.counts.sent()
 	acquire.Point = r.trafficPoint
-	acquire.WaitUntil = r.Clock.Now().Add(r.maxServerWait())
+	if acquire.WaitUntil.IsZero() {
+		acquire.WaitUntil = r.Clock.Now().Add(r.maxServerWait())
+	}
 	reply := make(chan dispatch.Assignment, 1)
 	acquire.Reply = reply
 	if err := r.Dispatcher.Send(ctx, acquire); err != nil {
@@ -191,16 +217,21 @@
 		if assignment.Server == nil {
 			return
 		}
-		assignment.Connection.Close()
-		ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
-		defer cancel()
-		if err := r.Dispatcher.Send(ctx, dispatch.Release{Lease: assignment.Lease, Outcome: dispatch.OutcomeNone}); err != nil {
-			r.Logger.Error("unused server not returned to the dispatcher", eventcode.OutcomeNotDelivered.Attr(), "request", r.request.ID, "server", assignment.Server.ID, "error", err)
-		}
+		r.returnServer(assignment)
 	case <-r.Clock.After(unusedTimeout):
 	}
 }
 
+// returnServer returns an assigned server that the request does not use.
+func (r *requestTask) returnServer(assignment dispatch.Assignment) {
+	assignment.Connection.Close()
+	ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
+	defer cancel()
+	if err := r.Dispatcher.Send(ctx, dispatch.Release{Lease: assignment.Lease, Outcome: dispatch.OutcomeNone}); err != nil {
+		r.Logger.Error("unused server not returned to the dispatcher", eventcode.OutcomeNotDelivered.Attr(), "request", r.request.ID, "server", assignment.Server.ID, "error", err)
+	}
+}
+
 // maxServerWait returns how long the request may wait for a server.
 func (r *requestTask) maxServerWait() time.Duration {
 	return time.Duration(serverWaitShare * float64(r.request.Route.LatencyObjective))
@@ -208,7 +239,7 @@
 
 // logRetry logs and counts that the request goes to another server.
 func (r *requestTask) logRetry(running *runningAttempt, outcome dispatch.Outcome, cause error, lastEvent string) {
-	r.Metrics.GetOrCreateCounter(`lentilpoint_relay_retries_total{service="` + r.request.Service.Name + `",reason="` + outcome.String() + `"}`).Inc()
+	r.Metrics.GetOrCreateCounter(series.Name("lentilpoint_relay_retries_total", "service", r.request.Service.Name, "reason", outcome.String())).Inc()
 	r.Logger.Info("request is retried on another server", eventcode.RequestRerouted.Attr(), "request", r.request.ID, "route", r.request.Route.Name,
 		"server", running.note.Server, "data_centre", running.note.DataCentre, "outcome", outcome.String(), "cause", cause, "runs", r.counts.runs,
 		"rejections", r.counts.rejections, "unsent", r.counts.unsent, "last_event", lastEvent,
@@ -233,7 +264,7 @@
 
 func (r *requestTask) sendFault(fault *model.Fault) {
 	r.summary.Fault = fault
-	r.Metrics.GetOrCreateCounter(`lentilpoint_relay_refusals_total{reason="` + string(fault.Reason) + `"}`).Inc()
+	r.Metrics.GetOrCreateCounter(series.Name("lentilpoint_relay_refusals_total", "reason", string(fault.Reason))).Inc()
 	if err := r.caller.Refuse(fault); err != nil {
 		r.summary.CallerLeft = true
 	}
--- a/entryhost/relay/relay_test.go
+++ b/entryhost/relay/relay_test.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"net"
 	"net/http"
 	"strings"
 	"testing"
@@ -110,6 +111,7 @@
 	ctx, stop := context.WithCancel(s.ctx)
 	done := make(chan error, 1)
 	ended, set := make(chan struct{}), metrics.NewSet()
+	logger := slog.New(slog.NewTextHandler(io.Discard, nil))
 	go func() {
 		defer close(ended)
 		err := relay.Run(ctx, settings, relay.Environment{
@@ -117,8 +119,8 @@
 				Read:    func() (relay.Settings, error) { return settings, nil },
 				ModTime: func() (time.Time, error) { return time.Time{}, nil },
 			},
-			Adapter: platform.NewAdapter(settings, set), Clock: clockwork.NewRealClock(), Metrics: set,
-			Logger: slog.New(slog.NewTextHandler(io.Discard, nil)),
+			Adapter: platform.NewAdapter(settings, set, logger), Clock: clockwork.NewRealClock(), Metrics: set,
+			Logger: logger,
 		})
 		if err != nil {
 			GinkgoWriter.Println("relay failed:", err)
@@ -348,6 +350,16 @@
 		Expect(eventData(c.send("POST", "/advice/1", "unheld").body)).To(Equal(wholeStream("unheld")[3:]))
 	})
 
+	It("answers a stream that is resumed after its last event with an empty stream, not with 404", func() {
+		c := s.caller()
+		c.header.Set(platform.HeaderLastEvent, fmt.Sprint(streamEvents))
+		got := c.send("POST", "/advice/1", "ended")
+		Expect(got.err).NotTo(HaveOccurred())
+		Expect(got.status).To(Equal(http.StatusOK))
+		Expect(got.header.Get(platform.HeaderSeal)).NotTo(BeEmpty())
+		Expect(got.body).To(BeEmpty())
+	})
+
 	It("resumes on another engine when a stream stalls although its engine is alive", func() {
 		s.engines[0].SetFaults(standin.ServerFaults{HangAfter: 5})
 		s.engines[1].SetFaults(standin.ServerFaults{HangAfter: 5})
@@ -464,6 +476,11 @@
 		Eventually(func() int { return s.caller().send("GET", "/new/1", "").status }, 2*time.Second).Should(Equal(http.StatusOK))
 	})
 
+	It("serves a route without a time limit to a caller that states none", func() {
+		s.configure(2, map[string]any{"name": "patient", "host": "site.example", "prefix": "/patient/", "route_type": "idempotent", "target_latency_ms": 500, "service": "shop", "max_attempts": 2})
+		Eventually(func() int { return s.caller().send("GET", "/patient/1", "").status }, 2*time.Second).Should(Equal(http.StatusOK))
+	})
+
 	It("recovers when the store drops the history of its feed and a connection becomes unresponsive", func() {
 		s.store.DropHistory()
 		s.store.Silence()
@@ -514,6 +531,25 @@
 		Eventually(s.done, 6*time.Second).Should(Receive(BeNil()))
 	})
 
+	It("answers a request whose first bytes were read before the drain ended", func() {
+		conn, err := net.Dial("tcp", s.relay.FrontAddress)
+		Expect(err).NotTo(HaveOccurred())
+		defer func() { _ = conn.Close() }()
+		_, err = io.WriteString(conn, "POST /order/1 HTTP/1.1\r\nHost: site.example\r\n")
+		Expect(err).NotTo(HaveOccurred())
+		s.stop()
+		// The drain ends after DeregistrationDelay if no request is open.
+		time.Sleep(s.relay.DeregistrationDelay + 200*time.Millisecond)
+		_, err = io.WriteString(conn, platform.HeaderKey+": "+key+"\r\n"+platform.HeaderRequestID+": late\r\nContent-Length: 4\r\n\r\nlate")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(conn.SetReadDeadline(time.Now().Add(5 * time.Second))).To(Succeed())
+		response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		Expect(err).NotTo(HaveOccurred())
+		defer func() { _ = response.Body.Close() }()
+		Expect(response.StatusCode).To(Equal(http.StatusOK))
+		Eventually(s.done, 6*time.Second).Should(Receive(BeNil()))
+	})
+
 	It("cancels the run on the server when the caller disconnects", func() {
 		ctx, cancel := context.WithCancel(context.Background())
 		request, err := http.NewRequestWithContext(ctx, "POST", "http://"+s.relay.FrontAddress+"/advice/1", strings.NewReader("twelve"))
