--- a/entryhost/relay/forward/silence_test.go
+++ b/entryhost/relay/forward/silence_test.go
@@ -39,6 +39,8 @@
 // numberedEvents reads the id from events of the form "id: N".
 type numberedEvents struct{}
 
+func (numberedEvents) PromptParts(http.Header) []string { return nil }
+
 func (numberedEvents) EventID(event []byte) int64 {
 	id, _ := strconv.ParseInt(strings.TrimSpace(strings.TrimPrefix(string(event), "id:")), 10, 64)
 	return id
--- a/entryhost/relay/forward/stream.go
+++ b/entryhost/relay/forward/stream.go
@@ -170,8 +170,8 @@
 	}
 	s.copies.attemptEnded(running.note.Events > 0)
 	next := afterStream(r.request.Route, outcome, r.counts, s.headSent)
-	if next == retry && outcome == dispatch.OutcomeBroken && r.isStopped(ctx) {
-		next = failAsUnknown
+	if next == retry && outcome == dispatch.OutcomeBroken && r.stoppedAfterLoss(ctx) {
+		next = failAsStopped
 	}
 	switch next {
 	case retry:
@@ -181,6 +181,8 @@
 		r.deliver(got)
 	case refuseAsNotRun:
 		r.refuseNotRun(model.ReasonBackendFailed, "all engines that were tried stated that they did not run the request", "wait and send the request again")
+	case failAsStopped:
+		r.failStopped(s)
 	case failAsUnknown:
 		r.failStream(s)
 	}
@@ -206,6 +208,9 @@
 
 func (r *requestTask) handleStreamContextEnd(ctx context.Context, s *streamState) {
 	switch {
+	case s.headSent && context.Cause(ctx) == errStopped:
+		r.failStopped(s)
+		return
 	case s.headSent && context.Cause(ctx) != errDeadline:
 		r.summary.Broken, r.summary.CallerLeft = true, true
 		return
@@ -350,6 +355,7 @@
 		s.longestGap = max(s.longestGap, now.Sub(s.lastEvent))
 	} else {
 		running.firstEvent = now.Sub(running.started)
+		r.reportAnswerBegun()
 		// If the mailbox is full, the dispatcher's load figures are only less
 		// exact.
 		if r.Dispatcher.TrySend(dispatch.FirstEventSent{Lease: running.assignment.Lease}) != nil {
--- a/eventcode/relay.go
+++ b/eventcode/relay.go
@@ -2,43 +2,47 @@
 
 // Events of the relay, which forwards requests by route, 2100 to 2199.
 const (
-	RelayStarted         Code = 2101
-	RelayDrains          Code = 2102
-	RelayStopped         Code = 2103
-	SettingsReloaded     Code = 2104
-	SettingsRejected     Code = 2105
-	StoreLost            Code = 2110
-	StoreRecovered       Code = 2111
-	StoreHistoryGone     Code = 2112
-	PeerCopyApplied      Code = 2113
-	PeerCopyFailed       Code = 2114
-	RosterNotRead        Code = 2115
-	StoreReaderUnusable  Code = 2116
-	RelayConfigInForce   Code = 2120
-	ConfigRejected       Code = 2121
-	MoveRejected         Code = 2122
-	RegistrationRejected Code = 2123
-	ServerRegistered     Code = 2124
-	ServerDeregistered   Code = 2125
-	ServerUsability      Code = 2130
-	ServerSilent         Code = 2131
-	OutcomeNotDelivered  Code = 2132
-	ServerAdopted        Code = 2133
-	RelayMoveOrdered     Code = 2134
-	RelayMoveDecided     Code = 2135
-	RelayMoveRound       Code = 2136
-	CacheListFailed      Code = 2137
-	CopyNotDeleted       Code = 2138
-	BudgetBorrowed       Code = 2139
-	RelayRequestDone     Code = 2140
-	RelayRequestRefused  Code = 2141
-	RequestRerouted      Code = 2142
-	PromptLocated        Code = 2143
-	CopyOrdered          Code = 2144
-	SuspectDeath         Code = 2145
-	SuspectNotReported   Code = 2146
-	LoadsNotExchanged    Code = 2147
-
+	RelayStarted           Code = 2101
+	RelayDrains            Code = 2102
+	RelayStopped           Code = 2103
+	SettingsReloaded       Code = 2104
+	SettingsRejected       Code = 2105
+	StoreLost              Code = 2110
+	StoreRecovered         Code = 2111
+	StoreHistoryGone       Code = 2112
+	PeerCopyApplied        Code = 2113
+	PeerCopyFailed         Code = 2114
+	RosterNotRead          Code = 2115
+	StoreReaderUnusable    Code = 2116
+	RelayConfigInForce     Code = 2120
+	ConfigRejected         Code = 2121
+	MoveRejected           Code = 2122
+	RegistrationRejected   Code = 2123
+	ServerRegistered       Code = 2124
+	ServerDeregistered     Code = 2125
+	ServerUsability        Code = 2130
+	ServerSilent           Code = 2131
+	OutcomeNotDelivered    Code = 2132
+	ServerAdopted          Code = 2133
+	RelayMoveOrdered       Code = 2134
+	RelayMoveDecided       Code = 2135
+	RelayMoveRound         Code = 2136
+	CacheListFailed        Code = 2137
+	CopyNotDeleted         Code = 2138
+	BudgetBorrowed         Code = 2139
+	RelayRequestDone       Code = 2140
+	RelayRequestRefused    Code = 2141
+	RequestRerouted        Code = 2142
+	PromptLocated          Code = 2143
+	CopyOrdered            Code = 2144
+	SuspectDeath           Code = 2145
+	SuspectNotReported     Code = 2146
+	LoadsNotExchanged      Code = 2147
+	SuspectPartsDeath      Code = 2150
+	SuspectPartsStopped    Code = 2151
+	SuspectPartsCleared    Code = 2152
+	SuspectRunEnded        Code = 2153
+	SuspectStopsLearned    Code = 2154
 	RelayRequestUnanswered Code = 2148
 	SilentServerAwaited    Code = 2149
 	RelayMovePaused        Code = 2155
@@ -80,11 +84,16 @@
 	{RequestRerouted, "request rerouted", "An attempt failed and the request goes to another server.", "Look at the server if it repeats."},
 	{PromptLocated, "prompt located", "A caller resumed a stream and the engines were asked which of them holds its prompt; the stream goes to that one first.", "Nothing. If the line names no server, the prompt is processed again."},
 	{CopyOrdered, "copy ordered", "Another engine was ordered to copy the cache of a run, because the holder of the copy was lost or is not in this data centre.", "Nothing. With an error the run may have no copy; if its engine is then lost, the prompt is processed again."},
-	{SuspectDeath, "suspect death", "A server died while it ran a request that it had not answered yet. After three such deaths within a minute, requests with the same fingerprint are refused on all hosts.", "If stopped is true, keep the content of the request that the line names for the developers of the service."},
+	{SuspectDeath, "suspect death", "A server died while it ran a request without a prompt that it had not answered yet. After three such deaths within a minute, requests with the same fingerprint are refused on all hosts.", "If stopped is true, keep the content of the request that the line names for the developers of the service."},
 	{SuspectNotReported, "suspect untold", "Another entry host could not be informed of a request that crashes servers, or this host's list of such requests could not be read; such a request may reach more servers.", "Check the links between entry hosts if it repeats."},
 	{RelayRequestUnanswered, "request unanswered", "The task of a request failed. Unless the line says that it was answered, the caller got 502, or a stream that had begun was cut off.", "Report it with the log line."},
 	{SilentServerAwaited, "silent server awaited", "A server is silent under a request, and no other attempt is possible: the attempts of the route or the retry budget are used up, or no other server is usable. The request stays with the server.", "Look at the servers of the service if it repeats."},
 	{LoadsNotExchanged, "loads not exchanged", "The entry host that collects the attempts on the engines of a data centre did not answer; engines are chosen by this host's own attempts and the next collector is asked from then on.", "Look at the collector that the line names if it repeats."},
+	{SuspectPartsDeath, "suspect parts death", "A server died while it had a request with a prompt that it had not begun to answer. The line names the content of the request (with #) and the parts of its prompt, as far as no server has answered requests with them in the last seconds.", "Nothing unless event 2151 follows."},
+	{SuspectPartsStopped, "suspect parts stopped", "Three servers died, not together with others, under requests of one content (with #), or under requests of different content that hold the named parts of a prompt, and no host knows of an answer to them since. Such requests are refused on all hosts for ten minutes, or until a server answers one; after 30 s one request with the parts is tried.", "Keep the parts that the line names for the developers of the service; events 2150 name the requests."},
+	{SuspectPartsCleared, "suspect parts cleared", "A server began to answer a request with a stopped part of a prompt, so the part is sound and no longer a reason to refuse requests; or one such request runs on trial.", "Nothing."},
+	{SuspectRunEnded, "suspect run ended", "A request was stopped while a server had it but had not begun to answer, so that it does not crash that server.", "As for event 2151, which names the reason."},
+	{SuspectStopsLearned, "suspect stops learned", "This host took over requests that other hosts have stopped, or found no host to ask for them after its start.", "If the line names no signature, check the links between entry hosts; such requests may reach more servers."},
 	{EntryIgnored, "entry ignored", "The state of a version move, or the evidence of a host on it, cannot be read; the row is ignored and the others hold. The holder of the move replaces an unreadable state.", "Find the writer of the row that the line names."},
 	{ResponseUnrelated, "response unrelated", "A server sent a response in the place of that to an attempt, with the id of another request or without one. It proves nothing: the connection is closed, and the attempt counts as one that may have run.", "Give the server and the time to the developers of its service: it writes responses more than once, or its registration has the address of another process."},
 	{RelayMovePaused, "version move paused", "This host could not run several rounds of a version move in a row; it sends the new version no more than the initial share until it can.", "Check the store."},
