--- a/cmd/lentilpoint-bench/standin/server.go
+++ b/cmd/lentilpoint-bench/standin/server.go
@@ -35,6 +35,9 @@
 	// HangAfter sends nothing more on a stream after this number of events of an
 	// attempt; 0 is off.
 	HangAfter int
+	// UntilClose sends answers with neither a length nor chunks; they end with their
+	// connection.
+	UntilClose bool
 }
 
 // Run is one request that a server started to run.
@@ -145,6 +148,12 @@
 	callWithTimeout(s, func(s *Server) bool { s.endpoint.close(); return true })
 }
 
+// Pause makes the server silent for a time: it neither reads nor writes, on open and on
+// new connections, and then continues. Nothing is lost.
+func (s *Server) Pause(duration time.Duration) {
+	callWithTimeout(s, func(s *Server) bool { s.endpoint.pause(time.Now().Add(duration)); return true })
+}
+
 // Running reports whether the server has been started and has not crashed since.
 func (s *Server) Running() bool {
 	return callWithTimeout(s, func(s *Server) bool { return s.endpoint.server != nil })
@@ -281,6 +290,11 @@
 		panic(http.ErrAbortHandler)
 	}
 	w.Header().Set(platform.HeaderSeal, "seal."+snapshot.id)
+	if snapshot.faults.UntilClose {
+		// net/http then neither states a length nor uses chunks, and closes the
+		// connection after the answer.
+		w.Header().Set("Transfer-Encoding", "identity")
+	}
 	if s.Events > 0 {
 		s.serveStream(w, r, streamRequest{id: request, body: string(body), faults: snapshot.faults, fromCopy: wantsCopy})
 		return
--- a/cmd/lentilpoint-bench/standin/store.go
+++ b/cmd/lentilpoint-bench/standin/store.go
@@ -111,10 +111,15 @@
 	if err != nil {
 		return Error.Wrap(err)
 	}
-	callWithTimeout(s, func(s *Store) bool { return s.writeRows(storeRow{Table: table, Key: key, Value: content}) })
+	s.PutBytes(table, key, content)
 	return nil
 }
 
+// PutBytes writes a row with a value that need not be JSON.
+func (s *Store) PutBytes(table, key string, value []byte) {
+	callWithTimeout(s, func(s *Store) bool { return s.writeRows(storeRow{Table: table, Key: key, Value: value}) })
+}
+
 // Remove deletes a row.
 func (s *Store) Remove(table, key string) {
 	callWithTimeout(s, func(s *Store) bool { return s.writeRows(storeRow{Table: table, Key: key, Removed: true}) })
