--- a/entryhost/relay/ingress/front.go
+++ b/entryhost/relay/ingress/front.go
@@ -7,6 +7,8 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"runtime/debug"
+	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -42,6 +44,9 @@
 	minPlainTime = 2 * time.Second
 	// drainPollInterval is how often a drain checks for open requests.
 	drainPollInterval = 50 * time.Millisecond
+	// maxRequestTime bounds requests whose route and caller state no limit, so that no
+	// request runs for good.
+	maxRequestTime = time.Hour
 	// lookupTimeout bounds the wait for the catalog.
 	lookupTimeout = time.Second
 	// retryAfter is the Retry-After of a host that is starting or draining.
@@ -78,6 +83,8 @@
 	refusingStreams chan struct{}
 	refusingAll     chan struct{}
 	openRequests    *metrics.Counter
+	// busy is the number of connections with a request that is being read or answered.
+	busy *atomic.Int64
 }
 
 // NewFront returns a server for callers on a bound socket.
@@ -85,7 +92,7 @@
 	return &Front{
 		Parameters: parameters, socket: task.NewSocket(listener),
 		commands: task.NewMailbox[command](commandsCapacity), draining: make(chan struct{}), refusingStreams: make(chan struct{}), refusingAll: make(chan struct{}),
-		openRequests: parameters.Metrics.GetOrCreateCounter("lentilpoint_relay_open_requests"),
+		openRequests: parameters.Metrics.GetOrCreateCounter("lentilpoint_relay_open_requests"), busy: &atomic.Int64{},
 	}
 }
 
@@ -105,17 +112,34 @@
 	if err := f.sendCommand(ctx, commandDrain); err != nil {
 		return err
 	}
-	arrivalsEnd := f.Clock.After(f.DeregistrationDelay)
-	for arriving := true; arriving || f.openRequests.Get() > 0; {
+	select {
+	case <-ctx.Done():
+		return Error.Wrap(context.Cause(ctx))
+	case <-f.Clock.After(f.DeregistrationDelay):
+	}
+	if err := f.awaitRequests(ctx); err != nil {
+		return err
+	}
+	// Requests that were read before the socket was closed finish too.
+	if err := f.sendCommand(ctx, commandStopAccepting); err != nil {
+		return err
+	}
+	if err := f.awaitRequests(ctx); err != nil {
+		return err
+	}
+	return f.sendCommand(ctx, commandShutdown)
+}
+
+// awaitRequests waits until no request is being read or answered.
+func (f *Front) awaitRequests(ctx context.Context) error {
+	for f.busy.Load() > 0 {
 		select {
 		case <-ctx.Done():
 			return Error.Wrap(context.Cause(ctx))
-		case <-arrivalsEnd:
-			arriving = false
 		case <-f.Clock.After(drainPollInterval):
 		}
 	}
-	return f.sendCommand(ctx, commandShutdown)
+	return nil
 }
 
 func (f *Front) sendCommand(ctx context.Context, kind commandKind) error {
@@ -136,12 +160,17 @@
 	}
 	server := &http.Server{
 		Handler: f.handler(), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, ConnState: trackConnState,
-		MaxHeaderBytes: maxHeaderBytes, ErrorLog: slog.NewLogLogger(f.Logger.Handler(), slog.LevelDebug),
+		ConnContext: withConn, MaxHeaderBytes: maxHeaderBytes, ErrorLog: slog.NewLogLogger(f.Logger.Handler(), slog.LevelDebug),
 	}
-	failed := make(chan error, 1)
+	served := make(chan error, 1)
 	keepIdle, stopKeepIdle := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopKeepIdle()
-	go func() { failed <- server.Serve(callerListener{Listener: listener, keepIdle: keepIdle}) }()
+	keepNew, stopKeepNew := context.WithCancel(context.WithoutCancel(ctx))
+	defer stopKeepNew()
+	go func() {
+		served <- server.Serve(callerListener{Listener: listener, keepIdle: keepIdle, keepNew: keepNew, busy: f.busy})
+	}()
+	var failed <-chan error = served
 	var refuseStreams, closeIdle, refuseAll <-chan time.Time
 	for {
 		select {
@@ -157,15 +186,22 @@
 		case <-refuseAll:
 			close(f.refusingAll)
 		case command := <-f.commands.C():
-			if command.kind == commandDrain {
+			switch command.kind {
+			case commandDrain:
 				close(f.draining)
 				refuseStreams, closeIdle = f.Clock.After(drainStreamWindow), f.Clock.After(f.DeregistrationDelay)
 				refuseAll = f.Clock.After(f.StopGracePeriod - minPlainTime)
 				command.reply.Send(nil)
-				continue
+			case commandStopAccepting:
+				// The error that the server then returns is expected.
+				failed = nil
+				stopKeepIdle()
+				stopKeepNew()
+				command.reply.Send(Error.Wrap(listener.Close()))
+			case commandShutdown:
+				command.reply.Send(Error.Wrap(server.Close()))
+				return suture.ErrDoNotRestart
 			}
-			command.reply.Send(Error.Wrap(server.Close()))
-			return suture.ErrDoNotRestart
 		}
 	}
 }
@@ -192,11 +228,16 @@
 // serveRequest handles one request in the goroutine of the caller's connection,
 // which owns the caller's socket.
 func (f *Front) serveRequest(c *gin.Context) {
+	if !beginRequest(c.Request.Context()) {
+		// The request crossed the close of its connection and was not passed on.
+		panic(http.ErrAbortHandler)
+	}
 	f.openRequests.Inc()
 	defer f.openRequests.Dec()
+	caller := &responseWriter{writer: c.Writer, draining: f.draining}
+	defer f.endRequest(c.Request, caller)
 	arrived := f.Clock.Now()
 	head := f.Protocol.Decode(c.Request)
-	caller := &responseWriter{writer: c.Writer, draining: f.draining}
 	request, fault := f.admitRequest(c.Request, head, arrived)
 	if fault != nil {
 		f.Metrics.GetOrCreateCounter(`lentilpoint_relay_refusals_total{reason="` + string(fault.Reason) + `"}`).Inc()
@@ -208,11 +249,43 @@
 	summary := f.Forwarder.Run(c.Request.Context(), request, caller)
 	f.logRequest(request, summary)
 	if summary.Broken {
+		f.countUnanswered("stream_cut")
 		// Aborting closes the connection, so that the response does not look complete.
 		panic(http.ErrAbortHandler)
 	}
 }
 
+// endRequest runs when the task of a request has ended, also by a panic. It answers a
+// request that got no answer: net/http would close the connection after a panic, and
+// the router would send its own 404 page to a caller that was sent nothing.
+func (f *Front) endRequest(incoming *http.Request, caller *responseWriter) {
+	failure := recover()
+	switch {
+	case failure == http.ErrAbortHandler:
+		panic(failure)
+	case failure == nil && caller.headSent:
+		return
+	case failure == nil && incoming.Context().Err() != nil:
+		f.countUnanswered("caller_left")
+		panic(http.ErrAbortHandler)
+	}
+	f.countUnanswered("task_failed")
+	f.Logger.Error("task of a request ended without an answer", eventcode.RelayRequestUnanswered.Attr(), "target", incoming.RequestURI,
+		"head_sent", caller.headSent, "panic", failure, "stack", string(debug.Stack()))
+	if caller.headSent {
+		panic(http.ErrAbortHandler)
+	}
+	_ = caller.Refuse(&model.Fault{
+		Kind: model.KindInternal, Reason: model.ReasonTaskFailed, Executed: model.ExecutedUnknown,
+		Message: "the task of the request failed on this host", Remedy: "send the request again if it may be repeated, and read the logs of this entry host",
+	})
+}
+
+// countUnanswered counts a request that ended without a complete answer.
+func (f *Front) countUnanswered(reason string) {
+	f.Metrics.GetOrCreateCounter(`lentilpoint_relay_unanswered_total{reason="` + reason + `"}`).Inc()
+}
+
 // admitRequest matches the request to the configuration in force and reads its body.
 // It returns a fault if the request is refused.
 func (f *Front) admitRequest(incoming *http.Request, head RequestHead, arrived time.Time) (*forward.Request, *model.Fault) {
@@ -236,9 +309,11 @@
 		return nil, model.NotRun(model.KindUnavailable, model.ReasonDraining, "this host stops", "send the request again on a new connection").WithRetryAfter(retryAfter)
 	}
 	service := view.Config.Services[route.Service(rand.Float64())]
-	timeout := route.Timeout
-	if head.Timeout > 0 && (timeout == 0 || head.Timeout < timeout) {
-		timeout = head.Timeout
+	timeout := maxRequestTime
+	for _, limit := range []time.Duration{route.Timeout, head.Timeout} {
+		if limit > 0 {
+			timeout = min(timeout, limit)
+		}
 	}
 	return &forward.Request{
 		ID: head.ID, Method: incoming.Method, Target: incoming.RequestURI, Host: incoming.Host, Header: head.Header,
@@ -280,7 +355,10 @@
 		"broken", summary.Broken, "attempts", summary.Attempts,
 	}
 	if summary.Fault != nil {
-		attributes = append(attributes, "reason", summary.Fault.Reason, "message", summary.Fault.Message, "answered", statusOf(summary.Fault))
+		attributes = append(attributes, "reason", summary.Fault.Reason, "message", summary.Fault.Message)
+	}
+	if summary.Fault != nil && !summary.Broken {
+		attributes = append(attributes, "answered", statusOf(summary.Fault))
 	}
 	f.Logger.Info("request done", attributes...)
 }
