Soak with leaving servers, interim responses and a log of its actions

Cause: no server left as planned, callers never announced the last request of a connection, and a finding could not be set against what was done to whom. Change: servers report that they drain, serve on and end; callers send Connection: close and Expect: 100-continue; bodies are compared; actions and excused requests are written to the log; all faults end before callers finish.

--- a/cmd/lentilpoint-bench/soak/check.go
+++ b/cmd/lentilpoint-bench/soak/check.go
@@ -26,15 +26,16 @@
 )
 
 // findViolations compares the outcomes of callers with the requests that servers ran
-// and returns a line for each violated guarantee. It counts the lost requests that were
-// excused, by excuse.
-func findViolations(outcomes []outcome, runs []standin.Run, past *history) (violations []string, excused map[string]int) {
+// and returns a line for each violated guarantee. It describes the lost requests that
+// were excused, by excuse.
+func findViolations(outcomes []outcome, runs []standin.Run, past *history) (violations []string, excused map[string][]string) {
 	runCount := map[string]int{}
-	excused = map[string]int{}
-	organisations := map[string]string{}
+	excused = map[string][]string{}
+	organisations, bodies := map[string]string{}, map[string]string{}
 	for _, run := range runs {
 		runCount[run.Request]++
 		organisations[run.Request] = run.Header.Get(platform.HeaderOrganisation)
+		bodies[run.Request] = run.Body
 		if run.Header.Get(platform.HeaderKey) != "" {
 			violations = append(violations, run.Request+": a server got the caller's key")
 		}
@@ -55,12 +56,15 @@
 		if got, ran := organisations[o.id]; ran && o.kind != kindExtra && got != organisationByKey[o.key] && o.key != "" {
 			report(fmt.Sprintf("a server got the organisation %q", got))
 		}
+		if got, ran := bodies[o.id]; ran && got != o.body {
+			report(fmt.Sprintf("a server got the body %q", got))
+		}
 		violation, excuse := findLoss(o, runCount[o.id], past)
 		if violation != "" {
 			report(violation)
 		}
 		if excuse != "" {
-			excused[excuse]++
+			excused[excuse] = append(excused[excuse], fmt.Sprintf("%s (%s, ran %d times)", o.id, o, runCount[o.id]))
 		}
 		if o.ending != endedWhole || o.status != http.StatusOK {
 			continue
--- a/cmd/lentilpoint-bench/soak/connection.go
+++ b/cmd/lentilpoint-bench/soak/connection.go
@@ -41,7 +41,7 @@
 func (c *callerConnection) exchange(random *rand.Rand, requests []outcome) bool {
 	for i := range requests {
 		requests[i].host, requests[i].connection, requests[i].kept = c.host, c.number, c.served > 0 || i > 0
-		c.send(random, &requests[i])
+		c.send(random, &requests[i], i == len(requests)-1)
 	}
 	closing, lost, left := false, false, false
 	for i := range requests {
@@ -67,9 +67,9 @@
 	return !closing && !lost && !left
 }
 
-// send writes one request. After a failed write sentAt stays zero; an answer may come
+// send writes one request, the last of an exchange or not. After a failed write sentAt stays zero; an answer may come
 // nevertheless.
-func (c *callerConnection) send(random *rand.Rand, o *outcome) {
+func (c *callerConnection) send(random *rand.Rand, o *outcome, last bool) {
 	o.startedAt = time.Now()
 	method := http.MethodPost
 	if o.kind == kindCheck || o.kind == kindExtra {
@@ -94,6 +94,14 @@
 		first, second = min(first, second), max(first, second)
 		pieces = []string{o.body[:first], o.body[first:second], o.body[second:]}
 	}
+	if o.slow && random.IntN(2) == 0 {
+		// The caller does not wait for the interim response, as callers with a short
+		// patience do.
+		head.WriteString("Expect: 100-continue\r\n")
+	}
+	if last && random.IntN(15) == 0 {
+		head.WriteString("Connection: close\r\n")
+	}
 	chunked := o.body != "" && random.IntN(3) == 0
 	switch {
 	case chunked:
@@ -158,6 +166,9 @@
 // readResponse reads the head of an answer.
 func (c *callerConnection) readResponse() (*http.Response, error) {
 	response, err := http.ReadResponse(c.reader, nil)
+	for err == nil && response.StatusCode == http.StatusContinue {
+		response, err = http.ReadResponse(c.reader, nil)
+	}
 	if err == nil && response.ContentLength < 0 && len(response.TransferEncoding) == 0 {
 		// Without a length the end of the connection would make each answer look complete.
 		return response, Error.New("the answer has neither a length nor chunks")
--- a/cmd/lentilpoint-bench/soak/faults.go
+++ b/cmd/lentilpoint-bench/soak/faults.go
@@ -49,6 +49,9 @@
 	maxPause = 1500 * time.Millisecond
 	// pauseInterval is the time between two silences of one server.
 	pauseInterval = 500 * time.Millisecond
+	// serverDrainTime is the shortest time for which a leaving server serves on. It is
+	// drain_ms of the installations and a little more.
+	serverDrainTime = 2500 * time.Millisecond
 	// signalDelay is the time after a start within which a process may not handle
 	// signals yet.
 	signalDelay = time.Second
@@ -59,7 +62,7 @@
 
 var plannedActions = []action{
 	(*soak).stopHost, (*soak).reloadHost, (*soak).reloadHost, (*soak).changeSettings, (*soak).changeSettings,
-	(*soak).changeConfiguration, (*soak).changeConfiguration, (*soak).changeConfiguration, (*soak).changeStorm, (*soak).addOddRegistration,
+	(*soak).changeConfiguration, (*soak).changeConfiguration, (*soak).changeConfiguration, (*soak).changeStorm, (*soak).addOddRegistration, (*soak).drainServer,
 	(*soak).pauseOne, (*soak).pauseOne, (*soak).pauseSeveral, (*soak).pauseService, (*soak).pauseStreams, (*soak).pauseReports,
 }
 
@@ -87,18 +90,9 @@
 // faultStep undoes the faults that are due, attends to hosts that have exited and takes
 // one action.
 func (s *soak) faultStep(ctx context.Context) error {
-	now := time.Now()
-	pending := s.scheduledUndos[:0]
-	for _, scheduled := range s.scheduledUndos {
-		if scheduled.at.After(now) {
-			pending = append(pending, scheduled)
-			continue
-		}
-		if err := scheduled.undo(); err != nil {
-			return err
-		}
+	if err := s.undoDue(time.Now()); err != nil {
+		return err
 	}
-	s.scheduledUndos = pending
 	if err := s.attendHosts(ctx); err != nil {
 		return err
 	}
@@ -111,6 +105,22 @@
 	return group[s.random.IntN(len(group))](s)
 }
 
+// undoDue ends the faults that are due at the time.
+func (s *soak) undoDue(now time.Time) error {
+	scheduled := s.scheduledUndos
+	s.scheduledUndos = nil
+	for _, next := range scheduled {
+		if next.at.After(now) {
+			s.scheduledUndos = append(s.scheduledUndos, next)
+			continue
+		}
+		if err := next.undo(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // attendHosts kills hosts whose grace is over and restarts those that have exited, as
 // the platform does.
 func (s *soak) attendHosts(ctx context.Context) error {
@@ -227,6 +237,34 @@
 	return nil
 }
 
+// drainServer makes a server leave as planned: it reports that it is draining, serves on
+// for more than serverDrainTime, ends, and starts with a new id.
+func (s *soak) drainServer() error {
+	server := s.servers[s.random.IntN(len(s.servers))]
+	former, reported := server.ID(), time.Now()
+	s.record("draining servers", former)
+	if err := server.Register(s.store, "draining"); err != nil {
+		return err
+	}
+	leave := func() error {
+		if server.ID() != former || !server.Running() {
+			return nil
+		}
+		// It leaves early only when the soak ends.
+		if server.OpenRequests() > 0 || time.Since(reported) < serverDrainTime {
+			s.past.beginService(server.Service)()
+		}
+		server.Crash()
+		if err := server.Restart(); err != nil {
+			return err
+		}
+		s.store.Remove(platform.TableServers, former)
+		return server.Register(s.store, "ready")
+	}
+	s.scheduledUndos = append(s.scheduledUndos, scheduledUndo{at: time.Now().Add(serverDrainTime + time.Duration(s.random.Int64N(int64(maxFaultDuration)))), undo: leave})
+	return nil
+}
+
 // pauseServer makes a sound server silent for some time, after which it goes on.
 func (s *soak) pauseServer(server *standin.Server, duration time.Duration) {
 	now := time.Now()
--- a/cmd/lentilpoint-bench/soak/soak.go
+++ b/cmd/lentilpoint-bench/soak/soak.go
@@ -285,6 +285,10 @@
 			running = false
 		}
 	}
+	// Requests in progress must not outlast a silence because nobody ends it.
+	if err := s.undoDue(time.Now().Add(time.Hour)); err != nil {
+		return Findings{}, err
+	}
 	stopCallers()
 	for remaining := s.options.Callers; remaining > 0; {
 		select {
@@ -294,17 +298,11 @@
 			remaining--
 		}
 	}
-	return s.undoAndCheck(ctx, outcomes)
+	return s.check(ctx, outcomes)
 }
 
-// undoAndCheck undoes all faults, waits until every host is ready again and checks the
-// outcomes.
-func (s *soak) undoAndCheck(ctx context.Context, outcomes []outcome) (Findings, error) {
-	for _, scheduled := range s.scheduledUndos {
-		if err := scheduled.undo(); err != nil {
-			return Findings{}, err
-		}
-	}
+// check waits until every host is ready again and checks the outcomes.
+func (s *soak) check(ctx context.Context, outcomes []outcome) (Findings, error) {
 	findings := Findings{Seed: s.options.Seed, Requests: len(outcomes), Faults: s.faultCount, Mix: s.mix.String(), Exercised: s.exercised, Endings: map[string]int{}}
 	if err := s.waitReady(ctx, settleTime+graceSeconds*time.Second); err != nil {
 		s.violations = append(s.violations, err.Error())
@@ -315,7 +313,13 @@
 		runs = append(runs, server.Runs()...)
 	}
 	violations, excused := findViolations(outcomes, runs, s.past)
-	findings.Violations, findings.Excused = append(findings.Violations, violations...), excused
+	findings.Violations, findings.Excused = append(findings.Violations, violations...), map[string]int{}
+	for excuse, requests := range excused {
+		findings.Excused[excuse] = len(requests)
+		for _, request := range requests {
+			_, _ = fmt.Fprintf(s.options.Log, `{"msg":"soak excuse","excuse":%q,"of":%q}`+"\n", excuse, request)
+		}
+	}
 	for _, o := range outcomes {
 		findings.Endings[o.endingName()]++
 		if o.ending == endedWhole && o.status == http.StatusOK {
--- a/cmd/lentilpoint-bench/soak/soak_test.go
+++ b/cmd/lentilpoint-bench/soak/soak_test.go
@@ -115,21 +115,22 @@
 })
 
 var _ = Describe("the check of a soak", func() {
-	run := standin.Run{Request: "a"}
+	run := standin.Run{Request: "a", Body: "b"}
 
 	DescribeTable("reports a violated guarantee",
 		func(o outcome, runs ...standin.Run) {
 			violations, _ := findViolations([]outcome{o}, runs, newHistory())
-			Expect(violations).NotTo(BeEmpty())
+			Expect(violations).To(HaveLen(1))
 		},
-		Entry("an order that ran twice", outcome{id: "a", kind: kindOrder, status: 502}, run, run),
-		Entry("a refusal of a request that ran", outcome{id: "a", kind: kindOrder, status: 503}, run),
+		Entry("an order that ran twice", outcome{id: "a", kind: kindOrder, body: "b", status: 502}, run, run),
+		Entry("a refusal of a request that ran", outcome{id: "a", kind: kindOrder, body: "b", status: 503}, run),
 		Entry("a stream that ends without an error and lacks events", outcome{id: "a", kind: kindStream, status: 200, body: "b", answer: "id: 1\ndata: b/1\n\n"}, run),
 		Entry("a resumed stream that repeats an event", outcome{id: "a", kind: kindStream, resumedAfter: 29, status: 200, body: "b", answer: "id: 29\ndata: b/29\n\nid: 30\ndata: b/30\n\n"}, run),
 		Entry("another caller's answer", outcome{id: "a", kind: kindOrder, status: 200, body: "b", answer: "answer to c"}, run),
-		Entry("a stream that was denied when it was resumed after its last event", outcome{id: "a", kind: kindStream, resumedAfter: streamEvents, status: 404}, run),
+		Entry("a stream that was denied when it was resumed after its last event", outcome{id: "a", kind: kindStream, body: "b", resumedAfter: streamEvents, status: 404}, run),
 		Entry("a server that got the caller's key", outcome{id: "a", kind: kindCheck, status: 200, answer: "answer to "}, standin.Run{Request: "a", Header: http.Header{platform.HeaderKey: {"key"}}}),
 		Entry("a server that got the name of another organisation", outcome{id: "a", kind: kindCheck, key: memberKey, status: 200, answer: "answer to "}, standin.Run{Request: "a", Header: http.Header{platform.HeaderOrganisation: {"guests"}}}),
+		Entry("a server that got another body", outcome{id: "a", kind: kindOrder, body: "b", status: 502}, standin.Run{Request: "a", Body: "c"}),
 		Entry("a success that no server ran", outcome{id: "a", kind: kindOrder, status: 200, body: "b", answer: "answer to b"}),
 	)
 })
