--- a/cmd/lentilpoint-bench/soak/faults.go
+++ b/cmd/lentilpoint-bench/soak/faults.go
@@ -245,7 +245,7 @@
 func (s *soak) addOddRegistration() error {
 	key := fmt.Sprintf("other-%d", s.random.IntN(1000))
 	s.record("odd registrations", key)
-	s.store.PutBytes(platform.TableServers, key, oddRegistration(s.random))
+	s.store.PutRaw(platform.TableServers, key, oddRegistration(s.random))
 	s.scheduleUndo(func() error { s.store.Remove(platform.TableServers, key); return nil })
 	return nil
 }
--- a/cmd/lentilpoint-bench/standin/store.go
+++ b/cmd/lentilpoint-bench/standin/store.go
@@ -111,12 +111,12 @@
 	if err != nil {
 		return Error.Wrap(err)
 	}
-	s.PutBytes(table, key, content)
+	s.PutRaw(table, key, content)
 	return nil
 }
 
-// PutBytes writes a row with a value that need not be JSON.
-func (s *Store) PutBytes(table, key string, value []byte) {
+// PutRaw writes a row with a value that need not be JSON.
+func (s *Store) PutRaw(table, key string, value []byte) {
 	callWithTimeout(s, func(s *Store) bool { return s.writeRows(storeRow{Table: table, Key: key, Value: value}) })
 }
 
--- a/entryhost/relay/forward/silence_test.go
+++ b/entryhost/relay/forward/silence_test.go
@@ -24,16 +24,16 @@
 	"github.com/lentilpoint/lentilpoint/task"
 )
 
-// fakeHeads passes attempts and responses on as they are, and takes each response for
-// the server's own.
+// fakeHeads passes attempts and responses on as they are. Servers echo the id of the
+// request, which is in Id.
 type fakeHeads struct{}
 
 func (fakeHeads) Encode(attempt *exchange.Attempt) http.Header {
-	return http.Header{"Last-Event-Id": {attempt.LastEventID}}
+	return http.Header{"Last-Event-Id": {attempt.LastEventID}, "Id": {attempt.RequestID}}
 }
 
 func (fakeHeads) Decode(response *http.Response) exchange.ResponseHead {
-	return exchange.ResponseHead{Status: response.StatusCode, Sealed: true, Header: http.Header{}}
+	return exchange.ResponseHead{Status: response.StatusCode, RequestID: response.Header.Get("Id"), Sealed: true, Header: http.Header{}}
 }
 
 // numberedEvents reads the id from events of the form "id: N".
@@ -89,6 +89,7 @@
 		}
 	}
 	return httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Id", r.Header.Get("Id"))
 		if r.Method == http.MethodGet {
 			pause(r)
 			_, _ = fmt.Fprint(w, "answer")
--- a/eventcode/relay.go
+++ b/eventcode/relay.go
@@ -41,6 +41,8 @@
 
 	RelayRequestUnanswered Code = 2148
 	SilentServerAwaited    Code = 2149
+	EntryIgnored           Code = 2158
+	ResponseUnrelated      Code = 2159
 )
 
 var relayEvents = []Entry{
@@ -65,7 +67,7 @@
 	{ServerUsability, "server standing", "This host stopped or resumed sending new work to a server because of the outcomes of attempts.", "Look at the server if it repeats."},
 	{ServerSilent, "server silent", "A server did not answer a query about its runs; its streams continue on other servers.", "Look at the server if it repeats."},
 	{OutcomeNotDelivered, "release lost", "The dispatcher did not receive the outcome of an attempt in time.", "Report it with the log line."},
-	{ServerAdopted, "server adopted", "An engine restarted under another id and receives work before its registration arrives.", "Nothing."},
+	{ServerAdopted, "server adopted", "A server answered under its own id at the address of another registration and receives work: an engine that restarted and is not registered yet, or (superseded) a server whose address a later entry names too.", "If superseded: find the writer of the entry that the line names as former."},
 	{RelayMoveOrdered, "version move ordered", "The operator ordered a version move; this host takes part.", "Nothing."},
 	{RelayMoveDecided, "version move decided", "The host that holds the move wrote its next state from the evidence of all hosts.", "For a withdrawn move, compare the failures and times of both versions in the line."},
 	{RelayMoveRound, "version move round", "A round of a version move failed; the current stage stays in force.", "Check the store if it repeats."},
@@ -82,4 +84,6 @@
 	{RelayRequestUnanswered, "request unanswered", "The task of a request failed before it had answered. The caller got 502, or a stream that had begun was cut off.", "Report it with the log line."},
 	{SilentServerAwaited, "silent server awaited", "A server is silent under a request, and no other attempt is possible: the attempts of the route or the retry budget are used up, or no other server is usable. The request stays with the server.", "Look at the servers of the service if it repeats."},
 	{LoadsNotExchanged, "loads not exchanged", "The entry host that collects the attempts on the engines of a data centre did not answer; engines are chosen by this host's own attempts and the next collector is asked from then on.", "Look at the collector that the line names if it repeats."},
+	{EntryIgnored, "entry ignored", "The state of a version move, or the evidence of a host on it, cannot be read; the row is ignored and the others hold. The holder of the move replaces an unreadable state.", "Find the writer of the row that the line names."},
+	{ResponseUnrelated, "response unrelated", "A server sent a response in the place of that to an attempt, with the id of another request or without one. It proves nothing: the connection is closed, and the attempt counts as one that may have run.", "Give the server and the time to the developers of its service: it writes responses more than once, or its registration has the address of another process."},
 }
