--- a/cmd/lentilpoint-bench/soak/process.go
+++ b/cmd/lentilpoint-bench/soak/process.go
@@ -41,13 +41,13 @@
 
 // settingsValues are the values of a settings file.
 type settingsValues struct {
-	name, zone, metricsPort, seedAddress, frontAddress, readyAddress, peerAddress, storeAddress string
-	budgetExtra                                                                                 int
+	name, zone, ip, metricsPort, seedAddress, frontAddress, readyAddress, peerAddress, storeAddress string
+	budgetExtra                                                                                     int
 }
 
 const settingsTemplate = `node_name = %q
 zone = %q
-ip = "127.0.0.1"
+ip = %q
 internal_ports = [%s, %s]
 seeds = [%q]
 [listen]
@@ -68,13 +68,21 @@
 // graceSeconds is the time in seconds in which a host must stop after SIGTERM.
 const graceSeconds = 8
 
+// processIP returns the loopback address of the hosts of the soak with the process id.
+// Soaks at the same time that shared an address have taken each other's ports while a
+// host restarted (seed 102 beside two others), and then callers reached another soak.
+func processIP(pid int) string {
+	return fmt.Sprintf("127.%d.%d.%d", 1+pid>>16%254, pid>>8%256, pid%256)
+}
+
 // newRelayProcess writes the settings file of a relay that uses the store at
 // storeAddress, and returns the relay and its peer address. An empty seedAddress makes
 // the relay its own seed.
 func newRelayProcess(directory, daemonPath, name, zone, storeAddress, seedAddress string, log io.Writer) (*relayProcess, string, error) {
+	ip := processIP(os.Getpid())
 	var addresses [4]string
 	for i := range addresses {
-		address, err := standin.FreeAddress()
+		address, err := standin.FreeAddressAt(ip)
 		if err != nil {
 			return nil, "", err
 		}
@@ -90,7 +98,7 @@
 	if err != nil {
 		return nil, "", Error.Wrap(err)
 	}
-	h.settings = settingsValues{name: name, zone: zone, metricsPort: metricsPort, seedAddress: seedAddress, frontAddress: h.frontAddress,
+	h.settings = settingsValues{name: name, zone: zone, ip: ip, metricsPort: metricsPort, seedAddress: seedAddress, frontAddress: h.frontAddress,
 		readyAddress: h.readyAddress, peerAddress: peerAddress, storeAddress: storeAddress, budgetExtra: 150}
 	return h, peerAddress, h.writeSettings()
 }
@@ -98,7 +106,7 @@
 // writeSettings replaces the settings file.
 func (h *relayProcess) writeSettings() error {
 	v := h.settings
-	content := fmt.Sprintf(settingsTemplate, v.name, v.zone, v.metricsPort, v.metricsPort, v.seedAddress, v.frontAddress, v.readyAddress, v.peerAddress, graceSeconds, v.budgetExtra, v.storeAddress)
+	content := fmt.Sprintf(settingsTemplate, v.name, v.zone, v.ip, v.metricsPort, v.metricsPort, v.seedAddress, v.frontAddress, v.readyAddress, v.peerAddress, graceSeconds, v.budgetExtra, v.storeAddress)
 	next := h.settingsFile + ".next"
 	if err := os.WriteFile(next, []byte(content), 0o600); err != nil {
 		return Error.Wrap(err)
--- a/cmd/lentilpoint-bench/soak/soak_test.go
+++ b/cmd/lentilpoint-bench/soak/soak_test.go
@@ -181,6 +181,19 @@
 	)
 })
 
+var _ = Describe("the addresses of hosts", func() {
+	It("differ between soaks, which otherwise take each other's ports while a host restarts", func() {
+		seen := map[string]bool{}
+		for pid := 1; pid < 70000; pid++ {
+			ip := processIP(pid)
+			Expect(net.ParseIP(ip).IsLoopback()).To(BeTrue(), ip)
+			Expect(ip).NotTo(Equal("127.0.0.1"))
+			seen[ip] = true
+		}
+		Expect(seen).To(HaveLen(69999))
+	})
+})
+
 var _ = Describe("the configurations of a soak", func() {
 	It("all allow the routes and the key of ordinary callers, so that each denial is a fault", func() {
 		c := newConfiguration(rand.New(rand.NewPCG(1, 1)), true)
--- a/cmd/lentilpoint-bench/standin/address.go
+++ b/cmd/lentilpoint-bench/standin/address.go
@@ -1,9 +1,9 @@
 package standin
 
 import (
-	"fmt"
 	"math/rand/v2"
 	"net"
+	"strconv"
 	"sync/atomic"
 )
 
@@ -28,10 +28,14 @@
 
 // FreeAddress returns a loopback address on which nothing listens, for a program that
 // is started afterwards. The port is not reserved.
-func FreeAddress() (string, error) {
+func FreeAddress() (string, error) { return FreeAddressAt("127.0.0.1") }
+
+// FreeAddressAt does the same for the IP address. Programs that listen at different
+// addresses of 127.0.0.0/8 cannot take each other's ports.
+func FreeAddressAt(ip string) (string, error) {
 	for range maxPortAttempts {
 		port := firstPort + nextPortOffset.Add(1)%(lastPort-firstPort)
-		address := fmt.Sprintf("127.0.0.1:%d", port)
+		address := net.JoinHostPort(ip, strconv.Itoa(int(port)))
 		if listener, err := net.Listen("tcp", address); err == nil {
 			return address, Error.Wrap(listener.Close())
 		}
