Do not take an interim response for the begin of an answer

Cause: beside 150 callers the soak reported cut answers (7 to 10 a run) 7.7 to 8.3 s after a SIGTERM. The callers had got 100 Continue and were still sending their bodies when the drain reached its limit; no host had read the request. Change: a connection that ends after an interim response alone ended without an answer, to which the excuse of a crossing applies.

--- a/cmd/lentilpoint-bench/soak/connection.go
+++ b/cmd/lentilpoint-bench/soak/connection.go
@@ -146,6 +146,15 @@
 		o.ending, o.err = endedUnanswered, Error.Wrap(err)
 		return false
 	}
+	interim, err := c.skipInterim()
+	if err != nil {
+		// An interim response is no part of an answer.
+		o.ending, o.err = endedCut, Error.Wrap(err)
+		if interim {
+			o.ending = endedUnanswered
+		}
+		return false
+	}
 	response, err := c.readResponse()
 	if err != nil {
 		o.ending, o.err = endedCut, Error.Wrap(err)
@@ -163,12 +172,26 @@
 	return response.Close
 }
 
+// interimResponse is the whole interim response of hosts, which invites a body.
+const interimResponse = "HTTP/1.1 100 Continue\r\n\r\n"
+
+// skipInterim reads past an interim response until the first byte of the answer. It
+// reports whether there was an interim response.
+func (c *callerConnection) skipInterim() (bool, error) {
+	const statusEnd = len("HTTP/1.1 100")
+	if head, err := c.reader.Peek(statusEnd); err != nil || string(head) != interimResponse[:statusEnd] {
+		return false, err
+	}
+	if _, err := c.reader.Discard(len(interimResponse)); err != nil {
+		return true, err
+	}
+	_, err := c.reader.Peek(1)
+	return true, err
+}
+
 // readResponse reads the head of an answer.
 func (c *callerConnection) readResponse() (*http.Response, error) {
 	response, err := http.ReadResponse(c.reader, nil)
-	for err == nil && response.StatusCode == http.StatusContinue {
-		response, err = http.ReadResponse(c.reader, nil)
-	}
 	if err == nil && response.ContentLength < 0 && len(response.TransferEncoding) == 0 {
 		// Without a length the end of the connection would make each answer look complete.
 		return response, Error.New("the answer has neither a length nor chunks")
@@ -183,6 +206,10 @@
 	defer c.close()
 	o.ending = endedLeft
 	_ = c.conn.SetReadDeadline(time.Now().Add(callerTimeout))
+	if _, err := c.skipInterim(); err != nil {
+		o.err = Error.Wrap(err)
+		return
+	}
 	response, err := c.readResponse()
 	if err != nil {
 		o.err = Error.Wrap(err)
--- a/cmd/lentilpoint-bench/soak/soak_test.go
+++ b/cmd/lentilpoint-bench/soak/soak_test.go
@@ -99,6 +99,8 @@
 			Expect(requests[0].sentAt).NotTo(BeZero())
 		},
 		Entry("without any byte", "", endedUnanswered),
+		Entry("after an interim response only", interimResponse, endedUnanswered),
+		Entry("in the body, after an interim response", interimResponse+"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nabc", endedCut),
 		Entry("in the head", "HTTP/1.1 200 OK\r\nContent-", endedCut),
 		Entry("in the body", "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nabc", endedCut),
 		Entry("in a chunk", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n", endedCut),
