--- a/cmd/lentilpoint-bench/soak/soak.go
+++ b/cmd/lentilpoint-bench/soak/soak.go
@@ -116,11 +116,7 @@
 		return Findings{}, Error.Wrap(err)
 	}
 	defer func() { _ = os.RemoveAll(directory) }()
-	s := &soak{
-		options: options, random: rand.New(rand.NewPCG(options.Seed, 7)), directory: directory, mix: mixOf(options.Seed), past: newHistory(),
-		exercised: map[string]int{}, pausedUntil: map[*standin.Server]time.Time{},
-		configuration: newConfiguration(rand.New(rand.NewPCG(options.Seed, 8)), hasOddNames(options.Seed)),
-	}
+	s := newSoak(options, directory)
 	defer func() {
 		for _, host := range s.hosts {
 			host.stop()
@@ -132,6 +128,16 @@
 	return s.runWithFaults(ctx)
 }
 
+// newSoak returns a soak whose components are not started and whose files are in the
+// directory.
+func newSoak(options Options, directory string) *soak {
+	return &soak{
+		options: options, random: rand.New(rand.NewPCG(options.Seed, 7)), directory: directory, mix: mixOf(options.Seed), past: newHistory(),
+		exercised: map[string]int{}, pausedUntil: map[*standin.Server]time.Time{},
+		configuration: newConfiguration(rand.New(rand.NewPCG(options.Seed, 8)), hasOddNames(options.Seed)),
+	}
+}
+
 // startComponents starts the store, servers, links and hosts, and waits until the
 // hosts are ready.
 func (s *soak) startComponents(ctx context.Context) error {
--- a/cmd/lentilpoint-bench/soak/soak_test.go
+++ b/cmd/lentilpoint-bench/soak/soak_test.go
@@ -12,6 +12,7 @@
 	"os/exec"
 	"path/filepath"
 	"slices"
+	"syscall"
 	"testing"
 	"time"
 
@@ -31,14 +32,10 @@
 var seedsWithViolations = map[uint64]string{
 	7003: "a stream that was resumed after its last event got status 404, since nothing was written for it",
 	17:   "a SIGHUP ended a host that was stopping, and a stop closed connections on which a request sent early was running",
+	15:   "the name of a service in the label of a counter ended the dispatcher, and with it all connections to servers",
 	18:   "streams were cut off when their silent server was given up and no other one was usable",
 }
 
-// knownRedSeeds has the seeds of KNOWN-RED.txt.
-var knownRedSeeds = map[uint64]string{
-	15: "the name of a service in the label of a counter ends the dispatcher, and with it all connections to servers",
-}
-
 var _ = Describe("the soak", func() {
 	var daemon string
 
@@ -55,6 +52,38 @@
 		Expect(findings.Served).To(BeNumerically(">", 0))
 	}
 
+	// Seed 945 found it once: the connection was closed as idle when the stream ended,
+	// although the host had read the next request together with the one for the stream.
+	It("gets an answer to a request behind a stream that ends after a stopping host closes idle connections (known red)", func() {
+		ctx, cancel := context.WithCancel(context.Background())
+		DeferCleanup(cancel)
+		s := newSoak(Options{Hosts: 1, Daemon: daemon, Log: io.Discard}, GinkgoT().TempDir())
+		DeferCleanup(func() {
+			for _, host := range s.hosts {
+				host.stop()
+			}
+		})
+		Expect(s.startComponents(ctx)).To(Succeed())
+		for _, server := range s.servers {
+			// The stream takes 4.5 s; idle connections are closed 3 s after SIGTERM.
+			server.SetEventTime(150 * time.Millisecond)
+		}
+		connection, err := dialHost(s.hosts[0].frontAddress, 0, 1)
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(connection.close)
+		requests := []outcome{{id: "a", kind: kindStream, key: memberKey, body: "b"}, {id: "b", kind: kindCheck, key: memberKey}}
+		answered := make(chan struct{})
+		go func() {
+			connection.exchange(rand.New(rand.NewPCG(1, 1)), requests)
+			close(answered)
+		}()
+		time.Sleep(time.Second)
+		Expect(s.hosts[0].signal(syscall.SIGTERM)).To(Succeed())
+		Eventually(answered, "10s").Should(BeClosed())
+		Expect(requests[0].ending).To(Equal(endedWhole), requests[0].String())
+		Expect(requests[1].ending).To(Equal(endedWhole), requests[1].String())
+	})
+
 	It("finds no violated guarantee beside planned work and silent servers", func() { runSeed(1) })
 
 	It("finds no violated guarantee beside all faults", func() { runSeed(4) })
@@ -62,9 +91,6 @@
 	for _, seed := range slices.Sorted(maps.Keys(seedsWithViolations)) {
 		It(fmt.Sprintf("finds none at seed %d, which once violated a guarantee: %s", seed, seedsWithViolations[seed]), func() { runSeed(seed) })
 	}
-	for _, seed := range slices.Sorted(maps.Keys(knownRedSeeds)) {
-		It(fmt.Sprintf("finds none at seed %d (known red): %s", seed, knownRedSeeds[seed]), func() { runSeed(seed) })
-	}
 })
 
 var _ = Describe("a caller of the soak", func() {
