--- a/cmd/lentilpoint-bench/standin/server.go
+++ b/cmd/lentilpoint-bench/standin/server.go
@@ -50,6 +50,11 @@
 	// HangAfter sends nothing more on a stream after this number of events of an
 	// attempt; 0 is off.
 	HangAfter int
+	// UntilClose sends answers with neither a length nor chunks; they end with their
+	// connection.
+	UntilClose bool
+	// ReportDelay is how long each report takes.
+	ReportDelay time.Duration
 }
 
 // Run is one request that a server started to run.
@@ -160,6 +165,12 @@
 	callWithTimeout(s, func(s *Server) bool { s.endpoint.close(); return true })
 }
 
+// Pause makes the server silent for a time: it neither reads nor writes, on open and on
+// new connections, and then continues. Nothing is lost.
+func (s *Server) Pause(duration time.Duration) {
+	callWithTimeout(s, func(s *Server) bool { s.endpoint.pause(time.Now().Add(duration)); return true })
+}
+
 // Running reports whether the server has been started and has not crashed since.
 func (s *Server) Running() bool {
 	return callWithTimeout(s, func(s *Server) bool { return s.endpoint.server != nil })
@@ -188,11 +199,14 @@
 	})
 }
 
-func (s *Server) serveReport(w http.ResponseWriter, _ *http.Request) {
+func (s *Server) serveReport(w http.ResponseWriter, r *http.Request) {
 	if s.Events == 0 {
 		http.NotFound(w, nil)
 		return
 	}
+	if !sleep(r.Context(), callWithTimeout(s, func(s *Server) time.Duration { return s.faults.ReportDelay })) {
+		return
+	}
 	var runs []string
 	for id, lastEvent := range callWithTimeout(s, func(s *Server) map[string]int {
 		lastEvents := make(map[string]int, len(s.lastEvents))
@@ -291,6 +305,11 @@
 		panic(http.ErrAbortHandler)
 	}
 	w.Header().Set(platform.HeaderSeal, "seal."+snapshot.id)
+	if snapshot.faults.UntilClose {
+		// net/http then neither states a length nor uses chunks, and closes the
+		// connection after the answer.
+		w.Header().Set("Transfer-Encoding", "identity")
+	}
 	if s.Events > 0 {
 		s.serveStream(w, r, streamRequest{id: request, body: string(body), faults: snapshot.faults, fromCopy: wantsCopy})
 		return
