Let no soak server leave during an answer that ends with its connection

Trace: the engine server-1-1 sent streams with neither a length nor chunks, was told to leave, and at the end of the soak it left at once, with streams open. Its connections ended in order after a whole event, which is how such a stream ends, so the host passed it on as complete.

Such a server now stays while it has open requests. No check changed.

--- a/cmd/lentilpoint-bench/soak/faults.go
+++ b/cmd/lentilpoint-bench/soak/faults.go
@@ -253,7 +253,8 @@
 // drainServer makes a server leave as planned: it reports that it is draining, serves on
 // for more than serverDrainTime, ends, and starts with a new id.
 func (s *soak) drainServer() error {
-	server := s.servers[s.random.IntN(len(s.servers))]
+	number := s.random.IntN(len(s.servers))
+	server := s.servers[number]
 	former, reported := server.ID(), time.Now()
 	s.record("draining servers", former)
 	if err := server.Register(s.store, "draining"); err != nil {
@@ -263,6 +264,11 @@
 		if server.ID() != former || !server.Running() {
 			return nil
 		}
+		if s.soundAnswers(number, server.Events).UntilClose && server.OpenRequests() > 0 {
+			// An answer that ends with its connection would look complete if its server left
+			// during it, so this one stays.
+			return server.Register(s.store, "ready")
+		}
 		// It leaves early only when the soak ends.
 		if server.OpenRequests() > 0 || time.Since(reported) < serverDrainTime {
 			s.past.beginService(server.Service)()
--- a/cmd/lentilpoint-bench/soak/soak_test.go
+++ b/cmd/lentilpoint-bench/soak/soak_test.go
@@ -33,6 +33,7 @@
 	7003: "a stream that was resumed after its last event got status 404, since nothing was written for it",
 	17:   "a SIGHUP ended a host that was stopping, and a stop closed connections on which a request sent early was running",
 	15:   "the name of a service in the label of a counter ended the dispatcher, and with it all connections to servers",
+	5009: "the soak let a server leave during streams that end with their connection, which then looked complete",
 	18:   "streams were cut off when their silent server was given up and no other one was usable",
 }
 
