--- a/entryhost/relay/forward/forward_test.go
+++ b/entryhost/relay/forward/forward_test.go
@@ -169,7 +169,7 @@
 		func(kind routing.Kind, reused bool, ran time.Duration, want bool) {
 			Expect(mayHaveCrashed(kind, reused, ran)).To(Equal(want))
 		},
-		Entry("a stream that is reset at once on an old connection, as after a zone's crash", routing.Streaming, true, 2*time.Millisecond, false),
+		Entry("a stream that is reset at once on an old connection, as after the crash of a data centre's servers", routing.Streaming, true, 2*time.Millisecond, false),
 		Entry("a stream on an old connection whose prompt was read", routing.Streaming, true, time.Second, true),
 		Entry("a stream on a new connection", routing.Streaming, false, 2*time.Millisecond, true),
 		Entry("a plain request, which may crash a server at once", routing.NonIdempotent, true, 2*time.Millisecond, true),
--- a/entryhost/relay/suspects/signatures.go
+++ b/entryhost/relay/suspects/signatures.go
@@ -13,11 +13,11 @@
 	// reason of its own; then only its content is stopped.
 	distinctRequests = 2
 	// incidentGap is the time within which deaths count as one if the later server
-	// had the request before the earlier one died. A zone that fails takes many
+	// had the request before the earlier one died. A data centre that fails takes many
 	// servers at once, with the requests on all of them.
 	incidentGap = 250 * time.Millisecond
 	// commonFailureTime is the time within which servers die of one failure, such as
-	// that of a zone.
+	// that of a data centre.
 	commonFailureTime = 100 * time.Millisecond
 	// startSlack covers the difference between the times that messages from two hosts
 	// take, when the start of an attempt is compared with a death.
@@ -219,7 +219,7 @@
 }
 
 // isCommonFailure reports whether a server died together with others of which most had no
-// request with the part, as when a zone fails.
+// request with the part, as when a data centre fails.
 func isCommonFailure(death examinedDeath, part Part, all []examinedDeath) bool {
 	together, holding := 0, 0
 	for _, other := range all {
--- a/entryhost/relay/suspects/signatures_test.go
+++ b/entryhost/relay/suspects/signatures_test.go
@@ -86,7 +86,7 @@
 		Expect(suspected(15 * time.Second)).To(BeEmpty())
 	})
 
-	It("are none when a zone fails and many servers die at once under requests with a part", func() {
+	It("are none when a data centre fails and many servers die at once under requests with a part", func() {
 		for i := range 12 {
 			log.add(deathUnder(fmt.Sprint("s", i), fmt.Sprint("own", i), ran, "rare"), time.Second+time.Duration(i)*20*time.Millisecond)
 		}
