Abort an answer also if its fault arrives before the caller's end is noticed

Cause: the end of a caller ends the context of its request, and with it the run, whose fault is the last update. When both were ready, the select took the update, wrote the fault and ended the answer in order. The same holds for whole answers and calls.

Change: before a fault is written, an answer to a caller that counts as gone is aborted.

--- a/entryhost/callers/call.go
+++ b/entryhost/callers/call.go
@@ -45,6 +45,7 @@
 		abortAnswer()
 	}
 	if answer.Fault != nil {
+		abortIfGone(c)
 		s.writeFault(c, caller.requestID, answer.Fault)
 		return
 	}
@@ -157,3 +158,11 @@
 // its handler returned, net/http would end the answer as if it was complete, also to a
 // caller that counts as gone because it has only closed its sending side.
 func abortAnswer() { panic(http.ErrAbortHandler) }
+
+// abortIfGone aborts the answer if the caller counts as gone. The fault that ends its
+// request for that reason may arrive before the end of the context is noticed.
+func abortIfGone(c *gin.Context) {
+	if c.Request.Context().Err() != nil {
+		abortAnswer()
+	}
+}
--- a/entryhost/callers/generate.go
+++ b/entryhost/callers/generate.go
@@ -179,6 +179,7 @@
 			}
 		case update := <-updates:
 			if update.Fault != nil && !started {
+				abortIfGone(c)
 				s.writeFault(c, encoder.format.id, update.Fault)
 				return
 			}
@@ -223,6 +224,7 @@
 	if update.Fault == nil {
 		return !s.writeBytes(c, encoder.encodeUpdate(update)) || update.FinishReason != ""
 	}
+	abortIfGone(c)
 	s.countRefusal(update.Fault)
 	event, err := encoder.encodeFault(update.Fault)
 	if err != nil {
@@ -248,6 +250,7 @@
 			abortAnswer()
 		case update := <-updates:
 			if update.Fault != nil {
+				abortIfGone(c)
 				s.writeFault(c, format.id, update.Fault)
 				return
 			}
