Keep what a version move has shown about its target through later orders

Cause: the withdrawal was known only to the stage and the state of its own order, and both are replaced by the next one. The next target was also compared with the answers of the withdrawn version, so a second bad version was completed.

Change: the state of a move lists the rejected versions; each later order carries the list on, whichever host decides. The dispatcher leaves their servers out of all choices and of the comparison. An order that names the version again admits the servers that started since. A host that starts asks its peers, so the list also survives a restart while the store is away. Hosts of the build before record no list; the others keep theirs.

--- a/cmd/lentilpoint-bench/standin/server.go
+++ b/cmd/lentilpoint-bench/standin/server.go
@@ -295,6 +295,7 @@
 }
 
 func (s *Server) servePlain(w http.ResponseWriter, faults ServerFaults, body string) {
+	time.Sleep(faults.Slow)
 	switch {
 	case faults.LoseAnswer:
 		panic(http.ErrAbortHandler)
--- a/entryhost/relay/dispatch/assign.go
+++ b/entryhost/relay/dispatch/assign.go
@@ -130,6 +130,7 @@
 	request.Reply.Send(Assignment{Refusal: refusal, RetryAfter: retryAfter})
 }
 
+// candidates returns the servers of the service, except those of rejected versions.
 func (t *Task) candidates(service string, now time.Time) []candidate {
 	var candidates []candidate
 	limit := t.connectionLimit(service)
@@ -145,6 +146,9 @@
 			stale: state.health.stale, failureRate: state.health.failureRate,
 		})
 	}
+	if stage, moving := t.stageOf(service); moving {
+		return withoutRejected(stage, candidates)
+	}
 	return candidates
 }
 
--- a/entryhost/relay/dispatch/task.go
+++ b/entryhost/relay/dispatch/task.go
@@ -279,6 +279,9 @@
 func (t *Task) applyView(view *catalog.View) {
 	t.recordEnded(t.view, view)
 	t.view = view
+	for service := range view.Moves {
+		t.moveOf(service)
+	}
 	for id, server := range view.Servers {
 		state, found := t.servers[id]
 		if !found || !state.server.SameProcess(server) {
--- a/entryhost/relay/dispatch/versions.go
+++ b/entryhost/relay/dispatch/versions.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/lentilpoint/lentilpoint/entryhost/relay/moves"
@@ -79,27 +80,60 @@
 	state := t.moves[service]
 	order, ordered := t.view.Moves[service]
 	if ordered && (state == nil || state.stage.Order < order.Order) {
-		state = &moveState{
-			stage:   routing.Stage{Service: service, Target: order.Target, Order: order.Order},
-			samples: map[string]*moves.Versions{},
-		}
+		state = &moveState{stage: t.lastStage(service).Succeed(order, t.view.Servers), samples: map[string]*moves.Versions{}}
 		t.moves[service] = state
 	}
 	return state
 }
 
+// lastStage returns the last stage of the service on this host, whichever its order.
+func (t *Task) lastStage(service string) routing.Stage {
+	if state := t.moves[service]; state != nil {
+		return state.stage
+	}
+	return routing.Stage{}
+}
+
 // stageOf returns the stage in force for the service. While an order has no
-// stage yet, the target gets no traffic.
+// stage yet, the target gets no traffic. What earlier moves have shown about versions
+// stays in force, also if the operator removes the order.
 func (t *Task) stageOf(service string) (routing.Stage, bool) {
+	last := t.lastStage(service)
 	order, ordered := t.view.Moves[service]
-	if !ordered {
+	switch {
+	case !ordered && last.Order == 0:
 		return routing.Stage{}, false
+	case !ordered:
+		return last.Succeed(routing.Move{Service: service, Order: last.Order + 1}, t.view.Servers), true
+	case last.Order < order.Order:
+		return last.Succeed(order, t.view.Servers), true
+	case last.Order > order.Order:
+		return routing.Stage{Service: service, Target: order.Target, Order: order.Order, Rejected: last.Rejected}, true
+	default:
+		return last, true
 	}
-	state := t.moves[service]
-	if state == nil || state.stage.Order != order.Order {
-		return routing.Stage{Service: service, Target: order.Target, Order: order.Order}, true
+}
+
+// withoutRejected removes the servers of versions that earlier moves have rejected.
+// Servers whose version was only replaced by a later order remain if no others could
+// take the traffic that does not go to the target.
+func withoutRejected(stage routing.Stage, candidates []candidate) []candidate {
+	if len(stage.Rejected) == 0 {
+		return candidates
+	}
+	accepted := filterCandidates(candidates, func(c *candidate) bool {
+		_, rejected := stage.Rejected.Find(c.server)
+		return !rejected
+	})
+	if slices.ContainsFunc(accepted, func(c candidate) bool {
+		return c.server.Version != stage.Target || stage.Phase == routing.PhaseCompleted
+	}) {
+		return accepted
 	}
-	return state.stage, true
+	return filterCandidates(candidates, func(c *candidate) bool {
+		rejection, rejected := stage.Rejected.Find(c.server)
+		return !rejected || !rejection.Withdrawn
+	})
 }
 
 // handleSetStage puts a stage in force. The view with its order may arrive later; a
@@ -108,8 +142,11 @@
 	state := t.moveOf(message.Stage.Service)
 	switch {
 	case state == nil || state.stage.Order < message.Stage.Order:
-		t.moves[message.Stage.Service] = &moveState{stage: message.Stage, samples: map[string]*moves.Versions{}}
+		order := routing.Move{Service: message.Stage.Service, Target: message.Stage.Target, Order: message.Stage.Order}
+		message.Stage.Rejected = message.Stage.Rejected.Or(t.lastStage(order.Service).Succeed(order, t.view.Servers).Rejected)
+		t.moves[order.Service] = &moveState{stage: message.Stage, samples: map[string]*moves.Versions{}}
 	case state.stage.Order == message.Stage.Order:
+		message.Stage.Rejected = message.Stage.Rejected.Or(state.stage.Rejected)
 		state.stage = message.Stage
 	}
 }
@@ -142,9 +179,15 @@
 // the version: an attempt that continues from a copy of a cache reads no prompt.
 func (l leaseState) skipsStep() bool { return l.fromCopy && !l.decoding }
 
-// sampleOf returns the sample of the version that serves the attempt.
+// sampleOf returns the sample of the version that serves the attempt. Attempts on a
+// rejected version, which may have begun before its rejection, are not recorded: the
+// target would be compared with them.
 func sampleOf(versions *moves.Versions, state *moveState, granted leaseState) *moves.Sample {
-	if granted.server.server.Version == state.stage.Target {
+	server := granted.server.server
+	if _, rejected := state.stage.Rejected.Find(server); rejected && server.Version != state.stage.Target {
+		return &moves.Sample{}
+	}
+	if server.Version == state.stage.Target {
 		return &versions.Target
 	}
 	return &versions.Other
--- a/entryhost/relay/fx.go
+++ b/entryhost/relay/fx.go
@@ -104,9 +104,9 @@
 	})
 }
 
-func provideMover(settings Settings, adapter Adapter, clock clockwork.Clock, set *metrics.Set, logger *slog.Logger, dispatcher *dispatch.Task) *moves.Mover {
+func provideMover(settings Settings, adapter Adapter, clock clockwork.Clock, set *metrics.Set, logger *slog.Logger, dispatcher *dispatch.Task, hosts *roster.Task) *moves.Mover {
 	return moves.NewMover(moves.Parameters{
-		Self: settings.PeerAddress, Store: adapter.Moves, Traffic: dispatch.Traffic{Dispatcher: dispatcher.Mailbox()},
+		Self: settings.PeerAddress, Store: adapter.Moves, Peers: newPeers(settings, hosts), Traffic: dispatch.Traffic{Dispatcher: dispatcher.Mailbox()},
 		Limits: settings.Exposure, Clock: clock, Metrics: set, Logger: logger,
 	})
 }
@@ -137,8 +137,9 @@
 // rosterTimeout bounds the wait for the list of entry hosts.
 const rosterTimeout = 100 * time.Millisecond
 
-func provideMirrors(settings Settings, adapter Adapter, clock clockwork.Clock, set *metrics.Set, logger *slog.Logger, view *catalog.Task, hosts *roster.Task) mirrors {
-	peers := &peering.Peers{
+// newPeers returns the client of the other entry hosts.
+func newPeers(settings Settings, hosts *roster.Task) *peering.Peers {
+	return &peering.Peers{
 		DataCentre: settings.DataCentre, Self: settings.PeerAddress, Region: settings.Region(), Seeds: settings.SeedList(),
 		Hosts: func(ctx context.Context) []routing.Host {
 			ctx, cancel := context.WithTimeout(ctx, rosterTimeout)
@@ -150,6 +151,10 @@
 			return known
 		},
 	}
+}
+
+func provideMirrors(settings Settings, adapter Adapter, clock clockwork.Clock, set *metrics.Set, logger *slog.Logger, view *catalog.Task, hosts *roster.Task) mirrors {
+	peers := newPeers(settings, hosts)
 	follow := func(table string, pace mirror.Pace, subscriber mirror.Subscriber) *mirror.Follower {
 		return mirror.NewFollower(mirror.Parameters{
 			Table: table, Pace: pace, Store: adapter.Store, Peers: peers, Clock: clock, Random: newRandom(), Metrics: set, Logger: logger,
@@ -215,7 +220,7 @@
 			in.Adapter.OrdersTable:        in.Mirrors.orders.Mailbox(),
 			in.Adapter.RegistrationsTable: in.Mirrors.registrations.Mailbox(),
 			in.Adapter.HostsTable:         in.Mirrors.hosts.Mailbox(),
-		}, in.Dispatcher.Mailbox(), in.Suspects.Mailbox(), in.Loads.Mailbox()))
+		}, in.Dispatcher.Mailbox(), in.Suspects.Mailbox(), in.Loads.Mailbox(), in.Mover.Requests()))
 	}
 	return root
 }
--- a/entryhost/relay/moves/messages.go
+++ b/entryhost/relay/moves/messages.go
@@ -11,6 +11,7 @@
 	"github.com/zeebo/errs"
 
 	"github.com/lentilpoint/lentilpoint/entryhost/relay/routing"
+	"github.com/lentilpoint/lentilpoint/task"
 )
 
 // Error is the class of errors of this package.
@@ -35,6 +36,9 @@
 	Handover int
 	// Reason is why the move was withdrawn, or why the target is not proven yet.
 	Reason string
+	// Rejected holds what the moves of the service have shown about versions; nil if the
+	// writer does not record it.
+	Rejected routing.Rejections
 	// Holder is the host that decides on the move. It increments Heartbeat in
 	// each round; the other hosts detect its failure by an unchanged Heartbeat.
 	Holder    string
@@ -46,6 +50,24 @@
 	Version uint64
 }
 
+// stage returns the stage that hosts put in force.
+func (s State) stage() routing.Stage {
+	return routing.Stage{Service: s.Service, Target: s.Target, Order: s.Order, Phase: s.Phase, Share: s.Share, RouteShares: s.RouteShares, Rejected: s.Rejected}
+}
+
+// Peers reads the states that other hosts follow.
+type Peers interface {
+	// State returns the state of the service's latest move that another host follows, or
+	// a zero State if no host that was asked follows one.
+	State(ctx context.Context, service string) (State, error)
+}
+
+// StateRequest asks the mover for the state of the service's latest move that it follows.
+type StateRequest struct {
+	Service string
+	Reply   task.Reply[State]
+}
+
 // Store persists states and evidence.
 type Store interface {
 	// ReadState returns the state of the service's latest move, or a zero State.
@@ -66,6 +88,11 @@
 	roundInterval = time.Second
 	// roundsTimeout bounds all store calls of one round of all active moves.
 	roundsTimeout = 900 * time.Millisecond
+	// peersTimeout bounds the query for the states that peers follow.
+	peersTimeout = 700 * time.Millisecond
+	// requestsCapacity is the capacity for requests of peers, each of which asks once
+	// for each service after its start.
+	requestsCapacity = 64
 	// viewsCapacity is the capacity for catalog views; a full mailbox blocks the
 	// catalog.
 	viewsCapacity = 8
--- a/entryhost/relay/moves/policy.go
+++ b/entryhost/relay/moves/policy.go
@@ -294,6 +294,8 @@
 	// seen is the evidence since the order, recent that of the last recentRounds.
 	seen   Observation
 	recent Observation
+	// latestStart is the latest start of the target's servers.
+	latestStart time.Duration
 }
 
 // nextState returns the state that the holder writes next.
@@ -315,13 +317,13 @@
 	late := p.elapsed >= time.Duration(withdrawalFraction*float64(p.duration))
 	switch {
 	case fault != "":
-		state.Phase, state.Share, state.Reason = routing.PhaseWithdrawn, 0, resultFaulty+": "+fault
+		state = state.withdrawn(resultFaulty+": "+fault, p.latestStart)
 	case proven && (late || state.Handover >= handoverRounds):
 		state.Phase, state.Share = routing.PhaseCompleted, 1
 	case proven && p.elapsed >= handoverStart(p.duration):
 		state.Handover, state.Share = state.Handover+1, 1
 	case late:
-		state.Phase, state.Share, state.Reason = routing.PhaseWithdrawn, 0, resultUnproven+": "+doubt
+		state = state.withdrawn(resultUnproven+": "+doubt, p.latestStart)
 	default:
 		state.Reason = doubt
 		state.Share, state.RouteShares = shares(p, doubt == "", limits)
@@ -329,6 +331,14 @@
 	return state
 }
 
+// withdrawn returns the state of the withdrawn move. The rejection of its target holds
+// for later moves too.
+func (s State) withdrawn(reason string, latestStart time.Duration) State {
+	s.Phase, s.Share, s.Reason = routing.PhaseWithdrawn, 0, reason
+	s.Rejected = s.Rejected.With(routing.Rejection{Version: s.Target, Order: s.Order, Withdrawn: true, LatestStart: latestStart})
+	return s
+}
+
 // The results of moves; each is a label of the counter of moves, and the reason of a
 // withdrawn move begins with its result.
 const (
--- a/entryhost/relay/moves/task.go
+++ b/entryhost/relay/moves/task.go
@@ -31,6 +31,7 @@
 	// Self is the peer address of this host.
 	Self    string
 	Store   Store
+	Peers   Peers
 	Traffic Traffic
 	Limits  ExposureLimits
 	Clock   clockwork.Clock
@@ -42,6 +43,15 @@
 type move struct {
 	order     routing.Move
 	startedAt time.Time
+	// latestStart is the latest start of the target's servers that this host knew.
+	latestStart time.Duration
+	// servers are the registered servers.
+	servers routing.Servers
+	// rejected holds what this host knows from earlier moves; see routing.Rejections.
+	rejected routing.Rejections
+	// firstSeen is set until the first round if this host knows of no earlier move of
+	// the service, as after a restart.
+	firstSeen bool
 	// state is the last state that this host followed.
 	state State
 	// staleRounds counts the consecutive rounds without a new heartbeat.
@@ -60,8 +70,9 @@
 // moves; the task takes views meanwhile.
 type Mover struct {
 	Parameters
-	views task.Mailbox[*catalog.View]
-	moves map[string]*move
+	views    task.Mailbox[*catalog.View]
+	requests task.Mailbox[StateRequest]
+	moves    map[string]*move
 	// rounds receives the moves after a round; at most one round runs.
 	rounds chan map[string]move
 }
@@ -69,14 +80,17 @@
 // NewMover returns a mover without moves; it receives them through Views.
 func NewMover(parameters Parameters) *Mover {
 	return &Mover{
-		Parameters: parameters, views: task.NewMailbox[*catalog.View](viewsCapacity), moves: map[string]*move{},
-		rounds: make(chan map[string]move, 1),
+		Parameters: parameters, views: task.NewMailbox[*catalog.View](viewsCapacity), requests: task.NewMailbox[StateRequest](requestsCapacity),
+		moves: map[string]*move{}, rounds: make(chan map[string]move, 1),
 	}
 }
 
 // Views receives the views of the catalog.
 func (m *Mover) Views() task.Mailbox[*catalog.View] { return m.views }
 
+// Requests receives requests for the states that this host follows.
+func (m *Mover) Requests() task.Mailbox[StateRequest] { return m.requests }
+
 // String names the task in the logs.
 func (m *Mover) String() string { return "mover" }
 
@@ -95,6 +109,8 @@
 			return nil
 		case view := <-m.views.C():
 			m.updateMoves(view)
+		case request := <-m.requests.C():
+			m.handleStateRequest(request)
 		case <-nextRound:
 			nextRound, running = nil, true
 			go m.runRounds(ctx, m.activeMoves())
@@ -105,18 +121,45 @@
 		// A view must not restart the timer: views that arrive more often than
 		// roundInterval would then postpone the round for as long as they come.
 		if nextRound == nil && !running && len(m.activeMoves()) > 0 {
-			nextRound = m.Clock.After(roundInterval)
+			nextRound = m.Clock.After(m.roundDelay())
+		}
+	}
+}
+
+// roundDelay returns the time until the next round. After a restart this host lacks what
+// the other hosts know of earlier moves, so it does not wait.
+func (m *Mover) roundDelay() time.Duration {
+	for _, move := range m.moves {
+		if move.firstSeen {
+			return 0
 		}
 	}
+	return roundInterval
+}
+
+// handleStateRequest answers with the state that this host follows, or a zero State.
+func (m *Mover) handleStateRequest(request StateRequest) {
+	var followed State
+	if known, found := m.moves[request.Service]; found {
+		followed = known.state
+	}
+	request.Reply.Send(followed)
 }
 
 // updateMoves starts new moves and removes those that are no longer ordered.
 func (m *Mover) updateMoves(view *catalog.View) {
 	for service, order := range view.Moves {
-		if known, found := m.moves[service]; found && known.order.Order == order.Order {
+		known, found := m.moves[service]
+		if found && known.order.Order == order.Order {
+			known.noteServers(view)
 			continue
 		}
-		m.moves[service] = &move{order: order, startedAt: m.Clock.Now()}
+		next := &move{order: order, startedAt: m.Clock.Now(), firstSeen: !found}
+		if found {
+			next.rejected = known.followed().Succeed(order, view.Servers).Rejected
+		}
+		next.noteServers(view)
+		m.moves[service] = next
 		m.Logger.Info("version move ordered", eventcode.RelayMoveOrdered.Attr(), "service", service, "target", order.Target, "order", order.Order, "duration_ms", order.Duration.Milliseconds())
 	}
 	for service := range m.moves {
@@ -126,6 +169,24 @@
 	}
 }
 
+// noteServers updates what this host knows of the servers.
+func (m *move) noteServers(view *catalog.View) {
+	m.servers = view.Servers
+	for _, servers := range []routing.Servers{view.Servers, view.Superseded} {
+		m.latestStart = max(m.latestStart, servers.LatestStart(m.order.Service, m.order.Target))
+	}
+}
+
+// followed returns the stage of the move that this host followed last.
+func (m *move) followed() routing.Stage {
+	stage := routing.Stage{Service: m.order.Service, Target: m.order.Target, Order: m.order.Order}
+	if m.state.Order == m.order.Order {
+		stage = m.state.stage()
+	}
+	stage.Rejected = stage.Rejected.Or(m.rejected)
+	return stage
+}
+
 // activeMoves returns copies of the moves that have not ended on this host.
 func (m *Mover) activeMoves() map[string]move {
 	active := map[string]move{}
@@ -142,6 +203,7 @@
 func (m *Mover) recordRound(after map[string]move) {
 	for service, move := range after {
 		if known, found := m.moves[service]; found && known.order.Order == move.order.Order {
+			move.latestStart, move.servers = known.latestStart, known.servers
 			*known = move
 		}
 	}
@@ -150,6 +212,7 @@
 // runRounds runs one round of each active move within roundsTimeout, outside of the
 // task's goroutine, and sends the moves after it to the task.
 func (m *Mover) runRounds(taskCtx context.Context, active map[string]move) {
+	m.followPeers(taskCtx, active)
 	ctx, cancel := context.WithTimeout(taskCtx, roundsTimeout)
 	defer cancel()
 	for service, move := range active {
@@ -169,6 +232,40 @@
 	m.rounds <- active
 }
 
+// followPeers puts in force what another host follows, for the moves in their first round
+// after a restart. This host would otherwise send requests to rejected versions until the
+// store answers.
+func (m *Mover) followPeers(ctx context.Context, active map[string]move) {
+	ctx, cancel := context.WithTimeout(ctx, peersTimeout)
+	defer cancel()
+	for service, move := range active {
+		if move.firstSeen {
+			m.followPeer(ctx, service, &move)
+			move.firstSeen = false
+			active[service] = move
+		}
+	}
+}
+
+// followPeer puts in force what another host follows for one service.
+func (m *Mover) followPeer(ctx context.Context, service string, move *move) {
+	state, err := m.Peers.State(ctx, service)
+	if err != nil {
+		m.Logger.Info("no peer told the state of a version move", eventcode.RelayMoveRound.Attr(), "service", service, "error", err)
+		return
+	}
+	if state.Order < move.order.Order {
+		stage := state.stage().Succeed(move.order, nil)
+		move.rejected = stage.Rejected
+		err = m.Traffic.SetStage(ctx, stage)
+	} else {
+		err = m.applyStage(ctx, state, move)
+	}
+	if err != nil {
+		m.Logger.Error("stage of a peer not delivered to the dispatcher", eventcode.RelayMoveRound.Attr(), "service", service, "error", err)
+	}
+}
+
 // pauseTrial reduces the target's share on this host to the initial one. While the store
 // cannot be reached, no host withdraws a faulty target, so none may get more. In the
 // handover the old servers may have stopped since, so the traffic stays on the target.
@@ -232,8 +329,9 @@
 	}
 	seen := sumEvidence(evidence, move.order.Order)
 	if state.Order != move.order.Order {
-		state = State{Service: service, Target: move.order.Target, Order: move.order.Order, Phase: routing.PhaseActive, Version: state.Version}
+		state = firstState(state, move)
 	}
+	state.Rejected = state.Rejected.Or(move.rejected)
 	state.Holder = m.Self
 	proposed := nextState(state, move.observe(seen, m.Clock.Now()), m.Limits)
 	err = m.Store.WriteState(ctx, proposed)
@@ -251,6 +349,17 @@
 	return proposed, nil
 }
 
+// firstState returns the state in which the move begins, with what the earlier moves of
+// the service have shown.
+func firstState(before State, move *move) State {
+	earlier := before.stage()
+	earlier.Rejected = earlier.Rejected.Or(move.rejected)
+	return State{
+		Service: move.order.Service, Target: move.order.Target, Order: move.order.Order, Phase: routing.PhaseActive,
+		Rejected: earlier.Succeed(move.order, move.servers).Rejected, Version: before.Version,
+	}
+}
+
 // alignStart moves the start of the move back if the state shows that it was ordered
 // earlier than this host knows, for example because this host has restarted.
 func (m *move) alignStart(state State, now time.Time) {
@@ -262,7 +371,7 @@
 // observe records an observation and returns it with what is new since the rounds
 // before. While there are too few rounds, nothing is recent.
 func (m *move) observe(seen Observation, now time.Time) progress {
-	p := progress{elapsed: now.Sub(m.startedAt), duration: m.order.Duration, seen: seen}
+	p := progress{elapsed: now.Sub(m.startedAt), duration: m.order.Duration, seen: seen, latestStart: m.latestStart}
 	if len(m.history) == recentRounds {
 		p.recent = seen.since(m.history[0])
 		m.history = m.history[1:]
@@ -281,7 +390,7 @@
 		}
 	}
 	m.Logger.Info("version move decided", eventcode.RelayMoveDecided.Attr(), "service", decided.Service, "target", decided.Target, "phase", int(decided.Phase),
-		"share", decided.Share, "handover", decided.Handover, "route_shares", decided.RouteShares, "reason", decided.Reason,
+		"share", decided.Share, "rejected", decided.Rejected, "handover", decided.Handover, "route_shares", decided.RouteShares, "reason", decided.Reason,
 		"target_sent", total.Target.sent(), "target_answered", total.Target.answered(), "target_waiting", total.Target.Answers.Waiting.Count(),
 		"target_count", total.Target.Count, "target_failed", total.Target.Failed, "target_mean_ms", total.Target.meanLatency().Milliseconds(),
 		"other_sent", total.Other.sent(), "other_answered", total.Other.answered(), "other_waiting", total.Other.Answers.Waiting.Count(),
@@ -294,7 +403,7 @@
 	if state.Order != move.order.Order {
 		return nil
 	}
-	if err := m.Traffic.SetStage(ctx, routing.Stage{Service: state.Service, Target: state.Target, Order: state.Order, Phase: state.Phase, Share: state.Share, RouteShares: state.RouteShares}); err != nil {
+	if err := m.Traffic.SetStage(ctx, state.stage()); err != nil {
 		return err
 	}
 	move.phase = state.Phase
--- a/entryhost/relay/moves/task_test.go
+++ b/entryhost/relay/moves/task_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"log/slog"
 	"sync/atomic"
 	"time"
@@ -57,7 +58,18 @@
 
 func (standinTraffic) Samples(context.Context, string) (map[string]Versions, error) { return nil, nil }
 
+// standinPeers follow the state, if it is set.
+type standinPeers struct{ state *State }
+
+func (p standinPeers) State(context.Context, string) (State, error) {
+	if p.state == nil {
+		return State{}, errors.New("no peer answered")
+	}
+	return *p.state, nil
+}
+
 var _ = Describe("the mover", func() {
+	var peers *standinPeers
 	var clock *clockwork.FakeClock
 	var store *standinStore
 	var traffic standinTraffic
@@ -67,9 +79,10 @@
 	BeforeEach(func() {
 		clock = clockwork.NewFakeClock()
 		store = &standinStore{rounds: make(chan struct{}, 100), orders: make(chan uint64, 100), states: make(chan State, 100)}
+		peers = &standinPeers{}
 		traffic = standinTraffic{stages: make(chan routing.Stage, 100)}
 		mover = NewMover(Parameters{
-			Self: "host", Store: store, Traffic: traffic, Limits: ExposureLimits{Share: 0.1, Slack: 50},
+			Self: "host", Store: store, Peers: peers, Traffic: traffic, Limits: ExposureLimits{Share: 0.1, Slack: 50},
 			Clock: clock, Metrics: metrics.NewSet(), Logger: slog.New(slog.DiscardHandler),
 		})
 	})
--- a/entryhost/relay/peering/accept_test.go
+++ b/entryhost/relay/peering/accept_test.go
@@ -12,6 +12,7 @@
 	"github.com/lentilpoint/lentilpoint/entryhost/relay/dispatch"
 	"github.com/lentilpoint/lentilpoint/entryhost/relay/loads"
 	"github.com/lentilpoint/lentilpoint/entryhost/relay/mirror"
+	"github.com/lentilpoint/lentilpoint/entryhost/relay/moves"
 	"github.com/lentilpoint/lentilpoint/entryhost/relay/suspects"
 	"github.com/lentilpoint/lentilpoint/task"
 )
@@ -28,7 +29,7 @@
 	bound, err := net.Listen("tcp", "127.0.0.1:0")
 	g.Expect(err).NotTo(gomega.HaveOccurred())
 	listener := NewListener(exhaustedListener{bound}, map[string]task.Mailbox[mirror.ChangesRequest]{}, task.NewMailbox[dispatch.Message](1),
-		task.NewMailbox[suspects.Message](1), task.NewMailbox[loads.Exchange](1))
+		task.NewMailbox[suspects.Message](1), task.NewMailbox[loads.Exchange](1), task.NewMailbox[moves.StateRequest](1))
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	g.Expect(listener.Serve(ctx)).To(gomega.MatchError(syscall.EMFILE))
--- a/entryhost/relay/peering/peering.go
+++ b/entryhost/relay/peering/peering.go
@@ -18,6 +18,7 @@
 	"github.com/lentilpoint/lentilpoint/entryhost/relay/dispatch"
 	"github.com/lentilpoint/lentilpoint/entryhost/relay/loads"
 	"github.com/lentilpoint/lentilpoint/entryhost/relay/mirror"
+	"github.com/lentilpoint/lentilpoint/entryhost/relay/moves"
 	"github.com/lentilpoint/lentilpoint/entryhost/relay/routing"
 	"github.com/lentilpoint/lentilpoint/entryhost/relay/suspects"
 	"github.com/lentilpoint/lentilpoint/task"
@@ -112,13 +113,14 @@
 	dispatcher task.Mailbox[dispatch.Message]
 	suspects   task.Mailbox[suspects.Message]
 	loads      task.Mailbox[loads.Exchange]
+	mover      task.Mailbox[moves.StateRequest]
 }
 
 // NewListener returns a listener on a bound socket. It serves the followers' copies,
 // which are keyed by table, and the dispatcher's budget, and delivers peers' reports
-// of suspects and of loads.
-func NewListener(listener net.Listener, followers map[string]task.Mailbox[mirror.ChangesRequest], dispatcher task.Mailbox[dispatch.Message], suspected task.Mailbox[suspects.Message], collector task.Mailbox[loads.Exchange]) *Listener {
-	return &Listener{socket: task.NewSocket(listener), followers: followers, dispatcher: dispatcher, suspects: suspected, loads: collector}
+// of suspects and of loads. The mover tells peers which states it follows.
+func NewListener(listener net.Listener, followers map[string]task.Mailbox[mirror.ChangesRequest], dispatcher task.Mailbox[dispatch.Message], suspected task.Mailbox[suspects.Message], collector task.Mailbox[loads.Exchange], mover task.Mailbox[moves.StateRequest]) *Listener {
+	return &Listener{socket: task.NewSocket(listener), followers: followers, dispatcher: dispatcher, suspects: suspected, loads: collector, mover: mover}
 }
 
 // String names the task in the logs.
@@ -138,7 +140,7 @@
 	server := rpc.NewServer()
 	for name, service := range map[string]any{
 		copiesService: &Copies{followers: l.followers}, budgetService: &Budget{dispatcher: l.dispatcher}, suspectsService: &Suspects{mailbox: l.suspects},
-		loadsService: &Loads{mailbox: l.loads}, promptsService: &Prompts{dispatcher: l.dispatcher},
+		loadsService: &Loads{mailbox: l.loads}, promptsService: &Prompts{dispatcher: l.dispatcher}, movesService: &Moves{mover: l.mover},
 	} {
 		if err := server.RegisterName(name, service); err != nil {
 			return Error.Wrap(err)
--- a/entryhost/relay/routing/move.go
+++ b/entryhost/relay/routing/move.go
@@ -44,6 +44,9 @@
 	Share   float64
 	// RouteShares holds the shares of routes that have another one than Share.
 	RouteShares map[string]float64
+	// Rejected holds what earlier moves have shown about versions, and the target if
+	// this one was withdrawn.
+	Rejected Rejections
 }
 
 // OfRoute returns the stage for the requests of a route.
