Leave the state of a newer order alone

Seen by reading, and in the new spec: a host whose copy of the orders is old, for example after a freeze, takes the state of a newer order for one without a state, so it decides by its own order and replaces the newer state, including what that has shown about versions. No report of callers shows it.

Cause: isHolder takes every state of another order for an older one. Change: a state of a newer order ends the round with ErrNewerOrder; the host waits for the order. Versions of rows grow with each transaction, so orders can be compared.

Evidence: the spec "leaves the state of a newer order as it is" failed before (a state was written) and passes; all specs of moves pass.

--- a/entryhost/relay/moves/messages.go
+++ b/entryhost/relay/moves/messages.go
@@ -20,6 +20,9 @@
 // ErrConflict reports that another host wrote the state since it was read.
 var ErrConflict = Error.New("the state of the version move was changed by another host; read it again")
 
+// ErrNewerOrder reports that the stored state is of an order that this host has not read.
+var ErrNewerOrder = Error.New("the state is of a newer order than this host has read; wait for the order")
+
 // State is the state of a service's latest move that all hosts follow.
 type State struct {
 	Service string
--- a/entryhost/relay/moves/task.go
+++ b/entryhost/relay/moves/task.go
@@ -290,6 +290,9 @@
 	if err != nil {
 		return err
 	}
+	if state.Order > move.order.Order {
+		return ErrNewerOrder
+	}
 	move.alignStart(state, m.Clock.Now())
 	if state.Order == move.order.Order && state.Heartbeat == move.state.Heartbeat {
 		move.staleRounds++
--- a/entryhost/relay/moves/task_test.go
+++ b/entryhost/relay/moves/task_test.go
@@ -176,6 +176,21 @@
 		Expect(stage.OfRoute("chat").Share).To(Equal(lateTrialShare))
 	})
 
+	// Guards against a host whose copy of the orders is old, for example after it was frozen:
+	// it replaced the state of the newer order, with what that had shown, by its own.
+	It("leaves the state of a newer order as it is", func() {
+		store.state = State{Service: "engine", Target: "v3", Order: 8, Phase: routing.PhaseWithdrawn, Holder: "other"}
+		start()
+		Expect(mover.Views().Send(context.Background(), view)).To(Succeed())
+		for range holderTimeoutRounds + 1 {
+			Expect(clock.BlockUntilContext(context.Background(), 1)).To(Succeed())
+			clock.Advance(roundInterval)
+			Eventually(store.rounds).Should(Receive())
+		}
+		Consistently(store.states, 100*time.Millisecond).ShouldNot(Receive())
+		Expect(traffic.stages).NotTo(Receive())
+	})
+
 	// Guards against a host that takes the time of its own start for that of the order:
 	// the move would end after its time.
 	It("continues the time of a move that it takes over after a restart", func() {
