Send nothing new to a server whose responses say that it leaves

Cause: nothing read the header; only registrations took a server out of use, and a server cannot report that it drains while the store is away.

Change: the task of a request tells the dispatcher what the head of a response states, before the caller or another server gets anything. The dispatcher then gives the server no requests, streams or copies and closes its idle connections. The statement holds for the process that made it: another start in its registration, or a health check under its id, ends it.

--- a/cmd/lentilpoint-bench/standin/server.go
+++ b/cmd/lentilpoint-bench/standin/server.go
@@ -241,6 +241,9 @@
 	snapshot := callWithTimeout(s, func(s *Server) serverSnapshot {
 		return serverSnapshot{id: s.id, faults: s.faults, hasCopy: s.copies[request]}
 	})
+	if snapshot.faults.Leaving {
+		w.Header().Set(platform.HeaderLeaving, "1")
+	}
 	wantsCopy := r.Header.Get(platform.HeaderCacheCopy) != ""
 	switch {
 	case r.Header.Get(platform.HeaderInstance) != snapshot.id:
--- a/cmd/lentilpoint-bench/standin/server_faults.go
+++ b/cmd/lentilpoint-bench/standin/server_faults.go
@@ -23,6 +23,8 @@
 	LoseAnswer bool
 	// Fail answers plain requests with status 500.
 	Fail bool
+	// Leaving states in all responses that the server leaves.
+	Leaving bool
 	// Slow delays answers to plain requests.
 	Slow time.Duration
 	// Extra sends a second response, which belongs to no request, after each answer to
--- a/entryhost/relay/dispatch/assign.go
+++ b/entryhost/relay/dispatch/assign.go
@@ -143,7 +143,7 @@
 			owned: t.ownership.owns(state.server),
 			warm:  len(state.idle) > 0, full: len(state.idle) == 0 && state.open >= limit,
 			paused: now.Before(state.health.pausedUntil), dataCentreDown: t.pools[poolOf(state.server)].down(now), recovering: state.health.pause > 0,
-			stale: state.health.stale, failureRate: state.health.failureRate,
+			stale: state.health.stale, leaving: t.isLeaving(id), failureRate: state.health.failureRate,
 		})
 	}
 	if stage, moving := t.stageOf(service); moving {
--- a/entryhost/relay/dispatch/copies_test.go
+++ b/entryhost/relay/dispatch/copies_test.go
@@ -24,6 +24,10 @@
 
 func (fakeProber) Probe(context.Context, string) (EngineReport, error) { return EngineReport{}, nil }
 
+func (fakeProber) CheckHealth(context.Context, string, string, string) error {
+	return errors.New("leaves")
+}
+
 func (fakeProber) CachedParts(context.Context, string) (map[string]int, error) { return nil, nil }
 
 func (p fakeProber) Copy(_ context.Context, _, request, target string) (string, error) {
--- a/entryhost/relay/dispatch/loads.go
+++ b/entryhost/relay/dispatch/loads.go
@@ -238,7 +238,7 @@
 	}
 	// Engines that crashed are back within the time in which a prompt is read.
 	for _, c := range candidates {
-		if c.server.DataCentre == dataCentre && !c.server.Draining && !c.stale {
+		if c.server.DataCentre == dataCentre && !c.server.Draining && !c.leaving && !c.stale {
 			result.engines++
 		}
 	}
--- a/entryhost/relay/dispatch/messages.go
+++ b/entryhost/relay/dispatch/messages.go
@@ -321,6 +321,9 @@
 // connection of its own.
 type Prober interface {
 	Probe(ctx context.Context, address string) (EngineReport, error)
+	// CheckHealth returns an error unless the server with the id answers at the address
+	// that it is healthy and does not leave.
+	CheckHealth(ctx context.Context, address, path, id string) error
 	// CachedParts returns the number of tokens in the engine's cache of each
 	// part of a prompt, by the id of the part.
 	CachedParts(ctx context.Context, address string) (map[string]int, error)
--- a/entryhost/relay/dispatch/policy.go
+++ b/entryhost/relay/dispatch/policy.go
@@ -35,6 +35,8 @@
 	dataCentreDown bool
 	// stale registrations name a server that is no longer at the address.
 	stale bool
+	// leaving servers have stated that they take no new work.
+	leaving bool
 	// failureRate is the smoothed share of failed attempts.
 	failureRate float64
 }
@@ -107,7 +109,7 @@
 
 // usable keeps servers that may take work.
 func usable(_ *Acquire, candidates []candidate) []candidate {
-	return filterCandidates(candidates, func(c *candidate) bool { return !c.server.Draining && !c.stale && !c.full })
+	return filterCandidates(candidates, func(c *candidate) bool { return !c.server.Draining && !c.leaving && !c.stale && !c.full })
 }
 
 // notExcluded removes servers that the request must not use again.
--- a/entryhost/relay/dispatch/task.go
+++ b/entryhost/relay/dispatch/task.go
@@ -131,6 +131,8 @@
 	pools map[serverPool]poolFailures
 	// adopted are restarted engines that are not registered yet, by id.
 	adopted map[string]adoption
+	// leaving are the servers that have stated that they leave, by id.
+	leaving map[string]leavingServer
 	// ended holds when registrations ended, by id of the server.
 	ended map[string]time.Time
 	// ownership decides which servers of the data centre this host owns.
@@ -170,6 +172,7 @@
 		shared:    map[string]sharedLoads{}, collectorsDown: map[string]time.Time{},
 		adopted:   map[string]adoption{},
 		ended:     map[string]time.Time{},
+		leaving:   map[string]leavingServer{},
 		pools:     map[serverPool]poolFailures{},
 		reports:   task.NewMailbox[exchange.Report](reportsSize),
 		createdAt: parameters.Clock.Now(),
@@ -220,6 +223,7 @@
 			t.retryWaiting(t.lifetime)
 		case <-loadReports.Chan():
 			t.reportDue(t.lifetime)
+			t.checkLeaving(t.lifetime)
 		}
 	}
 }
@@ -264,6 +268,10 @@
 		t.handleLocate(ctx, message)
 	case cacheListed:
 		t.handleCacheList(ctx, message)
+	case ServerLeaving:
+		t.handleLeaving(message)
+	case leavingCheckDone:
+		t.handleLeavingCheck(message)
 	case Check:
 		t.handleCheck(ctx, message)
 	case checkDone:
@@ -294,6 +302,7 @@
 		}
 		state.server = server
 	}
+	t.updateLeaving()
 	t.expireAdoptions()
 	for id, state := range t.servers {
 		if t.isKnown(id) {
@@ -323,7 +332,7 @@
 // handleReport updates the open and idle connections of a server.
 func (t *Task) handleReport(report exchange.Report) {
 	state, found := t.servers[report.Connection.Server()]
-	if !found || report.Idle && !t.isKnown(report.Connection.Server()) {
+	if !found || report.Idle && (!t.isKnown(report.Connection.Server()) || t.isLeaving(report.Connection.Server())) {
 		report.Connection.Close()
 		return
 	}
--- a/entryhost/relay/exchange/messages.go
+++ b/entryhost/relay/exchange/messages.go
@@ -98,6 +98,8 @@
 	// id is Instance.
 	Misdirected bool
 	Instance    string
+	// Leaving reports that the server states that it takes no new work.
+	Leaving bool
 	// Encoded reports that the body has a content encoding, so its bytes are not
 	// those that the service produced.
 	Encoded bool
--- a/entryhost/relay/forward/plain.go
+++ b/entryhost/relay/forward/plain.go
@@ -110,6 +110,7 @@
 				return nil, outcomeOfFailure(event.Failed), event.Failed.Err
 			case event.Head != nil:
 				got.head = event.Head
+				r.noteHead(ctx, running, event.Head)
 			case event.End:
 				outcome := outcomeOfHead(got.head)
 				return got, outcome, nil
--- a/entryhost/relay/forward/stream.go
+++ b/entryhost/relay/forward/stream.go
@@ -234,7 +234,7 @@
 			return nil, dispatch.OutcomeNone, context.Cause(ctx)
 		case event := <-running.events:
 			before := running.note.Events
-			outcome, done, err := r.handleExchangeEvent(event, running, s, &got)
+			outcome, done, err := r.handleExchangeEvent(ctx, event, running, s, &got)
 			if done {
 				return got, outcome, err
 			}
@@ -271,12 +271,13 @@
 
 // handleExchangeEvent handles one event of the exchange and reports whether the
 // attempt has ended.
-func (r *requestTask) handleExchangeEvent(event exchange.Event, running *runningAttempt, s *streamState, got **response) (dispatch.Outcome, bool, error) {
+func (r *requestTask) handleExchangeEvent(ctx context.Context, event exchange.Event, running *runningAttempt, s *streamState, got **response) (dispatch.Outcome, bool, error) {
 	switch {
 	case event.Failed != nil:
 		return outcomeOfFailure(event.Failed), true, event.Failed.Err
 	case event.Head != nil:
 		*got = &response{head: event.Head}
+		r.noteHead(ctx, running, event.Head)
 		return 0, false, nil
 	case event.End:
 		return r.streamOutcome(s, *got)
--- a/entryhost/relay/forward/task.go
+++ b/entryhost/relay/forward/task.go
@@ -133,6 +133,17 @@
 	return running
 }
 
+// noteHead tells the dispatcher what the head of a response states about its server,
+// before the caller receives the response or another server is asked.
+func (r *requestTask) noteHead(ctx context.Context, running *runningAttempt, head *exchange.ResponseHead) {
+	if !head.Leaving {
+		return
+	}
+	if err := r.Dispatcher.Send(ctx, dispatch.ServerLeaving{Lease: running.assignment.Lease}); err != nil {
+		r.Logger.Warn("the dispatcher was not told that a server leaves", eventcode.OutcomeNotDelivered.Attr(), "request", r.request.ID, "server", running.note.Server, "error", err)
+	}
+}
+
 // sentBefore reports whether an earlier attempt may have been sent to the server.
 func (r *requestTask) sentBefore(server string) bool {
 	return slices.ContainsFunc(r.summary.Attempts, func(note AttemptNote) bool { return note.Server == server })
--- a/entryhost/relay/routing/config.go
+++ b/entryhost/relay/routing/config.go
@@ -109,6 +109,8 @@
 	// MaxConnections limits the connections of all callers to one server; 0
 	// means no limit.
 	MaxConnections int
+	// HealthPath is the path of the servers' health check, or "".
+	HealthPath string
 	// Engine is nil for plain services.
 	Engine *Engine
 }
