Let a host that joins a version move decide only a round later

Cause: with the requests of some milliseconds, the holder took a busy route for one with little traffic and raised the share of the target on it up to 0.4.

Change: a host joins the moves that were ordered before it started: it puts in force what a peer or else the store says, without evidence or decision. Orders that come later have their first round after roundInterval, as before.

--- a/entryhost/relay/moves/messages.go
+++ b/entryhost/relay/moves/messages.go
@@ -91,8 +91,8 @@
 	roundInterval = time.Second
 	// roundsTimeout bounds all store calls of one round of all active moves.
 	roundsTimeout = 900 * time.Millisecond
-	// peersTimeout bounds the query for the states that peers follow.
-	peersTimeout = 700 * time.Millisecond
+	// joinTimeout bounds the queries for the states of moves after the start of a host.
+	joinTimeout = 700 * time.Millisecond
 	// requestsCapacity is the capacity for requests of peers, each of which asks once
 	// for each service after its start.
 	requestsCapacity = 64
--- a/entryhost/relay/moves/rejected_test.go
+++ b/entryhost/relay/moves/rejected_test.go
@@ -35,6 +35,8 @@
 			Clock: clockwork.NewFakeClock(), Metrics: metrics.NewSet(), Logger: slog.New(slog.DiscardHandler),
 		})
 	})
+	// runsAlready makes the orders come after the start of the host.
+	runsAlready := func() { mover.hasOrders = true }
 	order := func(number uint64, target string) {
 		mover.updateMoves(&catalog.View{Servers: registered, Moves: map[string]routing.Move{"engine": {Service: "engine", Target: target, Order: number, Duration: 10 * time.Second}}})
 	}
@@ -51,6 +53,7 @@
 	})
 
 	It("is carried into the state of the next order by a host that did not see the earlier one", func(ctx SpecContext) {
+		runsAlready()
 		store.state = State{Service: "engine", Target: "v2", Order: 7, Phase: routing.PhaseWithdrawn, Rejected: routing.Rejections{rejectedSecond}}
 		order(8, "v3")
 		round(ctx)
@@ -58,6 +61,7 @@
 	})
 
 	It("is carried on by a host that saw it if the state of a host of an earlier build lacks it", func(ctx SpecContext) {
+		runsAlready()
 		store.state = State{Service: "engine", Target: "v2", Order: 7, Phase: routing.PhaseWithdrawn, Rejected: routing.Rejections{rejectedSecond}}
 		order(7, "v2")
 		round(ctx)
@@ -68,6 +72,7 @@
 	})
 
 	It("rejects a target that a later order replaced before it was proven", func(ctx SpecContext) {
+		runsAlready()
 		store.state = State{Service: "engine", Target: "v2", Order: 7, Phase: routing.PhaseActive}
 		order(8, "v3")
 		round(ctx)
@@ -75,6 +80,7 @@
 	})
 
 	It("does not reject a target that was completed", func(ctx SpecContext) {
+		runsAlready()
 		store.state = State{Service: "engine", Target: "v2", Order: 7, Phase: routing.PhaseCompleted}
 		order(8, "v3")
 		round(ctx)
@@ -109,12 +115,29 @@
 		round(ctx)
 		Expect((<-traffic.stages).Rejected).To(Equal(routing.Rejections{rejectedSecond}))
 
+		runsAlready()
 		By("and told further")
 		order(9, "v4")
 		Expect(mover.roundDelay()).To(Equal(roundInterval))
 		Expect(mover.moves["engine"].rejected).To(ContainElement(rejectedSecond))
 	})
 
+	// Guards against shares that are derived from the requests of some milliseconds.
+	It("is asked for before the host takes part in the decisions, and not for orders that come later", func(ctx SpecContext) {
+		peers.state = &State{Service: "engine", Target: "v2", Order: 7, Phase: routing.PhaseActive}
+		order(8, "v3")
+		round(ctx)
+		Expect(store.orders).NotTo(Receive())
+		Expect(store.states).NotTo(Receive())
+		mover.updateMoves(&catalog.View{Config: &routing.Config{}, Moves: map[string]routing.Move{
+			"engine": {Service: "engine", Target: "v3", Order: 8, Duration: time.Minute}, "shop": {Service: "shop", Target: "v2", Order: 9, Duration: time.Minute},
+		}})
+		mover.updateMoves(&catalog.View{Config: &routing.Config{}, Moves: map[string]routing.Move{
+			"engine": {Service: "engine", Target: "v3", Order: 8, Duration: time.Minute}, "desk": {Service: "desk", Target: "v2", Order: 10, Duration: time.Minute},
+		}})
+		Expect(mover.moves["desk"].isJoining).To(BeFalse())
+	})
+
 	It("is told by a peer that has not seen the order yet", func(ctx SpecContext) {
 		store.hangs.Store(true)
 		peers.state = &State{Service: "engine", Target: "v2", Order: 7, Phase: routing.PhaseWithdrawn, Rejected: routing.Rejections{rejectedSecond}}
--- a/entryhost/relay/moves/task.go
+++ b/entryhost/relay/moves/task.go
@@ -49,9 +49,9 @@
 	servers routing.Servers
 	// rejected holds what this host knows from earlier moves; see routing.Rejections.
 	rejected routing.Rejections
-	// firstSeen is set until the first round if this host knows of no earlier move of
-	// the service, as after a restart.
-	firstSeen bool
+	// isJoining is set until the first round if the move was ordered before this host
+	// started.
+	isJoining bool
 	// state is the last state that this host followed.
 	state State
 	// staleRounds counts the consecutive rounds without a new heartbeat.
@@ -73,6 +73,8 @@
 	views    task.Mailbox[*catalog.View]
 	requests task.Mailbox[StateRequest]
 	moves    map[string]*move
+	// hasOrders is set once the operator's orders were read.
+	hasOrders bool
 	// rounds receives the moves after a round; at most one round runs.
 	rounds chan map[string]move
 }
@@ -130,7 +132,7 @@
 // the other hosts know of earlier moves, so it does not wait.
 func (m *Mover) roundDelay() time.Duration {
 	for _, move := range m.moves {
-		if move.firstSeen {
+		if move.isJoining {
 			return 0
 		}
 	}
@@ -154,7 +156,7 @@
 			known.noteServers(view)
 			continue
 		}
-		next := &move{order: order, startedAt: m.Clock.Now(), firstSeen: !found}
+		next := &move{order: order, startedAt: m.Clock.Now(), isJoining: !m.hasOrders}
 		if found {
 			next.rejected = known.followed().Succeed(order, view.Servers).Rejected
 		}
@@ -162,6 +164,7 @@
 		m.moves[service] = next
 		m.Logger.Info("version move ordered", eventcode.RelayMoveOrdered.Attr(), "service", service, "target", order.Target, "order", order.Order, "duration_ms", order.Duration.Milliseconds())
 	}
+	m.hasOrders = m.hasOrders || view.Config != nil
 	for service := range m.moves {
 		if _, found := view.Moves[service]; !found {
 			delete(m.moves, service)
@@ -212,10 +215,10 @@
 // runRounds runs one round of each active move within roundsTimeout, outside of the
 // task's goroutine, and sends the moves after it to the task.
 func (m *Mover) runRounds(taskCtx context.Context, active map[string]move) {
-	m.followPeers(taskCtx, active)
+	ready := m.joinMoves(taskCtx, active)
 	ctx, cancel := context.WithTimeout(taskCtx, roundsTimeout)
 	defer cancel()
-	for service, move := range active {
+	for service, move := range ready {
 		err := m.runRound(ctx, service, &move)
 		if err == nil {
 			move.failedRounds = 0
@@ -232,40 +235,6 @@
 	m.rounds <- active
 }
 
-// followPeers puts in force what another host follows, for the moves in their first round
-// after a restart. This host would otherwise send requests to rejected versions until the
-// store answers.
-func (m *Mover) followPeers(ctx context.Context, active map[string]move) {
-	ctx, cancel := context.WithTimeout(ctx, peersTimeout)
-	defer cancel()
-	for service, move := range active {
-		if move.firstSeen {
-			m.followPeer(ctx, service, &move)
-			move.firstSeen = false
-			active[service] = move
-		}
-	}
-}
-
-// followPeer puts in force what another host follows for one service.
-func (m *Mover) followPeer(ctx context.Context, service string, move *move) {
-	state, err := m.Peers.State(ctx, service)
-	if err != nil {
-		m.Logger.Info("no peer told the state of a version move", eventcode.RelayMoveRound.Attr(), "service", service, "error", err)
-		return
-	}
-	if state.Order < move.order.Order {
-		stage := state.stage().Succeed(move.order, nil)
-		move.rejected = stage.Rejected
-		err = m.Traffic.SetStage(ctx, stage)
-	} else {
-		err = m.applyStage(ctx, state, move)
-	}
-	if err != nil {
-		m.Logger.Error("stage of a peer not delivered to the dispatcher", eventcode.RelayMoveRound.Attr(), "service", service, "error", err)
-	}
-}
-
 // pauseTrial reduces the target's share on this host to the initial one. While the store
 // cannot be reached, no host withdraws a faulty target, so none may get more. In the
 // handover the old servers may have stopped since, so the traffic stays on the target.
--- a/entryhost/relay/moves/task_test.go
+++ b/entryhost/relay/moves/task_test.go
@@ -85,6 +85,8 @@
 			Self: "host", Store: store, Peers: peers, Traffic: traffic, Limits: ExposureLimits{Share: 0.1, Slack: 50},
 			Clock: clock, Metrics: metrics.NewSet(), Logger: slog.New(slog.DiscardHandler),
 		})
+		// The orders come after the start of the host.
+		mover.hasOrders = true
 	})
 
 	start := func() {
