Let no host vouch for the store longer than configuration may take

Cause: an open call to the feed says nothing about the store, and its host vouched for the store until the deadline of the call, 2.4 s and a pause; each host that took over did so again with a call of its own.

A host that loses its reader makes a call without a hold, of 0.3 s at most, and vouches for nothing until then. It reads from another peer only if the store has served that one since the loss. Only the peer of the round before may hold its reply. A host tells its followers of a failure before it asks peers itself.

Two expectations of mirror_test.go named the call's timing function; it is a method of the round now, and they hold with the same bounds.

--- a/entryhost/relay/mirror/mirror_test.go
+++ b/entryhost/relay/mirror/mirror_test.go
@@ -139,15 +139,19 @@
 }
 
 var _ = Describe("the timing of calls", func() {
+	timing := func(failedRounds int) callTiming {
+		return round{hasSnapshot: true, failedRounds: failedRounds}.timing(maxHold)
+	}
+
 	It("detects an unresponsive connection to the store within 3 s", func() {
 		// A host whose connections were reset counts as reconnected after 3 s.
-		Expect(callTimingFor(true, 0).timeout.Seconds()).To(BeNumerically("<", 3))
-		Expect(callTimingFor(true, 1).timeout).To(BeNumerically("<", callTimingFor(true, 0).timeout))
+		Expect(timing(0).timeout.Seconds()).To(BeNumerically("<", 3))
+		Expect(timing(1).timeout).To(BeNumerically("<", timing(0).timeout))
 	})
 
 	It("grows during an outage, so that a configuration that takes longer than the first probe is read", func() {
-		Expect(callTimingFor(true, 2).timeout).To(BeNumerically(">", callTimingFor(true, 1).timeout))
-		Expect(callTimingFor(true, 9).timeout).To(Equal(callTimingFor(true, 0).timeout))
+		Expect(timing(2).timeout).To(BeNumerically(">", timing(1).timeout))
+		Expect(timing(9).timeout).To(Equal(timing(0).timeout))
 	})
 
 	It("abandons a frozen peer within the 2 s in which configuration has to come into force", func() {
--- a/entryhost/relay/mirror/policy.go
+++ b/entryhost/relay/mirror/policy.go
@@ -3,14 +3,21 @@
 import "time"
 
 const (
-	// feedPollTimeout is how long the store may hold a request to the feed. It bounds
-	// the time until an unresponsive connection is detected, which has to stay
-	// below the 3 s after which a host whose connections were reset counts as
-	// reconnected.
-	feedPollTimeout = 2 * time.Second
-	// feedDeadlineMargin is added to feedPollTimeout for the deadline of a call;
+	// feedDeadlineMargin is added to Pace.Hold for the deadline of a call to the feed;
 	// the store answers in 4 ms.
 	feedDeadlineMargin = 400 * time.Millisecond
+	// takeOverTimeout bounds the first call of a host that has lost the peer that it
+	// read from. Until it is answered nobody knows whether the store serves this host,
+	// and its own followers wait for it.
+	takeOverTimeout = 300 * time.Millisecond
+	// maxTakeOverAge is the age of a peer's last contact with the store up to which it
+	// takes the place of a lost one, and takeOverRetryDelay the delay before it is asked
+	// once more: both may have lost the same reader at once.
+	maxTakeOverAge     = 400 * time.Millisecond
+	takeOverRetryDelay = 50 * time.Millisecond
+	// newsWait is how long each peer may hold its reply to a host that the store has just
+	// stopped to serve; the others find out at the same time and read the changes next.
+	newsWait = 250 * time.Millisecond
 	// tableReadTimeout bounds one round of reading a whole table, which makes a few
 	// calls of 4 ms.
 	tableReadTimeout = 1500 * time.Millisecond
@@ -21,10 +28,12 @@
 	peerPollTimeout    = time.Second
 	peerDeadlineMargin = 250 * time.Millisecond
 	// maxPeerStoreAge is the age of a peer's last contact with the store above
-	// which it is not read from. A feed call takes at most feedPollTimeout, and two
+	// which it is not read from. A feed call takes at most maxHold, and two
 	// hosts may lie between the peer and the store. A peer that knows of an outage
 	// says so at once; the age detects one whose calls hang.
-	maxPeerStoreAge = feedPollTimeout + 2*feedDeadlineMargin + 2*(peerPollTimeout+peerDeadlineMargin)
+	maxPeerStoreAge = maxHold + 2*feedDeadlineMargin + 2*(peerPollTimeout+peerDeadlineMargin)
+	// maxHold is the longest Pace.Hold.
+	maxHold = 2 * time.Second
 	// maxReadersTried and maxReaderSearch bound the search for a peer to read from
 	// in one round: the number of peers, and the time after which no other is tried.
 	// A host that is gone costs 200 ms.
@@ -48,8 +57,9 @@
 	// initialProbeTimeout bounds the first call of an outage, so that peers are
 	// queried soon; configuration has 2 s to come into force. It doubles with
 	// each round, because a large configuration takes longer over a 10 Mbit/s
-	// link.
+	// link, up to maxProbeTimeout.
 	initialProbeTimeout = 500 * time.Millisecond
+	maxProbeTimeout     = 2400 * time.Millisecond
 	// initialAnyTimeout bounds the first round of queries to several peers and
 	// doubles with each round up to maxAnyTimeout.
 	initialAnyTimeout = 800 * time.Millisecond
@@ -69,6 +79,10 @@
 // Pace holds the delays between rounds, which batch changes that are close
 // together.
 type Pace struct {
+	// Hold is how long the store may hold a request to the feed. An open request says
+	// nothing about the store, so all hosts that read through this one learn up to
+	// AfterStore + Hold + feedDeadlineMargin later that it gets no answer.
+	Hold time.Duration
 	// AfterStore is the delay after a call to the store, which has a price.
 	AfterStore time.Duration
 	// AfterPeer is the delay after a query to a peer.
@@ -81,16 +95,18 @@
 	pollTimeout time.Duration
 }
 
-// callTimingFor returns the timing of a call after a number of failed rounds.
-// During an outage the call only probes the feed and does not wait for changes.
-func callTimingFor(hasSnapshot bool, failedRounds int) callTiming {
+// timing returns the timing of the round's call to the store. During an outage, and in
+// the place of a lost peer, the call only probes the feed and does not wait for changes.
+func (r round) timing(hold time.Duration) callTiming {
 	switch {
-	case failedRounds > 0:
-		return callTiming{timeout: backoff(initialProbeTimeout, failedRounds-1, feedPollTimeout+feedDeadlineMargin)}
-	case !hasSnapshot:
+	case r.failedRounds > 0:
+		return callTiming{timeout: backoff(initialProbeTimeout, r.failedRounds-1, maxProbeTimeout)}
+	case !r.hasSnapshot:
 		return callTiming{timeout: tableReadTimeout}
+	case r.reader != "":
+		return callTiming{timeout: takeOverTimeout}
 	default:
-		return callTiming{timeout: feedPollTimeout + feedDeadlineMargin, pollTimeout: feedPollTimeout}
+		return callTiming{timeout: hold + feedDeadlineMargin, pollTimeout: hold}
 	}
 }
 
--- a/entryhost/relay/mirror/task.go
+++ b/entryhost/relay/mirror/task.go
@@ -51,6 +51,10 @@
 	// lastStoreCall is when this host last called the store itself.
 	lastStoreCall time.Time
 	failedRounds  int
+	// reader is the peer that the last round read from, or "" if that was the store.
+	reader string
+	// lostStore receives the failure of the store in a round that goes on.
+	lostStore chan error
 	// excludedPeers maps peers that failed to the end of their exclusion.
 	excludedPeers map[string]time.Time
 	heldRequests  []heldRequest
@@ -75,6 +79,7 @@
 		peerSnapshots: set.GetOrCreateCounter(series.Name("lentilpoint_store_peer_copies_total", "table", table)),
 		snapshot:      Snapshot{Table: table},
 		excludedPeers: map[string]time.Time{},
+		lostStore:     make(chan error, 1),
 	}
 }
 
@@ -91,6 +96,8 @@
 	// failedRounds is the number of consecutive rounds in which the store did not
 	// serve this host; above 0 the store is only probed.
 	failedRounds int
+	// reader is the peer that the round before read from, or "".
+	reader string
 	// probeDue is set if this host is to probe the store in an outage although peers
 	// probe it.
 	probeDue      bool
@@ -113,6 +120,8 @@
 	// not serve this host.
 	storeCalled bool
 	storeErr    error
+	// isRecorded is set if storeErr was sent to lostStore before.
+	isRecorded bool
 }
 
 // Serve follows the table until the context ends. One round runs at a time, in
@@ -131,7 +140,7 @@
 	now := f.Clock.Now()
 	maps.DeleteFunc(f.excludedPeers, func(_ string, until time.Time) bool { return now.After(until) })
 	return round{
-		snapshot: f.snapshot, hasSnapshot: f.hasSnapshot, failedRounds: f.failedRounds, probeDue: now.Sub(f.lastStoreCall) >= unservedProbeInterval,
+		snapshot: f.snapshot, hasSnapshot: f.hasSnapshot, failedRounds: f.failedRounds, reader: f.reader, probeDue: now.Sub(f.lastStoreCall) >= unservedProbeInterval,
 		excludedPeers: maps.Clone(f.excludedPeers), partialRead: f.partialRead.resumeOrRestart(now),
 	}
 }
@@ -147,6 +156,8 @@
 			f.handleRequest(request)
 		case <-f.nextExpiry():
 			f.replyToHeld(false)
+		case err := <-f.lostStore:
+			f.recordStoreFailure(err)
 		case result := <-results:
 			nextRound = f.Clock.After(f.handleResult(ctx, result))
 		case <-nextRound:
@@ -219,6 +230,9 @@
 	result.storeCalled = true
 	result.changes, result.partialRead, result.storeErr = f.readStore(ctx, current)
 	if result.storeErr != nil && !errors.Is(result.storeErr, ErrHistoryGone) {
+		// The hosts that read from this one must not wait for the query.
+		f.lostStore <- result.storeErr
+		result.isRecorded = true
 		result.changes = f.queryAnyPeer(ctx, current)
 	}
 	return result
@@ -231,31 +245,63 @@
 	result.unreadable = map[string]error{}
 	skipped := maps.Clone(current.excludedPeers)
 	started := f.Clock.Now()
+	isLost, allUnserved := false, true
 	for range maxReadersTried {
 		reader := f.Peers.StoreReader(ctx, skipped)
 		if reader == "" {
 			return false
 		}
-		answer, err := f.queryPeer(ctx, reader, current)
+		answer, err := f.queryReader(ctx, reader, current, isLost)
 		switch {
+		case errors.Is(err, errNotFresh):
+			allUnserved = false
 		case err != nil:
 			result.unreadable[reader] = err
+			allUnserved = false
 		case !answer.Unserved:
 			result.changes, result.readFrom, result.storeAge = answer.Changes, reader, answer.StoreAge
 			return false
 		}
 		skipped[reader] = started
+		if reader == current.reader {
+			// It may have held its reply for long before it was lost.
+			isLost, started = true, f.Clock.Now()
+		}
 		if f.Clock.Since(started) > maxReaderSearch {
 			return false
 		}
 	}
-	return len(result.unreadable) == 0
+	return allUnserved
 }
 
-// queryPeer queries a peer, which in an outage must not hold its reply.
+// errNotFresh reports that a peer has had no contact with the store since this host has
+// lost the peer that it read from. Both may have read from it.
+var errNotFresh = Error.New("the peer has not been served by the store since the reader was lost")
+
+// queryReader queries a peer that this host may read from. In the place of one that was
+// lost in this round, it accepts only a peer that the store has served since.
+func (f *Follower) queryReader(ctx context.Context, reader string, current round, isLost bool) (Answer, error) {
+	answer, err := f.queryPeer(ctx, reader, current)
+	if !isLost || err != nil || answer.Unserved || answer.StoreAge <= maxTakeOverAge {
+		return answer, err
+	}
+	select {
+	case <-ctx.Done():
+		return Answer{}, ctx.Err()
+	case <-f.Clock.After(takeOverRetryDelay):
+	}
+	answer, err = f.queryPeer(ctx, reader, current)
+	if err == nil && !answer.Unserved && answer.StoreAge > maxTakeOverAge {
+		err = errNotFresh
+	}
+	return answer, err
+}
+
+// queryPeer queries a peer. Only the peer that the round before read from may hold its
+// reply, and none in an outage: the others may be the next that do not answer.
 func (f *Follower) queryPeer(ctx context.Context, host string, current round) (Answer, error) {
 	query := Query{Table: f.Table, After: current.snapshot.Version}
-	if current.failedRounds == 0 {
+	if current.failedRounds == 0 && host == current.reader {
 		query.Wait = peerPollTimeout
 	}
 	ctx, cancel := context.WithTimeout(ctx, query.Wait+peerDeadlineMargin)
@@ -269,7 +315,7 @@
 
 // readStore reads the changes, or the whole table if there is no snapshot.
 func (f *Follower) readStore(ctx context.Context, current round) (Changes, partialRead, error) {
-	timing := callTimingFor(current.hasSnapshot, current.failedRounds)
+	timing := current.timing(f.Pace.Hold)
 	ctx, cancel := context.WithTimeout(ctx, timing.timeout)
 	defer cancel()
 	if !current.hasSnapshot {
@@ -301,7 +347,11 @@
 func (f *Follower) queryAnyPeer(ctx context.Context, current round) Changes {
 	ctx, cancel := context.WithTimeout(ctx, backoff(initialAnyTimeout, current.failedRounds, maxAnyTimeout))
 	defer cancel()
-	answer, err := f.Peers.QueryAny(ctx, Query{Table: f.Table, After: current.snapshot.Version})
+	query := Query{Table: f.Table, After: current.snapshot.Version}
+	if current.failedRounds == 0 && current.hasSnapshot {
+		query.Wait = newsWait
+	}
+	answer, err := f.Peers.QueryAny(ctx, query)
 	if err != nil {
 		f.Logger.Debug("no peer returned changes of the table", eventcode.PeerCopyFailed.Attr(), "table", f.Table, "error", err)
 		return Changes{}
@@ -321,15 +371,18 @@
 	switch {
 	case errors.Is(result.storeErr, ErrHistoryGone):
 		f.Logger.Warn("change feed no longer reaches back to this copy; reading the whole table", eventcode.StoreHistoryGone.Attr(), "table", f.Table, "version", f.snapshot.Version)
-		f.hasSnapshot, f.partialRead = false, partialRead{}
+		f.hasSnapshot, f.partialRead, f.reader = false, partialRead{}, ""
 		return 0
 	case result.storeErr != nil:
-		f.recordStoreFailure(result.storeErr)
+		if !result.isRecorded {
+			f.recordStoreFailure(result.storeErr)
+		}
+		f.reader = ""
 		f.partialRead = result.partialRead
 		f.applyPeerChanges(ctx, result.changes)
 		return retryDelay(f.failedRounds, f.Random.Float64())
 	}
-	f.partialRead = partialRead{}
+	f.partialRead, f.reader = partialRead{}, result.readFrom
 	f.recordServed(result.storeAge)
 	// A peer may be behind this host, and a read of the whole table must not replace
 	// a newer snapshot.
--- a/entryhost/relay/peering/fleet_test.go
+++ b/entryhost/relay/peering/fleet_test.go
@@ -33,7 +33,7 @@
 	recoveryBound = 3 * time.Second
 )
 
-var fleetPace = mirror.Pace{AfterStore: 100 * time.Millisecond, AfterPeer: 50 * time.Millisecond}
+var fleetPace = mirror.Pace{Hold: time.Second, AfterStore: 100 * time.Millisecond, AfterPeer: 50 * time.Millisecond}
 
 // fleetStore is a store in memory that counts calls and can turn hosts away. Its
 // mutex stands for the process of the store.
@@ -43,10 +43,12 @@
 	changed chan struct{}
 	calls   int
 	away    map[string]bool
+	// silent holds the hosts whose calls get no answer, also those in progress.
+	silent map[string]bool
 }
 
 func newFleetStore() *fleetStore {
-	return &fleetStore{version: 1, changed: make(chan struct{}), away: map[string]bool{}}
+	return &fleetStore{version: 1, changed: make(chan struct{}), away: map[string]bool{}, silent: map[string]bool{}}
 }
 
 // change writes the table's only row.
@@ -68,6 +70,26 @@
 	}
 }
 
+func (s *fleetStore) silence(hosts ...string) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.silent = map[string]bool{}
+	for _, host := range hosts {
+		s.silent[host] = true
+	}
+}
+
+// awaitAnswer blocks until the context ends if the host gets no answer.
+func (s *fleetStore) awaitAnswer(ctx context.Context, host string) error {
+	s.mutex.Lock()
+	silent := s.silent[host]
+	s.mutex.Unlock()
+	if silent {
+		<-ctx.Done()
+	}
+	return ctx.Err()
+}
+
 func (s *fleetStore) takeCalls() int {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
@@ -100,15 +122,18 @@
 
 func (s hostStore) ReadChanges(ctx context.Context, _ string, after uint64, wait time.Duration) (mirror.Changes, error) {
 	version, changed, err := s.store.call(s.host)
+	if err := s.store.awaitAnswer(ctx, s.host); err != nil {
+		return mirror.Changes{}, err
+	}
 	if err != nil || version > after {
 		return mirror.Changes{Version: version, Rows: []mirror.Row{{Key: "a", Version: version}}}, err
 	}
 	select {
 	case <-changed:
 		version++
-		return mirror.Changes{Version: version, Rows: []mirror.Row{{Key: "a", Version: version}}}, nil
+		return mirror.Changes{Version: version, Rows: []mirror.Row{{Key: "a", Version: version}}}, s.store.awaitAnswer(ctx, s.host)
 	case <-time.After(wait):
-		return mirror.Changes{Version: version}, nil
+		return mirror.Changes{Version: version}, s.store.awaitAnswer(ctx, s.host)
 	case <-ctx.Done():
 		return mirror.Changes{}, ctx.Err()
 	}
@@ -123,6 +148,8 @@
 	latest    map[string]uint64
 	// unreachable holds the addresses of hosts that answer no peer.
 	unreachable sync.Map
+	// frozen holds the addresses of hosts that answer no peer, nor calls in progress.
+	frozen sync.Map
 }
 
 // fleetPeers reaches the other hosts of a fleet without a network.
@@ -146,9 +173,14 @@
 		time.Sleep(callTimeout)
 		return mirror.Answer{}, errors.New("unreachable")
 	}
-	return task.Call(ctx, p.fleet.followers[host].Mailbox(), func(reply task.Reply[mirror.Answer]) mirror.ChangesRequest {
+	answer, err := task.Call(ctx, p.fleet.followers[host].Mailbox(), func(reply task.Reply[mirror.Answer]) mirror.ChangesRequest {
 		return mirror.ChangesRequest{Query: query, Reply: reply}
 	})
+	if _, frozen := p.fleet.frozen.Load(host); frozen {
+		<-ctx.Done()
+		return mirror.Answer{}, ctx.Err()
+	}
+	return answer, err
 }
 
 func (p *fleetPeers) QueryAny(ctx context.Context, query mirror.Query) (mirror.Answer, error) {
@@ -308,6 +340,150 @@
 	})
 }
 
+// readChain returns the host that reads the store, and then the hosts that read from it
+// or from each other in its place, in the order in which they come.
+func (f *fleet) readChain(length int) []string {
+	var chain []string
+	excluded := map[string]time.Time{}
+	for range length {
+		last := ""
+		for _, host := range f.hosts {
+			peers := Peers{DataCentre: host.DataCentre, Self: host.Address, Hosts: func(context.Context) []routing.Host { return f.hosts }}
+			if _, skip := excluded[host.Address]; !skip && peers.StoreReader(context.Background(), excluded) == "" {
+				last = host.Address
+			}
+		}
+		chain = append(chain, last)
+		excluded[last] = time.Time{}
+	}
+	return chain
+}
+
+// behindBut returns the number of hosts without the version that are not among the given.
+func (f *fleet) behindBut(version uint64, except map[string]bool) int {
+	f.behind(version)
+	behind := 0
+	for address, latest := range f.latest {
+		if latest < version && !except[address] {
+			behind++
+		}
+	}
+	return behind
+}
+
+// localReader returns the host that the others of the host's data centre read from.
+func (f *fleet) localReader(dataCentre string) string {
+	for _, host := range f.hosts {
+		peers := Peers{DataCentre: dataCentre, Self: host.Address, Hosts: func(context.Context) []routing.Host {
+			var local []routing.Host
+			for _, other := range f.hosts {
+				if other.DataCentre == dataCentre {
+					local = append(local, other)
+				}
+			}
+			return local
+		}}
+		if host.DataCentre == dataCentre && peers.StoreReader(context.Background(), nil) == "" {
+			return host.Address
+		}
+	}
+	return ""
+}
+
+// Guards against hosts that the store would serve and that wait for a host that gets no
+// answer: a call that is open says nothing about its host, so that a change came up to 2.5 s
+// late to all who read through it.
+func TestAChangeReachesTheHostsThatReadThroughOneWithoutAnswers(t *testing.T) {
+	for _, size := range []int{6, 80} {
+		for _, test := range []struct {
+			name   string
+			silent func(f *fleet) []string
+			frozen func(f *fleet) []string
+		}{
+			{name: "the store is silent to its reader", silent: func(f *fleet) []string { return f.readChain(1) }},
+			{name: "the store is silent to its reader and the next one", silent: func(f *fleet) []string { return f.readChain(2) }},
+			{name: "the store is silent to its reader and to the reader of a data centre", silent: func(f *fleet) []string { return append(f.readChain(1), f.localReader("dc-0")) }},
+			{name: "the reader of the store is frozen", frozen: func(f *fleet) []string { return f.readChain(1) }},
+			{name: "the readers of the store and of a data centre are frozen", frozen: func(f *fleet) []string { return append(f.readChain(1), f.localReader("dc-0")) }},
+			{name: "the reader of the store is frozen and the store silent to the next one", silent: func(f *fleet) []string { return f.readChain(2)[1:] }, frozen: func(f *fleet) []string { return f.readChain(1) }},
+		} {
+			t.Run(fmt.Sprintf("%d hosts, %s", size, test.name), func(t *testing.T) {
+				// The moment lies at each stage of the calls and queries in progress.
+				for moment := time.Duration(0); moment < 2500*time.Millisecond; moment += 130 * time.Millisecond {
+					behind := 0
+					inFleet(t, size, false, func(_ gomega.Gomega, f *fleet) {
+						time.Sleep(moment)
+						except := map[string]bool{}
+						if test.silent != nil {
+							hosts := test.silent(f)
+							f.store.silence(hosts...)
+							for _, host := range hosts {
+								except[host] = true
+							}
+						}
+						if test.frozen != nil {
+							for _, host := range test.frozen(f) {
+								f.frozen.Store(host, true)
+								except[host] = true
+							}
+						}
+						version := f.store.change()
+						time.Sleep(inForceBound)
+						behind = f.behindBut(version, except)
+					})
+					if behind > 0 {
+						t.Errorf("moment %v: %d hosts do not have the change", moment, behind)
+					}
+				}
+			})
+		}
+	}
+}
+
+// Guards against a silent store that several of the hosts read in turn which would take over
+// Guards against hosts that take over from each other in turn, each of which waits for a
+// store that is silent to it too.
+func TestAChangeReachesTheHostsThatTheStoreAnswersWhileItIsSilentToAThird(t *testing.T) {
+	for _, size := range []int{6, 24, 80} {
+		for seed := range uint64(20) {
+			behind := 0
+			inFleet(t, size, false, func(_ gomega.Gomega, f *fleet) {
+				random := rand.New(rand.NewPCG(seed, 1))
+				time.Sleep(time.Duration(random.IntN(2000)) * time.Millisecond)
+				silent, except := f.readChain(1), map[string]bool{}
+				for _, i := range random.Perm(size)[:size/3-1] {
+					silent = append(silent, f.hosts[i].Address)
+				}
+				for _, host := range silent {
+					except[host] = true
+				}
+				f.store.silence(silent...)
+				version := f.store.change()
+				time.Sleep(inForceBound)
+				behind = f.behindBut(version, except)
+			})
+			if behind > 0 {
+				t.Errorf("%d hosts, seed %d: %d hosts do not have the change", size, seed, behind)
+			}
+		}
+	}
+}
+
+// Guards against hosts that the store does not answer and that wait for it while others
+// have the change.
+func TestAChangeReachesTheHostThatTheStoreDoesNotAnswer(t *testing.T) {
+	behind := 0
+	inFleet(t, 6, false, func(_ gomega.Gomega, f *fleet) {
+		f.store.silence(f.storeReader())
+		for range 5 {
+			version := f.store.change()
+			time.Sleep(turnedAwayBound)
+			behind += f.behind(version)
+		}
+	})
+	gomega.NewWithT(t).Expect(behind).To(gomega.BeZero())
+}
+
 // Guards against hosts that read from each other in a circle and never from the
 // store, which would keep an old configuration in force.
 func TestHostsWithDifferentListsNeverReadInACircle(t *testing.T) {
