Count deaths under a plain request by their time, not by the id of the server

Cause: deaths under a request were kept by the id of the server, so the next death of a server replaced the one before, and a request that is sent once each time meets few servers.

Change: plain requests are counted as contents by the evidence that streams have: deaths of one server within 1 s are one, later ones others, and an answer to the content on any host after a death clears it. So a server that crashes by itself beside a sound request does not get that stopped. Counts by fingerprint stay for reports of hosts of the build before.

One expectation of signatures_test.go changed: a request without a prompt is known by its content now, and the spec asks for exactly that content.

--- a/cmd/lentilpoint-bench/standin/server.go
+++ b/cmd/lentilpoint-bench/standin/server.go
@@ -140,6 +140,11 @@
 	return callWithTimeout(s, func(s *Server) error { s.resetForStart(); return s.endpoint.open() })
 }
 
+// RestartSameID starts the server again at the same address under the id that it had.
+func (s *Server) RestartSameID() error {
+	return callWithTimeout(s, func(s *Server) error { s.startCount--; s.resetForStart(); return s.endpoint.open() })
+}
+
 // resetForStart sets the id of a new start and drops the state of the one before.
 func (s *Server) resetForStart() {
 	s.startCount++
--- a/entryhost/relay/forward/suspects.go
+++ b/entryhost/relay/forward/suspects.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/lentilpoint/lentilpoint/entryhost/relay/dispatch"
+	"github.com/lentilpoint/lentilpoint/entryhost/relay/routing"
 	"github.com/lentilpoint/lentilpoint/entryhost/relay/suspects"
 	"github.com/lentilpoint/lentilpoint/eventcode"
 	"github.com/lentilpoint/lentilpoint/model"
@@ -65,7 +66,11 @@
 	var message suspects.Message
 	ran := r.Clock.Since(running.started)
 	switch {
+	case r.request.Route.Kind != routing.Streaming && (outcome == dispatch.OutcomeSuccess || outcome == dispatch.OutcomeFailed):
+		// A server that reports a failure has survived the request too.
+		message = suspects.RequestCompleted{Fingerprint: r.fingerprint, Prompt: r.prompt}
 	case outcome == dispatch.OutcomeSuccess:
+		// The answer was reported when it began.
 		message = suspects.RequestCompleted{Fingerprint: r.fingerprint}
 	case outcome == dispatch.OutcomeBroken && running.note.Events == 0 && mayHaveCrashed(r.request.Route.Kind, running.note.Reused, ran):
 		message = suspects.AttemptBroken{
--- a/entryhost/relay/forward/task.go
+++ b/entryhost/relay/forward/task.go
@@ -44,8 +44,12 @@
 	defer cancel()
 	run := &requestTask{Forwarder: f, request: request, caller: caller, exclude: map[string]bool{}, avoid: map[string]bool{}, trafficPoint: rand.Float64()}
 	run.fingerprint = suspects.NewFingerprint(request.Organisation, request.Method, request.Host, request.Target, string(request.Body))
+	var parts []string
+	if request.Route.Kind == routing.Streaming {
+		parts = f.Codec.PromptParts(request.Header)
+	}
+	run.prompt = suspects.NewPrompt(request.Service.Name, run.fingerprint, parts)
 	if request.Route.Kind == routing.Streaming {
-		run.prompt = suspects.NewPrompt(request.Service.Name, run.fingerprint, f.Codec.PromptParts(request.Header))
 		watched, end := run.watchStops(ctx)
 		defer end()
 		ctx = watched
@@ -81,7 +85,7 @@
 	// fingerprint is equal for all requests with the same organisation and
 	// content.
 	fingerprint suspects.Fingerprint
-	// prompt holds the parts of a stream's prompt.
+	// prompt holds the parts of a stream's prompt, or the content of a plain request.
 	prompt suspects.Prompt
 	// watch is informed if the request is stopped; it is nil once a server has begun
 	// to answer, and for requests that are no streams.
--- a/entryhost/relay/relay_test.go
+++ b/entryhost/relay/relay_test.go
@@ -425,6 +425,29 @@
 		Expect(callers[0].send("POST", "/order/1", "wholesome").status).To(Equal(http.StatusOK))
 	})
 
+	// Guards against deaths that are counted by the id of the server: a request that is sent
+	// once each time meets few servers.
+	It("stops a request that crashes servers which start again under the id that they had", func() {
+		for _, server := range s.plain {
+			server.SetFaults(standin.ServerFaults{CrashOn: "poison"})
+		}
+		statuses := make([]int, 7)
+		for i := range statuses {
+			statuses[i] = s.caller().send("POST", "/order/1", "poison").status
+			time.Sleep(1200 * time.Millisecond)
+			for _, server := range s.plain {
+				if !server.Running() {
+					Expect(server.RestartSameID()).To(Succeed())
+					Expect(server.Register(s.store, "ready")).To(Succeed())
+				}
+			}
+			time.Sleep(100 * time.Millisecond)
+		}
+		Expect(runsOf(s.plain, "poison")).To(HaveLen(3))
+		Expect(statuses[3:]).To(HaveEach(http.StatusServiceUnavailable))
+		Expect(s.caller().send("POST", "/order/1", "wholesome").status).To(Equal(http.StatusOK))
+	})
+
 	It("aborts a stream visibly when no engine can resume it", func() {
 		for _, engine := range s.engines {
 			engine.SetFaults(standin.ServerFaults{CutAfter: 1})
--- a/entryhost/relay/suspects/messages.go
+++ b/entryhost/relay/suspects/messages.go
@@ -93,13 +93,15 @@
 	Ran time.Duration
 }
 
-// RequestCompleted reports that a request with the fingerprint ran to completion.
+// RequestCompleted reports that a request with the fingerprint ran to completion. Prompt is
+// set if that is the first which is known of its answer.
 type RequestCompleted struct {
 	Fingerprint Fingerprint
+	Prompt      Prompt
 }
 
-// Death reports that a server died under a request. It is sent between entry
-// hosts.
+// Death reports that a server died under a request. Hosts of earlier builds send it for
+// requests without a prompt, which they count by fingerprint and by the id of the server.
 type Death struct {
 	Fingerprint Fingerprint
 	// Request is the id of the request, for logs.
--- a/entryhost/relay/suspects/parts.go
+++ b/entryhost/relay/suspects/parts.go
@@ -43,10 +43,11 @@
 	return Part(service + "/" + id)
 }
 
-// Prompt holds the parts of a request's prompt, each once. It is zero for requests without
-// one.
+// Prompt holds the parts of a request's prompt, each once. That of a request without one has
+// its content only.
 type Prompt struct {
-	// Content stands for the whole content of the request, with its last part.
+	// Content stands for the whole content of the request, with its last part. Only hosts of
+	// earlier builds leave it empty.
 	Content Part
 	// Shared are the parts that other requests may have too: all but the last.
 	Shared []Part
@@ -58,7 +59,7 @@
 // fingerprint at a service. Parts beyond maxPromptParts are ignored.
 func NewPrompt(service string, fingerprint Fingerprint, ids []string) Prompt {
 	if len(ids) == 0 {
-		return Prompt{}
+		return Prompt{Content: Part(contentMark + service + "/" + fingerprint.String())}
 	}
 	content := NewFingerprint(append([]string{fingerprint.String()}, ids...)...)
 	prompt := Prompt{Content: Part(contentMark + service + "/" + content.String()), Last: NewPart(service, ids[len(ids)-1])}
@@ -86,6 +87,9 @@
 	if p.Content == "" {
 		return nil
 	}
+	if p.Last == "" {
+		return p.suspects()
+	}
 	return append(p.suspects(), p.Last)
 }
 
--- a/entryhost/relay/suspects/prompts.go
+++ b/entryhost/relay/suspects/prompts.go
@@ -93,10 +93,15 @@
 // if one of them is stopped.
 func (t *Task) handleAnswerBegun(ctx context.Context, message AnswerBegun) {
 	delete(t.watches, message.Watch)
-	for _, part := range message.Prompt.all() {
+	t.recordAnswer(ctx, message.Prompt)
+}
+
+// recordAnswer records that a server began to answer a request with the prompt.
+func (t *Task) recordAnswer(ctx context.Context, prompt Prompt) {
+	for _, part := range prompt.all() {
 		t.answered.add(part, t.now(), t.now())
 	}
-	if cleared := t.clearStops(message.Prompt.all()); len(cleared) > 0 {
+	if cleared := t.clearStops(prompt.all()); len(cleared) > 0 {
 		t.broadcast(ctx, func(ctx context.Context, host string) error {
 			return t.Peers.SendPromptAnswered(ctx, host, PromptAnswered{Parts: cleared})
 		})
--- a/entryhost/relay/suspects/signatures.go
+++ b/entryhost/relay/suspects/signatures.go
@@ -27,11 +27,12 @@
 	// id that it had.
 	sameDeath = time.Second
 	// maxServices, maxDeaths, maxRequestsPerDeath and maxReportedParts limit what is
-	// kept of deaths, at most 800 KB for each service. Of more deaths the newest
+	// kept of deaths, at most 2.4 MB for each service. A plain server has up to 30 requests
+	// when it dies, on all hosts together. Of more deaths the newest
 	// count, and of more parts that are not trusted the first of the prompt.
 	maxServices         = 32
 	maxDeaths           = 48
-	maxRequestsPerDeath = 16
+	maxRequestsPerDeath = 48
 	maxReportedParts    = 16
 	// maxStops limits the signatures that are stopped; the oldest one yields.
 	maxStops = 64
@@ -82,6 +83,13 @@
 	requests map[Part]deadRequest
 }
 
+// addRequest adds a request that the server had, unless none of its parts is suspected.
+func (d serverDeath) addRequest(content Part, request deadRequest) {
+	if len(request.parts) > 0 && len(d.requests) < maxRequestsPerDeath {
+		d.requests[content] = request
+	}
+}
+
 // deathLog holds the recent deaths by service, oldest first.
 type deathLog map[string][]serverDeath
 
@@ -95,13 +103,13 @@
 	deaths := l[report.Service]
 	for _, death := range deaths {
 		if death.server == report.Server && (at-death.at).Abs() < sameDeath {
-			if len(death.requests) < maxRequestsPerDeath {
-				death.requests[report.Content] = request
-			}
+			death.addRequest(report.Content, request)
 			return
 		}
 	}
-	deaths = append(deaths, serverDeath{server: report.Server, at: at, requests: map[Part]deadRequest{report.Content: request}})
+	added := serverDeath{server: report.Server, at: at, requests: map[Part]deadRequest{}}
+	added.addRequest(report.Content, request)
+	deaths = append(deaths, added)
 	// Reports of several hosts may overtake each other.
 	slices.SortStableFunc(deaths, func(a, b serverDeath) int { return cmp.Compare(a.at, b.at) })
 	l[report.Service] = deaths[max(0, len(deaths)-maxDeaths):]
--- a/entryhost/relay/suspects/signatures_test.go
+++ b/entryhost/relay/suspects/signatures_test.go
@@ -243,7 +243,10 @@
 		Expect(got.Shared).To(Equal([]Part(signature("a", "b"))))
 		Expect(got.Last).To(Equal(NewPart(engines, "c")))
 		Expect(prompt("a").Shared).To(BeEmpty())
-		Expect(NewPrompt(engines, NewFingerprint("x"), nil)).To(BeZero(), "a request without a prompt is known by its fingerprint")
+		bare := NewPrompt(engines, NewFingerprint("x"), nil)
+		Expect(bare.suspects()).To(Equal([]Part{bare.Content}), "a request without a prompt is known by its content")
+		Expect(bare.all()).To(Equal([]Part{bare.Content}))
+		Expect(bare.Content).NotTo(Equal(NewPrompt(engines, NewFingerprint("y"), nil).Content))
 	})
 
 	It("do not tell requests of different content apart, but their contents do", func() {
--- a/entryhost/relay/suspects/suspects_test.go
+++ b/entryhost/relay/suspects/suspects_test.go
@@ -170,6 +170,56 @@
 		}
 	})
 
+	plain := NewPrompt("shop", crashing, nil)
+	// crashPlain reports that the same server died under a plain request, once more.
+	crashPlain := func(address string) {
+		Expect(tasks[address].Mailbox().TrySend(AttemptBroken{
+			Fingerprint: crashing, Server: "same id", Address: "dead", Service: "shop", Prompt: plain, Ran: time.Millisecond,
+		})).To(Succeed())
+		time.Sleep(sameDeath + 2*confirmDelay)
+	}
+	plainStopped := func(address string) func() bool {
+		return func() bool {
+			got, err := task.Call(context.Background(), tasks[address].Mailbox(), func(reply task.Reply[bool]) Message {
+				return CheckStopped{Fingerprint: crashing, Service: "shop", Prompt: plain, Reply: reply}
+			})
+			Expect(err).NotTo(HaveOccurred())
+			return got
+		}
+	}
+
+	// Guards against a request that is never stopped since all its servers start again under
+	// the id that they had.
+	It("all stop a request under which one server died three times, under its old id", func() {
+		for i := range deathsToStop {
+			Expect(plainStopped(addresses[i])()).To(BeFalse())
+			crashPlain(addresses[i])
+		}
+		for _, address := range addresses {
+			Eventually(plainStopped(address)).Should(BeTrue(), address)
+		}
+	})
+
+	It("count the death of a server once for all requests and hosts that see it", func() {
+		for _, address := range append(addresses, addresses...) {
+			Expect(tasks[address].Mailbox().TrySend(AttemptBroken{
+				Fingerprint: crashing, Server: "same id", Address: "dead", Service: "shop", Prompt: plain, Ran: time.Millisecond,
+			})).To(Succeed())
+		}
+		Consistently(plainStopped(addresses[0]), 4*confirmDelay).Should(BeFalse())
+	})
+
+	// Guards against a sound request that is stopped beside a server that crashes by itself.
+	It("stop no request that runs elsewhere between the deaths of one server", func() {
+		for i := range 2 * deathsToStop {
+			crashPlain(addresses[i%3])
+			if i%2 == 1 {
+				Expect(tasks[addresses[4]].Mailbox().TrySend(RequestCompleted{Fingerprint: crashing, Prompt: plain})).To(Succeed())
+			}
+		}
+		Consistently(plainStopped(addresses[0]), 4*confirmDelay).Should(BeFalse())
+	})
+
 	It("stop nothing while the servers that broke off live on", func() {
 		for i := range 2 * deathsToStop {
 			Expect(tasks[addresses[0]].Mailbox().TrySend(AttemptBroken{Fingerprint: crashing, Server: fmt.Sprint(i), Address: "alive"})).To(Succeed())
--- a/entryhost/relay/suspects/task.go
+++ b/entryhost/relay/suspects/task.go
@@ -156,7 +156,7 @@
 	case AttemptBroken:
 		go t.confirmDeath(ctx, message)
 	case RequestCompleted:
-		t.handleRequestCompleted(ctx, message.Fingerprint)
+		t.handleRequestCompleted(ctx, message)
 	case Death:
 		t.handleDeath(ctx, message)
 	case Stop:
@@ -208,9 +208,11 @@
 	})
 }
 
-// handleRequestCompleted clears a fingerprint for which this host has a death,
-// here and on the trackers.
-func (t *Task) handleRequestCompleted(ctx context.Context, fingerprint Fingerprint) {
+// handleRequestCompleted records the answer, and clears a fingerprint for which this host
+// has a death, here and on the trackers.
+func (t *Task) handleRequestCompleted(ctx context.Context, message RequestCompleted) {
+	t.recordAnswer(ctx, message.Prompt)
+	fingerprint := message.Fingerprint
 	if !t.table.clear(fingerprint, t.now()) {
 		return
 	}
