Continue a stream only with a response of the same kind

Cause: after the first head only the class of the status was looked at.

Change: a response that differs from the first one in its status or content type counts as a failure of its server.

--- a/cmd/lentilpoint-bench/standin/server.go
+++ b/cmd/lentilpoint-bench/standin/server.go
@@ -342,6 +342,12 @@
 		s.Crash()
 		panic(http.ErrAbortHandler)
 	}
+	if page := faults.PageOnResume; page.Status != 0 && last > 0 {
+		w.Header().Set("Content-Type", page.ContentType)
+		w.WriteHeader(page.Status)
+		_, _ = io.WriteString(w, page.Body)
+		return
+	}
 	w.Header().Set("Content-Type", "text/event-stream")
 	defer func() {
 		callWithTimeout(s, func(s *Server) bool { delete(s.lastEvents, request.id); return true })
--- a/cmd/lentilpoint-bench/standin/server_faults.go
+++ b/cmd/lentilpoint-bench/standin/server_faults.go
@@ -45,6 +45,9 @@
 	// EndInEvent ends a stream in the middle of the event after this number of
 	// events of an attempt; 0 is off.
 	EndInEvent int
+	// PageOnResume is the response to a stream that is resumed, in the place of its
+	// events; a status of 0 is off.
+	PageOnResume Page
 	// HangAfter sends nothing more on a stream after this number of events of an
 	// attempt; 0 is off.
 	HangAfter int
@@ -55,6 +58,13 @@
 	ReportDelay time.Duration
 }
 
+// Page is a response that is no stream.
+type Page struct {
+	Status      int
+	ContentType string
+	Body        string
+}
+
 // writeRefusalTwice refuses a request, starts to run the next one on the connection,
 // and writes the refusal of the first one in the place of its answer.
 func (s *Server) writeRefusalTwice(w http.ResponseWriter, request string, anonymous bool) {
--- a/entryhost/relay/forward/stream.go
+++ b/entryhost/relay/forward/stream.go
@@ -17,6 +17,9 @@
 	events *eventAssembler
 	// headSent is set once the head was sent to the caller.
 	headSent bool
+	// status and contentType are those of the head.
+	status      int
+	contentType string
 	copies   copies
 	// promptHolder is the id of an engine whose cache holds the request's
 	// prompt, or "".
@@ -278,7 +281,7 @@
 	case event.Head != nil:
 		*got = &response{head: event.Head}
 		r.noteHead(ctx, running, event.Head)
-		return 0, false, nil
+		return s.checkContinuation(event.Head)
 	case event.End:
 		return r.streamOutcome(s, *got)
 	}
@@ -305,6 +308,19 @@
 	return 0, false, nil
 }
 
+// checkContinuation ends an attempt whose response is a success but no continuation of the
+// stream that the caller has begun to receive, such as a page or an empty answer. Its bytes
+// would be taken for events, and its end for the end of the stream.
+func (s *streamState) checkContinuation(head *exchange.ResponseHead) (dispatch.Outcome, bool, error) {
+	if !s.headSent || outcomeOfHead(head) != dispatch.OutcomeSuccess || head.Status >= 300 {
+		return 0, false, nil
+	}
+	if contentType := head.Header.Get("Content-Type"); head.Status != s.status || contentType != s.contentType {
+		return dispatch.OutcomeFailed, true, Error.New("the response (status %d, %q) does not continue the stream (status %d, %q)", head.Status, contentType, s.status, s.contentType)
+	}
+	return 0, false, nil
+}
+
 // streamOutcome returns the outcome of an exchange that ended.
 func (r *requestTask) streamOutcome(s *streamState, got *response) (dispatch.Outcome, bool, error) {
 	outcome := outcomeOfHead(got.head)
@@ -331,7 +347,7 @@
 	if s.headSent {
 		return nil
 	}
-	s.headSent = true
+	s.headSent, s.status, s.contentType = true, head.Status, head.Header.Get("Content-Type")
 	r.summary.Status = head.Status
 	r.summary.FirstEvent = r.Clock.Since(r.request.Arrived)
 	return r.caller.Begin(head.Status, head.Header)
