Refuse requests that may outlast a drain once callers know of it

Cause: the last moment to take a request assumed that plain requests end within 1.5 s; their routes may grant more.

Change: from DeregistrationDelay on, a request whose time limit lies beyond the drain is refused as not run. The deadline of one that is taken before is the end of the drain at the latest, so that it is answered.

--- a/entryhost/relay/ingress/admit.go
+++ b/entryhost/relay/ingress/admit.go
@@ -52,7 +52,8 @@
 	if fault != nil {
 		return nil, fault
 	}
-	if isClosed(f.refusingAll) || route.Kind == routing.Streaming && isClosed(f.refusingStreams) {
+	deadline, admitted := f.drainDeadline(route, deadline)
+	if !admitted {
 		return nil, model.NotRun(model.KindUnavailable, model.ReasonDraining, "this host stops", "send the request again on a new connection").WithRetryAfter(retryAfter)
 	}
 	service := view.Config.Services[route.Service(rand.Float64())]
@@ -63,6 +64,25 @@
 	}, nil
 }
 
+// drainDeadline returns the deadline of a request, and whether it is taken, which depends on
+// the progress of a drain. Once callers know that this host drains, a request is refused
+// that may last longer than the drain, because it would be cut off without an answer, and
+// its caller may not be allowed to send it again. Of one that is taken before, the
+// deadline is the end of the drain at the latest, so that its caller gets an answer then.
+func (f *Front) drainDeadline(route *routing.Route, deadline time.Time) (time.Time, bool) {
+	if !isClosed(f.draining) {
+		return deadline, true
+	}
+	isLong := deadline.After(f.stopsAt)
+	if isClosed(f.refusingAll) || route.Kind == routing.Streaming && isClosed(f.refusingStreams) || isLong && isClosed(f.refusingLong) {
+		return deadline, false
+	}
+	if isLong {
+		return f.stopsAt, true
+	}
+	return deadline, true
+}
+
 // timeLimit returns the time that a request may take. A limit that is not stated does not
 // count.
 func timeLimit(route *routing.Route, head RequestHead) time.Duration {
--- a/entryhost/relay/ingress/front.go
+++ b/entryhost/relay/ingress/front.go
@@ -40,6 +40,9 @@
 	// minPlainTime is how long before the platform's kill all new requests are
 	// refused. Plain requests end within 1.5 s.
 	minPlainTime = 2 * time.Second
+	// drainAnswerMargin is how long before the platform's kill the deadlines of requests
+	// end that are taken during a drain. The drain itself ends 300 ms before the kill.
+	drainAnswerMargin = 400 * time.Millisecond
 	// drainPollInterval is how often a drain checks for open requests.
 	drainPollInterval = 50 * time.Millisecond
 	// retryAfter is the Retry-After of a host that is starting or draining.
@@ -75,6 +78,12 @@
 	// finish, and refusingAll when no new request has.
 	refusingStreams chan struct{}
 	refusingAll     chan struct{}
+	// refusingLong is closed by the task when new requests are refused that may not end
+	// before the drain does.
+	refusingLong chan struct{}
+	// stopsAt is when requests have to be answered in a drain. It is set before draining
+	// is closed.
+	stopsAt time.Time
 	openRequests    *metrics.Counter
 	// busy is the number of connections with a request that is being read or answered.
 	busy *atomic.Int64
@@ -85,6 +94,7 @@
 	return &Front{
 		Parameters: parameters, socket: task.NewSocket(listener),
 		commands: task.NewMailbox[command](commandsCapacity), draining: make(chan struct{}), refusingStreams: make(chan struct{}), refusingAll: make(chan struct{}),
+		refusingLong: make(chan struct{}),
 		openRequests: parameters.Metrics.GetOrCreateCounter("lentilpoint_relay_open_requests"), busy: &atomic.Int64{},
 	}
 }
@@ -181,11 +191,13 @@
 		case <-closeIdle:
 			// Close idle connections. A request that arrives meanwhile is not read.
 			stopKeepIdle()
+			close(f.refusingLong)
 		case <-refuseAll:
 			close(f.refusingAll)
 		case command := <-f.commands.C():
 			switch command.kind {
 			case commandDrain:
+				f.stopsAt = f.Clock.Now().Add(f.StopGracePeriod - drainAnswerMargin)
 				close(f.draining)
 				refuseStreams, closeIdle = f.Clock.After(drainStreamWindow), f.Clock.After(f.DeregistrationDelay)
 				refuseAll = f.Clock.After(f.StopGracePeriod - minPlainTime)
--- a/entryhost/relay/relay_test.go
+++ b/entryhost/relay/relay_test.go
@@ -561,6 +561,32 @@
 		Eventually(s.done, 6*time.Second).Should(Receive(BeNil()))
 	})
 
+	// Guards against requests that are taken late in a planned stop and cut off at its end.
+	It("refuses a request during a drain that may last longer than the drain", func() {
+		s.configure(2, map[string]any{"name": "slow", "host": "site.example", "prefix": "/slow/", "route_type": "non_idempotent", "timeout_ms": 20000, "target_latency_ms": 9000, "service": "shop", "max_attempts": 1})
+		Eventually(func() int { return s.caller().send("POST", "/slow/1", "probe").status }, 3*time.Second).Should(Equal(http.StatusOK))
+		for _, server := range s.plain {
+			server.SetFaults(standin.ServerFaults{Slow: 6 * time.Second})
+		}
+		for _, engine := range s.engines {
+			engine.SetEventTime(150 * time.Millisecond)
+		}
+		// The socket stays open while a stream does.
+		stream := make(chan answer, 1)
+		c := s.caller()
+		go func() { stream <- c.send("POST", "/advice/1", "long") }()
+		Eventually(func() []standin.Run { return runsOf(s.engines, "long") }).ShouldNot(BeEmpty())
+		s.stop()
+		time.Sleep(300 * time.Millisecond)
+		got := s.caller().send("POST", "/slow/1", "late")
+		Expect(got.err).NotTo(HaveOccurred(), "cut off without an answer")
+		Expect(got.status).To(Equal(http.StatusServiceUnavailable))
+		Expect(runsOf(s.plain, "late")).To(BeEmpty())
+		var whole answer
+		Eventually(stream, 5*time.Second).Should(Receive(&whole))
+		Expect(whole.err).NotTo(HaveOccurred())
+	})
+
 	It("answers a request whose first bytes were read before the drain ended", func() {
 		conn, err := net.Dial("tcp", s.relay.FrontAddress)
 		Expect(err).NotTo(HaveOccurred())
