Open the next connection before a silent attempt is given up

Cause: an attempt counted as reserved once a server was assigned. Its connection was opened only after the silent one had been closed, and eight connections that time out end the stream.

Change: the connection is opened first, at up to three servers in a row. If none can be reached the request stays with its server and goes on when that does.

Two specs of silence_test.go failed before and pass.

--- a/entryhost/relay/exchange/connection.go
+++ b/entryhost/relay/exchange/connection.go
@@ -73,6 +73,21 @@
 // Run starts an exchange on an idle connection.
 func (c *Connection) Run(exchange Exchange) error { return c.mailbox.TrySend(exchange) }
 
+// Connect opens the connection to the server unless it is open. An open one may belong to
+// a server that has fallen silent since.
+func (c *Connection) Connect(ctx context.Context) error {
+	connected := make(chan error, 1)
+	if err := c.mailbox.TrySend(Exchange{Context: ctx, connected: connected}); err != nil {
+		return err
+	}
+	select {
+	case err := <-connected:
+		return err
+	case <-ctx.Done():
+		return context.Cause(ctx)
+	}
+}
+
 // Close ends the connection.
 func (c *Connection) Close() { c.stop() }
 
@@ -96,6 +111,14 @@
 			final.Reset = reset
 			return
 		}
+		if exchange.connected != nil {
+			err := c.connect(exchange.Context)
+			exchange.connected <- err
+			if err != nil {
+				return
+			}
+			continue
+		}
 		idleTimeout, reusable := c.runExchange(ctx, exchange)
 		if !reusable {
 			return
@@ -133,7 +156,7 @@
 	// Interrupt the idle read before the exchange uses the reader.
 	_ = c.conn.SetReadDeadline(time.Unix(1, 0))
 	if err := <-readable; !errors.Is(err, os.ErrDeadlineExceeded) {
-		sendEvent(exchange, Event{Failed: &Failure{Phase: Unsent, Err: Error.New("the idle connection was closed")}})
+		exchange.failUnsent()
 		return Exchange{}, false, false
 	}
 	_ = c.conn.SetReadDeadline(time.Time{})
@@ -150,11 +173,21 @@
 func (c *Connection) failLateExchange() {
 	select {
 	case exchange := <-c.mailbox.C():
-		sendEvent(exchange, Event{Failed: &Failure{Phase: Unsent, Err: Error.New("the idle connection was closed")}})
+		exchange.failUnsent()
 	case <-time.After(lateExchangeTimeout):
 	}
 }
 
+// failUnsent fails an exchange whose connection was closed while it was idle.
+func (e Exchange) failUnsent() {
+	err := Error.New("the idle connection was closed")
+	if e.connected != nil {
+		e.connected <- err
+		return
+	}
+	sendEvent(e, Event{Failed: &Failure{Phase: Unsent, Err: err}})
+}
+
 // writeGracePeriod is how long a write may take to report its result after the
 // response is complete. It only covers the scheduling of a write that is done.
 const writeGracePeriod = 5 * time.Millisecond
@@ -166,11 +199,9 @@
 		_ = c.conn.Close()
 		c.conn = nil
 	}
-	if c.conn == nil {
-		if err := c.dial(exchange.Context); err != nil {
-			sendEvent(exchange, Event{Failed: &Failure{Phase: Unsent, Err: err}})
-			return 0, false
-		}
+	if err := c.connect(exchange.Context); err != nil {
+		sendEvent(exchange, Event{Failed: &Failure{Phase: Unsent, Err: err}})
+		return 0, false
 	}
 	conn := c.conn
 	detachExchange := context.AfterFunc(exchange.Context, func() { _ = conn.Close() })
@@ -206,6 +237,14 @@
 	return idleTimeout, reusable
 }
 
+// connect dials the server unless the connection is open.
+func (c *Connection) connect(ctx context.Context) error {
+	if c.conn != nil {
+		return nil
+	}
+	return c.dial(ctx)
+}
+
 func (c *Connection) dial(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
--- a/entryhost/relay/exchange/messages.go
+++ b/entryhost/relay/exchange/messages.go
@@ -144,6 +144,9 @@
 	// Events receives the response. A full channel blocks the connection, which
 	// applies the backpressure of a slow caller to the server.
 	Events chan<- Event
+	// connected, if it is set, receives the result of opening the connection, and no
+	// attempt is run.
+	connected chan<- error
 }
 
 // Report is a status message from a connection to its owner.
--- a/entryhost/relay/forward/plain.go
+++ b/entryhost/relay/forward/plain.go
@@ -96,7 +96,7 @@
 			return nil, dispatch.OutcomeNone, context.Cause(ctx)
 		case <-limit:
 			cause := Error.New("no answer within the share of the latency objective")
-			if r.reserve(running, func() (plannedAttempt, error) { return r.acquirePlain(ctx, r.Clock.Now()) }) {
+			if r.reserve(ctx, running, func() (plannedAttempt, error) { return r.acquirePlain(ctx, r.Clock.Now()) }) {
 				return nil, dispatch.OutcomeSilent, cause
 			}
 			if !waited {
--- a/entryhost/relay/forward/reserve.go
+++ b/entryhost/relay/forward/reserve.go
@@ -1,6 +1,8 @@
 package forward
 
 import (
+	"context"
+
 	"github.com/lentilpoint/lentilpoint/entryhost/relay/dispatch"
 	"github.com/lentilpoint/lentilpoint/entryhost/relay/exchange"
 	"github.com/lentilpoint/lentilpoint/entryhost/relay/series"
@@ -24,20 +26,38 @@
 	return acquire()
 }
 
-// reserve acquires the attempt that replaces a silent one and reports whether there is
-// one. The silent attempt is still open, so that it can go on if there is none, or if
-// its server has sent something meanwhile.
-func (r *requestTask) reserve(running *runningAttempt, acquire func() (plannedAttempt, error)) bool {
+// maxReservations is the number of servers that are tried in a row for the attempt that
+// replaces a silent one. When many servers are silent at once, a connection to each takes
+// up to 120 ms.
+const maxReservations = 3
+
+// reserve acquires the attempt that replaces a silent one and opens its connection, and
+// reports whether there is one. The silent attempt is still open, so that it can go on if
+// there is none, or if its server has sent something meanwhile.
+func (r *requestTask) reserve(ctx context.Context, running *runningAttempt, acquire func() (plannedAttempt, error)) bool {
 	counts, avoided := r.counts, r.avoid[running.note.DataCentre]
 	r.count(running, dispatch.OutcomeSilent)
 	r.exclude[running.note.Server] = true
-	next, err := acquire()
-	if err == nil && next.assignment.Server != nil {
-		if len(running.events) == 0 {
+	for range maxReservations {
+		next, err := acquire()
+		if err != nil || next.assignment.Server == nil {
+			break
+		}
+		connectErr := next.assignment.Connection.Connect(ctx)
+		if connectErr == nil && len(running.events) == 0 {
 			r.reserved = &next
 			return true
 		}
-		r.returnServer(next.assignment)
+		if connectErr == nil || ctx.Err() != nil {
+			r.returnServer(next.assignment)
+			break
+		}
+		r.Logger.Info("server for the attempt that replaces a silent one cannot be reached", eventcode.SilentServerAwaited.Attr(), "request", r.request.ID,
+			"server", next.assignment.Server.ID, "silent", running.note.Server, "error", connectErr)
+		r.releaseUnreachable(next.assignment)
+		if len(running.events) > 0 {
+			break
+		}
 	}
 	r.counts, r.avoid[running.note.DataCentre] = counts, avoided
 	delete(r.exclude, running.note.Server)
--- a/entryhost/relay/forward/silence_test.go
+++ b/entryhost/relay/forward/silence_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"log/slog"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strconv"
@@ -120,11 +121,13 @@
 	// grantDelay is how long the dispatcher takes to assign a second server, for example
 	// because it borrows a retry from another host.
 	var grantDelay time.Duration
+	// others is the address of all servers but the first.
+	var others string
 
 	BeforeEach(func() {
 		ctx, cancel := context.WithCancel(context.Background())
 		DeferCleanup(cancel)
-		outcomes := make(chan dispatch.Outcome, 8)
+		outcomes := make(chan dispatch.Outcome, 128)
 		cancelled, released = make(chan struct{}, 8), outcomes
 		server := silentServer(cancelled)
 		DeferCleanup(server.Close)
@@ -134,7 +137,7 @@
 		limit := &atomic.Int32{}
 		grants = limit
 		grants.Store(1)
-		grantDelay = 0
+		grantDelay, others = 0, address
 		go func() {
 			granted := int32(0)
 			for {
@@ -156,7 +159,10 @@
 						if granted == 2 {
 							time.Sleep(grantDelay)
 						}
-						id := fmt.Sprintf("s-%d", granted)
+						id, address := fmt.Sprintf("s-%d", granted), address
+						if granted > 1 {
+							address = others
+						}
 						message.Reply.Send(dispatch.Assignment{
 							Lease: dispatch.Lease(granted), Server: &routing.Server{ID: id, Address: address, DataCentre: id},
 							Connection: exchange.Open(ctx, id, address, fakeHeads{}, reports),
@@ -217,6 +223,27 @@
 		Eventually(cancelled).Should(Receive())
 	})
 
+	// Guards against an answer that is cut off since its server and those that could take over
+	// are silent at the same time, as all of them are on one link.
+	DescribeTable("keeps its attempt if no other server can be reached",
+		func(method string, route routing.Route, expected string) {
+			closed, err := net.Listen("tcp", "127.0.0.1:0")
+			Expect(err).NotTo(HaveOccurred())
+			Expect(closed.Close()).To(Succeed())
+			others = closed.Addr().String()
+			grants.Store(100)
+			caller, summary := serve(method, route)
+			Expect(summary.Broken).To(BeFalse())
+			Expect(caller.fault).To(BeNil())
+			Expect(caller.body).To(Equal(expected))
+			Expect(summary.Attempts).To(HaveLen(1))
+			Expect(cancelled).NotTo(Receive())
+			Expect(released).To(Receive(Equal(dispatch.OutcomeUnreachable)))
+		},
+		Entry("a stream", http.MethodPost, routing.Route{Kind: routing.Streaming, Resumable: true, MaxAttempts: 5}, wholeSilentStream),
+		Entry("a plain request that may be repeated", http.MethodGet, routing.Route{Kind: routing.Idempotent, MaxAttempts: 2}, "answer"),
+	)
+
 	It("keeps a server that goes on while another one is reserved, and returns that one", func() {
 		grants.Store(2)
 		grantDelay = 3 * silence / 2
--- a/entryhost/relay/forward/stream.go
+++ b/entryhost/relay/forward/stream.go
@@ -106,7 +106,7 @@
 	}
 	before := s.copies
 	s.copies.attemptEnded(running.note.Events > 0)
-	if r.reserve(running, func() (plannedAttempt, error) { return r.acquireAttempt(ctx, s, r.Clock.Now()) }) {
+	if r.reserve(ctx, running, func() (plannedAttempt, error) { return r.acquireAttempt(ctx, s, r.Clock.Now()) }) {
 		return true
 	}
 	s.copies = before
--- a/entryhost/relay/forward/task.go
+++ b/entryhost/relay/forward/task.go
@@ -253,10 +253,19 @@
 
 // returnServer returns an assigned server that the request does not use.
 func (r *requestTask) returnServer(assignment dispatch.Assignment) {
+	r.releaseUnstarted(assignment, dispatch.OutcomeNone)
+}
+
+// releaseUnreachable returns an assigned server to which no connection could be opened.
+func (r *requestTask) releaseUnreachable(assignment dispatch.Assignment) {
+	r.releaseUnstarted(assignment, dispatch.OutcomeUnreachable)
+}
+
+func (r *requestTask) releaseUnstarted(assignment dispatch.Assignment, outcome dispatch.Outcome) {
 	assignment.Connection.Close()
 	ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
 	defer cancel()
-	if err := r.Dispatcher.Send(ctx, dispatch.Release{Lease: assignment.Lease, Outcome: dispatch.OutcomeNone, Unused: true}); err != nil {
+	if err := r.Dispatcher.Send(ctx, dispatch.Release{Lease: assignment.Lease, Outcome: outcome, Unused: true}); err != nil {
 		r.Logger.Error("unused server not returned to the dispatcher", eventcode.OutcomeNotDelivered.Attr(), "request", r.request.ID, "server", assignment.Server.ID, "error", err)
 	}
 }
