--- a/entryhost/relay/forward/stream.go
+++ b/entryhost/relay/forward/stream.go
@@ -20,7 +20,7 @@
 	// status and contentType are those of the head.
 	status      int
 	contentType string
-	copies   copies
+	copies      copies
 	// promptHolder is the id of an engine whose cache holds the request's
 	// prompt, or "".
 	promptHolder string
--- a/entryhost/relay/ingress/front.go
+++ b/entryhost/relay/ingress/front.go
@@ -83,8 +83,8 @@
 	refusingLong chan struct{}
 	// stopsAt is when requests have to be answered in a drain. It is set before draining
 	// is closed.
-	stopsAt time.Time
-	openRequests    *metrics.Counter
+	stopsAt      time.Time
+	openRequests *metrics.Counter
 	// busy is the number of connections with a request that is being read or answered.
 	busy *atomic.Int64
 }
