Keep stops of requests that crash servers in the store

Cause: a stop was known to hosts only.

Change: the host that decides a stop writes it to a table of the store, and the one that sees it disproved removes it. A host reads the table only if no host that it asks has learned the stops of others, so a host that starts alone makes no call: one of those that start together reads after 3 s, the others learn from it or read after 6 s.

The code before has no such table; the spec was not run on it.

--- a/entryhost/relay/fx.go
+++ b/entryhost/relay/fx.go
@@ -34,6 +34,7 @@
 	Store   mirror.Store
 	Roster  roster.Store
 	Moves   moves.Store
+	Stops   suspects.StopStore
 	Decoder catalog.Decoder
 	Hosts   roster.Decoder
 	Callers ingress.Protocol
@@ -98,9 +99,9 @@
 	})
 }
 
-func provideSuspects(settings Settings, clock clockwork.Clock, set *metrics.Set, logger *slog.Logger) *suspects.Task {
+func provideSuspects(settings Settings, adapter Adapter, clock clockwork.Clock, set *metrics.Set, logger *slog.Logger) *suspects.Task {
 	return suspects.NewTask(suspects.Parameters{
-		Self: settings.PeerAddress, Seeds: settings.SeedList(), Peers: peering.SuspectReporter{}, RefusesConnections: exchange.RefusesConnections, Clock: clock, Metrics: set, Logger: logger,
+		Self: settings.PeerAddress, Seeds: settings.SeedList(), Peers: peering.SuspectReporter{}, Store: adapter.Stops, RefusesConnections: exchange.RefusesConnections, Clock: clock, Metrics: set, Logger: logger,
 	})
 }
 
--- a/entryhost/relay/relay_test.go
+++ b/entryhost/relay/relay_test.go
@@ -448,6 +448,38 @@
 		Expect(s.caller().send("POST", "/order/1", "wholesome").status).To(Equal(http.StatusOK))
 	})
 
+	// Guards against a stop that is lost with the hosts that know it.
+	It("does not send a stopped request to servers after all hosts were replaced at once", func() {
+		for _, server := range s.plain {
+			server.SetFaults(standin.ServerFaults{CrashOn: "poison"})
+		}
+		restart := func() {
+			for _, server := range s.plain {
+				if !server.Running() {
+					Expect(server.RestartSameID()).To(Succeed())
+					Expect(server.Register(s.store, "ready")).To(Succeed())
+				}
+			}
+		}
+		for range 3 {
+			s.caller().send("POST", "/order/1", "poison")
+			time.Sleep(1200 * time.Millisecond)
+			restart()
+			time.Sleep(100 * time.Millisecond)
+		}
+		Expect(s.caller().send("POST", "/order/1", "poison").status).To(Equal(http.StatusServiceUnavailable))
+		s.stop()
+		Eventually(s.done, 6*time.Second).Should(Receive())
+		c := s.caller()
+		c.settings, _, _ = s.start(s.store.Address())
+		Eventually(readinessStatus(c.settings), 5*time.Second).Should(Equal(http.StatusOK))
+		// No other host answers, so this one reads the store after two rounds of 1.5 s.
+		time.Sleep(3500 * time.Millisecond)
+		Expect(c.send("POST", "/order/1", "poison").status).To(Equal(http.StatusServiceUnavailable))
+		Expect(runsOf(s.plain, "poison")).To(HaveLen(3))
+		Expect(c.send("POST", "/order/1", "wholesome").status).To(Equal(http.StatusOK))
+	})
+
 	It("aborts a stream visibly when no engine can resume it", func() {
 		for _, engine := range s.engines {
 			engine.SetFaults(standin.ServerFaults{CutAfter: 1})
--- a/entryhost/relay/suspects/messages.go
+++ b/entryhost/relay/suspects/messages.go
@@ -204,6 +204,8 @@
 	answers  int
 	failures int
 	learned  bool
+	// asked is set if hosts were asked, as opposed to the store.
+	asked bool
 }
 
 func (CheckStopped) isMessage()     {}
--- a/entryhost/relay/suspects/prompts.go
+++ b/entryhost/relay/suspects/prompts.go
@@ -101,7 +101,9 @@
 	for _, part := range prompt.all() {
 		t.answered.add(part, t.now(), t.now())
 	}
+	before := t.stopped
 	if cleared := t.clearStops(prompt.all()); len(cleared) > 0 {
+		t.keepChanges(ctx, before, t.stopped)
 		t.broadcast(ctx, func(ctx context.Context, host string) error {
 			return t.Peers.SendPromptAnswered(ctx, host, PromptAnswered{Parts: cleared})
 		})
@@ -217,7 +219,9 @@
 	t.Logger.Warn("requests with this content or these parts of a prompt crash servers; they are stopped on all hosts", eventcode.SuspectPartsStopped.Attr(), "signature", suspected.signature,
 		"servers", suspected.servers, "requests", suspected.requests, "minutes", stopDuration.Minutes())
 	t.promptStops.Inc()
+	before := t.stopped
 	t.stopped = t.stopped.add(suspected.signature, t.now()+stopDuration)
+	t.keepChanges(ctx, before, t.stopped)
 	t.stopWatched()
 	message := PromptStop{Signature: suspected.signature, StoppedFor: stopDuration, ForgottenIn: 2 * stopDuration}
 	t.deliver(ctx, func(ctx context.Context, host string, elapsed time.Duration) error {
@@ -327,9 +331,19 @@
 	}
 	candidates = slices.DeleteFunc(candidates, func(address string) bool { return address == t.Self })
 	if len(candidates) == 0 {
+		t.aloneRounds++
+		if t.aloneRounds == readerRound && !t.learned {
+			t.learning = true
+			go t.readKept(ctx)
+		}
 		return
 	}
 	rand.Shuffle(len(candidates), func(i, j int) { candidates[i], candidates[j] = candidates[j], candidates[i] })
+	// The host that reads the store if all have just started.
+	first := trackers(readerKey, t.Self, t.hosts)[0]
+	if i := slices.Index(candidates, first); i > 0 {
+		candidates[0], candidates[i] = candidates[i], candidates[0]
+	}
 	t.learning = true
 	t.learnRounds++
 	go t.collectStops(ctx, candidates[:min(len(candidates), maxLearnCalls)])
@@ -338,7 +352,7 @@
 // collectStops asks hosts for their stops until maxLearnHosts have answered that have
 // learned those of others.
 func (t *Task) collectStops(ctx context.Context, candidates []string) {
-	collected := stopsCollected{fingerprints: map[Fingerprint]time.Duration{}}
+	collected := stopsCollected{fingerprints: map[Fingerprint]time.Duration{}, asked: true}
 	learned := 0
 	for _, host := range candidates {
 		askContext, cancel := context.WithTimeout(ctx, sendTimeout)
@@ -365,8 +379,8 @@
 	_ = t.mailbox.Send(ctx, collected)
 }
 
-// handleStopsCollected takes over the stops of other hosts.
-func (t *Task) handleStopsCollected(collected stopsCollected) {
+// handleStopsCollected takes over the stops of other hosts, or those in the store.
+func (t *Task) handleStopsCollected(ctx context.Context, collected stopsCollected) {
 	t.learning = false
 	for _, message := range collected.stops {
 		t.applyStop(message)
@@ -374,7 +388,12 @@
 	for fingerprint, stoppedFor := range collected.fingerprints {
 		t.table.stop(fingerprint, t.now()+min(stoppedFor, stopDuration))
 	}
-	t.learned = t.learned || collected.learned || t.learnRounds >= learnRounds
+	t.learned = t.learned || collected.learned
+	if collected.asked && t.mayReadKept(collected.answers) {
+		t.learning = true
+		go t.readKept(ctx)
+	}
+	t.learned = t.learned || t.learnRounds >= learnRounds
 	if t.learnRounds >= learnRounds && !collected.learned {
 		t.Logger.Info("no host that was asked had learned the stopped requests of others", eventcode.SuspectStopsLearned.Attr(), "answers", collected.answers, "failures", collected.failures)
 	}
--- a/entryhost/relay/suspects/suspects_test.go
+++ b/entryhost/relay/suspects/suspects_test.go
@@ -138,7 +138,7 @@
 			addresses = append(addresses, address)
 			hosts = append(hosts, routing.Host{Address: address})
 			tasks[address] = NewTask(Parameters{
-				Self: address, Peers: tasks, Clock: clockwork.NewRealClock(), Metrics: metrics.NewSet(), Logger: slog.New(slog.NewTextHandler(io.Discard, nil)),
+				Store: &memoryStops{}, Self: address, Peers: tasks, Clock: clockwork.NewRealClock(), Metrics: metrics.NewSet(), Logger: slog.New(slog.NewTextHandler(io.Discard, nil)),
 				RefusesConnections: func(_ context.Context, address string) bool { return address != "alive" },
 			})
 		}
@@ -243,7 +243,7 @@
 		ctx, cancel := context.WithCancel(context.Background())
 		DeferCleanup(cancel)
 		late := NewTask(Parameters{
-			Self: "late", Seeds: addresses[:1], Peers: tasks, Clock: clockwork.NewRealClock(), Metrics: metrics.NewSet(), Logger: slog.New(slog.NewTextHandler(io.Discard, nil)),
+			Store: &memoryStops{}, Self: "late", Seeds: addresses[:1], Peers: tasks, Clock: clockwork.NewRealClock(), Metrics: metrics.NewSet(), Logger: slog.New(slog.NewTextHandler(io.Discard, nil)),
 		})
 		go func() { _ = late.Serve(ctx) }()
 		return late
@@ -310,7 +310,7 @@
 		peers := &failingPeers{localPeers: tasks, failures: make(chan struct{}, 1)}
 		peers.failures <- struct{}{}
 		sender := NewTask(Parameters{
-			Self: "sender", Peers: peers, Clock: clockwork.NewRealClock(), Metrics: metrics.NewSet(), Logger: slog.New(slog.NewTextHandler(io.Discard, nil)),
+			Store: &memoryStops{}, Self: "sender", Peers: peers, Clock: clockwork.NewRealClock(), Metrics: metrics.NewSet(), Logger: slog.New(slog.NewTextHandler(io.Discard, nil)),
 			RefusesConnections: func(context.Context, string) bool { return true },
 		})
 		ctx, cancel := context.WithCancel(context.Background())
@@ -337,7 +337,7 @@
 	It("stop a part on a host that was cut off when the others stopped it, unless it knows of a later answer", func() {
 		peers := &failingPeers{localPeers: tasks, failures: make(chan struct{}, 1)}
 		peers.failures <- struct{}{}
-		sender := NewTask(Parameters{Self: "sender", Peers: peers, Clock: clockwork.NewRealClock(), Metrics: metrics.NewSet(), Logger: slog.New(slog.NewTextHandler(io.Discard, nil))})
+		sender := NewTask(Parameters{Store: &memoryStops{}, Self: "sender", Peers: peers, Clock: clockwork.NewRealClock(), Metrics: metrics.NewSet(), Logger: slog.New(slog.NewTextHandler(io.Discard, nil))})
 		go sender.deliverTo(context.Background(), addresses[0], func(ctx context.Context, host string, _ time.Duration) error {
 			return peers.SendPromptStop(ctx, host, PromptStop{Signature: signature("dead"), StoppedFor: stopDuration, ForgottenIn: 2 * stopDuration})
 		})
@@ -382,7 +382,7 @@
 
 	BeforeEach(func() {
 		clock = clockwork.NewFakeClock()
-		host = NewTask(Parameters{Self: "host", Clock: clock, Metrics: metrics.NewSet(), Logger: slog.New(slog.NewTextHandler(io.Discard, nil))})
+		host = NewTask(Parameters{Store: &memoryStops{}, Self: "host", Clock: clock, Metrics: metrics.NewSet(), Logger: slog.New(slog.NewTextHandler(io.Discard, nil))})
 		host.handle(context.Background(), PromptStop{Signature: stopped, StoppedFor: stopDuration, ForgottenIn: 2 * stopDuration})
 	})
 
--- a/entryhost/relay/suspects/task.go
+++ b/entryhost/relay/suspects/task.go
@@ -34,8 +34,10 @@
 	// Self is the address of this host among the entry hosts.
 	Self string
 	// Seeds are addresses of entry hosts that are asked while no other is known.
-	Seeds              []string
-	Peers              Peers
+	Seeds []string
+	Peers Peers
+	// Store keeps stops for hosts that start when no other knows them.
+	Store              StopStore
 	RefusesConnections RefusesConnections
 	Clock              clockwork.Clock
 	Metrics            *metrics.Set
@@ -71,6 +73,8 @@
 	// being asked for the learnRounds-th time.
 	learned, learning bool
 	learnRounds       int
+	// aloneRounds are the rounds in which no other host was known.
+	aloneRounds int
 }
 
 // NewTask returns a task with an empty table and no known hosts.
@@ -152,7 +156,7 @@
 	case answersCollected:
 		t.handleAnswersCollected(ctx, message)
 	case stopsCollected:
-		t.handleStopsCollected(message)
+		t.handleStopsCollected(ctx, message)
 	case AttemptBroken:
 		go t.confirmDeath(ctx, message)
 	case RequestCompleted:
