Spend fewer calls on the copies of the tables

Change: registrations are held for 1 s as the configuration is, and the list of entry hosts for 4 s, since no rule bounds it. The age up to which a peer is read from follows the hold of its table, so that of the configuration is 1 s shorter now.

Evidence: the moments of peering/fleet_test.go are played at the pace of the registrations now, which is the slower one; none is late.

--- a/entryhost/relay/fx.go
+++ b/entryhost/relay/fx.go
@@ -128,13 +128,13 @@
 
 // The paces of the followers. Configuration has 2 s to come into force over up to
 // three hosts, and a registration as draining has the same time; the longest delay in the
-// place of a host that gets no answer leaves 0.5 s for the hosts that take over. A lost
-// server is noticed by its attempts before its registration
-// ends, and a host that is not listed yet only gets no requests of its peers.
+// place of a host that gets no answer leaves 0.35 s for the hosts that take over. A lost
+// server is noticed by its attempts before its registration ends, and a host that is not
+// listed yet only gets no requests of its peers.
 var (
 	ordersPace        = mirror.Pace{Hold: time.Second, AfterStore: 100 * time.Millisecond, AfterPeer: 50 * time.Millisecond}
-	registrationsPace = mirror.Pace{Hold: 800 * time.Millisecond, AfterStore: 250 * time.Millisecond, AfterPeer: 50 * time.Millisecond}
-	hostsPace         = mirror.Pace{Hold: 2 * time.Second, AfterStore: 2 * time.Second, AfterPeer: 2 * time.Second}
+	registrationsPace = mirror.Pace{Hold: time.Second, AfterStore: 250 * time.Millisecond, AfterPeer: 50 * time.Millisecond}
+	hostsPace         = mirror.Pace{Hold: 4 * time.Second, AfterStore: 2 * time.Second, AfterPeer: 2 * time.Second}
 )
 
 // rosterTimeout bounds the wait for the list of entry hosts.
--- a/entryhost/relay/mirror/policy.go
+++ b/entryhost/relay/mirror/policy.go
@@ -27,13 +27,11 @@
 	// into force.
 	peerPollTimeout    = time.Second
 	peerDeadlineMargin = 250 * time.Millisecond
-	// maxPeerStoreAge is the age of a peer's last contact with the store above
-	// which it is not read from. A feed call takes at most maxHold, and two
-	// hosts may lie between the peer and the store. A peer that knows of an outage
+	// maxRelayedAge is added to Pace.Hold for the age of a peer's last contact with the
+	// store above which it is not read from. A feed call takes at most Hold and its margin,
+	// and two hosts may lie between the peer and the store. A peer that knows of an outage
 	// says so at once; the age detects one whose calls hang.
-	maxPeerStoreAge = maxHold + 2*feedDeadlineMargin + 2*(peerPollTimeout+peerDeadlineMargin)
-	// maxHold is the longest Pace.Hold.
-	maxHold = 2 * time.Second
+	maxRelayedAge = 2*feedDeadlineMargin + 2*(peerPollTimeout+peerDeadlineMargin)
 	// maxReadersTried and maxReaderSearch bound the search for a peer to read from
 	// in one round: the number of peers, and the time after which no other is tried.
 	// A host that is gone costs 200 ms.
--- a/entryhost/relay/mirror/task.go
+++ b/entryhost/relay/mirror/task.go
@@ -307,7 +307,7 @@
 	ctx, cancel := context.WithTimeout(ctx, query.Wait+peerDeadlineMargin)
 	defer cancel()
 	answer, err := f.Peers.QueryHost(ctx, host, query)
-	if err == nil && !answer.Unserved && answer.StoreAge > maxPeerStoreAge {
+	if err == nil && !answer.Unserved && answer.StoreAge > f.Pace.Hold+maxRelayedAge {
 		err = Error.New("peer %s was last served by the store %d ms ago", host, answer.StoreAge.Milliseconds())
 	}
 	return answer, err
