Record the failure of the store of a round once, in whichever order it is noticed

Cause, by reading: the task could handle the result of a round before the failure that the round had sent ahead, and take the delay of a host that is served. Change: the result takes the failure from the channel. No run shows the difference; the specs of mirror and peering pass.

--- a/entryhost/relay/mirror/task.go
+++ b/entryhost/relay/mirror/task.go
@@ -120,8 +120,8 @@
 	// not serve this host.
 	storeCalled bool
 	storeErr    error
-	// isRecorded is set if storeErr was sent to lostStore before.
-	isRecorded bool
+	// isSent is set if storeErr was sent to lostStore before.
+	isSent bool
 }
 
 // Serve follows the table until the context ends. One round runs at a time, in
@@ -232,7 +232,7 @@
 	if result.storeErr != nil && !errors.Is(result.storeErr, ErrHistoryGone) {
 		// The hosts that read from this one must not wait for the query.
 		f.lostStore <- result.storeErr
-		result.isRecorded = true
+		result.isSent = true
 		result.changes = f.queryAnyPeer(ctx, current)
 	}
 	return result
@@ -374,9 +374,7 @@
 		f.hasSnapshot, f.partialRead, f.reader = false, partialRead{}, ""
 		return 0
 	case result.storeErr != nil:
-		if !result.isRecorded {
-			f.recordStoreFailure(result.storeErr)
-		}
+		f.recordFailureOf(result)
 		f.reader = ""
 		f.partialRead = result.partialRead
 		f.applyPeerChanges(ctx, result.changes)
@@ -396,6 +394,20 @@
 	return f.Pace.AfterPeer
 }
 
+// recordFailureOf records the failure of the store in a round, unless it was recorded while
+// the round went on.
+func (f *Follower) recordFailureOf(result roundResult) {
+	if !result.isSent {
+		f.recordStoreFailure(result.storeErr)
+		return
+	}
+	select {
+	case err := <-f.lostStore:
+		f.recordStoreFailure(err)
+	default:
+	}
+}
+
 // applyUpdate applies changes and publishes the new snapshot.
 func (f *Follower) applyUpdate(ctx context.Context, changes Changes) {
 	next, changed := applyChanges(f.snapshot, changes)
