Count failures that servers of a new version report without a margin

Cause: a version counted as faulty only above twice the rate of the others plus 0.1, so that no number of answers showed a smaller fault.

Change: failures in complete responses are counted by server of the target, without the margin, if they come from two servers and are by chance in 1 of 10,000 cases only; fewer ones postpone the handover. The trial gets more of the allowed exposure (0.75) and the handover comes later (0.8 of the duration), so that the evidence is there before it.

One expectation of versions_test.go has one more field: the sample holds which server reported the failure.

--- a/entryhost/relay/dispatch/versions.go
+++ b/entryhost/relay/dispatch/versions.go
@@ -160,7 +160,7 @@
 		return
 	}
 	for route, samples := range state.samples {
-		routes[route] = *samples
+		routes[route] = samples.Clone()
 	}
 	now := t.Clock.Now()
 	for _, granted := range t.leases {
@@ -274,7 +274,19 @@
 	default:
 		sample.Count++
 		sample.Failed++
+		if outcome == OutcomeFailed {
+			sample.AddReported(reportedBy(state, granted))
+		}
+	}
+}
+
+// reportedBy returns the server to which a reported failure is counted. Only those of the
+// target are told apart.
+func reportedBy(state *moveState, granted leaseState) string {
+	if server := granted.server.server; server.Version == state.stage.Target {
+		return server.ID
 	}
+	return moves.AnyServer
 }
 
 // filterVersions removes the servers of versions that the request may not use.
--- a/entryhost/relay/dispatch/versions_test.go
+++ b/entryhost/relay/dispatch/versions_test.go
@@ -94,7 +94,7 @@
 			dispatcher.handle(ctx, Acquire{Service: "engine", Route: "chat", Retry: attempt > 0, Reply: task.Reply[Assignment](reply)})
 			dispatcher.handle(ctx, Release{Lease: (<-reply).Lease, Outcome: OutcomeFailed})
 		}
-		Expect(samples()["chat"].Target).To(Equal(moves.Sample{Sent: 3, Retried: 2, Count: 1, Failed: 1}))
+		Expect(samples()["chat"].Target).To(Equal(moves.Sample{Sent: 3, Retried: 2, Count: 1, Failed: 1, Reported: map[string]int{"new": 1}}))
 	})
 
 	It("do not count an attempt that reached no server", func(ctx SpecContext) {
--- a/entryhost/relay/moves/evidence.go
+++ b/entryhost/relay/moves/evidence.go
@@ -1,6 +1,7 @@
 package moves
 
 import (
+	"maps"
 	"math"
 	"time"
 )
@@ -90,6 +91,11 @@
 	// are no evidence of their own.
 	Count  int
 	Failed int
+	// Reported holds the first attempts that ended with a complete response in which the
+	// server reports a failure, by server. Those of versions other than the target are under
+	// AnyServer. Unlike responses that break off or never come, they say nothing about the
+	// network or the process.
+	Reported map[string]int
 	// LatencySum is the sum of the response times of attempts that did not fail.
 	LatencySum time.Duration
 	// Answers are the times to the complete response or the first event of a stream,
@@ -98,6 +104,60 @@
 	Pace    Step
 }
 
+// AnyServer stands for all servers in Sample.Reported, and for those beyond
+// maxReportingServers.
+const AnyServer = "any"
+
+// maxReportingServers bounds the servers that are told apart in a sample, and with them the
+// row of a host's evidence.
+const maxReportingServers = 8
+
+// AddReported counts a failure that a server has reported.
+func (s *Sample) AddReported(server string) {
+	if _, found := s.Reported[server]; !found && len(s.Reported) >= maxReportingServers {
+		server = AnyServer
+	}
+	if s.Reported == nil {
+		s.Reported = map[string]int{}
+	}
+	s.Reported[server]++
+}
+
+// reported returns the number of failures that servers have reported.
+func (s Sample) reported() int {
+	total := 0
+	for _, count := range s.Reported {
+		total += count
+	}
+	return total
+}
+
+// addCounts returns the sums of two sets of counts, and subtractCounts the differences, of
+// which none is below 0. Both leave out zeros.
+func addCounts(a, b map[string]int) map[string]int {
+	if len(a)+len(b) == 0 {
+		return nil
+	}
+	sums := maps.Clone(a)
+	if sums == nil {
+		sums = map[string]int{}
+	}
+	for key, count := range b {
+		sums[key] += count
+	}
+	return sums
+}
+
+func subtractCounts(a, b map[string]int) map[string]int {
+	var differences map[string]int
+	for key, count := range a {
+		if left := count - b[key]; left > 0 {
+			differences = addCounts(differences, map[string]int{key: left})
+		}
+	}
+	return differences
+}
+
 // EventsPerPace is the number of events over which the pace of a stream is measured.
 // It is enough for the pauses that other prompts on the engine cause to even out, and
 // a normal stream takes about a second for it.
@@ -172,6 +232,12 @@
 	return recent
 }
 
+// Clone returns a copy that shares nothing with the samples.
+func (v Versions) Clone() Versions {
+	v.Target.Reported, v.Other.Reported = maps.Clone(v.Target.Reported), maps.Clone(v.Other.Reported)
+	return v
+}
+
 func (v Versions) add(other Versions) Versions {
 	return Versions{Target: v.Target.add(other.Target), Other: v.Other.add(other.Other)}
 }
@@ -179,7 +245,8 @@
 func (s Sample) add(other Sample) Sample {
 	return Sample{
 		Sent: s.sent() + other.sent(), Retried: s.Retried + other.Retried, Count: s.Count + other.Count, Failed: s.Failed + other.Failed, LatencySum: s.LatencySum + other.LatencySum,
-		Answers: s.Answers.add(other.Answers), Pace: s.Pace.add(other.Pace),
+		Reported: addCounts(s.Reported, other.Reported),
+		Answers:  s.Answers.add(other.Answers), Pace: s.Pace.add(other.Pace),
 	}
 }
 
@@ -188,6 +255,7 @@
 func (s Sample) since(earlier Sample) Sample {
 	return Sample{
 		Sent: max(s.sent()-earlier.sent(), 0), Retried: max(s.Retried-earlier.Retried, 0), Count: max(s.Count-earlier.Count, 0), Failed: max(s.Failed-earlier.Failed, 0),
+		Reported:   subtractCounts(s.Reported, earlier.Reported),
 		LatencySum: max(s.LatencySum-earlier.LatencySum, 0), Answers: s.Answers.since(earlier.Answers), Pace: s.Pace.since(earlier.Pace),
 	}
 }
--- a/entryhost/relay/moves/moves_test.go
+++ b/entryhost/relay/moves/moves_test.go
@@ -236,7 +236,7 @@
 		earlier := Observation{"list": {Target: sample(50, 0, time.Millisecond), Other: sample(50, 5, time.Millisecond)}}
 		recent := Observation{"list": {Target: sample(3, 0, time.Millisecond), Other: sample(3, 0, time.Millisecond)}}.since(earlier)
 		Expect(recent["list"].Target).To(Equal(Sample{}))
-		Expect(recent.faults()).To(BeEmpty())
+		Expect(recent.faults(0)).To(BeEmpty())
 	})
 })
 
--- a/entryhost/relay/moves/policy.go
+++ b/entryhost/relay/moves/policy.go
@@ -24,10 +24,10 @@
 	// initialShare is the target's share of the traffic at the start. It rises to
 	// provenShare after minProvenResponses successful responses.
 	initialShare = 0.05
-	provenShare  = 0.2
+	provenShare  = 0.3
 	// minProvenResponses is the number of successful responses that allow
 	// provenShare.
-	minProvenResponses = 20
+	minProvenResponses = 10
 	// maxTrialShare is the highest share of a route with so little traffic that
 	// initialShare would bring no evidence in time. Most requests stay on the other
 	// versions.
@@ -46,7 +46,7 @@
 	trialRequests = 8
 	trialFraction = 0.5
 	// usedExposureFraction is the fraction of the allowed exposure that is used.
-	usedExposureFraction = 0.6
+	usedExposureFraction = 0.75
 	// exposureLookahead is the time for which a share must stay within the allowed
 	// exposure: a round, and the time until all hosts follow it.
 	exposureLookahead = 2 * time.Second
@@ -54,7 +54,7 @@
 	// if the target is proven; the rest is reserved for an outage of the store. The
 	// handover comes before it, but not before minTrialFraction. After withdrawalFraction the move to an unproven target is withdrawn: a
 	// good version costs another order then, a faulty one would cost all requests.
-	completionFraction = 0.75
+	completionFraction = 0.8
 	minTrialFraction   = 0.5
 	withdrawalFraction = 0.9
 	// handoverRounds is the number of rounds in which all traffic goes to a proven target
@@ -80,6 +80,17 @@
 	faultyChance  = 0.001
 	suspectChance = 0.02
 	suspectMargin = 0.2
+	// reportedChance is how likely so many reported failures may be by chance for the target
+	// to count as faulty, without a margin: they tell of the version itself. Several routes
+	// are compared in each round of a move, so it is lower than faultyChance.
+	reportedChance = 0.0001
+	// reportedSuspectChance is the bound for the target to be unproven: two failures among
+	// the requests of a trial, of a service that does not fail by itself, postpone the
+	// handover until more evidence is there.
+	reportedSuspectChance = 0.005
+	// minReportingServers is the number of servers of the target that have to report
+	// failures, unless it has fewer; one server may be faulty by itself.
+	minReportingServers = 2
 	// minLatencySamples is the number of successful responses below which the mean
 	// latency is ignored. latencyFactor is the highest ratio of the target's mean
 	// latency to that of the other versions, and of one response's time to the median
@@ -118,10 +129,12 @@
 	bad      int
 	expected float64
 	paired   bool
+	// servers has the bad responses by server, if only their servers can be the cause.
+	servers map[string]int
 }
 
 func (t tally) add(other tally) tally {
-	return tally{count: t.count + other.count, bad: t.bad + other.bad, expected: t.expected + other.expected}
+	return tally{count: t.count + other.count, bad: t.bad + other.bad, expected: t.expected + other.expected, servers: addCounts(t.servers, other.servers)}
 }
 
 // isWorse reports whether the target's rate is beyond the factor and the margin, and that
@@ -142,6 +155,22 @@
 	return t.bad >= minFailures && t.isWorse(failureRateMargin, faultyChance)
 }
 
+// isFaultyByReports reports whether servers of the target report more failures than those of
+// the other versions, however few they are in a hundred.
+func (t tally) isFaultyByReports(targetServers int) bool {
+	return t.bad >= minFailures && t.isReportedBy(targetServers) && t.isWorse(0, reportedChance)
+}
+
+// isSuspectByReports reports whether the reports of the target's servers need more evidence.
+func (t tally) isSuspectByReports(targetServers int) bool {
+	return t.isReportedBy(targetServers) && t.isWorse(0, reportedSuspectChance)
+}
+
+// isReportedBy reports whether enough servers of the target report failures.
+func (t tally) isReportedBy(targetServers int) bool {
+	return len(t.servers) >= min(minReportingServers, max(targetServers, 1))
+}
+
 // binomialTail returns the probability of at least bad of count events that each have
 // the given probability.
 func binomialTail(count, bad int, probability float64) float64 {
@@ -176,6 +205,15 @@
 	}
 }
 
+// reportedFailures counts the target's requests whose server reported a failure.
+func reportedFailures(v Versions) tally {
+	count := v.Target.first()
+	return tally{
+		count: count, bad: v.Target.reported(), expected: float64(count) * smoothedRate(v.Other.reported(), v.Other.first()),
+		paired: failsByItself(v.Other), servers: v.Target.Reported,
+	}
+}
+
 // failsByItself reports whether requests seem to fail for another reason than their
 // server. Callers repeat these and they fail again, so failures come in pairs.
 func failsByItself(other Sample) bool {
@@ -228,8 +266,26 @@
 	return append(all, comparison{"all", "failures", failed}, comparison{"all", "slow answers", answers}, comparison{"all", "slow events", pace})
 }
 
-// faults returns why the target is faulty, or "".
-func (o Observation) faults() string {
+// compareReports returns the rates of reported failures by route and over all routes.
+func (o Observation) compareReports() []comparison {
+	var all []comparison
+	var reported tally
+	for _, route := range slices.Sorted(maps.Keys(o)) {
+		rate := reportedFailures(o[route])
+		reported = reported.add(rate)
+		all = append(all, comparison{route, "reported failures", rate})
+	}
+	reported.paired = failsByItself(o.total().Other)
+	return append(all, comparison{"all", "reported failures", reported})
+}
+
+// faults returns why the target, which has a number of servers, is faulty, or "".
+func (o Observation) faults(targetServers int) string {
+	for _, c := range o.compareReports() {
+		if c.tally.isFaultyByReports(targetServers) {
+			return c.String()
+		}
+	}
 	for _, c := range o.compare() {
 		if c.tally.isFaulty() {
 			return c.String()
@@ -251,7 +307,12 @@
 
 // doubts returns why the target is not proven to be as good as the other versions, or
 // "". Routes with minRequests need evidence of their own.
-func (o Observation) doubts(minRequests int) string {
+func (o Observation) doubts(minRequests, targetServers int) string {
+	for _, c := range o.compareReports() {
+		if c.tally.isSuspectByReports(targetServers) {
+			return c.String()
+		}
+	}
 	for _, c := range o.compare() {
 		if c.tally.isWorse(suspectMargin, suspectChance) {
 			return c.String()
@@ -296,21 +357,23 @@
 	recent Observation
 	// latestStart is the latest start of the target's servers.
 	latestStart time.Duration
+	// targetServers is the number of registered servers of the target.
+	targetServers int
 }
 
 // nextState returns the state that the holder writes next.
 func nextState(state State, p progress, limits ExposureLimits) State {
 	state.Heartbeat++
 	state.Reason, state.RouteShares, state.Elapsed = "", nil, p.elapsed
-	fault := p.seen.faults()
+	fault := p.seen.faults(p.targetServers)
 	if fault == "" {
-		fault = p.recent.faults()
+		fault = p.recent.faults(p.targetServers)
 	}
 	minRequests := minRouteRequests
 	if p.elapsed >= time.Duration(completionFraction*float64(p.duration)) {
 		minRequests = minLateRouteRequests
 	}
-	doubt := p.seen.doubts(minRequests)
+	doubt := p.seen.doubts(minRequests, p.targetServers)
 	// In the handover, only a fault stops the move: the other versions get no traffic that
 	// the target could be compared with.
 	proven := state.Handover > 0 || doubt == ""
--- a/entryhost/relay/moves/task.go
+++ b/entryhost/relay/moves/task.go
@@ -343,7 +343,7 @@
 // observe records an observation and returns it with what is new since the rounds
 // before. While there are too few rounds, nothing is recent.
 func (m *move) observe(seen Observation, now time.Time) progress {
-	p := progress{elapsed: now.Sub(m.startedAt), duration: m.order.Duration, seen: seen, latestStart: m.latestStart}
+	p := progress{elapsed: now.Sub(m.startedAt), duration: m.order.Duration, seen: seen, latestStart: m.latestStart, targetServers: m.servers.Count(m.order.Service, m.order.Target)}
 	if len(m.history) == recentRounds {
 		p.recent = seen.since(m.history[0])
 		m.history = m.history[1:]
--- a/entryhost/relay/routing/rejections.go
+++ b/entryhost/relay/routing/rejections.go
@@ -95,6 +95,17 @@
 	return Stage{Service: next.Service, Target: next.Target, Order: next.Order, Rejected: rejected}
 }
 
+// Count returns the number of servers of a version.
+func (s Servers) Count(service, version string) int {
+	count := 0
+	for _, server := range s {
+		if server.Service == service && server.Version == version {
+			count++
+		}
+	}
+	return count
+}
+
 // LatestStart returns the latest start of the servers of a version, or 0.
 func (s Servers) LatestStart(service, version string) time.Duration {
 	var latest time.Duration
