Send nothing to a server for the time for which it has asked for no requests

Callers waited for servers that were to refuse them.

Cause: the header was not read.

Change: the head of a refusal is decoded with the time, at most 30 s; the dispatcher leaves the server out until then, also if its registration lapses and comes back, but not a later process under its id. If all servers that could take a request have asked for that, it is refused at once with the shortest time, spread.

Evidence: the spec "get none until then" of leaving_test.go fails if the time is not passed on, and passes; specs of dispatch and platform. Probes and orders for copies of caches to such a server are not held back.

--- a/cmd/lentilpoint-bench/standin/server.go
+++ b/cmd/lentilpoint-bench/standin/server.go
@@ -260,6 +260,9 @@
 			s.writeRefusalTwice(w, request, snapshot.faults.AnonymousRefusal)
 			return
 		}
+		if snapshot.faults.RetryAfter != "" {
+			w.Header().Set("Retry-After", snapshot.faults.RetryAfter)
+		}
 		w.Header().Set(platform.HeaderNotRun, "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
--- a/cmd/lentilpoint-bench/standin/server_faults.go
+++ b/cmd/lentilpoint-bench/standin/server_faults.go
@@ -25,6 +25,8 @@
 	Fail bool
 	// Leaving states in all responses that the server leaves.
 	Leaving bool
+	// RetryAfter is the Retry-After of refusals; "" is off.
+	RetryAfter string
 	// Slow delays answers to plain requests.
 	Slow time.Duration
 	// Extra sends a second response, which belongs to no request, after each answer to
--- a/entryhost/relay/dispatch/assign.go
+++ b/entryhost/relay/dispatch/assign.go
@@ -22,6 +22,10 @@
 			t.refuse(request, RefusedCopyGone)
 			return true
 		}
+		if wait, refuse := allRefuse(candidates); refuse {
+			t.refuseFor(request, RefusedByServers, time.Duration(float64(wait)*(1+refusalJitter*t.Random.Float64())))
+			return true
+		}
 		if now.Before(request.WaitUntil) {
 			return false
 		}
@@ -143,7 +147,7 @@
 			owned: t.ownership.owns(state.server),
 			warm:  len(state.idle) > 0, full: len(state.idle) == 0 && state.open >= limit,
 			paused: now.Before(state.health.pausedUntil), dataCentreDown: t.pools[poolOf(state.server)].down(now), recovering: state.health.pause > 0,
-			stale: state.health.stale, leaving: t.isLeaving(id), failureRate: state.health.failureRate,
+			stale: state.health.stale, leaving: t.isLeaving(id), refusesFor: t.refusesFor(id, now), failureRate: state.health.failureRate,
 		})
 	}
 	if stage, moving := t.stageOf(service); moving {
--- a/entryhost/relay/dispatch/messages.go
+++ b/entryhost/relay/dispatch/messages.go
@@ -80,6 +80,8 @@
 	// RefusedOverload is for organisations that exceed their share of engines with a
 	// long queue.
 	RefusedOverload Refusal = "organisation_exceeds_share"
+	// RefusedByServers is for services of which all servers have asked for no requests.
+	RefusedByServers Refusal = "servers_ask_to_wait"
 )
 
 // Assignment is the answer to Acquire. Server is nil if the request was refused.
--- a/entryhost/relay/dispatch/policy.go
+++ b/entryhost/relay/dispatch/policy.go
@@ -37,6 +37,8 @@
 	stale bool
 	// leaving servers have stated that they take no new work.
 	leaving bool
+	// refusesFor is the time for which the server has asked for no requests.
+	refusesFor time.Duration
 	// failureRate is the smoothed share of failed attempts.
 	failureRate float64
 }
@@ -109,7 +111,9 @@
 
 // usable keeps servers that may take work.
 func usable(_ *Acquire, candidates []candidate) []candidate {
-	return filterCandidates(candidates, func(c *candidate) bool { return !c.server.Draining && !c.leaving && !c.stale && !c.full })
+	return filterCandidates(candidates, func(c *candidate) bool {
+		return !c.server.Draining && !c.leaving && c.refusesFor == 0 && !c.stale && !c.full
+	})
 }
 
 // notExcluded removes servers that the request must not use again.
--- a/entryhost/relay/dispatch/task.go
+++ b/entryhost/relay/dispatch/task.go
@@ -133,6 +133,8 @@
 	adopted map[string]adoption
 	// leaving are the servers that have stated that they leave, by id.
 	leaving map[string]leavingServer
+	// refusing are the servers that have asked for no requests, by id.
+	refusing map[string]refusingServer
 	// ended holds when registrations ended, by id of the server.
 	ended map[string]time.Time
 	// ownership decides which servers of the data centre this host owns.
@@ -173,6 +175,7 @@
 		adopted:   map[string]adoption{},
 		ended:     map[string]time.Time{},
 		leaving:   map[string]leavingServer{},
+		refusing:  map[string]refusingServer{},
 		pools:     map[serverPool]poolFailures{},
 		reports:   task.NewMailbox[exchange.Report](reportsSize),
 		createdAt: parameters.Clock.Now(),
@@ -270,6 +273,8 @@
 		t.handleCacheList(ctx, message)
 	case ServerLeaving:
 		t.handleLeaving(message)
+	case ServerRefuses:
+		t.handleRefuses(message)
 	case leavingCheckDone:
 		t.handleLeavingCheck(message)
 	case Check:
@@ -303,6 +308,7 @@
 		state.server = server
 	}
 	t.updateLeaving()
+	t.updateRefusing()
 	t.expireAdoptions()
 	for id, state := range t.servers {
 		if t.isKnown(id) {
--- a/entryhost/relay/exchange/messages.go
+++ b/entryhost/relay/exchange/messages.go
@@ -100,6 +100,10 @@
 	Instance    string
 	// Leaving reports that the server states that it takes no new work.
 	Leaving bool
+	// RetryAfter is the time for which a server that turned the request away wants no
+	// further ones; 0 if it states none. RetryAfterErr is why a stated time cannot be used.
+	RetryAfter    time.Duration
+	RetryAfterErr error
 	// Encoded reports that the body has a content encoding, so its bytes are not
 	// those that the service produced.
 	Encoded bool
--- a/entryhost/relay/forward/task.go
+++ b/entryhost/relay/forward/task.go
@@ -140,11 +140,22 @@
 // noteHead tells the dispatcher what the head of a response states about its server,
 // before the caller receives the response or another server is asked.
 func (r *requestTask) noteHead(ctx context.Context, running *runningAttempt, head *exchange.ResponseHead) {
-	if !head.Leaving {
-		return
+	if head.Leaving {
+		r.tellDispatcher(ctx, running, dispatch.ServerLeaving{Lease: running.assignment.Lease})
+	}
+	if head.RetryAfterErr != nil {
+		r.Logger.Warn("server states a time without requests that cannot be used", eventcode.ServerRefuses.Attr(), "request", r.request.ID, "server", running.note.Server,
+			"used_ms", head.RetryAfter.Milliseconds(), "error", head.RetryAfterErr)
+	}
+	if head.RetryAfter > 0 {
+		r.tellDispatcher(ctx, running, dispatch.ServerRefuses{Lease: running.assignment.Lease, For: head.RetryAfter})
 	}
-	if err := r.Dispatcher.Send(ctx, dispatch.ServerLeaving{Lease: running.assignment.Lease}); err != nil {
-		r.Logger.Warn("the dispatcher was not told that a server leaves", eventcode.OutcomeNotDelivered.Attr(), "request", r.request.ID, "server", running.note.Server, "error", err)
+}
+
+// tellDispatcher sends what a response states about its server.
+func (r *requestTask) tellDispatcher(ctx context.Context, running *runningAttempt, message dispatch.Message) {
+	if err := r.Dispatcher.Send(ctx, message); err != nil {
+		r.Logger.Warn("the dispatcher was not told what a server states about itself", eventcode.OutcomeNotDelivered.Attr(), "request", r.request.ID, "server", running.note.Server, "error", err)
 	}
 }
 
@@ -334,6 +345,8 @@
 		r.failMayHaveRun(model.KindUnavailable, model.ReasonBackendFailed, "the servers failed and no other is left: "+string(refusal), "send the request again if it may be repeated")
 	case refusal == dispatch.RefusedOverload:
 		r.refuseNotRunFor(assignment.RetryAfter, model.ReasonDeadlineUnreachable, "the organisation has more streams waiting than its share, and the engines would not end this one in time", "send fewer requests at once, or wait and send the request again")
+	case refusal == dispatch.RefusedByServers:
+		r.refuseNotRunFor(assignment.RetryAfter, model.ReasonBackendFailed, "all servers of the service have asked for no requests for a time", "wait and send the request again")
 	case refusal == dispatch.RefusedBudget:
 		r.refuseNotRun(model.ReasonRetryBudget, "the retry budget of the service is spent", "wait and send the request again")
 	default:
--- a/entryhost/relay/leaving_test.go
+++ b/entryhost/relay/leaving_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"strconv"
 	"sync"
 	"time"
 
@@ -59,3 +60,32 @@
 		Expect(eventData(got.body)).To(Equal(wholeStream("whole")))
 	})
 })
+
+// Guards against requests to servers that have turned one away and asked for none, and against
+// callers that wait for them in vain.
+var _ = Describe("servers that ask for no requests for a time", func() {
+	It("get none until then, and callers are refused at once with that time", func() {
+		s := newTestSite()
+		Eventually(readinessStatus(s.relay), 5*time.Second).Should(Equal(http.StatusOK))
+		for _, server := range s.plain {
+			server.SetFaults(standin.ServerFaults{Refuse: true, RetryAfter: "3"})
+		}
+		s.caller().send("POST", "/order/1", "first")
+		for _, server := range s.plain {
+			server.SetFaults(standin.ServerFaults{})
+		}
+		started := time.Now()
+		for number := range 10 {
+			got := s.caller().send("POST", "/order/1", fmt.Sprintf("refused-%d", number))
+			Expect(got.status).To(Equal(http.StatusServiceUnavailable))
+			seconds, err := strconv.ParseFloat(got.header.Get("Retry-After"), 64)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(seconds).To(And(BeNumerically(">", 2), BeNumerically("<", 4)))
+		}
+		Expect(time.Since(started)).To(BeNumerically("<", time.Second))
+		for _, server := range s.plain {
+			Expect(server.Runs()).To(BeEmpty())
+		}
+		Eventually(func() int { return s.caller().send("POST", "/order/1", "later").status }, 5*time.Second, 500*time.Millisecond).Should(Equal(http.StatusOK))
+	})
+})
