--- a/entryhost/relay/suspects/kept.go
+++ b/entryhost/relay/suspects/kept.go
@@ -38,16 +38,20 @@
 // keepChanges brings the store up to date with changes of the stops that this host has
 // decided. It goes on for stopSendTimeout, as the store may be away.
 func (t *Task) keepChanges(ctx context.Context, before, after stopList) {
-	isIn := func(list stopList) func(stop) bool {
-		return func(entry stop) bool {
-			return slices.ContainsFunc(list, func(other stop) bool { return slices.Equal(other.signature, entry.signature) })
+	for _, decided := range after {
+		known := slices.ContainsFunc(before, func(other stop) bool {
+			return slices.Equal(other.signature, decided.signature) && other.stoppedUntil == decided.stoppedUntil
+		})
+		if known {
+			continue
 		}
+		kept := KeptStop{Signature: decided.signature, DecidedAt: t.Clock.Now().Add(decided.stoppedUntil - stopDuration - t.now())}
+		go t.keep(ctx, decided.signature, func(ctx context.Context) error { return t.Store.WriteStop(ctx, kept) })
 	}
-	for _, added := range slices.DeleteFunc(slices.Clone(after), isIn(before)) {
-		kept := KeptStop{Signature: added.signature, DecidedAt: t.Clock.Now().Add(added.stoppedUntil - stopDuration - t.now())}
-		go t.keep(ctx, added.signature, func(ctx context.Context) error { return t.Store.WriteStop(ctx, kept) })
-	}
-	for _, removed := range slices.DeleteFunc(slices.Clone(before), isIn(after)) {
+	for _, removed := range before {
+		if slices.ContainsFunc(after, func(other stop) bool { return slices.Equal(other.signature, removed.signature) }) {
+			continue
+		}
 		go t.keep(ctx, removed.signature, func(ctx context.Context) error { return t.Store.RemoveStop(ctx, removed.signature) })
 	}
 }
--- a/entryhost/relay/suspects/kept_test.go
+++ b/entryhost/relay/suspects/kept_test.go
@@ -110,6 +110,23 @@
 		Eventually(store.signatures).Should(BeEmpty())
 	})
 
+	It("is kept with the time of its last decision", func() {
+		ctx, cancel := context.WithCancel(context.Background())
+		DeferCleanup(cancel)
+		clock := clockwork.NewFakeClock()
+		host := NewTask(Parameters{Self: "host", Store: store, Clock: clock, Metrics: metrics.NewSet(), Logger: slog.New(slog.DiscardHandler)})
+		suspected := suspicion{signature: Signature{plain.Content}, servers: []string{"s"}, requests: 1}
+		host.stopSignature(ctx, suspected)
+		Eventually(store.signatures).Should(HaveLen(1))
+		clock.Advance(stopDuration + time.Second)
+		host.stopSignature(ctx, suspected)
+		Eventually(func() time.Time {
+			store.mutex.Lock()
+			defer store.mutex.Unlock()
+			return store.kept[len(store.kept)-1].DecidedAt
+		}).Should(Equal(clock.Now()))
+	})
+
 	It("is learned by hosts that all start at once, and read by few of them", func() {
 		store.kept = []KeptStop{{Signature: Signature{plain.Content}, DecidedAt: time.Now().Add(-time.Minute)}}
 		hosts := start(6)
