--- a/entryhost/relay/forward/reserve.go
+++ b/entryhost/relay/forward/reserve.go
@@ -28,8 +28,8 @@
 
 // maxReservations is the number of servers that are tried in a row for the attempt that
 // replaces a silent one. When many servers are silent at once, a connection to each takes
-// up to 120 ms.
-const maxReservations = 3
+// up to 120 ms, so that all tries end within a second.
+const maxReservations = maxUnsent
 
 // reserve acquires the attempt that replaces a silent one and opens its connection, and
 // reports whether there is one. The silent attempt is still open, so that it can go on if
