Do not take the transfer of a large change for silence

Cause: hosts that take over had 0.25 and 0.3 s for whole answers. A configuration with 1,668 more routes takes longer on a link of 10 Mbit/s, so its transfer counted as silence, and all hosts read it from the store and from each other again and again.

Change: only answers without rows have short deadlines: the status of a peer, and a probe of the store, which also tells a silent store from a long transfer while a call of the feed goes on. A host whose peer fails after a held reply reads the store itself.

Evidence: TestAChangeThatTakesLongToTransferIsNoOutage failed before and passes, with the tests of silent hosts.

--- a/entryhost/relay/mirror/policy.go
+++ b/entryhost/relay/mirror/policy.go
@@ -3,13 +3,14 @@
 import "time"
 
 const (
-	// feedDeadlineMargin is added to Pace.Hold for the deadline of a call to the feed;
-	// the store answers in 4 ms.
-	feedDeadlineMargin = 400 * time.Millisecond
-	// takeOverTimeout bounds the first call of a host that has lost the peer that it
-	// read from. Until it is answered nobody knows whether the store serves this host,
-	// and its own followers wait for it.
-	takeOverTimeout = 300 * time.Millisecond
+	// feedSilence is how long after Pace.Hold a call to the feed may go on without an answer
+	// until the store is probed; it answers in 4 ms. probeTimeout bounds the probe. If the
+	// store answers it, the call may be transferring a large change, and has transferTimeout
+	// in all; otherwise it has failed after Hold + feedDeadlineMargin.
+	feedSilence        = 100 * time.Millisecond
+	probeTimeout       = 300 * time.Millisecond
+	feedDeadlineMargin = feedSilence + probeTimeout
+	transferTimeout    = 2400 * time.Millisecond
 	// maxTakeOverAge is the age of a peer's last contact with the store up to which it
 	// takes the place of a lost one, and takeOverRetryDelay the delay before it is asked
 	// once more: both may have lost the same reader at once.
@@ -55,9 +56,8 @@
 	// initialProbeTimeout bounds the first call of an outage, so that peers are
 	// queried soon; configuration has 2 s to come into force. It doubles with
 	// each round, because a large configuration takes longer over a 10 Mbit/s
-	// link, up to maxProbeTimeout.
+	// link, up to transferTimeout.
 	initialProbeTimeout = 500 * time.Millisecond
-	maxProbeTimeout     = 2400 * time.Millisecond
 	// initialAnyTimeout bounds the first round of queries to several peers and
 	// doubles with each round up to maxAnyTimeout.
 	initialAnyTimeout = 800 * time.Millisecond
@@ -93,21 +93,23 @@
 	pollTimeout time.Duration
 }
 
-// timing returns the timing of the round's call to the store. During an outage, and in
-// the place of a lost peer, the call only probes the feed and does not wait for changes.
+// timing returns the timing of the round's call to the store. During an outage the call only
+// probes the feed and does not wait for changes.
 func (r round) timing(hold time.Duration) callTiming {
 	switch {
 	case r.failedRounds > 0:
-		return callTiming{timeout: backoff(initialProbeTimeout, r.failedRounds-1, maxProbeTimeout)}
+		return callTiming{timeout: backoff(initialProbeTimeout, r.failedRounds-1, transferTimeout)}
 	case !r.hasSnapshot:
 		return callTiming{timeout: tableReadTimeout}
-	case r.reader != "":
-		return callTiming{timeout: takeOverTimeout}
 	default:
-		return callTiming{timeout: hold + feedDeadlineMargin, pollTimeout: hold}
+		return callTiming{timeout: max(hold+feedDeadlineMargin, transferTimeout), pollTimeout: hold}
 	}
 }
 
+// takesOver reports whether the host reads the store in the place of a peer that it has
+// lost. Until the store answers, nobody knows whether it serves this host.
+func (r round) takesOver() bool { return r.hasSnapshot && r.failedRounds == 0 && r.reader != "" }
+
 // backoff returns initial doubled the given number of times, up to limit.
 func backoff(initial time.Duration, doublings int, limit time.Duration) time.Duration {
 	for range doublings {
--- a/entryhost/relay/mirror/task.go
+++ b/entryhost/relay/mirror/task.go
@@ -5,6 +5,7 @@
 	"errors"
 	"log/slog"
 	"maps"
+	"math"
 	"math/rand/v2"
 	"time"
 
@@ -55,6 +56,8 @@
 	reader string
 	// lostStore receives the failure of the store in a round that goes on.
 	lostStore chan error
+	// probed receives a value when the store has answered a probe in a round that goes on.
+	probed chan struct{}
 	// excludedPeers maps peers that failed to the end of their exclusion.
 	excludedPeers map[string]time.Time
 	heldRequests  []heldRequest
@@ -80,6 +83,7 @@
 		snapshot:      Snapshot{Table: table},
 		excludedPeers: map[string]time.Time{},
 		lostStore:     make(chan error, 1),
+		probed:        make(chan struct{}, 1),
 	}
 }
 
@@ -158,6 +162,8 @@
 			f.replyToHeld(false)
 		case err := <-f.lostStore:
 			f.recordStoreFailure(err)
+		case <-f.probed:
+			f.lastServed = f.Clock.Now()
 		case result := <-results:
 			nextRound = f.Clock.After(f.handleResult(ctx, result))
 		case <-nextRound:
@@ -263,10 +269,9 @@
 			return false
 		}
 		skipped[reader] = started
-		if reader == current.reader {
-			// It may have held its reply for long before it was lost.
-			isLost, started = true, f.Clock.Now()
-		}
+		isLost = isLost || reader == current.reader
+		// A peer that held its reply before it was lost, or whose link is too slow for a large
+		// change, has used the time up: this host reads the store itself.
 		if f.Clock.Since(started) > maxReaderSearch {
 			return false
 		}
@@ -278,32 +283,43 @@
 // lost the peer that it read from. Both may have read from it.
 var errNotFresh = Error.New("the peer has not been served by the store since the reader was lost")
 
-// queryReader queries a peer that this host may read from. In the place of one that was
-// lost in this round, it accepts only a peer that the store has served since.
+// queryReader queries a peer that this host may read from. A peer other than that of the
+// round before may be the next that does not answer, so it is asked for its status first.
+// In the place of a peer that was lost in this round, it accepts only one that the store has
+// served since.
 func (f *Follower) queryReader(ctx context.Context, reader string, current round, isLost bool) (Answer, error) {
-	answer, err := f.queryPeer(ctx, reader, current)
-	if !isLost || err != nil || answer.Unserved || answer.StoreAge <= maxTakeOverAge {
-		return answer, err
+	if reader != current.reader {
+		if status, err := f.awaitReader(ctx, reader, isLost); err != nil || status.Unserved {
+			return status, err
+		}
+	}
+	query := Query{Table: f.Table, After: current.snapshot.Version}
+	if current.failedRounds == 0 {
+		query.Wait = peerPollTimeout
+	}
+	return f.queryPeer(ctx, reader, query)
+}
+
+// awaitReader returns the status of a peer, an answer without rows.
+func (f *Follower) awaitReader(ctx context.Context, reader string, isLost bool) (Answer, error) {
+	status, err := f.queryPeer(ctx, reader, Query{Table: f.Table, After: math.MaxUint64})
+	if !isLost || err != nil || status.Unserved || status.StoreAge <= maxTakeOverAge {
+		return status, err
 	}
 	select {
 	case <-ctx.Done():
 		return Answer{}, ctx.Err()
 	case <-f.Clock.After(takeOverRetryDelay):
 	}
-	answer, err = f.queryPeer(ctx, reader, current)
-	if err == nil && !answer.Unserved && answer.StoreAge > maxTakeOverAge {
+	status, err = f.queryPeer(ctx, reader, Query{Table: f.Table, After: math.MaxUint64})
+	if err == nil && !status.Unserved && status.StoreAge > maxTakeOverAge {
 		err = errNotFresh
 	}
-	return answer, err
+	return status, err
 }
 
-// queryPeer queries a peer. Only the peer that the round before read from may hold its
-// reply, and none in an outage: the others may be the next that do not answer.
-func (f *Follower) queryPeer(ctx context.Context, host string, current round) (Answer, error) {
-	query := Query{Table: f.Table, After: current.snapshot.Version}
-	if current.failedRounds == 0 && host == current.reader {
-		query.Wait = peerPollTimeout
-	}
+// queryPeer sends a query to a peer and checks how fresh its copy is.
+func (f *Follower) queryPeer(ctx context.Context, host string, query Query) (Answer, error) {
 	ctx, cancel := context.WithTimeout(ctx, query.Wait+peerDeadlineMargin)
 	defer cancel()
 	answer, err := f.Peers.QueryHost(ctx, host, query)
@@ -316,17 +332,70 @@
 // readStore reads the changes, or the whole table if there is no snapshot.
 func (f *Follower) readStore(ctx context.Context, current round) (Changes, partialRead, error) {
 	timing := current.timing(f.Pace.Hold)
+	if current.takesOver() {
+		if err := f.probeStore(ctx); err != nil {
+			return Changes{}, partialRead{}, err
+		}
+	}
 	ctx, cancel := context.WithTimeout(ctx, timing.timeout)
 	defer cancel()
 	if !current.hasSnapshot {
 		read, err := f.readTable(ctx, current.partialRead)
 		return read.changes, read, err
 	}
-	f.storeCalls.Inc()
-	changes, err := f.Store.ReadChanges(ctx, f.Table, current.snapshot.Version, timing.pollTimeout)
+	changes, err := f.readFeed(ctx, current.snapshot.Version, timing)
 	return changes, partialRead{}, err
 }
 
+// afterAllKeys follows all keys of a table, so that a read from it returns no rows.
+const afterAllKeys = "\U0010ffff"
+
+// probeStore makes a call that returns no rows, and tells the task that the store has
+// answered it.
+func (f *Follower) probeStore(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	f.storeCalls.Inc()
+	if _, err := f.Store.ReadPage(ctx, f.Table, afterAllKeys); err != nil {
+		return err
+	}
+	select {
+	case f.probed <- struct{}{}:
+	default:
+		// The task has not handled the last one yet.
+	}
+	return nil
+}
+
+// readFeed calls the feed. If the call goes on for longer than the store may hold it, the
+// store is probed, to tell a store that does not answer from a large change.
+func (f *Follower) readFeed(ctx context.Context, after uint64, timing callTiming) (Changes, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	type answer struct {
+		changes Changes
+		err     error
+	}
+	answers := make(chan answer, 1)
+	f.storeCalls.Inc()
+	go func() {
+		changes, err := f.Store.ReadChanges(ctx, f.Table, after, timing.pollTimeout)
+		answers <- answer{changes, err}
+	}()
+	if timing.pollTimeout > 0 {
+		select {
+		case got := <-answers:
+			return got.changes, got.err
+		case <-f.Clock.After(timing.pollTimeout + feedSilence):
+		}
+		if err := f.probeStore(ctx); err != nil && len(answers) == 0 {
+			return Changes{}, err
+		}
+	}
+	got := <-answers
+	return got.changes, got.err
+}
+
 // readTable reads the missing pages of the table. On an error it returns the
 // pages that it has read.
 func (f *Follower) readTable(ctx context.Context, read partialRead) (partialRead, error) {
--- a/entryhost/relay/peering/fleet_test.go
+++ b/entryhost/relay/peering/fleet_test.go
@@ -49,6 +49,8 @@
 	away    map[string]bool
 	// silent holds the hosts whose calls get no answer, also those in progress.
 	silent map[string]bool
+	// transfer is how long an answer with rows takes.
+	transfer time.Duration
 }
 
 func newFleetStore() *fleetStore {
@@ -119,8 +121,14 @@
 	host  string
 }
 
-func (s hostStore) ReadPage(context.Context, string, string) (mirror.Page, error) {
+func (s hostStore) ReadPage(ctx context.Context, _, from string) (mirror.Page, error) {
 	version, _, err := s.store.call(s.host)
+	if err := s.store.awaitAnswer(ctx, s.host); err != nil {
+		return mirror.Page{}, err
+	}
+	if from != "" {
+		return mirror.Page{Version: version}, err
+	}
 	return mirror.Page{Version: version, Rows: []mirror.Row{{Key: "a", Version: version}}}, err
 }
 
@@ -130,12 +138,11 @@
 		return mirror.Changes{}, err
 	}
 	if err != nil || version > after {
-		return mirror.Changes{Version: version, Rows: []mirror.Row{{Key: "a", Version: version}}}, err
+		return s.send(ctx, version, err)
 	}
 	select {
 	case <-changed:
-		version++
-		return mirror.Changes{Version: version, Rows: []mirror.Row{{Key: "a", Version: version}}}, s.store.awaitAnswer(ctx, s.host)
+		return s.send(ctx, version+1, nil)
 	case <-time.After(wait):
 		return mirror.Changes{Version: version}, s.store.awaitAnswer(ctx, s.host)
 	case <-ctx.Done():
@@ -143,6 +150,19 @@
 	}
 }
 
+// send returns the row of a version after the time that it takes.
+func (s hostStore) send(ctx context.Context, version uint64, err error) (mirror.Changes, error) {
+	s.store.mutex.Lock()
+	transfer := s.store.transfer
+	s.store.mutex.Unlock()
+	select {
+	case <-time.After(transfer):
+	case <-ctx.Done():
+		return mirror.Changes{}, ctx.Err()
+	}
+	return mirror.Changes{Version: version, Rows: []mirror.Row{{Key: "a", Version: version}}}, errors.Join(err, s.store.awaitAnswer(ctx, s.host))
+}
+
 // fleet is a number of hosts in six data centres that follow a table.
 type fleet struct {
 	store     *fleetStore
--- a/entryhost/relay/peering/silence_test.go
+++ b/entryhost/relay/peering/silence_test.go
@@ -155,3 +155,25 @@
 	})
 	gomega.NewWithT(t).Expect(behind).To(gomega.BeZero())
 }
+
+// Guards against a large change that is taken for a store that does not answer: all hosts
+// would read it from the store at once, and each of them slower.
+func TestAChangeThatTakesLongToTransferIsNoOutage(t *testing.T) {
+	for moment := time.Duration(0); moment < 1200*time.Millisecond; moment += 90 * time.Millisecond {
+		behind, calls := 0, 0
+		inFleet(t, 80, false, func(_ gomega.Gomega, f *fleet) {
+			time.Sleep(moment)
+			f.store.mutex.Lock()
+			f.store.transfer = 1200 * time.Millisecond
+			f.store.mutex.Unlock()
+			f.store.takeCalls()
+			version := f.store.change()
+			time.Sleep(inForceBound)
+			behind, calls = f.behind(version), f.store.takeCalls()
+		})
+		// The reader of the store calls it twice, probes it once and begins the next call.
+		if behind > 0 || calls > 4 {
+			t.Errorf("moment %v: %d hosts do not have the change, %d calls", moment, behind, calls)
+		}
+	}
+}
