Close the connection of an answer that its caller leaves unread

Change: closing the body before its end closes the connection, which the trace of the request records.

--- a/entryhost/backends/stream.go
+++ b/entryhost/backends/stream.go
@@ -58,10 +58,10 @@
 	if err != nil {
 		return &StreamError{Kind: FailureInvalid, Message: err.Error()}
 	}
-	tracked, sent := trackSent(request)
+	tracked, used := trackConnection(request)
 	response, err := s.client.Do(tracked)
 	if err != nil {
-		return s.transportError(err, sent())
+		return s.transportError(err, used.sent())
 	}
 	defer func() { _ = response.Body.Close() }()
 	if response.StatusCode != http.StatusOK {
