--- a/entryhost/relay/peering/peering.go
+++ b/entryhost/relay/peering/peering.go
@@ -65,29 +65,6 @@
 	return count, err
 }
 
-// Copies is the net/rpc service that serves this host's copies of tables.
-type Copies struct {
-	followers map[string]task.Mailbox[mirror.ChangesRequest]
-}
-
-// Changes returns this host's changes of a table after a version. It holds the
-// reply until there is a change, for at most query.Wait or maxPollTimeout, whichever
-// is shorter.
-func (c *Copies) Changes(query mirror.Query, answer *mirror.Answer) error {
-	mailbox, found := c.followers[query.Table]
-	if !found {
-		return Error.New("this host has no copy of table %q", query.Table)
-	}
-	query.Wait = min(query.Wait, maxPollTimeout)
-	ctx, cancel := context.WithTimeout(context.Background(), query.Wait+callTimeout)
-	defer cancel()
-	result, err := task.Call(ctx, mailbox, func(reply task.Reply[mirror.Answer]) mirror.ChangesRequest {
-		return mirror.ChangesRequest{Query: query, Reply: reply}
-	})
-	*answer = result
-	return err
-}
-
 // Budget is the net/rpc service that pays for retries of other hosts from this
 // host's retry budgets.
 type Budget struct {
@@ -279,12 +256,6 @@
 	return local, remote
 }
 
-// fetchChanges sends one query to a host.
-func fetchChanges(ctx context.Context, address string, query mirror.Query) (mirror.Answer, error) {
-	var answer mirror.Answer
-	return answer, call(ctx, address, copiesService+".Changes", query, &answer)
-}
-
 // BudgetBorrower asks other entry hosts to pay for retries. It implements
 // dispatch.BudgetBorrower.
 type BudgetBorrower struct {
