Read servers in time whatever their callers do, and disconnect slow callers

Cause: a request's task wrote events to its caller's socket without a deadline. An answer that its caller did not take was kept for as long as the connection lived. Change: a write tries the socket once without waiting. What the socket does not take of a stream goes to a task of its own; an answer waits with a deadline.

--- a/entryhost/relay/exchange/messages.go
+++ b/entryhost/relay/exchange/messages.go
@@ -145,8 +145,9 @@
 type Exchange struct {
 	Context context.Context
 	Attempt *Attempt
-	// Events receives the response. A full channel blocks the connection, which
-	// applies the backpressure of a slow caller to the server.
+	// Events receives the response. A full channel blocks the connection. A server cuts
+	// off a response that is not read for some seconds, so the receiver must not wait for
+	// a slow caller for longer.
 	Events chan<- Event
 	// connected, if it is set, receives the result of opening the connection, and no
 	// attempt is run.
--- a/entryhost/relay/forward/messages.go
+++ b/entryhost/relay/forward/messages.go
@@ -44,7 +44,9 @@
 type Caller interface {
 	// Answer sends a complete answer.
 	Answer(status int, header http.Header, body []byte) error
-	// Begin sends the head of a stream, and Event one event of it.
+	// Begin sends the head of a stream, and Event one event of it. They wait for a slow
+	// caller for a fraction of a second at most, so that the server is read in time. The
+	// context of the request has ended when they return an error.
 	Begin(status int, header http.Header) error
 	Event(data []byte) error
 	// Refuse sends an answer of this entry host instead of a server's.
--- a/entryhost/relay/fx.go
+++ b/entryhost/relay/fx.go
@@ -56,7 +56,7 @@
 var Module = fx.Module("relay",
 	fx.Provide(
 		provideSockets, loads.NewTask, provideDispatcher, provideSuspects, provideMover, provideCatalog, provideRoster, provideMirrors,
-		provideForwarder, provideFront, provideRoot,
+		provideForwarder, provideHoldings, provideFront, provideRoot,
 	),
 )
 
@@ -174,8 +174,12 @@
 	return &forward.Forwarder{Dispatcher: dispatcher.Mailbox(), Suspects: suspected.Mailbox(), Codec: adapter.Codec, Clock: clock, Metrics: set, Logger: logger}
 }
 
-func provideFront(settings Settings, bound sockets, adapter Adapter, clock clockwork.Clock, set *metrics.Set, logger *slog.Logger, view *catalog.Task, forwarder *forward.Forwarder) (*ingress.Front, ingress.Parameters) {
-	parameters := ingress.Parameters{Protocol: adapter.Callers, StopGracePeriod: settings.StopGracePeriod, DeregistrationDelay: settings.DeregistrationDelay, Catalog: view.Mailbox(), Forwarder: forwarder, Clock: clock, Metrics: set, Logger: logger}
+func provideHoldings(set *metrics.Set) *ingress.Holdings {
+	return ingress.NewHoldings(ingress.NewHeldBudget(), set)
+}
+
+func provideFront(settings Settings, bound sockets, adapter Adapter, clock clockwork.Clock, set *metrics.Set, logger *slog.Logger, view *catalog.Task, forwarder *forward.Forwarder, holdings *ingress.Holdings) (*ingress.Front, ingress.Parameters) {
+	parameters := ingress.Parameters{Protocol: adapter.Callers, StopGracePeriod: settings.StopGracePeriod, DeregistrationDelay: settings.DeregistrationDelay, Catalog: view.Mailbox(), Forwarder: forwarder, Holdings: holdings.Mailbox(), Clock: clock, Metrics: set, Logger: logger}
 	return ingress.NewFront(bound.front, parameters), parameters
 }
 
@@ -192,6 +196,7 @@
 	Roster     *roster.Task
 	Mirrors    mirrors
 	Front      *ingress.Front
+	Holdings   *ingress.Holdings
 	Parameters ingress.Parameters
 	Settings   Settings
 	Reload     reload.Source[Settings]
@@ -213,6 +218,7 @@
 	root.Add(in.Mirrors.registrations)
 	root.Add(in.Mirrors.hosts)
 	root.Add(in.Front)
+	root.Add(in.Holdings)
 	root.Add(reload.NewTask(in.Settings, in.Reload, in.applySettings, in.Clock, in.Logger))
 	root.Add(ingress.NewStatus("readiness", in.Sockets.ready, in.Parameters, in.Front.Draining()))
 	if in.Sockets.metrics != nil {
--- a/entryhost/relay/ingress/conn.go
+++ b/entryhost/relay/ingress/conn.go
@@ -50,7 +50,7 @@
 
 // track returns a connection whose state is tracked.
 func (l callerListener) track(accepted net.Conn) *callerConn {
-	conn := &callerConn{Conn: accepted, keepIdle: l.keepIdle, keepNew: l.keepNew, busy: l.busy}
+	conn := &callerConn{Conn: accepted, keepIdle: l.keepIdle, keepNew: l.keepNew, busy: l.busy, output: newCallerOutput(accepted)}
 	stopIdle := context.AfterFunc(l.keepIdle, conn.closeIdle)
 	stopNew := context.AfterFunc(l.keepNew, conn.closeNew)
 	conn.detach = func() { stopIdle(); stopNew() }
@@ -70,6 +70,7 @@
 	state    atomic.Int32
 	// readAhead is set once a byte of the next request was read during an answer.
 	readAhead atomic.Bool
+	output    *callerOutput
 }
 
 // errNotBegun is what net/http reads instead of a request that arrives while its
--- a/entryhost/relay/ingress/front.go
+++ b/entryhost/relay/ingress/front.go
@@ -61,9 +61,11 @@
 	DeregistrationDelay time.Duration
 	Catalog             task.Mailbox[catalog.ViewRequest]
 	Forwarder           *forward.Forwarder
-	Clock               clockwork.Clock
-	Metrics             *metrics.Set
-	Logger              *slog.Logger
+	// Holdings counts what is held for slow callers.
+	Holdings task.Mailbox[HoldingMessage]
+	Clock    clockwork.Clock
+	Metrics  *metrics.Set
+	Logger   *slog.Logger
 }
 
 // Front is the task that owns the listening socket for callers.
@@ -249,7 +251,10 @@
 	}
 	f.openRequests.Inc()
 	defer f.openRequests.Dec()
-	caller := &responseWriter{writer: c.Writer, draining: f.draining}
+	ctx, cut := context.WithCancelCause(c.Request.Context())
+	defer cut(nil)
+	caller := &responseWriter{writer: c.Writer, draining: f.draining, output: outputOf(ctx)}
+	caller.output.begin(ctx, cut, writeLimits{pause: minWritePause}, f.Holdings)
 	defer f.endRequest(c.Request, caller)
 	arrived := f.Clock.Now()
 	head := f.Protocol.Decode(c.Request)
@@ -259,10 +264,16 @@
 		_ = caller.Refuse(fault)
 		f.Logger.Info("request refused", eventcode.RelayRequestRefused.Attr(), "request", head.ID, "reason", fault.Reason,
 			"status", statusOf(fault), "target", c.Request.RequestURI, "message", fault.Message)
+		f.reportSlowCaller(caller, head.ID, "", "")
 		return
 	}
-	summary := f.Forwarder.Run(c.Request.Context(), request, caller)
+	caller.output.begin(ctx, cut, writeLimitsOf(request), f.Holdings)
+	summary := f.Forwarder.Run(ctx, request, caller)
+	if !summary.Broken && caller.output.finish() != nil {
+		summary.Broken, summary.CallerLeft = true, true
+	}
 	f.logRequest(request, summary)
+	f.reportSlowCaller(caller, request.ID, request.Route.Name, request.Organisation)
 	if summary.Broken {
 		f.countUnanswered("stream_cut")
 		// Aborting closes the connection, so that the response does not look complete.
@@ -299,6 +310,18 @@
 	})
 }
 
+// reportSlowCaller counts and logs that the caller of a request was disconnected because it
+// reads too slowly. There is at most one line for each request.
+func (f *Front) reportSlowCaller(caller *responseWriter, request, route, organisation string) {
+	slow := caller.output.slowCaller()
+	if slow == nil {
+		return
+	}
+	f.Metrics.GetOrCreateCounter(`lentilpoint_relay_slow_callers_total{reason="` + string(slow.reason) + `"}`).Inc()
+	f.Logger.Warn("slow caller disconnected", eventcode.SlowCallerCut.Attr(), "request", request, "route", route, "organisation", organisation,
+		"reason", slow.reason, "held_bytes", slow.held, "pause_ms", caller.output.limits.pause.Milliseconds())
+}
+
 // countUnanswered counts a request that ended without a complete answer.
 func (f *Front) countUnanswered(reason string) {
 	f.Metrics.GetOrCreateCounter(`lentilpoint_relay_unanswered_total{reason="` + reason + `"}`).Inc()
--- a/entryhost/relay/ingress/writer.go
+++ b/entryhost/relay/ingress/writer.go
@@ -17,6 +17,8 @@
 	// response was.
 	headSent bool
 	complete bool
+	// output is the caller's connection, or nil if the writer has none.
+	output *callerOutput
 }
 
 func (w *responseWriter) writeHead(status int, header http.Header) {
@@ -45,8 +47,9 @@
 
 // Begin implements forward.Caller.
 func (w *responseWriter) Begin(status int, header http.Header) error {
+	w.output.beginStream()
 	w.writeHead(status, header)
-	return Error.Wrap(http.NewResponseController(w.writer).Flush())
+	return w.flush()
 }
 
 // Event implements forward.Caller.
@@ -54,7 +57,15 @@
 	if _, err := w.writer.Write(data); err != nil {
 		return Error.Wrap(err)
 	}
-	return Error.Wrap(http.NewResponseController(w.writer).Flush())
+	return w.flush()
+}
+
+// flush sends what was written. It does not wait for a slow caller.
+func (w *responseWriter) flush() error {
+	if err := http.NewResponseController(w.writer).Flush(); err != nil {
+		return Error.Wrap(err)
+	}
+	return w.output.pass()
 }
 
 // refusalBody is the body of a response that this host creates itself.
