Disconnect the slowest caller when the memory for slow callers is used up

Cause: the caller that asked for memory was disconnected at the bound of its organisation or of the host. Callers that read nothing kept the memory for the pause of their route, and others paid for them. Change: the caller of the largest held response is disconnected, of equal ones that which has been held for longest. The asking caller is disconnected only if none holds as much.

--- a/entryhost/relay/ingress/backlog.go
+++ b/entryhost/relay/ingress/backlog.go
@@ -49,7 +49,7 @@
 // startBacklog starts a task that writes the first piece.
 func startBacklog(conn net.Conn, limits writeLimits, holdings task.Mailbox[HoldingMessage], cut context.CancelCauseFunc, first []byte) *backlog {
 	b := &backlog{
-		conn: conn, limits: limits, claim: claim{holdings: holdings, organisation: limits.organisation}, cut: cut,
+		conn: conn, limits: limits, claim: newClaim(holdings, limits.organisation), cut: cut,
 		pieces: make(chan []byte), done: make(chan struct{}), written: make(chan error, 1),
 	}
 	go b.run(first)
@@ -92,6 +92,8 @@
 			if err := b.add(piece); err != nil {
 				return err
 			}
+		case reason := <-b.claim.evicted:
+			return &slowCallerError{reason: reason}
 		case <-full:
 			return &slowCallerError{reason: cutStreamBound}
 		case err := <-b.written:
--- a/entryhost/relay/ingress/holdings.go
+++ b/entryhost/relay/ingress/holdings.go
@@ -37,18 +37,20 @@
 // HoldingMessage is a message to the task of holdings.
 type HoldingMessage interface{ isHoldingMessage() }
 
-// claimHeld asks whether bytes may be held for a slow caller. The reply is "" if they may.
+// evictions receives the reason if the caller of a response that is held has to be
+// disconnected. It also identifies the response.
+type evictions chan cutReason
+
+// claimHeld asks whether more bytes may be held of a response. The reply is "" if they may.
 type claimHeld struct {
+	response     evictions
 	organisation string
 	bytes        int64
 	reply        task.Reply[cutReason]
 }
 
-// releaseHeld returns bytes that were claimed.
-type releaseHeld struct {
-	organisation string
-	bytes        int64
-}
+// releaseHeld returns all bytes that are held of a response.
+type releaseHeld struct{ response evictions }
 
 func (claimHeld) isHoldingMessage()   {}
 func (releaseHeld) isHoldingMessage() {}
@@ -65,15 +67,19 @@
 type Holdings struct {
 	messages task.Mailbox[HoldingMessage]
 	budget   Budget
-	// held is what is held for each organisation that has slow callers.
-	held  map[string]int64
-	total *metrics.Counter
+	// responses are those of which something is held, and organisations the sums of bytes.
+	responses     map[evictions]*heldResponse
+	organisations map[string]int64
+	// claimed counts the responses so far.
+	claimed int64
+	total   *metrics.Counter
 }
 
 // NewHoldings returns a task that claims what is held from the budget.
 func NewHoldings(budget Budget, set *metrics.Set) *Holdings {
 	return &Holdings{
-		messages: task.NewMailbox[HoldingMessage](holdingsCapacity), budget: budget, held: map[string]int64{},
+		messages: task.NewMailbox[HoldingMessage](holdingsCapacity), budget: budget,
+		responses: map[evictions]*heldResponse{}, organisations: map[string]int64{},
 		total: set.GetOrCreateCounter("lentilpoint_relay_held_bytes"),
 	}
 }
@@ -102,25 +108,63 @@
 }
 
 func (h *Holdings) claim(message claimHeld) cutReason {
+	response := h.responses[message.response]
+	if response == nil {
+		h.claimed++
+		response = &heldResponse{evicted: message.response, organisation: message.organisation, order: h.claimed}
+	}
+	for response.cut == "" {
+		reason := h.tryClaim(response, message.bytes)
+		if reason == "" {
+			h.responses[message.response] = response
+			return ""
+		}
+		slowest := chooseSlowest(h.responses, reason, response, response.bytes+message.bytes)
+		if slowest == nil {
+			return reason
+		}
+		h.evict(slowest, reason)
+	}
+	return response.cut
+}
+
+// tryClaim adds bytes to a response, or returns the bound that does not allow it.
+func (h *Holdings) tryClaim(response *heldResponse, bytes int64) cutReason {
 	switch {
-	case !mayClaim(h.held[message.organisation], message.bytes):
+	case !mayClaim(h.organisations[response.organisation], bytes):
 		return cutOrganisationBound
-	case !h.budget.Claim(message.bytes):
+	case !h.budget.Claim(bytes):
 		return cutHostBound
 	}
-	h.add(message.organisation, message.bytes)
+	h.add(response, bytes)
 	return ""
 }
 
+// evict frees what is held of a response, whose caller is disconnected at once. It is known
+// until its task has released it, so that it can claim nothing more.
+func (h *Holdings) evict(response *heldResponse, reason cutReason) {
+	response.evicted <- reason
+	response.cut = reason
+	h.free(response)
+}
+
 func (h *Holdings) release(message releaseHeld) {
-	h.add(message.organisation, -message.bytes)
-	h.budget.Release(message.bytes)
+	if response := h.responses[message.response]; response != nil {
+		h.free(response)
+		delete(h.responses, message.response)
+	}
 }
 
-func (h *Holdings) add(organisation string, bytes int64) {
-	h.held[organisation] += bytes
-	if h.held[organisation] == 0 {
-		delete(h.held, organisation)
+func (h *Holdings) free(response *heldResponse) {
+	h.budget.Release(response.bytes)
+	h.add(response, -response.bytes)
+}
+
+func (h *Holdings) add(response *heldResponse, bytes int64) {
+	response.bytes += bytes
+	h.organisations[response.organisation] += bytes
+	if h.organisations[response.organisation] == 0 {
+		delete(h.organisations, response.organisation)
 	}
 	h.total.AddInt64(bytes)
 }
@@ -130,6 +174,12 @@
 	holdings     task.Mailbox[HoldingMessage]
 	organisation string
 	bytes        int64
+	// evicted receives the reason if the caller has to be disconnected.
+	evicted evictions
+}
+
+func newClaim(holdings task.Mailbox[HoldingMessage], organisation string) claim {
+	return claim{holdings: holdings, organisation: organisation, evicted: make(evictions, 1)}
 }
 
 // grow claims memory up to the given sum. It returns the bound that does not allow it, or "".
@@ -140,7 +190,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), holdingsTimeout)
 	defer cancel()
 	reason, err := task.Call(ctx, c.holdings, func(reply task.Reply[cutReason]) HoldingMessage {
-		return claimHeld{organisation: c.organisation, bytes: sum - c.bytes, reply: reply}
+		return claimHeld{response: c.evicted, organisation: c.organisation, bytes: sum - c.bytes, reply: reply}
 	})
 	if err != nil {
 		return cutHostBound
@@ -151,14 +201,10 @@
 	return reason
 }
 
-// release returns all that was claimed.
+// release returns all that was claimed, also by a claim whose reply did not come in time.
 func (c *claim) release() {
-	if c.bytes == 0 {
-		return
-	}
 	ctx, cancel := context.WithTimeout(context.Background(), holdingsTimeout)
 	defer cancel()
 	// The task drains its mailbox unless the process ends.
-	_ = c.holdings.Send(ctx, releaseHeld{organisation: c.organisation, bytes: c.bytes})
-	c.bytes = 0
+	_ = c.holdings.Send(ctx, releaseHeld{response: c.evicted})
 }
--- a/entryhost/relay/ingress/output.go
+++ b/entryhost/relay/ingress/output.go
@@ -172,13 +172,23 @@
 	return count, Error.Wrap(o.conn.SetWriteDeadline(time.Time{}))
 }
 
+// writeHeld writes the rest of an answer to a slow caller, unless its memory is needed.
 func (o *callerOutput) writeHeld(data []byte, sent int) error {
-	claimed := claim{holdings: o.holdings, organisation: o.limits.organisation}
-	if reason := claimed.grow(int64(len(data))); reason != "" {
-		return &slowCallerError{reason: reason, held: len(data) - sent}
-	}
+	claimed := newClaim(o.holdings, o.limits.organisation)
 	defer claimed.release()
-	return writeAll(o.conn, data[sent:], o.limits)
+	reason := claimed.grow(int64(len(data)))
+	if reason == "" {
+		written := make(chan error, 1)
+		go func() { written <- writeAll(o.conn, data[sent:], o.limits) }()
+		select {
+		case err := <-written:
+			return err
+		case reason = <-claimed.evicted:
+			disconnect(o.conn)
+			<-written
+		}
+	}
+	return &slowCallerError{reason: reason, held: len(data) - sent}
 }
 
 // pass hands what the socket did not take of an event to the backlog.
--- a/entryhost/relay/ingress/slow.go
+++ b/entryhost/relay/ingress/slow.go
@@ -47,7 +47,8 @@
 	cutWriteDeadline cutReason = "write_deadline"
 	// cutRequestDeadline means that the answer was not written at the request's deadline.
 	cutRequestDeadline cutReason = "request_deadline"
-	// cutStreamBound, cutOrganisationBound and cutHostBound name the bound that was reached.
+	// cutStreamBound, cutOrganisationBound and cutHostBound name the bound that was reached. At
+	// the last two the caller of the largest held response is disconnected.
 	cutStreamBound       cutReason = "stream_bound"
 	cutOrganisationBound cutReason = "organisation_bound"
 	cutHostBound         cutReason = "host_bound"
@@ -88,5 +89,32 @@
 // answer is always allowed, so that its size alone does not disconnect a caller.
 func mayClaim(held, bytes int64) bool { return held == 0 || held+bytes <= maxOrganisationHeld }
 
+// heldResponse is what is held of one response for its slow caller.
+type heldResponse struct {
+	evicted      evictions
+	organisation string
+	bytes        int64
+	// order is smaller for responses that have been held for longer.
+	order int64
+	// cut is why its caller is being disconnected, or "".
+	cut cutReason
+}
+
+// chooseSlowest returns the response whose caller is disconnected so that another one may hold
+// the given sum: the largest that holds as much, and of equal ones that which has been held for
+// longest. It returns nil if there is none, since many small ones may be of callers that read.
+func chooseSlowest(responses map[evictions]*heldResponse, reason cutReason, asking *heldResponse, sum int64) *heldResponse {
+	var slowest *heldResponse
+	for _, held := range responses {
+		if held == asking || held.cut != "" || held.bytes < sum || reason == cutOrganisationBound && held.organisation != asking.organisation {
+			continue
+		}
+		if slowest == nil || held.bytes > slowest.bytes || held.bytes == slowest.bytes && held.order < slowest.order {
+			slowest = held
+		}
+	}
+	return slowest
+}
+
 // toBlocks rounds up to whole blocks.
 func toBlocks(bytes int) int64 { return (int64(bytes) + claimBlock - 1) / claimBlock * claimBlock }
--- a/entryhost/relay/ingress/slow_test.go
+++ b/entryhost/relay/ingress/slow_test.go
@@ -85,7 +85,7 @@
 
 	BeforeEach(func() {
 		set = metrics.NewSet()
-		route = routing.Route{Host: "127.0.0.1", Prefix: "/", Kind: routing.Streaming, MaxAttempts: 1, Timeout: time.Minute, LatencyObjective: 10 * time.Second}
+		route = routing.Route{Host: "127.0.0.1", Prefix: "/", Kind: routing.Streaming, Resumable: true, MaxAttempts: 3, Timeout: time.Minute, LatencyObjective: 10 * time.Second}
 	})
 
 	// start runs a front before one server. Paths give the number of events of a stream; the
@@ -197,6 +197,7 @@
 			ended[outcome]++
 		}
 		Expect(ended).To(Equal(map[dispatch.Outcome]int{dispatch.OutcomeSuccess: others, dispatch.OutcomeNone: len(slow)}))
+		Consistently(released, "100ms").ShouldNot(Receive(), "no attempt follows for a caller that was disconnected")
 		Eventually(func() uint64 { return cut(cutStreamBound) }).Should(BeEquivalentTo(len(slow)))
 		Eventually(held).Should(BeZero())
 		for _, conn := range slow {
@@ -233,6 +234,21 @@
 		Expect(err).To(HaveOccurred())
 	})
 
+	// Guards against a caller that is disconnected since others have taken all memory for longer.
+	It("disconnects the caller that has held as much for longer when another one needs its memory", func() {
+		route.Kind = routing.Idempotent
+		start(&shareBudget{free: 3 * answerBytes / 2})
+		first := call("/answer")
+		Eventually(held, "10s").ShouldNot(BeZero())
+		second := call("/answer")
+		Eventually(func() uint64 { return cut(cutHostBound) }, "10s").Should(BeEquivalentTo(1))
+		_, err := read(first)
+		Expect(err).To(HaveOccurred())
+		body, err := read(second)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(body).To(HaveLen(answerBytes))
+	})
+
 	// Guards against slow callers that take the memory of the host, or its service from others.
 	DescribeTable("disconnects only the slow caller when it has no memory left for them",
 		func(kind routing.Kind, path string) {
@@ -267,18 +283,34 @@
 
 var _ = Describe("what is held for slow callers", func() {
 	// Guards against one organisation whose slow callers use up the share of the others.
-	It("is bounded for each organisation and for all, and free again afterwards", func() {
-		holdings := NewHoldings(&shareBudget{free: 2*maxOrganisationHeld + 1}, metrics.NewSet())
-		claim := func(organisation string, bytes int64) cutReason {
-			return holdings.claim(claimHeld{organisation: organisation, bytes: bytes})
+	It("is bounded for each organisation and for all, at the cost of the largest, and free again afterwards", func() {
+		const half = maxOrganisationHeld / 2
+		holdings := NewHoldings(&shareBudget{free: 4 * half}, metrics.NewSet())
+		claim := func(organisation string, bytes int64) (evictions, cutReason) {
+			response := make(evictions, 1)
+			return response, holdings.claim(claimHeld{response: response, organisation: organisation, bytes: bytes})
+		}
+		first, reason := claim("a", half)
+		Expect(reason).To(BeEmpty())
+		second, reason := claim("a", half)
+		Expect(reason).To(BeEmpty())
+		_, reason = claim("a", half+1)
+		Expect(reason).To(Equal(cutOrganisationBound), "no other response is as large")
+		third, reason := claim("a", half)
+		Expect(reason).To(BeEmpty())
+		Expect(first).To(Receive(Equal(cutOrganisationBound)), "it has been held for longest")
+		Expect(holdings.claim(claimHeld{response: first, organisation: "a", bytes: 1})).To(Equal(cutOrganisationBound))
+		large, reason := claim("b", 2*half)
+		Expect(reason).To(BeEmpty())
+		small, reason := claim("c", 1)
+		Expect(reason).To(BeEmpty())
+		Expect(large).To(Receive(Equal(cutHostBound)), "it is the largest")
+		Expect([]evictions{second, third}).To(HaveEach(Not(Receive())))
+		for _, response := range []evictions{first, second, third, large, small} {
+			holdings.release(releaseHeld{response: response})
 		}
-		Expect(claim("a", maxOrganisationHeld)).To(BeEmpty())
-		Expect(claim("a", 1)).To(Equal(cutOrganisationBound))
-		Expect(claim("b", maxOrganisationHeld)).To(BeEmpty())
-		Expect(claim("c", 1)).To(BeEmpty())
-		Expect(claim("c", 1)).To(Equal(cutHostBound))
-		holdings.release(releaseHeld{organisation: "b", bytes: maxOrganisationHeld})
-		Expect(claim("c", 1)).To(BeEmpty())
-		Expect(holdings.held).NotTo(HaveKey("b"))
+		Expect(holdings.organisations).To(BeEmpty())
+		Expect(holdings.responses).To(BeEmpty())
+		Expect(holdings.budget.Claim(4 * half)).To(BeTrue())
 	})
 })
