Test that a caller that takes nothing ends its request after its pause

Cause: the deadline of a write was tested by its values only. Change: a spec with a connection that nobody reads.

--- a/entryhost/relay/ingress/slow_test.go
+++ b/entryhost/relay/ingress/slow_test.go
@@ -279,6 +279,21 @@
 		Entry("eight pauses", routing.Route{LatencyObjective: time.Second, GapObjective: 700 * time.Millisecond}, time.Minute, 5600*time.Millisecond, cutWriteDeadline),
 		Entry("the deadline and a margin", routing.Route{LatencyObjective: 4 * time.Second}, time.Second, time.Second+writeMargin, cutRequestDeadline),
 	)
+
+	It("end a stream whose caller takes nothing, and its request", func() {
+		unread, conn := net.Pipe()
+		defer func() { _ = unread.Close() }()
+		ctx, cut := context.WithCancelCause(context.Background())
+		holdings := NewHoldings(NewHeldBudget(), metrics.NewSet())
+		counting, stop := context.WithCancel(context.Background())
+		defer stop()
+		go func() { _ = holdings.Serve(counting) }()
+		backlog := startBacklog(conn, writeLimits{pause: 10 * time.Millisecond}, holdings.Mailbox(), cut, []byte("event"))
+		Eventually(backlog.done, "5s").Should(BeClosed())
+		Expect(backlog.failure).To(Equal(&slowCallerError{reason: cutWriteDeadline, held: 5}))
+		Eventually(ctx.Done(), "5s").Should(BeClosed())
+		Expect(context.Cause(ctx)).To(Equal(backlog.failure))
+	})
 })
 
 var _ = Describe("what is held for slow callers", func() {
