Keep less urgent streams behind more urgent ones at an engine

Cause: a stream that was sent to an engine before went to the next one with rank 0, whatever the rank of its request, and a stream above its organisation's share with rank 9. On a service with streams of different ranks, retried drafts displaced new paid summaries.

Change: the configuration computes the ranks of each service's streams once. Each rank gets up to three of the ten engine ranks, for started streams, new ones and those above the share, so that precedence counts within a rank only. A service with one rank keeps its engine ranks.

--- a/entryhost/relay/forward/stream.go
+++ b/entryhost/relay/forward/stream.go
@@ -7,6 +7,7 @@
 	"github.com/lentilpoint/lentilpoint/entryhost/relay/dispatch"
 	"github.com/lentilpoint/lentilpoint/entryhost/relay/exchange"
 	"github.com/lentilpoint/lentilpoint/entryhost/relay/moves"
+	"github.com/lentilpoint/lentilpoint/entryhost/relay/routing"
 	"github.com/lentilpoint/lentilpoint/eventcode"
 	"github.com/lentilpoint/lentilpoint/model"
 	"github.com/lentilpoint/lentilpoint/task"
@@ -129,22 +130,19 @@
 	return holder
 }
 
-// deferredRank is the rank of streams whose organisation exceeds its share; it is the
-// least urgent one that engines know.
-const deferredRank = 9
-
-// rank gives streams that have already reached a server the highest priority,
-// since their callers are already waiting; others have the rank of their
-// organisation or route. A stream that exceeds the share of its organisation comes
-// last until its caller has received events.
+// rank returns the rank of an attempt at its engine. Streams that have already reached a
+// server precede new ones of their rank, since their callers are already waiting. A
+// stream that exceeds the share of its organisation comes last until its caller has
+// received events.
 func (r *requestTask) rank(assignment dispatch.Assignment, s *streamState) int {
+	precedence := routing.NewStream
 	switch {
 	case assignment.Deferred && !s.headSent:
-		return deferredRank
+		precedence = routing.AboveShare
 	case r.counts.sent():
-		return 0
+		precedence = routing.StartedStream
 	}
-	return r.request.Rank
+	return r.request.Service.Ranks.EngineRank(r.request.Rank, precedence)
 }
 
 // prepare completes the attempt for the assignment.
--- a/entryhost/relay/ingress/admit.go
+++ b/entryhost/relay/ingress/admit.go
@@ -59,7 +59,7 @@
 	service := view.Config.Services[route.Service(rand.Float64())]
 	return &forward.Request{
 		ID: head.ID, Method: incoming.Method, Target: incoming.RequestURI, Host: incoming.Host, Header: head.Header,
-		Body: body, LastEventID: head.LastEventID, Prompt: head.Prompt, Route: route, Service: service, Organisation: organisation.Name, Rank: effectiveRank(route, organisation),
+		Body: body, LastEventID: head.LastEventID, Prompt: head.Prompt, Route: route, Service: service, Organisation: organisation.Name, Rank: organisation.Rank(route),
 		Arrived: arrived, Deadline: deadline,
 	}, nil
 }
@@ -112,15 +112,6 @@
 	return body, nil
 }
 
-// effectiveRank returns the admission priority of a request. The priority of the
-// organisation overrides that of the route.
-func effectiveRank(route *routing.Route, organisation routing.Organisation) int {
-	if organisation.Priority != nil {
-		return *organisation.Priority
-	}
-	return route.Priority
-}
-
 func matchRoute(config *routing.Config, incoming *http.Request, head RequestHead) (*routing.Route, routing.Organisation, *model.Fault) {
 	route, found := config.Match(incoming.Host, incoming.URL.EscapedPath())
 	if !found {
--- a/entryhost/relay/routing/config.go
+++ b/entryhost/relay/routing/config.go
@@ -113,6 +113,8 @@
 	HealthPath string
 	// Engine is nil for plain services.
 	Engine *Engine
+	// Ranks are the ranks of the service's streams; NewConfig sets them.
+	Ranks Ranks
 }
 
 // Organisation is the owner of API keys.
@@ -122,6 +124,15 @@
 	Priority *int
 }
 
+// Rank returns the urgency of a request of the organisation on the route; 0 is the most
+// urgent.
+func (o Organisation) Rank(route *Route) int {
+	if o.Priority != nil {
+		return *o.Priority
+	}
+	return route.Priority
+}
+
 // Limits restrict what a caller may send.
 type Limits struct {
 	MaxBodyBytes int64
@@ -144,7 +155,9 @@
 		Version: version, Limits: limits, organisations: keys, keyless: keys == nil,
 		Services: make(map[string]Service, len(services)), routes: map[string][]Route{},
 	}
+	ranks := ranksOf(routes, keys, config.keyless)
 	for _, service := range services {
+		service.Ranks = ranks[service.Name]
 		config.Services[service.Name] = service
 	}
 	for _, route := range routes {
