Report waiting prompts by rank between hosts

Cause: hosts reported their waiting prompts by organisation only, so that no host knew how many prompts come before those of a new urgent stream.

Change: HostLoads and Others carry the prompts by rank in an optional field. Prompts that a host of an earlier build, or an earlier collector, reports without rank count as the most urgent. Acquire carries the rank, the objective and the deadline of a stream.

Result: the specs of loads, dispatch and peering pass, among them a new one on reports of both builds. Nothing decides by the counts yet.

--- a/entryhost/relay/dispatch/assign.go
+++ b/entryhost/relay/dispatch/assign.go
@@ -81,7 +81,7 @@
 func (t *Task) grant(ctx context.Context, request Acquire, chosen *candidate, candidates []candidate, deferred bool, now time.Time) {
 	state := t.servers[chosen.server.ID]
 	granted := leaseState{
-		server: state, service: request.Service, organisation: request.Organisation, retry: request.Retry,
+		server: state, service: request.Service, organisation: request.Organisation, rank: request.Rank, retry: request.Retry,
 		route: request.Route, stepStarted: now, fromCopy: request.OnlyPreferred,
 	}
 	assignment := Assignment{Server: state.server}
--- a/entryhost/relay/dispatch/loads.go
+++ b/entryhost/relay/dispatch/loads.go
@@ -124,7 +124,7 @@
 func (t *Task) loadReport(dataCentre string) loads.HostLoads {
 	report := loads.HostLoads{
 		Host: t.Self, DataCentre: dataCentre, Sequence: t.createdAt.Add(t.uptime()).UnixNano(),
-		Servers: map[string]loads.Load{}, Organisations: t.readingByOrganisation(dataCentre),
+		Servers: map[string]loads.Load{}, Organisations: countReading(t, dataCentre, leaseState.organisationName), Ranks: countReading(t, dataCentre, leaseState.rankValue),
 	}
 	for id, state := range t.servers {
 		if state.inFlight > 0 && state.server.DataCentre == dataCentre && t.sharesLoads(state.server.Service) {
@@ -215,22 +215,26 @@
 	}
 }
 
-// readingByOrganisation counts this host's attempts on the engines of a data centre
-// that have sent no event, by organisation.
-func (t *Task) readingByOrganisation(dataCentre string) map[string]int {
-	counts := map[string]int{}
+// countReading counts this host's attempts on the engines of a data centre that have
+// sent no event, by a property of theirs.
+func countReading[K comparable](t *Task, dataCentre string, property func(leaseState) K) map[K]int {
+	counts := map[K]int{}
 	for _, granted := range t.leases {
 		if server := granted.server.server; !granted.decoding && server.DataCentre == dataCentre && t.sharesLoads(server.Service) {
-			counts[granted.organisation]++
+			counts[property(granted)]++
 		}
 	}
 	return counts
 }
 
+func (l leaseState) organisationName() string { return l.organisation }
+
+func (l leaseState) rankValue() int { return l.rank }
+
 // demandAt returns what waits at the engines of a service in a data centre, as far as
 // this host knows.
 func (t *Task) demandAt(dataCentre string, candidates []candidate, now time.Time) demand {
-	result := demand{prompts: t.readingByOrganisation(dataCentre)}
+	result := demand{prompts: countReading(t, dataCentre, leaseState.organisationName)}
 	if known := t.shared[dataCentre]; now.Sub(known.receivedAt) <= loadsLifetime {
 		for name, count := range known.others.Organisations {
 			result.prompts[name] += count
--- a/entryhost/relay/dispatch/messages.go
+++ b/entryhost/relay/dispatch/messages.go
@@ -30,6 +30,12 @@
 	Route string
 	// Organisation is the name of the request's organisation, or "".
 	Organisation string
+	// Rank is the urgency of a stream; 0 is the most urgent. Objective is its latency
+	// objective, and Deadline the time by which its caller must have its final answer.
+	// They are not set for requests that are no streams, which count as most urgent.
+	Rank      int
+	Objective time.Duration
+	Deadline  time.Time
 	// Exclude are the ids of servers that this request must not use again.
 	Exclude map[string]bool
 	// Avoid are the data centres in which a server was silent to this request. The
--- a/entryhost/relay/dispatch/task.go
+++ b/entryhost/relay/dispatch/task.go
@@ -95,9 +95,11 @@
 	backup     *serverState
 	copyHolder *serverState
 	copyLost   chan<- string
-	// service is the request's service, and organisation its organisation.
+	// service is the request's service, organisation its organisation, and rank its
+	// urgency.
 	service      string
 	organisation string
+	rank         int
 	// retry is set if the attempt was paid from a retry budget, decoding once it
 	// has sent an event.
 	retry    bool
--- a/entryhost/relay/loads/loads_test.go
+++ b/entryhost/relay/loads/loads_test.go
@@ -47,6 +47,19 @@
 		Expect(b.others("c").Organisations).To(Equal(map[string]int{"large": 2}))
 	})
 
+	It("counts attempts by rank, and those of hosts of an earlier build as the most urgent", func() {
+		b := newBoard()
+		b.apply(HostLoads{Host: "new", Sequence: 1, Organisations: map[string]int{"a": 3}, Ranks: map[int]int{0: 1, 2: 2}}, now)
+		b.apply(HostLoads{Host: "earlier", Sequence: 1, Organisations: map[string]int{"a": 4}}, now)
+		Expect(b.others("asks").ByRank()).To(Equal(map[int]int{0: 5, 2: 2}))
+		Expect(b.others("new").ByRank()).To(Equal(map[int]int{0: 4}))
+		b.apply(HostLoads{Host: "new", Sequence: 2, Organisations: map[string]int{"a": 1}, Ranks: map[int]int{2: 1}}, now)
+		Expect(b.others("earlier").ByRank()).To(Equal(map[int]int{2: 1}))
+		b.expire(now.Add(reportLifetime))
+		Expect(b.ranks).To(BeEmpty())
+		Expect(Others{Organisations: map[string]int{"a": 2}}.ByRank()).To(Equal(map[int]int{0: 2}), "an earlier collector")
+	})
+
 	It("forgets the attempts of a host that is gone", func() {
 		b := newBoard()
 		b.apply(report("a", 1, map[string]Load{"s": {Reading: 1}}), now)
--- a/entryhost/relay/loads/messages.go
+++ b/entryhost/relay/loads/messages.go
@@ -29,13 +29,18 @@
 	Servers map[string]Load
 	// Organisations counts the host's reading attempts by organisation.
 	Organisations map[string]int
+	// Ranks counts the same attempts by rank. Hosts of earlier builds do not send it.
+	Ranks map[int]int
 }
 
 // Others holds the attempts of all hosts but the one that asked: by id of the
-// server, and the reading ones by organisation.
+// server, and the reading ones by organisation and by rank.
 type Others struct {
 	Servers       map[string]Load
 	Organisations map[string]int
+	// Ranks lacks the attempts of hosts of earlier builds, and all of them if the
+	// collector is of an earlier build; see ByRank.
+	Ranks map[int]int
 }
 
 // Exchange delivers a report and asks for the attempts of the other hosts.
--- a/entryhost/relay/loads/policy.go
+++ b/entryhost/relay/loads/policy.go
@@ -18,10 +18,11 @@
 	hosts         map[string]hostReport
 	servers       map[string]Load
 	organisations map[string]int
+	ranks         map[int]int
 }
 
 func newBoard() board {
-	return board{hosts: map[string]hostReport{}, servers: map[string]Load{}, organisations: map[string]int{}}
+	return board{hosts: map[string]hostReport{}, servers: map[string]Load{}, organisations: map[string]int{}, ranks: map[int]int{}}
 }
 
 // apply replaces the host's report unless it is older than the one before.
@@ -43,6 +44,9 @@
 	for name, count := range report.Organisations {
 		setOrDelete(b.organisations, name, b.organisations[name]+sign*count)
 	}
+	for rank, count := range report.Ranks {
+		setOrDelete(b.ranks, rank, b.ranks[rank]+sign*count)
+	}
 }
 
 func (l Load) plus(other Load, sign int) Load {
@@ -50,7 +54,7 @@
 }
 
 // setOrDelete sets the value of a key, or deletes the key if the value is zero.
-func setOrDelete[V comparable](values map[string]V, key string, value V) {
+func setOrDelete[K, V comparable](values map[K]V, key K, value V) {
 	var zero V
 	if value == zero {
 		delete(values, key)
@@ -62,16 +66,41 @@
 // others returns the sums without the host's own report.
 func (b board) others(host string) Others {
 	own := b.hosts[host]
-	others := Others{Servers: make(map[string]Load, len(b.servers)), Organisations: make(map[string]int, len(b.organisations))}
+	others := Others{
+		Servers: make(map[string]Load, len(b.servers)), Organisations: make(map[string]int, len(b.organisations)), Ranks: make(map[int]int, len(b.ranks)),
+	}
 	for id, total := range b.servers {
 		setOrDelete(others.Servers, id, total.plus(own.Servers[id], -1))
 	}
 	for name, total := range b.organisations {
 		setOrDelete(others.Organisations, name, total-own.Organisations[name])
 	}
+	for rank, total := range b.ranks {
+		setOrDelete(others.Ranks, rank, total-own.Ranks[rank])
+	}
 	return others
 }
 
+// mostUrgent is the rank of attempts of which the rank is not known.
+const mostUrgent = 0
+
+// ByRank returns the reading attempts by rank. Attempts that are counted only by
+// organisation are those of hosts of earlier builds, and count as the most urgent.
+func (o Others) ByRank() map[int]int {
+	counts, unranked := make(map[int]int, len(o.Ranks)+1), 0
+	for _, count := range o.Organisations {
+		unranked += count
+	}
+	for rank, count := range o.Ranks {
+		counts[rank] = count
+		unranked -= count
+	}
+	if unranked > 0 {
+		counts[mostUrgent] += unranked
+	}
+	return counts
+}
+
 // expire removes the reports of hosts that have not reported within reportLifetime.
 func (b board) expire(now time.Time) {
 	for host, report := range b.hosts {
