Admit streams by urgency

Cause: waiting prompts were counted by organisation only. Under overload most organisations exceed their share, so that urgent streams lost their precedence as well, and less urgent streams were admitted while urgent ones began late.

Change: for services with several ranks a stream is refused at once as not run if no engine in reach is idle and a new more urgent stream would miss its objective, or it would miss its own. Before that it goes to another data centre that has room. Retry-After is the predicted time until there is room. Streams that were sent or begun are never refused. Less urgent streams get no cache copies while more urgent prompts wait and no engine is idle. With one rank everything is as before.

--- a/entryhost/relay/dispatch/assign.go
+++ b/entryhost/relay/dispatch/assign.go
@@ -34,11 +34,16 @@
 	}
 	deferred := false
 	if t.sharesLoads(request.Service) && !request.OnlyPreferred {
-		waiting := t.demandAt(chosen.server.DataCentre, candidates, now)
+		waiting := t.demandAt(chosen.server.DataCentre, request.Service, request.Rank, candidates, now)
 		if retryAfter, refused := waiting.refusal(request.Organisation, t.Random.Float64()); refused && !request.Retry {
 			t.refuseFor(request, RefusedOverload, retryAfter)
 			return true
 		}
+		if waiting.byRank != nil {
+			if chosen, waiting = t.admitStream(ctx, &request, chosen, waiting, candidates, now); chosen == nil {
+				return true
+			}
+		}
 		deferred = waiting.exceedsShare(request.Organisation)
 		if request.Backup && !waiting.copiesAllowed() {
 			request.Backup = false
@@ -82,12 +87,13 @@
 	state := t.servers[chosen.server.ID]
 	granted := leaseState{
 		server: state, service: request.Service, organisation: request.Organisation, rank: request.Rank, retry: request.Retry,
-		route: request.Route, stepStarted: now, fromCopy: request.OnlyPreferred,
+		route: request.Route, stepStarted: now, fromCopy: request.OnlyPreferred, alone: chosen.reading() == 0,
 	}
 	assignment := Assignment{Server: state.server}
 	if deferred {
 		assignment.Deferred = true
 		t.Metrics.GetOrCreateCounter(series.Name("lentilpoint_relay_deferred_total", "service", request.Service)).Inc()
+		t.countByRank("lentilpoint_relay_urgency_deferrals_total", &request, string(RefusedOverload))
 	}
 	if request.Backup {
 		if backup := chooseBackup(t.Random, t.DataCentre, &request, candidates, chosen.server); backup != nil {
@@ -131,6 +137,7 @@
 // 0.
 func (t *Task) refuseFor(request Acquire, refusal Refusal, retryAfter time.Duration) {
 	t.Metrics.GetOrCreateCounter(series.Name("lentilpoint_relay_dispatch_refusals_total", "reason", string(refusal))).Inc()
+	t.countByRank("lentilpoint_relay_urgency_refusals_total", &request, string(refusal))
 	request.Reply.Send(Assignment{Refusal: refusal, RetryAfter: retryAfter})
 }
 
--- a/entryhost/relay/dispatch/copies.go
+++ b/entryhost/relay/dispatch/copies.go
@@ -36,6 +36,10 @@
 		return
 	}
 	if message.Placement != CopyRenewed || granted.copyHolder == nil {
+		if !t.copyAllowed(granted) {
+			message.Reply.Send(CopyResult{Err: Error.New("no copy is made while prompts of more urgent streams wait")})
+			return
+		}
 		t.chooseCopyHolder(&granted, message.Placement)
 		t.leases[message.Lease] = granted
 	}
--- a/entryhost/relay/dispatch/fairness.go
+++ b/entryhost/relay/dispatch/fairness.go
@@ -28,12 +28,22 @@
 	// prompts are the waiting prompts by organisation.
 	prompts map[string]int
 	engines int
+	// byRank are the waiting prompts by rank; it is nil if urgency does not matter, since
+	// the service's streams have one rank. Rank is that of the stream that is decided on.
+	byRank map[int]int
+	rank   int
+	// usable is the number of engines that can take a prompt now; idle is set if one of
+	// them reads none.
+	usable int
+	idle   bool
 }
 
 // copiesAllowed reports whether new streams get a copy of their cache. While prompts
 // wait at the engines their memory is short, and copies push out running streams,
 // whose prompts are then read again.
-func (d demand) copiesAllowed() bool { return d.backlog() < maxBacklogWithCopies }
+func (d demand) copiesAllowed() bool {
+	return d.backlog() < maxBacklogWithCopies && !d.moreUrgentWait()
+}
 
 // backlog returns the number of waiting prompts for each engine.
 func (d demand) backlog() float64 {
@@ -54,7 +64,7 @@
 // which time the caller may return. Random is uniform in [0, 1) and spreads the
 // returns over the time in which the backlog is read.
 func (d demand) refusal(organisation string, random float64) (retryAfter time.Duration, refused bool) {
-	backlog := d.backlog()
+	backlog := d.backlogAhead()
 	if backlog < maxPromptsWaiting || !d.exceedsShare(organisation) {
 		return 0, false
 	}
--- a/entryhost/relay/dispatch/loads.go
+++ b/entryhost/relay/dispatch/loads.go
@@ -232,18 +232,32 @@
 func (l leaseState) rankValue() int { return l.rank }
 
 // demandAt returns what waits at the engines of a service in a data centre, as far as
-// this host knows.
-func (t *Task) demandAt(dataCentre string, candidates []candidate, now time.Time) demand {
-	result := demand{prompts: countReading(t, dataCentre, leaseState.organisationName)}
+// this host knows, for the decision about a stream of the rank.
+func (t *Task) demandAt(dataCentre, service string, rank int, candidates []candidate, now time.Time) demand {
+	result := demand{prompts: countReading(t, dataCentre, leaseState.organisationName), rank: rank}
+	if t.ranksOf(service) != nil {
+		result.byRank = countReading(t, dataCentre, leaseState.rankValue)
+	}
 	if known := t.shared[dataCentre]; now.Sub(known.receivedAt) <= loadsLifetime {
 		for name, count := range known.others.Organisations {
 			result.prompts[name] += count
 		}
+		if result.byRank != nil {
+			for other, count := range known.others.ByRank() {
+				result.byRank[other] += count
+			}
+		}
 	}
-	// Engines that crashed are back within the time in which a prompt is read.
-	for _, c := range candidates {
-		if c.server.DataCentre == dataCentre && !c.server.Draining && !c.leaving && !c.stale {
-			result.engines++
+	for i := range candidates {
+		c := &candidates[i]
+		if c.server.DataCentre != dataCentre || c.server.Draining || c.leaving || c.stale {
+			continue
+		}
+		// Engines that crashed are back within the time in which a prompt is read.
+		result.engines++
+		if !c.paused && c.refusesFor == 0 {
+			result.usable++
+			result.idle = result.idle || c.reading() == 0 && !c.full
 		}
 	}
 	return result
--- a/entryhost/relay/dispatch/messages.go
+++ b/entryhost/relay/dispatch/messages.go
@@ -36,6 +36,8 @@
 	Rank      int
 	Objective time.Duration
 	Deadline  time.Time
+	// Begun is set if the caller has events of the stream, from this or another host.
+	Begun bool
 	// Exclude are the ids of servers that this request must not use again.
 	Exclude map[string]bool
 	// Avoid are the data centres in which a server was silent to this request. The
@@ -86,6 +88,10 @@
 	// RefusedOverload is for organisations that exceed their share of engines with a
 	// long queue.
 	RefusedOverload Refusal = "organisation_exceeds_share"
+	// RefusedForUrgent is for streams at whose cost more urgent ones would miss their
+	// objective, and RefusedForWait for those that would miss their own behind others.
+	RefusedForUrgent Refusal = "more_urgent_streams_wait"
+	RefusedForWait   Refusal = "wait_exceeds_objective"
 	// RefusedByServers is for services of which all servers have asked for no requests.
 	RefusedByServers Refusal = "servers_ask_to_wait"
 )
--- a/entryhost/relay/dispatch/task.go
+++ b/entryhost/relay/dispatch/task.go
@@ -110,6 +110,8 @@
 	route       string
 	stepStarted time.Time
 	fromCopy    bool
+	// alone is set if the server was reading no other prompt when it was chosen.
+	alone bool
 }
 
 // Task is the dispatcher. It owns the state of all servers.
@@ -155,6 +157,8 @@
 	leases         map[Lease]leaseState
 	lastLease      Lease
 	budgets        map[string]*budget
+	// promptTimes are the times in which engines read a prompt, by service.
+	promptTimes map[string]promptEstimate
 	// moves are the version moves with a stage in force, by service.
 	moves   map[string]*moveState
 	waiting []Acquire
@@ -184,8 +188,8 @@
 		view:      &catalog.View{},
 		servers:   map[string]*serverState{},
 		leases:    map[Lease]leaseState{},
-		budgets:   map[string]*budget{},
-		moves:     map[string]*moveState{},
+		budgets:   map[string]*budget{}, promptTimes: map[string]promptEstimate{},
+		moves: map[string]*moveState{},
 	}
 }
 
@@ -394,6 +398,7 @@
 		return
 	}
 	t.recordAnswer(granted)
+	t.observeFirstEvent(granted)
 	granted.decoding, granted.stepStarted = true, t.Clock.Now()
 	granted.server.decoding++
 	t.leases[message.Lease] = granted
--- a/entryhost/relay/forward/stream.go
+++ b/entryhost/relay/forward/stream.go
@@ -84,6 +84,7 @@
 		Backup:   r.request.Service.Engine != nil && r.request.Service.Engine.CacheBackup && r.request.Route.Resumable,
 		CopyLost: s.copies.lost, WaitUntil: waitUntil, NotPaused: !waitUntil.IsZero(),
 		Rank: r.request.Rank, Objective: r.request.Route.LatencyObjective, Deadline: r.request.Deadline,
+		Begun: s.headSent || r.request.LastEventID != "",
 	}
 	attempt := &exchange.Attempt{LastEventID: s.events.lastEventID()}
 	for held := s.copies.takeResumable(); held.Holder != nil; held = s.copies.takeResumable() {
--- a/entryhost/relay/forward/task.go
+++ b/entryhost/relay/forward/task.go
@@ -345,6 +345,9 @@
 		r.failMayHaveRun(model.KindUnavailable, model.ReasonBackendFailed, "the servers failed and no other is left: "+string(refusal), "send the request again if it may be repeated")
 	case refusal == dispatch.RefusedOverload:
 		r.refuseNotRunFor(assignment.RetryAfter, model.ReasonDeadlineUnreachable, "the organisation has more streams waiting than its share, and the engines would not end this one in time", "send fewer requests at once, or wait and send the request again")
+	case refusal == dispatch.RefusedForUrgent || refusal == dispatch.RefusedForWait:
+		// The time is that until there is room, which may be shorter than minRetryAfter.
+		r.sendFault(model.NotRun(model.KindUnavailable, model.ReasonDeadlineUnreachable, "more urgent streams wait, and this one would delay them or begin too late itself", "wait and send the request again").WithRetryAfter(assignment.RetryAfter))
 	case refusal == dispatch.RefusedByServers:
 		r.refuseNotRunFor(assignment.RetryAfter, model.ReasonBackendFailed, "all servers of the service have asked for no requests for a time", "wait and send the request again")
 	case refusal == dispatch.RefusedBudget:
