Compare spill-over with the return of a refused caller

Cause: a refused stream went to another data centre only if the wait there and the distance were less than the wait here, although it would have to return first. With 1.33 prompts for each engine, the backlog at which refusals begin for an objective of 4 s, an idle engine elsewhere was not used.

Change: the mean time to the return counts for the data centre that refuses.

Result: a new spec of bestElsewhere fails with the former comparison (wait 1.6 s here, 1.7 s of distance) and passes now.

--- a/entryhost/relay/dispatch/urgency.go
+++ b/entryhost/relay/dispatch/urgency.go
@@ -127,9 +127,11 @@
 }
 
 // bestElsewhere returns the data centre that admits the stream with the shortest wait, if
-// one saves more than its distance costs compared to the one that refuses it.
+// one saves more than its distance costs. The one that refuses the stream has the wait
+// there after the return of its caller.
 func bestElsewhere(refused admission, others []admission) (admission, bool) {
 	best, found := refused, false
+	best.wait += meanRoomWait(refused.untilRoom)
 	for _, other := range others {
 		if other.refusal == "" && other.wait+other.distance < best.wait+best.distance {
 			best, found = other, true
@@ -138,6 +140,10 @@
 	return best, found
 }
 
+// meanRoomWait returns the mean time after which refused callers return, which leaves
+// room for jitter above the shortest one.
+func meanRoomWait(untilRoom time.Duration) time.Duration { return max(untilRoom, 2*minRoomWait) }
+
 // roomWait returns when a refused caller may return: after the predicted time until there
 // is room, spread by a half in both directions since others were refused at the same
 // time. It is bounded by what the caller waits at most, and by the time from which it
@@ -147,6 +153,6 @@
 	if needs.objective > needs.prompt {
 		longest = min(longest, needs.objective-needs.prompt)
 	}
-	mean := min(max(untilRoom, 2*minRoomWait), longest*2/3)
+	mean := min(meanRoomWait(untilRoom), longest*2/3)
 	return max(time.Duration((0.5+random)*float64(mean)), minRoomWait)
 }
--- a/entryhost/relay/dispatch/urgency_test.go
+++ b/entryhost/relay/dispatch/urgency_test.go
@@ -201,4 +201,14 @@
 		}
 		Expect(admit(ctx, [2]int{2, 2}, busy, Acquire{Rank: 2}).Server).NotTo(BeNil(), "a service with one rank")
 	}, SpecTimeout(10*time.Second))
+
+	It("sends a stream to another one only if it is sooner there than after its return", func() {
+		refused, far := admission{refusal: RefusedForUrgent, wait: 1600 * time.Millisecond}, admission{dataCentre: "there", distance: remoteDelay}
+		best, found := bestElsewhere(refused, []admission{{refusal: RefusedForWait}, far})
+		Expect(found).To(BeTrue())
+		Expect(best).To(Equal(far))
+		far.wait = time.Second
+		_, found = bestElsewhere(refused, []admission{far})
+		Expect(found).To(BeFalse())
+	})
 })
