--- a/entryhost/relay/dispatch/messages.go
+++ b/entryhost/relay/dispatch/messages.go
@@ -30,6 +30,14 @@
 	Route string
 	// Organisation is the name of the request's organisation, or "".
 	Organisation string
+	// Rank is the urgency of a stream; 0 is the most urgent. Objective is its latency
+	// objective, and Deadline the time by which its caller must have its final answer.
+	// They are not set for requests that are no streams, which count as most urgent.
+	Rank      int
+	Objective time.Duration
+	Deadline  time.Time
+	// Begun is set if the caller has events of the stream, from this or another host.
+	Begun bool
 	// Exclude are the ids of servers that this request must not use again.
 	Exclude map[string]bool
 	// Avoid are the data centres in which a server was silent to this request. The
@@ -80,6 +88,10 @@
 	// RefusedOverload is for organisations that exceed their share of engines with a
 	// long queue.
 	RefusedOverload Refusal = "organisation_exceeds_share"
+	// RefusedForUrgent is for streams at whose cost more urgent ones would miss their
+	// objective, and RefusedForWait for those that would miss their own behind others.
+	RefusedForUrgent Refusal = "more_urgent_streams_wait"
+	RefusedForWait   Refusal = "wait_exceeds_objective"
 	// RefusedByServers is for services of which all servers have asked for no requests.
 	RefusedByServers Refusal = "servers_ask_to_wait"
 )
--- a/entryhost/relay/dispatch/task.go
+++ b/entryhost/relay/dispatch/task.go
@@ -95,9 +95,11 @@
 	backup     *serverState
 	copyHolder *serverState
 	copyLost   chan<- string
-	// service is the request's service, and organisation its organisation.
+	// service is the request's service, organisation its organisation, and rank its
+	// urgency.
 	service      string
 	organisation string
+	rank         int
 	// retry is set if the attempt was paid from a retry budget, decoding once it
 	// has sent an event.
 	retry    bool
@@ -108,6 +110,8 @@
 	route       string
 	stepStarted time.Time
 	fromCopy    bool
+	// alone is set if the server was reading no other prompt when it was chosen.
+	alone bool
 }
 
 // Task is the dispatcher. It owns the state of all servers.
@@ -153,6 +157,8 @@
 	leases         map[Lease]leaseState
 	lastLease      Lease
 	budgets        map[string]*budget
+	// promptTimes are the times in which engines read a prompt, by service.
+	promptTimes map[string]promptEstimate
 	// moves are the version moves with a stage in force, by service.
 	moves   map[string]*moveState
 	waiting []Acquire
@@ -182,8 +188,8 @@
 		view:      &catalog.View{},
 		servers:   map[string]*serverState{},
 		leases:    map[Lease]leaseState{},
-		budgets:   map[string]*budget{},
-		moves:     map[string]*moveState{},
+		budgets:   map[string]*budget{}, promptTimes: map[string]promptEstimate{},
+		moves: map[string]*moveState{},
 	}
 }
 
@@ -392,6 +398,7 @@
 		return
 	}
 	t.recordAnswer(granted)
+	t.observeFirstEvent(granted)
 	granted.decoding, granted.stepStarted = true, t.Clock.Now()
 	granted.server.decoding++
 	t.leases[message.Lease] = granted
--- a/entryhost/relay/forward/stream.go
+++ b/entryhost/relay/forward/stream.go
@@ -7,6 +7,7 @@
 	"github.com/lentilpoint/lentilpoint/entryhost/relay/dispatch"
 	"github.com/lentilpoint/lentilpoint/entryhost/relay/exchange"
 	"github.com/lentilpoint/lentilpoint/entryhost/relay/moves"
+	"github.com/lentilpoint/lentilpoint/entryhost/relay/routing"
 	"github.com/lentilpoint/lentilpoint/eventcode"
 	"github.com/lentilpoint/lentilpoint/model"
 	"github.com/lentilpoint/lentilpoint/task"
@@ -82,6 +83,8 @@
 	acquire := dispatch.Acquire{
 		Backup:   r.request.Service.Engine != nil && r.request.Service.Engine.CacheBackup && r.request.Route.Resumable,
 		CopyLost: s.copies.lost, WaitUntil: waitUntil, NotPaused: !waitUntil.IsZero(),
+		Rank: r.request.Rank, Objective: r.request.Route.LatencyObjective, Deadline: r.request.Deadline,
+		Begun: s.headSent || r.request.LastEventID != "",
 	}
 	attempt := &exchange.Attempt{LastEventID: s.events.lastEventID()}
 	for held := s.copies.takeResumable(); held.Holder != nil; held = s.copies.takeResumable() {
@@ -129,22 +132,12 @@
 	return holder
 }
 
-// deferredRank is the rank of streams whose organisation exceeds its share; it is the
-// least urgent one that engines know.
-const deferredRank = 9
-
-// rank gives streams that have already reached a server the highest priority,
-// since their callers are already waiting; others have the rank of their
-// organisation or route. A stream that exceeds the share of its organisation comes
-// last until its caller has received events.
+// rank returns the rank of an attempt at its engine. Streams that have already reached a
+// server precede new ones of their rank, since their callers are already waiting. A
+// stream that exceeds the share of its organisation comes last until its caller has
+// received events.
 func (r *requestTask) rank(assignment dispatch.Assignment, s *streamState) int {
-	switch {
-	case assignment.Deferred && !s.headSent:
-		return deferredRank
-	case r.counts.sent():
-		return 0
-	}
-	return r.request.Rank
+	return r.request.Service.Ranks.EngineRank(r.request.Rank, routing.PrecedenceOf(assignment.Deferred && !s.headSent, r.counts.sent()))
 }
 
 // prepare completes the attempt for the assignment.
