Offer calls of plain services again that full servers refused

Cause: a call excluded each server that refused it as not run, so that with a few servers it ended after one refusal of each, also if there was room some milliseconds later. Waiting calls were tried in order of arrival, on a timer that each message restarted. A plain server that refused three times in a row was left out for as long as another one had no failures. Change: calls of services without engine wait in a list of their own, ordered by what a refusal costs and by the time left, which is tried when a server answers, a connection becomes idle or a backoff ends. A refused call goes to other servers and then, within limits, back to those that refused it: soon if it can be on time, otherwise when their queues are short. A call that no server would answer in time is refused at once, and those that wait when the host stops as not run. Streams, and calls on engines, are decided as before.

--- a/entryhost/relay/dispatch/assign.go
+++ b/entryhost/relay/dispatch/assign.go
@@ -16,6 +16,9 @@
 	if stage, moving := t.stageOf(request.Service); moving {
 		candidates = filterVersions(stage.OfRoute(request.Route), request.Point, candidates)
 	}
+	if request.Plain != nil {
+		return t.tryAssignPlain(ctx, request, candidates, now)
+	}
 	chosen := t.pickServer(&request, candidates)
 	if chosen == nil {
 		if request.OnlyPreferred {
@@ -45,16 +48,22 @@
 			t.Metrics.GetOrCreateCounter(series.Name("lentilpoint_relay_backups_omitted_total", "service", request.Service)).Inc()
 		}
 	}
+	t.payAndGrant(ctx, request, chosen, candidates, deferred, now)
+	return true
+}
+
+// payAndGrant leases the chosen server to the request if the retry budget allows it, and
+// otherwise asks other hosts to pay.
+func (t *Task) payAndGrant(ctx context.Context, request Acquire, chosen *candidate, candidates []candidate, deferred bool, now time.Time) {
 	retryBudget := t.budgetOf(request.Service)
 	if request.Retry && !request.paidByPeer && !retryBudget.spend(t.uptime(), t.hostCount, 0) {
 		t.borrowRetry(ctx, request)
-		return true
+		return
 	}
 	if !request.Retry {
 		retryBudget.countRequest(t.uptime())
 	}
 	t.grant(ctx, request, chosen, candidates, deferred, now)
-	return true
 }
 
 // pickServer returns the preferred server if it is usable and not paused. Otherwise
@@ -83,6 +92,7 @@
 	granted := leaseState{
 		server: state, service: request.Service, organisation: request.Organisation, retry: request.Retry,
 		route: request.Route, stepStarted: now, fromCopy: request.OnlyPreferred,
+		plain: request.Plain != nil,
 	}
 	assignment := Assignment{Server: state.server}
 	if deferred {
--- a/entryhost/relay/dispatch/loads.go
+++ b/entryhost/relay/dispatch/loads.go
@@ -67,6 +67,10 @@
 }
 
 func (t *Task) assignOrWait(ctx context.Context, request Acquire) {
+	if request.Plain != nil {
+		t.addPlain(ctx, request)
+		return
+	}
 	if !t.tryAssign(ctx, request) {
 		t.waiting = append(t.waiting, request)
 	}
--- a/entryhost/relay/dispatch/messages.go
+++ b/entryhost/relay/dispatch/messages.go
@@ -61,7 +61,9 @@
 	// WaitUntil is when the dispatcher refuses the request if no server is
 	// available.
 	WaitUntil time.Time
-	Reply     task.Reply[Assignment]
+	// Plain is set for calls of plain services, and nil for streams.
+	Plain *PlainCall
+	Reply task.Reply[Assignment]
 	// paidByPeer is set if another host's budget pays for the attempt.
 	paidByPeer bool
 	// remoteLoadsKnown is set if the loads of other data centres were exchanged for
@@ -82,6 +84,12 @@
 	RefusedOverload Refusal = "organisation_exceeds_share"
 	// RefusedByServers is for services of which all servers have asked for no requests.
 	RefusedByServers Refusal = "servers_ask_to_wait"
+	// RefusedServersFull is for calls of plain services of which no server is expected to
+	// have room in time, RefusedTooLate for those that no server would answer in time.
+	RefusedServersFull Refusal = "servers_full"
+	RefusedTooLate     Refusal = "too_late_to_answer"
+	// RefusedStopping is for calls that wait at a host that stops.
+	RefusedStopping Refusal = "host_stops"
 )
 
 // Assignment is the answer to Acquire. Server is nil if the request was refused.
--- a/entryhost/relay/dispatch/policy.go
+++ b/entryhost/relay/dispatch/policy.go
@@ -41,6 +41,8 @@
 	refusesFor time.Duration
 	// failureRate is the smoothed share of failed attempts.
 	failureRate float64
+	// backoff is that of a server of a plain service that was full.
+	backoff serverBackoff
 }
 
 // reading returns the attempts of all hosts that have sent no event yet, and
@@ -80,6 +82,10 @@
 	// fail up to 15 in 100 requests by themselves, which must not move work to
 	// other data centres.
 	failureRateCost = 4.0
+	// refusedCost is the cost of a server that has refused a call since it was full and has
+	// not answered since. It is less than that of an attempt, so that a full server is
+	// asked again when the others have more to do.
+	refusedCost = 1.0
 	// jitterCost spreads load over candidates of equal cost, since other hosts
 	// see the same ones.
 	jitterCost = 0.2
@@ -100,6 +106,7 @@
 	},
 	func(_ string, c *candidate) float64 { return newConnectionCost * indicator(!c.warm) },
 	func(_ string, c *candidate) float64 { return failureRateCost * c.failureRate },
+	func(_ string, c *candidate) float64 { return refusedCost * indicator(c.backoff.refusals > 0) },
 }
 
 func indicator(condition bool) float64 {
--- a/entryhost/relay/dispatch/task.go
+++ b/entryhost/relay/dispatch/task.go
@@ -73,6 +73,7 @@
 type serverState struct {
 	server   *routing.Server
 	health   serverHealth
+	backoff  serverBackoff
 	inFlight int
 	// decoding is the number of attempts in flight that have sent an event.
 	decoding int
@@ -108,6 +109,8 @@
 	route       string
 	stepStarted time.Time
 	fromCopy    bool
+	// plain is set for calls of plain services.
+	plain bool
 }
 
 // Task is the dispatcher. It owns the state of all servers.
@@ -156,6 +159,10 @@
 	// moves are the version moves with a stage in force, by service.
 	moves   map[string]*moveState
 	waiting []Acquire
+	// plain are the waiting calls of plain services, and plainServices the services that
+	// had calls, by name.
+	plain         []Acquire
+	plainServices map[string]plainService
 	// searches are the prompt searches in progress.
 	searches []*promptSearch
 }
@@ -172,18 +179,19 @@
 		hostCount: minHostCount,
 		allHosts:  []routing.Host{{Address: parameters.Self, DataCentre: parameters.DataCentre}},
 		shared:    map[string]sharedLoads{}, collectorsDown: map[string]time.Time{},
-		adopted:   map[string]adoption{},
-		ended:     map[string]time.Time{},
-		leaving:   map[string]leavingServer{},
-		refusing:  map[string]refusingServer{},
-		pools:     map[serverPool]poolFailures{},
-		reports:   task.NewMailbox[exchange.Report](reportsSize),
-		createdAt: parameters.Clock.Now(),
-		view:      &catalog.View{},
-		servers:   map[string]*serverState{},
-		leases:    map[Lease]leaseState{},
-		budgets:   map[string]*budget{},
-		moves:     map[string]*moveState{},
+		adopted:       map[string]adoption{},
+		ended:         map[string]time.Time{},
+		leaving:       map[string]leavingServer{},
+		refusing:      map[string]refusingServer{},
+		pools:         map[serverPool]poolFailures{},
+		reports:       task.NewMailbox[exchange.Report](reportsSize),
+		createdAt:     parameters.Clock.Now(),
+		view:          &catalog.View{},
+		servers:       map[string]*serverState{},
+		leases:        map[Lease]leaseState{},
+		budgets:       map[string]*budget{},
+		moves:         map[string]*moveState{},
+		plainServices: map[string]plainService{},
 	}
 }
 
@@ -205,12 +213,16 @@
 	loadReports := t.Clock.NewTicker(reportDelay)
 	defer loadReports.Stop()
 	for {
-		var retry <-chan time.Time
+		var retry, retryPlain <-chan time.Time
 		if len(t.waiting) > 0 {
 			retry = t.Clock.After(waitingRetryInterval)
 		}
+		if len(t.plain) > 0 {
+			retryPlain = t.Clock.After(t.untilPlainRetry())
+		}
 		select {
 		case <-ctx.Done():
+			t.refuseAllPlain()
 			t.endLifetime()
 			return nil
 		case message := <-t.mailbox.C():
@@ -218,14 +230,19 @@
 		case view := <-t.views.C():
 			t.applyView(view)
 			t.retryWaiting(t.lifetime)
+			t.retryPlain(t.lifetime)
 		case hosts := <-t.hosts.C():
 			t.applyHosts(hosts)
 		case report := <-t.reports.C():
 			t.handleReport(report)
+			t.retryPlain(t.lifetime)
+		case <-retryPlain:
+			t.retryPlain(t.lifetime)
 		case <-retry:
 			t.retryWaiting(t.lifetime)
 		case <-loadReports.Chan():
 			t.reportDue(t.lifetime)
+			t.publishPlain()
 			t.checkLeaving(t.lifetime)
 		}
 	}
@@ -375,13 +392,21 @@
 		t.budgetOf(granted.service).refund(t.uptime())
 	}
 	t.markLoadChanged(granted.server.server)
+	failureRate := granted.server.health.failureRate
 	t.recordOutcome(granted.server, message.Outcome)
+	if granted.plain && message.Outcome == OutcomeRejected {
+		// A full server is no failing one; the backoff decides when it is asked again.
+		granted.server.health.failureRate = failureRate
+	}
 	t.recordEnd(granted, message.Outcome, message.Latency)
 	t.forgetUnused(granted.server.server.ID)
 	if message.Outcome == OutcomeMisdirected && message.Instance != "" {
 		t.identify(ctx, granted.server.server, message.Instance)
 	}
 	t.Metrics.GetOrCreateCounter(series.Name("lentilpoint_relay_attempts_total", "service", granted.service, "outcome", message.Outcome.String())).Inc()
+	if granted.plain {
+		t.endPlain(ctx, granted, message)
+	}
 }
 
 // handleFirstEventSent counts an attempt as decoding instead of reading its
--- a/entryhost/relay/forward/forward_test.go
+++ b/entryhost/relay/forward/forward_test.go
@@ -137,7 +137,7 @@
 
 	DescribeTable("a request with a single answer",
 		func(route *routing.Route, counts attemptCounts, outcome dispatch.Outcome, want decision) {
-			Expect(afterPlain(route, outcome, counts)).To(Equal(want))
+			Expect(afterPlain(route, false, outcome, counts)).To(Equal(want))
 		},
 		Entry("an order that may have run is never retried", order, after(dispatch.OutcomeBroken), dispatch.OutcomeBroken, failAsUnknown),
 		Entry("an order without an answer is never retried", order, after(dispatch.OutcomeSilent), dispatch.OutcomeSilent, failAsUnknown),
@@ -152,6 +152,17 @@
 			after(dispatch.OutcomeRejected, dispatch.OutcomeRejected, dispatch.OutcomeRejected, dispatch.OutcomeRejected), dispatch.OutcomeRejected, refuseAsNotRun),
 	)
 
+	// Guards against a request that ends once each of a few servers was full, and against one
+	// that is offered without end.
+	DescribeTable("a request that full servers of a plain service refused",
+		func(refusals int, want decision) {
+			counts := attemptCounts{rejections: refusals}
+			Expect(afterPlain(order, true, dispatch.OutcomeRejected, counts)).To(Equal(want))
+		},
+		Entry("is offered again by the dispatcher", maxRejections, retry),
+		Entry("is refused in the end", maxPlainRejections, refuseAsNotRun),
+	)
+
 	DescribeTable("a stream",
 		func(route *routing.Route, counts attemptCounts, outcome dispatch.Outcome, started bool, want decision) {
 			Expect(afterStream(route, outcome, counts, started)).To(Equal(want))
--- a/entryhost/relay/forward/plain.go
+++ b/entryhost/relay/forward/plain.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"time"
 
 	"github.com/lentilpoint/lentilpoint/entryhost/relay/dispatch"
@@ -50,11 +51,15 @@
 			r.logRetry(running, outcome, cause, "")
 			continue
 		}
-		r.exclude[assignment.Server.ID] = true
+		if outcome == dispatch.OutcomeRejected && r.isPlainService() {
+			r.refusals[assignment.Server.ID]++
+		} else {
+			r.exclude[assignment.Server.ID] = true
+		}
 		if outcome == dispatch.OutcomeFailed {
 			fallback = got
 		}
-		switch afterPlain(r.request.Route, outcome, r.counts) {
+		switch afterPlain(r.request.Route, r.isPlainService(), outcome, r.counts) {
 		case deliverResponse:
 			r.deliver(got)
 			return
@@ -74,12 +79,25 @@
 // waits and takes no server that failed recently; otherwise waitUntil is zero, and the
 // request waits as long as the route allows.
 func (r *requestTask) acquirePlain(ctx context.Context, waitUntil time.Time) (plannedAttempt, error) {
-	assignment, err := r.acquire(ctx, dispatch.Acquire{
+	acquire := dispatch.Acquire{
 		NotRepeatable: r.request.Route.Kind == routing.NonIdempotent, WaitUntil: waitUntil, NotPaused: !waitUntil.IsZero(),
-	})
+	}
+	if r.isPlainService() {
+		acquire.Plain = &dispatch.PlainCall{
+			Objective: r.request.Arrived.Add(r.request.Route.LatencyObjective), Deadline: r.request.Deadline,
+			Refusals: maps.Clone(r.refusals), MayHaveRun: r.counts.runs > 0,
+		}
+		if waitUntil.IsZero() && r.counts.sent() {
+			acquire.WaitUntil = r.Clock.Now().Add(maxOfferedWait)
+		}
+	}
+	assignment, err := r.acquire(ctx, acquire)
 	return plannedAttempt{assignment: assignment, attempt: &exchange.Attempt{Rank: exchange.Unranked}}, err
 }
 
+// isPlainService reports whether the servers of the request's service are no engines.
+func (r *requestTask) isPlainService() bool { return r.request.Service.Engine == nil }
+
 // collectResponse reads the complete response. An attempt that may be followed by
 // another one is abandoned after attemptTimeoutShare of the latency objective if
 // another server is available.
--- a/entryhost/relay/forward/policy.go
+++ b/entryhost/relay/forward/policy.go
@@ -12,6 +12,10 @@
 	// maxRejections is the number of servers that may state that they did not
 	// run the request before no other server is tried.
 	maxRejections = 4
+	// maxPlainRejections is the number of times that servers of a plain service may state
+	// that they did not run the request. A server that was full may be asked again; the
+	// dispatcher decides when, and bounds how often.
+	maxPlainRejections = 8
 	// maxUnsent is the number of servers that may be unreachable before no other
 	// server is tried; connections are refused within a millisecond.
 	maxUnsent = 8
@@ -23,6 +27,10 @@
 	// waits for a server; a refusal after an eighth of the objective counts as
 	// late.
 	serverWaitShare = 0.12
+	// maxOfferedWait bounds the wait for a server of a plain service once a server has had
+	// the request; its deadline may end the wait before. A late answer is worth more than
+	// a refusal, and a server that was full has room within some 100 ms.
+	maxOfferedWait = time.Second
 	// minRetryAfter is the retry delay in refusals; a crashed server is back
 	// after about a second.
 	minRetryAfter = 500 * time.Millisecond
@@ -71,15 +79,19 @@
 )
 
 // afterPlain decides what follows an attempt of a request with a single complete
-// response.
-func afterPlain(route *routing.Route, outcome dispatch.Outcome, counts attemptCounts) decision {
+// response. PlainService is set if the servers are no engines.
+func afterPlain(route *routing.Route, plainService bool, outcome dispatch.Outcome, counts attemptCounts) decision {
 	repeatable := route.Kind == routing.Idempotent
+	rejectionLimit := maxRejections
+	if plainService {
+		rejectionLimit = maxPlainRejections
+	}
 	switch outcome {
 	case dispatch.OutcomeSuccess:
 		return deliverResponse
 	case dispatch.OutcomeUnreachable, dispatch.OutcomeRejected, dispatch.OutcomeMisdirected:
 		switch {
-		case counts.unsent < maxUnsent && counts.rejections < maxRejections:
+		case counts.unsent < maxUnsent && counts.rejections < rejectionLimit:
 			return retry
 		case counts.runs == 0:
 			return refuseAsNotRun
--- a/entryhost/relay/forward/task.go
+++ b/entryhost/relay/forward/task.go
@@ -42,7 +42,7 @@
 func (f *Forwarder) Run(ctx context.Context, request *Request, caller Caller) Summary {
 	ctx, cancel := context.WithTimeoutCause(ctx, request.Deadline.Sub(f.Clock.Now()), errDeadline)
 	defer cancel()
-	run := &requestTask{Forwarder: f, request: request, caller: caller, exclude: map[string]bool{}, avoid: map[string]bool{}, trafficPoint: rand.Float64()}
+	run := &requestTask{Forwarder: f, request: request, caller: caller, exclude: map[string]bool{}, refusals: map[string]int{}, avoid: map[string]bool{}, trafficPoint: rand.Float64()}
 	run.fingerprint = suspects.NewFingerprint(request.Organisation, request.Method, request.Host, request.Target, string(request.Body))
 	var parts []string
 	if request.Route.Kind == routing.Streaming {
@@ -80,6 +80,9 @@
 	summary Summary
 	counts  attemptCounts
 	exclude map[string]bool
+	// refusals counts by server how often it stated that it did not run the request. It is
+	// used for plain services, whose servers are not excluded then.
+	refusals map[string]int
 	// avoid are the data centres in which a server was silent.
 	avoid map[string]bool
 	// fingerprint is equal for all requests with the same organisation and
@@ -306,6 +309,12 @@
 	r.sendFault(model.NotRun(model.KindUnavailable, reason, message, remedy).WithRetryAfter(max(retryAfter, minRetryAfter)))
 }
 
+// refusePlain answers that the request has not run and when its caller may send it again,
+// which may be before minRetryAfter.
+func (r *requestTask) refusePlain(retryAfter time.Duration, reason model.Reason, message, remedy string) {
+	r.sendFault(model.NotRun(model.KindUnavailable, reason, message, remedy).WithRetryAfter(retryAfter))
+}
+
 // failMayHaveRun answers that the request may have run.
 func (r *requestTask) failMayHaveRun(kind model.Kind, reason model.Reason, message, remedy string) {
 	r.sendFault(&model.Fault{Kind: kind, Reason: reason, Executed: model.ExecutedUnknown, Message: message, Remedy: remedy})
@@ -347,6 +356,12 @@
 		r.refuseNotRunFor(assignment.RetryAfter, model.ReasonDeadlineUnreachable, "the organisation has more streams waiting than its share, and the engines would not end this one in time", "send fewer requests at once, or wait and send the request again")
 	case refusal == dispatch.RefusedByServers:
 		r.refuseNotRunFor(assignment.RetryAfter, model.ReasonBackendFailed, "all servers of the service have asked for no requests for a time", "wait and send the request again")
+	case refusal == dispatch.RefusedServersFull:
+		r.refusePlain(assignment.RetryAfter, model.ReasonBackendFailed, "the servers of the service are full, and none is expected to have room in time", "wait and send the request again")
+	case refusal == dispatch.RefusedTooLate:
+		r.refusePlain(assignment.RetryAfter, model.ReasonDeadlineUnreachable, "no server would answer in the time that is left", "send the request again with a longer deadline")
+	case refusal == dispatch.RefusedStopping:
+		r.refuseNotRun(model.ReasonDraining, "this host stops", "send the request again on a new connection")
 	case refusal == dispatch.RefusedBudget:
 		r.refuseNotRun(model.ReasonRetryBudget, "the retry budget of the service is spent", "wait and send the request again")
 	default:
--- a/eventcode/relay.go
+++ b/eventcode/relay.go
@@ -50,6 +50,7 @@
 	ResponseUnrelated      Code = 2159
 	ServerLeaves           Code = 2160
 	ServerRefuses          Code = 2161
+	ServerFull             Code = 2162
 )
 
 var relayEvents = []Entry{
@@ -100,5 +101,6 @@
 	{ResponseUnrelated, "response unrelated", "A server sent a response in the place of that to an attempt, with the id of another request or without one. It proves nothing: the connection is closed, and the attempt counts as one that may have run.", "Give the server and the time to the developers of its service: it writes responses more than once, or its registration has the address of another process."},
 	{ServerLeaves, "server leaves", "A server stated in a response that it leaves, or that another process has taken its place; this host sends it no new work while it leaves, whatever its registration says.", "Nothing. If the registration stays ready for long after an outage of the store, look at the server."},
 	{ServerRefuses, "server refuses", "A server turned a request away and asked for no requests for a time, or stated a time that cannot be used. This host sends it nothing new until then; if all servers of a service have asked for that, its requests are refused with the shortest of these times.", "If it repeats, the service lacks capacity: look at its servers."},
+	{ServerFull, "server full", "A server of a plain service refused several requests in a row as not run, so that this host asks it seldom, or has answered after that.", "If it repeats, the service lacks capacity: look at its servers. A single server that is named alone refuses for another reason."},
 	{RelayMovePaused, "version move paused", "This host could not run several rounds of a version move in a row; it sends the new version no more than the initial share until it can.", "Check the store."},
 }
