Count only connections that a call may use in the choice of a plain server

Cause: a server counted as one with an open connection also if that had expired, or was too old for a call that may run once. The call then opened a new connection there, which holds a slot for a moment, while another server had one that it could use. Change: for calls of plain services the cost of a new connection applies unless takeConnection would return an idle one. For other requests it is as before. Result: the new spec fails without the change.

--- a/entryhost/relay/dispatch/assign.go
+++ b/entryhost/relay/dispatch/assign.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/lentilpoint/lentilpoint/entryhost/relay/exchange"
@@ -117,11 +118,23 @@
 	t.reportAttempt(ctx, state.server)
 }
 
+// reusable reports whether takeConnection would return an idle connection.
+func (s *serverState) reusable(notRepeatable bool, now time.Time) bool {
+	return slices.ContainsFunc(s.idle, func(idle idleConnection) bool {
+		return now.Before(idle.usableUntil) && !idle.tooOld(notRepeatable, now)
+	})
+}
+
+// tooOld reports whether the connection may be stale and the request must not be lost with it.
+func (c idleConnection) tooOld(notRepeatable bool, now time.Time) bool {
+	return notRepeatable && now.Sub(c.idleSince) > maxNotRepeatableIdle
+}
+
 // takeConnection returns the most recently used idle connection, or a new one.
 func (t *Task) takeConnection(ctx context.Context, state *serverState, notRepeatable bool, now time.Time) (*exchange.Connection, bool) {
 	for len(state.idle) > 0 {
 		last := state.idle[len(state.idle)-1]
-		if notRepeatable && now.Sub(last.idleSince) > maxNotRepeatableIdle && now.Before(last.usableUntil) {
+		if last.tooOld(notRepeatable, now) && now.Before(last.usableUntil) {
 			break
 		}
 		state.idle = state.idle[:len(state.idle)-1]
--- a/entryhost/relay/dispatch/plain.go
+++ b/entryhost/relay/dispatch/plain.go
@@ -71,7 +71,8 @@
 	service := t.plainServices[request.Service]
 	for i := range candidates {
 		c := &candidates[i]
-		c.backoff = t.servers[c.server.ID].backoff.current(now)
+		state := t.servers[c.server.ID]
+		c.backoff, c.warm = state.backoff.current(now), state.reusable(request.NotRepeatable, now)
 	}
 	plan := planPlain(&request, candidates, now, service)
 	if chosen := t.pickServer(&request, plan.ready); chosen != nil {
--- a/entryhost/relay/dispatch/plainqueue_test.go
+++ b/entryhost/relay/dispatch/plainqueue_test.go
@@ -7,6 +7,8 @@
 	"github.com/jonboulle/clockwork"
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+
+	"github.com/lentilpoint/lentilpoint/entryhost/relay/exchange"
 )
 
 var _ = Describe("the waiting calls of a plain service", func() {
@@ -74,6 +76,22 @@
 		Expect(got.RetryAfter).To(And(BeNumerically(">", 0), BeNumerically("<=", 20*time.Millisecond/3)))
 	})
 
+	// Guards against new connections, which hold a slot, while another server has one that the
+	// call may use.
+	It("use an idle connection that is not too old for them", func() {
+		for range 10 {
+			dispatcher = newTestTask(Parameters{Self: "self", Prober: fakeProber{}})
+			clock = dispatcher.Clock.(*clockwork.FakeClock)
+			dispatcher.applyView(viewOf(server("a", "here"), server("b", "here")))
+			for _, id := range []string{"a", "b"} {
+				idle := exchange.Open(dispatcher.lifetime, id, id, nil, dispatcher.reports)
+				dispatcher.handleReport(exchange.Report{Connection: idle, Idle: true, IdleTimeout: time.Minute})
+				clock.Advance(2 * time.Second)
+			}
+			Expect(call(func(r *Acquire) { r.NotRepeatable = true })).To(Receive(And(HaveField("Server.ID", "b"), HaveField("Reused", true))))
+		}
+	})
+
 	It("are refused as not run when the host stops, instead of left without an answer", func() {
 		refuse(call(first), OutcomeRejected)
 		waiting := call(refused)
