State a time to return that callers of plain services honour

Cause: all refusals stated at least 500 ms. Callers honour Retry-After up to a third of the time that they have left; with a limit of 1,500 ms that is less than 500 ms from the first moment on. Change: refusals of calls of plain services state at most a third of the time left, at least 50 ms. Times that servers have asked for are passed on as they are, and streams are refused as before. Result: of a route timeout of 800 ms the refusal states 267 ms at most. The new spec guards the bounds.

--- a/entryhost/relay/forward/forward_test.go
+++ b/entryhost/relay/forward/forward_test.go
@@ -163,6 +163,14 @@
 		Entry("is refused in the end", maxPlainRejections, refuseAsNotRun),
 	)
 
+	// Guards against callers that give up since they are told to wait for more than a third of
+	// their time.
+	It("states a time to return that the caller of a plain service honours", func() {
+		Expect(plainRetryAfter(800 * time.Millisecond)).To(BeNumerically("<=", 800*time.Millisecond/3))
+		Expect(plainRetryAfter(time.Minute)).To(Equal(minRetryAfter))
+		Expect(plainRetryAfter(-time.Second)).To(Equal(minPlainRetryAfter))
+	})
+
 	DescribeTable("a stream",
 		func(route *routing.Route, counts attemptCounts, outcome dispatch.Outcome, started bool, want decision) {
 			Expect(afterStream(route, outcome, counts, started)).To(Equal(want))
--- a/entryhost/relay/forward/policy.go
+++ b/entryhost/relay/forward/policy.go
@@ -34,8 +34,19 @@
 	// minRetryAfter is the retry delay in refusals; a crashed server is back
 	// after about a second.
 	minRetryAfter = 500 * time.Millisecond
+	// maxRetryAfterShare is the part of the time left up to which callers honour
+	// Retry-After. Calls of plain services are not told a longer one, with which their
+	// callers may give up, but at least minPlainRetryAfter.
+	maxRetryAfterShare = 1.0 / 3
+	minPlainRetryAfter = 50 * time.Millisecond
 )
 
+// plainRetryAfter returns the Retry-After of a call of a plain service for which no better
+// one is known.
+func plainRetryAfter(left time.Duration) time.Duration {
+	return max(minPlainRetryAfter, min(minRetryAfter, time.Duration(maxRetryAfterShare*float64(left))))
+}
+
 // attemptCounts counts the attempts of a request by what may have happened.
 type attemptCounts struct {
 	// runs are the attempts that may have run, rejections those that a server
--- a/entryhost/relay/forward/task.go
+++ b/entryhost/relay/forward/task.go
@@ -300,6 +300,10 @@
 
 // refuseNotRun answers that the request has not run.
 func (r *requestTask) refuseNotRun(reason model.Reason, message, remedy string) {
+	if r.request.Route.Kind != routing.Streaming && r.isPlainService() {
+		r.refusePlain(plainRetryAfter(r.request.Deadline.Sub(r.Clock.Now())), reason, message, remedy)
+		return
+	}
 	r.refuseNotRunFor(0, reason, message, remedy)
 }
 
