--- a/entryhost/relay/dispatch/assign.go
+++ b/entryhost/relay/dispatch/assign.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/lentilpoint/lentilpoint/entryhost/relay/exchange"
@@ -16,6 +17,9 @@
 	if stage, moving := t.stageOf(request.Service); moving {
 		candidates = filterVersions(stage.OfRoute(request.Route), request.Point, candidates)
 	}
+	if request.Plain != nil {
+		return t.tryAssignPlain(ctx, request, candidates, now)
+	}
 	chosen := t.pickServer(&request, candidates)
 	if chosen == nil {
 		if request.OnlyPreferred {
@@ -50,16 +54,22 @@
 			t.Metrics.GetOrCreateCounter(series.Name("lentilpoint_relay_backups_omitted_total", "service", request.Service)).Inc()
 		}
 	}
+	t.payAndGrant(ctx, request, chosen, candidates, deferred, now)
+	return true
+}
+
+// payAndGrant leases the chosen server to the request if the retry budget allows it, and
+// otherwise asks other hosts to pay.
+func (t *Task) payAndGrant(ctx context.Context, request Acquire, chosen *candidate, candidates []candidate, deferred bool, now time.Time) {
 	retryBudget := t.budgetOf(request.Service)
 	if request.Retry && !request.paidByPeer && !retryBudget.spend(t.uptime(), t.hostCount, 0) {
 		t.borrowRetry(ctx, request)
-		return true
+		return
 	}
 	if !request.Retry {
 		retryBudget.countRequest(t.uptime())
 	}
 	t.grant(ctx, request, chosen, candidates, deferred, now)
-	return true
 }
 
 // pickServer returns the preferred server if it is usable and not paused. Otherwise
@@ -87,7 +97,7 @@
 	state := t.servers[chosen.server.ID]
 	granted := leaseState{
 		server: state, service: request.Service, organisation: request.Organisation, rank: request.Rank, retry: request.Retry,
-		route: request.Route, stepStarted: now, fromCopy: request.OnlyPreferred, alone: chosen.reading() == 0,
+		route: request.Route, stepStarted: now, fromCopy: request.OnlyPreferred, alone: chosen.reading() == 0, plain: request.Plain != nil,
 	}
 	assignment := Assignment{Server: state.server}
 	if deferred {
@@ -113,11 +123,23 @@
 	t.reportAttempt(ctx, state.server)
 }
 
+// reusable reports whether takeConnection would return an idle connection.
+func (s *serverState) reusable(notRepeatable bool, now time.Time) bool {
+	return slices.ContainsFunc(s.idle, func(idle idleConnection) bool {
+		return now.Before(idle.usableUntil) && !idle.tooOld(notRepeatable, now)
+	})
+}
+
+// tooOld reports whether the connection may be stale and the request must not be lost with it.
+func (c idleConnection) tooOld(notRepeatable bool, now time.Time) bool {
+	return notRepeatable && now.Sub(c.idleSince) > maxNotRepeatableIdle
+}
+
 // takeConnection returns the most recently used idle connection, or a new one.
 func (t *Task) takeConnection(ctx context.Context, state *serverState, notRepeatable bool, now time.Time) (*exchange.Connection, bool) {
 	for len(state.idle) > 0 {
 		last := state.idle[len(state.idle)-1]
-		if notRepeatable && now.Sub(last.idleSince) > maxNotRepeatableIdle && now.Before(last.usableUntil) {
+		if last.tooOld(notRepeatable, now) && now.Before(last.usableUntil) {
 			break
 		}
 		state.idle = state.idle[:len(state.idle)-1]
