Bound the memory and the connections that callers of the relay take

Cause: nothing counted what callers make a relay keep. net/http takes some 110 KB for a head of 490 short lines, io.ReadAll doubled its buffer whatever the client sends, and connections were not counted. The settings' memory was not read. Change: one task keeps the memory budget of the host (entryhost/memory). Large heads and bodies claim before they are kept; requests that stall or are slow give way (503, not run, Retry-After), and one up to 64 KB finds room in a reserve. Heads are counted before net/http parses them. At the limit of connections those without a request are closed first. limits.memory_mb and limits.max_fds of the platform's file are read, and the collector gets a soft limit of 80 %, since the heap may otherwise grow to twice of what is in use. The cases of the readiness check, the metrics and the peers still fail.

--- a/cmd/lentilpointd/relay.go
+++ b/cmd/lentilpointd/relay.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"log/slog"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 	"time"
 
@@ -17,45 +19,54 @@
 	"github.com/lentilpoint/lentilpoint/entryhost/relay/logs"
 	"github.com/lentilpoint/lentilpoint/entryhost/relay/reload"
 	"github.com/lentilpoint/lentilpoint/platform"
+	"github.com/lentilpoint/lentilpoint/settings"
 )
 
 // relayCommand returns the command that runs this host as a relay on the users'
 // platform. Each hangup makes it read its settings again.
 func relayCommand(hangups <-chan os.Signal) *cobra.Command {
-	return &cobra.Command{
+	var bounds settings.CallerBounds
+	command := &cobra.Command{
 		Use:     "relay",
 		Short:   "Forward requests by route on the users' platform; settings come from the platform's file",
 		Args:    cobra.NoArgs,
 		Example: "  " + platform.SettingsVariable + "=/etc/lentilpoint/node.toml lentilpointd relay",
 		RunE: func(cmd *cobra.Command, _ []string) error {
 			path := os.Getenv(platform.SettingsVariable)
-			settings, err := platform.ReadSettings(path)
+			values, err := platform.ReadSettings(path)
+			err = errors.Join(err, settings.ApplyEnvironment(cmd.Flags(), settings.EnvironmentPrefix, settings.LookupEnvironment), bounds.Check(values.Memory))
 			if err != nil {
 				return err
 			}
-			return runRelay(cmd.Context(), path, settings, hangups)
+			values.Memory = bounds.Limits(values.Memory)
+			return runRelay(cmd.Context(), path, values, hangups)
 		},
 	}
+	bounds.RegisterFlags(command.Flags())
+	return command
 }
 
 // runRelay runs the relay until SIGTERM or SIGINT. The log writer stops after the
 // relay, so that the relay's last lines are written.
-func runRelay(ctx context.Context, path string, settings relay.Settings, hangups <-chan os.Signal) error {
+func runRelay(ctx context.Context, path string, values relay.Settings, hangups <-chan os.Signal) error {
 	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
+	// The collector then keeps the heap below the memory of the machine, and works as usual
+	// while less is in use.
+	debug.SetMemoryLimit(values.Memory.SoftLimit())
 	clock, metricSet := clockwork.NewRealClock(), metrics.NewSet()
 	writer := logs.NewWriter(os.Stdout, clock, metricSet)
 	logContext, stopLogWriter := context.WithCancel(context.WithoutCancel(ctx))
 	logDone := make(chan error, 1)
 	go func() { logDone <- writer.Serve(logContext) }()
 	logger := writer.Logger(slog.LevelInfo)
-	err := relay.Run(ctx, settings, relay.Environment{
+	err := relay.Run(ctx, values, relay.Environment{
 		Reload: reload.Source[relay.Settings]{
 			Read:    func() (relay.Settings, error) { return platform.ReadSettings(path) },
 			ModTime: func() (time.Time, error) { return platform.SettingsModTime(path) },
 			Signals: reloadRequests(ctx, hangups),
 		},
-		Adapter: platform.NewAdapter(settings, metricSet, logger), Clock: clock, Metrics: metricSet, Logger: logger,
+		Adapter: platform.NewAdapter(values, metricSet, logger), Clock: clock, Metrics: metricSet, Logger: logger,
 	})
 	stopLogWriter()
 	if logErr := <-logDone; logErr != nil {
--- a/entryhost/relay/fx.go
+++ b/entryhost/relay/fx.go
@@ -12,6 +12,7 @@
 	"github.com/thejerf/suture/v4"
 	"go.uber.org/fx"
 
+	"github.com/lentilpoint/lentilpoint/entryhost/memory"
 	"github.com/lentilpoint/lentilpoint/entryhost/relay/catalog"
 	"github.com/lentilpoint/lentilpoint/entryhost/relay/dispatch"
 	"github.com/lentilpoint/lentilpoint/entryhost/relay/exchange"
@@ -56,7 +57,7 @@
 var Module = fx.Module("relay",
 	fx.Provide(
 		provideSockets, loads.NewTask, provideDispatcher, provideSuspects, provideMover, provideCatalog, provideRoster, provideMirrors,
-		provideForwarder, provideFront, provideRoot,
+		provideForwarder, provideMemory, provideFront, provideRoot,
 	),
 )
 
@@ -174,8 +175,12 @@
 	return &forward.Forwarder{Dispatcher: dispatcher.Mailbox(), Suspects: suspected.Mailbox(), Codec: adapter.Codec, Clock: clock, Metrics: set, Logger: logger}
 }
 
-func provideFront(settings Settings, bound sockets, adapter Adapter, clock clockwork.Clock, set *metrics.Set, logger *slog.Logger, view *catalog.Task, forwarder *forward.Forwarder) (*ingress.Front, ingress.Parameters) {
-	parameters := ingress.Parameters{Protocol: adapter.Callers, StopGracePeriod: settings.StopGracePeriod, DeregistrationDelay: settings.DeregistrationDelay, Catalog: view.Mailbox(), Forwarder: forwarder, Clock: clock, Metrics: set, Logger: logger}
+func provideMemory(settings Settings, clock clockwork.Clock, set *metrics.Set, logger *slog.Logger) *memory.Budget {
+	return memory.NewBudget(settings.Memory.Complete(), clock, set, logger)
+}
+
+func provideFront(settings Settings, bound sockets, adapter Adapter, clock clockwork.Clock, set *metrics.Set, logger *slog.Logger, view *catalog.Task, forwarder *forward.Forwarder, budget *memory.Budget) (*ingress.Front, ingress.Parameters) {
+	parameters := ingress.Parameters{Protocol: adapter.Callers, StopGracePeriod: settings.StopGracePeriod, DeregistrationDelay: settings.DeregistrationDelay, Catalog: view.Mailbox(), Forwarder: forwarder, Memory: budget, Clock: clock, Metrics: set, Logger: logger}
 	return ingress.NewFront(bound.front, parameters), parameters
 }
 
@@ -191,6 +196,7 @@
 	Catalog    *catalog.Task
 	Roster     *roster.Task
 	Mirrors    mirrors
+	Memory     *memory.Budget
 	Front      *ingress.Front
 	Parameters ingress.Parameters
 	Settings   Settings
@@ -212,6 +218,7 @@
 	root.Add(in.Mirrors.orders)
 	root.Add(in.Mirrors.registrations)
 	root.Add(in.Mirrors.hosts)
+	root.Add(in.Memory)
 	root.Add(in.Front)
 	root.Add(reload.NewTask(in.Settings, in.Reload, in.applySettings, in.Clock, in.Logger))
 	root.Add(ingress.NewStatus("readiness", in.Sockets.ready, in.Parameters, in.Front.Draining()))
--- a/entryhost/relay/ingress/admit.go
+++ b/entryhost/relay/ingress/admit.go
@@ -3,12 +3,12 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"math/rand/v2"
 	"net/http"
 	"os"
 	"time"
 
+	"github.com/lentilpoint/lentilpoint/entryhost/memory"
 	"github.com/lentilpoint/lentilpoint/entryhost/relay/catalog"
 	"github.com/lentilpoint/lentilpoint/entryhost/relay/forward"
 	"github.com/lentilpoint/lentilpoint/entryhost/relay/routing"
@@ -100,8 +100,14 @@
 	// Without a deadline, as where the writer has no connection, only the limit counts.
 	controller := http.NewResponseController(writer)
 	_ = controller.SetReadDeadline(deadline)
-	body, err := io.ReadAll(http.MaxBytesReader(nil, incoming.Body, maxBytes))
+	conn := connOf(incoming.Context())
+	body, err := memory.ReadBody(incoming.Body, incoming.ContentLength, maxBytes, conn)
 	switch {
+	case errors.Is(err, memory.ErrNoRoom) || !conn.endBody():
+		// The rest of the body is not read, so its connection cannot be used again.
+		writer.Header().Set("Connection", "close")
+		_ = controller.SetReadDeadline(pastDeadline)
+		return nil, model.NotRun(model.KindUnavailable, model.ReasonMemoryFull, "this host has no memory for the request, or others needed it while the body arrived slowly", "send it again after the pause").WithRetryAfter(jitter(retryAfter))
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		// The deadline stays, since net/http reads the rest of the body before it answers.
 		return nil, model.NotRun(model.KindUnavailable, model.ReasonDeadlinePassed, "the body was not complete before the deadline", "send it again with a longer deadline")
@@ -112,6 +118,12 @@
 	return body, nil
 }
 
+// jitter spreads a pause over a half to one and a half of it, so that callers that were
+// refused together do not return together.
+func jitter(pause time.Duration) time.Duration {
+	return pause/2 + rand.N(pause)
+}
+
 // effectiveRank returns the admission priority of a request. The priority of the
 // organisation overrides that of the route.
 func effectiveRank(route *routing.Route, organisation routing.Organisation) int {
--- a/entryhost/relay/ingress/conn.go
+++ b/entryhost/relay/ingress/conn.go
@@ -5,6 +5,8 @@
 	"net"
 	"net/http"
 	"sync/atomic"
+
+	"github.com/lentilpoint/lentilpoint/entryhost/memory"
 )
 
 // connState is the state of a caller's connection, which decides whether it may
@@ -37,6 +39,10 @@
 	// busy is the number of connections with a request that is being read or answered, or
 	// that may be in the buffer of net/http.
 	busy *atomic.Int64
+	// guard bounds the heads and bodies, and table the connections. They are nil without
+	// bounds.
+	guard *headGuard
+	table *memory.Table
 }
 
 // Accept implements net.Listener.
@@ -45,12 +51,17 @@
 	if err != nil {
 		return nil, err
 	}
-	return l.track(accepted), nil
+	conn := l.track(accepted)
+	if l.table != nil {
+		l.table.Admit(conn)
+	}
+	return conn, nil
 }
 
 // track returns a connection whose state is tracked.
 func (l callerListener) track(accepted net.Conn) *callerConn {
-	conn := &callerConn{Conn: accepted, keepIdle: l.keepIdle, keepNew: l.keepNew, busy: l.busy}
+	conn := &callerConn{Conn: accepted, keepIdle: l.keepIdle, keepNew: l.keepNew, busy: l.busy, guard: l.guard}
+	conn.holder = memory.NewHolder(conn.yield)
 	stopIdle := context.AfterFunc(l.keepIdle, conn.closeIdle)
 	stopNew := context.AfterFunc(l.keepNew, conn.closeNew)
 	conn.detach = func() { stopIdle(); stopNew() }
@@ -70,6 +81,16 @@
 	state    atomic.Int32
 	// readAhead is set once a byte of the next request was read during an answer.
 	readAhead atomic.Bool
+
+	guard  *headGuard
+	stage  atomic.Int32
+	holder *memory.Holder
+	// claimed is set while the holder may have claims. Close is called by others too.
+	claimed atomic.Bool
+	// head and headClaimed are those of the head that is being read. Only the goroutine of
+	// the connection uses them.
+	head        headCounter
+	headClaimed int64
 }
 
 // errNotBegun is what net/http reads instead of a request that arrives while its
@@ -79,6 +100,10 @@
 // Read implements net.Conn.
 func (c *callerConn) Read(buffer []byte) (int, error) {
 	c.awaitRequest()
+	if c.stage.Load() == stageYielded {
+		// net/http may have set a new deadline since.
+		return 0, errNotBegun
+	}
 	count, err := c.Conn.Read(buffer)
 	if count > 0 && !c.beginRequest() {
 		return 0, errNotBegun
@@ -88,6 +113,9 @@
 		// byte ahead to notice that the caller leaves.
 		c.readAhead.Store(true)
 	}
+	if count > 0 && c.stage.Load() == stageHead && !c.admitHead(buffer[:count]) {
+		return 0, errNotBegun
+	}
 	return count, err
 }
 
@@ -135,6 +163,7 @@
 // Close implements net.Conn.
 func (c *callerConn) Close() error {
 	c.detach()
+	c.releaseAll()
 	if former := c.state.Swap(connClosing); former == connBusy || former == connAnswered {
 		c.busy.Add(-1)
 	}
@@ -151,16 +180,19 @@
 }
 
 // closeIdle closes the connection if it waits for its next request.
-func (c *callerConn) closeIdle() { c.closeIf(connIdle) }
+func (c *callerConn) closeIdle() { _ = c.closeIf(connIdle) }
 
 // closeNew closes the connection if it waits for its first request.
-func (c *callerConn) closeNew() { c.closeIf(connNew) }
+func (c *callerConn) closeNew() { _ = c.closeIf(connNew) }
 
-func (c *callerConn) closeIf(state connState) {
-	if c.state.CompareAndSwap(state, connClosing) {
-		// The error does not matter: the caller may have closed the connection.
-		_ = c.Conn.Close()
+// closeIf closes the connection if it is in the state, and reports whether it was.
+func (c *callerConn) closeIf(state connState) bool {
+	if !c.state.CompareAndSwap(state, connClosing) {
+		return false
 	}
+	// The error does not matter: the caller may have closed the connection.
+	_ = c.Conn.Close()
+	return true
 }
 
 // trackConnState records when an answer is sent. It is the ConnState hook of the
@@ -169,6 +201,7 @@
 func trackConnState(conn net.Conn, state http.ConnState) {
 	if c, ours := conn.(*callerConn); ours && state == http.StateIdle {
 		c.state.CompareAndSwap(connBusy, connAnswered)
+		c.awaitHead()
 	}
 }
 
@@ -185,5 +218,5 @@
 // its connection was closed.
 func beginRequest(ctx context.Context) bool {
 	conn, tracked := ctx.Value(connKey{}).(*callerConn)
-	return !tracked || conn.beginRequest()
+	return !tracked || conn.beginRequest() && conn.beginBody()
 }
--- a/entryhost/relay/ingress/drain_test.go
+++ b/entryhost/relay/ingress/drain_test.go
@@ -14,6 +14,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/lentilpoint/lentilpoint/entryhost/memory"
 	"github.com/lentilpoint/lentilpoint/entryhost/relay/catalog"
 	"github.com/lentilpoint/lentilpoint/entryhost/relay/routing"
 	"github.com/lentilpoint/lentilpoint/task"
@@ -45,6 +46,7 @@
 		front := NewFront(listener, Parameters{
 			Protocol: fakeProtocol{}, Catalog: views, StopGracePeriod: minPlainTime + 300*time.Millisecond, DeregistrationDelay: 20 * time.Millisecond,
 			Clock: clockwork.NewRealClock(), Metrics: metrics.NewSet(), Logger: slog.New(slog.DiscardHandler),
+			Memory: memory.NewBudget(memory.Limits{}.Complete(), clockwork.NewRealClock(), metrics.NewSet(), slog.New(slog.DiscardHandler)),
 		})
 		served := make(chan error, 1)
 		go func() { served <- front.Serve(ctx) }()
--- a/entryhost/relay/ingress/front.go
+++ b/entryhost/relay/ingress/front.go
@@ -15,6 +15,7 @@
 	"github.com/jonboulle/clockwork"
 	"github.com/thejerf/suture/v4"
 
+	"github.com/lentilpoint/lentilpoint/entryhost/memory"
 	"github.com/lentilpoint/lentilpoint/entryhost/relay/catalog"
 	"github.com/lentilpoint/lentilpoint/entryhost/relay/forward"
 	"github.com/lentilpoint/lentilpoint/eventcode"
@@ -61,9 +62,11 @@
 	DeregistrationDelay time.Duration
 	Catalog             task.Mailbox[catalog.ViewRequest]
 	Forwarder           *forward.Forwarder
-	Clock               clockwork.Clock
-	Metrics             *metrics.Set
-	Logger              *slog.Logger
+	// Memory is the budget of this host.
+	Memory  *memory.Budget
+	Clock   clockwork.Clock
+	Metrics *metrics.Set
+	Logger  *slog.Logger
 }
 
 // Front is the task that owns the listening socket for callers.
@@ -175,8 +178,10 @@
 	defer stopKeepIdle()
 	keepNew, stopKeepNew := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopKeepNew()
+	guard := &headGuard{budget: f.Memory, clock: f.Clock, metrics: f.Metrics, logger: f.Logger}
+	table := memory.NewTable("callers", f.Memory.Limits().Connections, f.Clock, f.Metrics, f.Logger)
 	go func() {
-		served <- server.Serve(callerListener{Listener: listener, keepIdle: keepIdle, keepNew: keepNew, busy: f.busy})
+		served <- server.Serve(callerListener{Listener: listener, keepIdle: keepIdle, keepNew: keepNew, busy: f.busy, guard: guard, table: table})
 	}()
 	var failed <-chan error = served
 	var refuseStreams, closeIdle, refuseAll <-chan time.Time
@@ -249,6 +254,7 @@
 	}
 	f.openRequests.Inc()
 	defer f.openRequests.Dec()
+	defer connOf(c.Request.Context()).releaseAll()
 	caller := &responseWriter{writer: c.Writer, draining: f.draining}
 	defer f.endRequest(c.Request, caller)
 	arrived := f.Clock.Now()
--- /dev/null
+++ b/entryhost/relay/ingress/head.go
@@ -0,0 +1,117 @@
+package ingress
+
+import (
+	"bytes"
+	"log/slog"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/jonboulle/clockwork"
+
+	"github.com/lentilpoint/lentilpoint/entryhost/memory"
+	"github.com/lentilpoint/lentilpoint/entryhost/relay/series"
+	"github.com/lentilpoint/lentilpoint/eventcode"
+)
+
+const (
+	// unclaimedHead is the cost of a head that is kept without a claim: about 4 KB, or 30
+	// lines.
+	unclaimedHead = 8 << 10
+	// headStep is the size of a claim for a larger head. The largest head takes four.
+	headStep = 64 << 10
+	// headLineCost is what a header line takes beside its bytes: measured were 200 bytes
+	// for heads of 490 short lines, with the copy that is forwarded.
+	headLineCost = 256
+	// headLogInterval is the shortest time between two log lines about heads.
+	headLogInterval = 10 * time.Second
+	// refusalTimeout bounds the write of the refusal of a head, which fits into the buffer
+	// of an idle connection.
+	refusalTimeout = 100 * time.Millisecond
+)
+
+// The responses to heads that are not read to their end.
+const (
+	responseHeadTooLong = "HTTP/1.1 431 Request Header Fields Too Large\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+	responseNoRoom      = "HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\nRetry-After: 0.3\r\nContent-Length: 0\r\n\r\n"
+)
+
+// headCounter counts the bytes and lines of one head as they arrive.
+type headCounter struct {
+	bytes, lines int
+	// lineBytes is the length of the current line, without a carriage return.
+	lineBytes int
+	ended     bool
+}
+
+// count adds bytes of a connection up to the end of the head.
+func (h *headCounter) count(content []byte) {
+	for !h.ended && len(content) > 0 {
+		end := bytes.IndexByte(content, '\n')
+		if end < 0 {
+			h.bytes += len(content)
+			h.lineBytes += lengthWithoutCR(content)
+			return
+		}
+		h.bytes += end + 1
+		h.ended = h.lineBytes+lengthWithoutCR(content[:end]) == 0
+		h.lines++
+		h.lineBytes, content = 0, content[end+1:]
+	}
+}
+
+func lengthWithoutCR(line []byte) int { return len(bytes.TrimSuffix(line, []byte("\r"))) }
+
+// cost returns the memory that the head takes when net/http has parsed it. The line
+// and its copy in the request are counted as twice the bytes.
+func (h *headCounter) cost() int64 { return int64(2*h.bytes + headLineCost*h.lines) }
+
+// headGuard decides whether heads are read on. Connections share it; it does not change
+// except for its counters.
+type headGuard struct {
+	budget   *memory.Budget
+	clock    clockwork.Clock
+	metrics  *metrics.Set
+	logger   *slog.Logger
+	refused  atomic.Int64
+	loggedAt atomic.Int64
+}
+
+// refuse counts a refused head, and writes at most one log line in each headLogInterval.
+func (g *headGuard) refuse(reason string) {
+	g.metrics.GetOrCreateCounter(series.Name("lentilpoint_relay_heads_refused_total", "reason", reason)).Inc()
+	refused, now, last := g.refused.Add(1), g.clock.Now().UnixNano(), g.loggedAt.Load()
+	if now-last >= int64(headLogInterval) && g.loggedAt.CompareAndSwap(last, now) {
+		g.logger.Warn("heads refused", eventcode.HeadsRefused.Attr(), "reason", reason, "refused_since_start", refused, "line_limit", g.budget.Limits().HeadLines)
+	}
+}
+
+// admitHead counts bytes of a head and claims the memory that it takes. It returns false
+// if the head is refused.
+func (c *callerConn) admitHead(content []byte) bool {
+	if c.guard == nil || c.head.ended {
+		return true
+	}
+	c.head.count(content)
+	if c.head.lines > c.guard.budget.Limits().HeadLines {
+		c.guard.refuse("lines")
+		c.sendRefusal(responseHeadTooLong)
+		return false
+	}
+	for cost := c.head.cost(); cost > unclaimedHead && cost > c.headClaimed; c.headClaimed += headStep {
+		if !c.Claim(headStep) {
+			c.guard.refuse("memory")
+			c.sendRefusal(responseNoRoom)
+			return false
+		}
+	}
+	return true
+}
+
+// sendRefusal answers a head that net/http has not read to its end. The connection is
+// closed after it.
+func (c *callerConn) sendRefusal(response string) {
+	_ = c.Conn.SetWriteDeadline(time.Now().Add(refusalTimeout))
+	_, _ = c.Conn.Write([]byte(response))
+	_ = c.CloseWrite()
+}
--- a/entryhost/relay/settings.go
+++ b/entryhost/relay/settings.go
@@ -7,6 +7,7 @@
 	"strings"
 	"time"
 
+	"github.com/lentilpoint/lentilpoint/entryhost/memory"
 	"github.com/lentilpoint/lentilpoint/entryhost/relay/dispatch"
 	"github.com/lentilpoint/lentilpoint/entryhost/relay/moves"
 )
@@ -43,6 +44,9 @@
 	// Exposure limits the requests that a faulty version may receive in a version
 	// move.
 	Exposure moves.ExposureLimits
+	// Memory bounds what clients may take of this host. Zero values are derived from the
+	// memory and the descriptors.
+	Memory memory.Limits
 }
 
 // SeedList returns the seeds as a list.
--- a/eventcode/relay.go
+++ b/eventcode/relay.go
@@ -50,6 +50,9 @@
 	ResponseUnrelated      Code = 2159
 	ServerLeaves           Code = 2160
 	ServerRefuses          Code = 2161
+	MemoryBudgetUsedUp     Code = 2162
+	ConnectionsClosed      Code = 2163
+	HeadsRefused           Code = 2164
 )
 
 var relayEvents = []Entry{
@@ -100,5 +103,8 @@
 	{ResponseUnrelated, "response unrelated", "A server sent a response in the place of that to an attempt, with the id of another request or without one. It proves nothing: the connection is closed, and the attempt counts as one that may have run.", "Give the server and the time to the developers of its service: it writes responses more than once, or its registration has the address of another process."},
 	{ServerLeaves, "server leaves", "A server stated in a response that it leaves, or that another process has taken its place; this host sends it no new work while it leaves, whatever its registration says.", "Nothing. If the registration stays ready for long after an outage of the store, look at the server."},
 	{ServerRefuses, "server refuses", "A server turned a request away and asked for no requests for a time, or stated a time that cannot be used. This host sends it nothing new until then; if all servers of a service have asked for that, its requests are refused with the shortest of these times.", "If it repeats, the service lacks capacity: look at its servers."},
+	{MemoryBudgetUsedUp, "memory budget used up", "Clients sent more than the memory of this host allows. Since the last such line, refused claims were refused and gave_way requests were ended before they ran, because they stalled, were slow or were large.", "Find the senders of large or slow requests in the events 2141 with the reason memory_full. If they are ordinary callers, give the host more memory or --caller-memory-mb."},
+	{ConnectionsClosed, "connections closed", "A socket had as many connections as allowed; those without a request were closed to make room, of the address with most connections first.", "If the callers are ordinary, raise --max-caller-connections or the descriptors and the memory of the machine."},
+	{HeadsRefused, "heads refused", "Callers sent heads with more lines than --max-head-lines (answered 431), or larger than the memory of this host allowed (answered 503); the requests did not run.", "Find the senders; no ordinary caller sends hundreds of header lines."},
 	{RelayMovePaused, "version move paused", "This host could not run several rounds of a version move in a row; it sends the new version no more than the initial share until it can.", "Check the store."},
 }
--- a/model/errors.go
+++ b/model/errors.go
@@ -64,6 +64,7 @@
 	ReasonBackendFailed       Reason = "backend_failed"
 	ReasonTaskFailed          Reason = "task_failed"
 	ReasonNotReady            Reason = "not_ready"
+	ReasonMemoryFull          Reason = "memory_full"
 	ReasonRevisionConflict    Reason = "revision_conflict"
 	ReasonBadChange           Reason = "bad_change"
 )
--- a/model/reason_catalogue.go
+++ b/model/reason_catalogue.go
@@ -43,6 +43,7 @@
 	{ReasonTicketHostGone, "The entry host that issued the ticket has gone.", "Ask the service whether the request took effect before using a new ticket."},
 	{ReasonBackendFailed, "A backend server failed in a way that does not allow another try.", "Look at the server's logs at the time of the event."},
 	{ReasonTaskFailed, "A task of the entry host failed.", "Report the fault with the log lines of the request id."},
+	{ReasonMemoryFull, "The entry host has no memory for the request, or the request gave way to others because it arrived slowly.", "The caller sends it again after the pause; look at event 2162 if it lasts."},
 	{ReasonRevisionConflict, "Another operator's change was committed first; the error names it.", "Read the configuration again and repeat the change."},
 	{ReasonBadChange, "A change of the configuration is invalid; each problem is named with its remedy.", "Correct the change. Nothing was committed."},
 	{ReasonNotReady, "The entry host has no configuration yet.", "Check the platform and the peers if it lasts longer than a few seconds."},
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -14,6 +14,8 @@
 
 	"github.com/spf13/pflag"
 	"github.com/zeebo/errs"
+
+	"github.com/lentilpoint/lentilpoint/entryhost/memory"
 )
 
 // Error is the class of errors of this package.
@@ -81,6 +83,11 @@
 	RemoteServers int
 	// RandomSeed seeds random choices; 0 means that a seed is drawn at start.
 	RandomSeed uint64
+	// MachineMemoryMB and MachineDescriptors are those of the machine.
+	MachineMemoryMB    int
+	MachineDescriptors int
+	// Callers bounds what callers may take of the machine.
+	Callers CallerBounds
 }
 
 // RegisterFlags adds a flag with its default for each setting to the set. Parsing the
@@ -106,6 +113,9 @@
 	flags.DurationVar(&target.LoadInterval, "load-interval", time.Second, "mean time between reads of a backend server's load")
 	flags.Float64Var(&target.LoadRate, "load-rate", 2, "reads of load of all backend servers in a second, at most; 0 means no bound")
 	flags.IntVar(&target.RemoteServers, "remote-servers", 16, "backend servers of other data centres for each service that this host may use")
+	flags.IntVar(&target.MachineMemoryMB, "memory-mb", memory.DefaultMemory/1e6, "MB of memory of the machine, from which bounds for callers are derived")
+	flags.IntVar(&target.MachineDescriptors, "max-descriptors", memory.DefaultDescriptors, "descriptors of the machine, from which bounds for callers are derived")
+	target.Callers.RegisterFlags(flags)
 	flags.Uint64Var(&target.RandomSeed, "random-seed", 0, "seed of random choices; 0 draws one at start")
 }
 
@@ -148,12 +158,31 @@
 // LookupEnvironment reads a variable of the process's environment, as os.LookupEnv does.
 func LookupEnvironment(name string) (string, bool) { return os.LookupEnv(name) }
 
+const (
+	// minMemoryMB is twice of what a process takes without callers, and minDescriptors
+	// leaves some for sockets beside the 200 for files.
+	minMemoryMB    = 64
+	minDescriptors = 256
+)
+
+// flagError returns the error for a bad flag.
+func flagError(flag, message string) error {
+	return Error.New("--%s (%s) %s", flag, EnvironmentName(EnvironmentPrefix, flag), message)
+}
+
+// Limits returns the bounds of what callers may take of the machine.
+func (s Settings) Limits() memory.Limits {
+	return s.Callers.Limits(s.machine())
+}
+
+func (s Settings) machine() memory.Limits {
+	return memory.Limits{Memory: int64(s.MachineMemoryMB) * 1e6, Descriptors: s.MachineDescriptors}
+}
+
 // Check validates the settings. Its error names every bad setting and the remedy.
 func (s Settings) Check() error {
 	var problems []error
-	report := func(flag, message string) {
-		problems = append(problems, Error.New("--%s (%s) %s", flag, EnvironmentName(EnvironmentPrefix, flag), message))
-	}
+	report := func(flag, message string) { problems = append(problems, flagError(flag, message)) }
 	if s.HostID == "" {
 		report("host-id", "is missing; set the id that the platform's host list shows for this host")
 	}
@@ -183,6 +212,13 @@
 		report("log-level", "must be debug, info, warn or error")
 	}
 	s.checkDurations(report)
+	if s.MachineMemoryMB < minMemoryMB {
+		report("memory-mb", fmt.Sprintf("must be %d or more", minMemoryMB))
+	}
+	if s.MachineDescriptors < minDescriptors {
+		report("max-descriptors", fmt.Sprintf("must be %d or more", minDescriptors))
+	}
+	problems = append(problems, s.Callers.Check(s.machine()))
 	return errors.Join(problems...)
 }
 
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -3,11 +3,13 @@
 import (
 	"os"
 	"testing"
+	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 	"github.com/spf13/pflag"
 
+	"github.com/lentilpoint/lentilpoint/entryhost/memory"
 	"github.com/lentilpoint/lentilpoint/settings"
 )
 
@@ -25,6 +27,15 @@
 		Expect(err).NotTo(MatchError(ContainSubstring("--log-level")))
 	})
 
+	It("names every bad bound for callers, so that a host does not start without one", func() {
+		bounds := settings.CallerBounds{Connections: 3, MemoryMB: 100, HeadLines: 1, StallTime: time.Second}
+		err := bounds.Check(memory.Limits{Memory: 144_000_000})
+		for _, flag := range []string{"--max-caller-connections", "--caller-memory-mb", "--max-head-lines", "--min-body-rate"} {
+			Expect(err).To(MatchError(ContainSubstring(flag)))
+		}
+		Expect(err).NotTo(MatchError(ContainSubstring("--body-stall-time")))
+	})
+
 	It("rejects a TLS certificate without its key, which would leave the operator API without TLS or not served", func() {
 		err := settings.Settings{OperatorTLSCertificate: "cert.pem"}.Check()
 		Expect(err).To(MatchError(ContainSubstring("--operator-tls-key")))
