Bound the connections and heads of the readiness check and the metrics

Cause: these sockets took any number of connections, and heads of 1 MB. Change: at the limit, a thirty-second of the descriptors each, the oldest connection is closed; a check takes milliseconds. Heads have at most 4 KB, and a request is read within 5 s.

--- a/entryhost/relay/ingress/status.go
+++ b/entryhost/relay/ingress/status.go
@@ -8,7 +8,9 @@
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/gin-gonic/gin"
+	"github.com/jonboulle/clockwork"
 
+	"github.com/lentilpoint/lentilpoint/entryhost/memory"
 	"github.com/lentilpoint/lentilpoint/entryhost/relay/catalog"
 	"github.com/lentilpoint/lentilpoint/task"
 )
@@ -20,15 +22,21 @@
 	protocol Protocol
 	catalog  task.Mailbox[catalog.ViewRequest]
 	draining <-chan struct{}
+	memory   memory.Limits
+	clock    clockwork.Clock
 	metrics  *metrics.Set
 	logger   *slog.Logger
 }
 
+// maxStatusHeaderBytes bounds the heads of health checks and scrapers, which send a few
+// hundred bytes.
+const maxStatusHeaderBytes = 4 << 10
+
 // NewStatus returns a status server with the name on the bound socket.
 func NewStatus(name string, listener net.Listener, parameters Parameters, draining <-chan struct{}) *Status {
 	return &Status{
 		name: name, socket: task.NewSocket(listener), protocol: parameters.Protocol, catalog: parameters.Catalog,
-		draining: draining, metrics: parameters.Metrics, logger: parameters.Logger,
+		draining: draining, memory: parameters.Memory.Limits(), clock: parameters.Clock, metrics: parameters.Metrics, logger: parameters.Logger,
 	}
 }
 
@@ -44,10 +52,12 @@
 	router := gin.New()
 	router.GET(s.protocol.ReadyPath(), s.ready)
 	router.GET("/metrics", s.writeMetrics)
-	server := &http.Server{Handler: router, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, ErrorLog: slog.NewLogLogger(s.logger.Handler(), slog.LevelDebug)}
+	server := &http.Server{Handler: router, ReadHeaderTimeout: headerTimeout, ReadTimeout: headerTimeout, IdleTimeout: idleTimeout,
+		MaxHeaderBytes: maxStatusHeaderBytes, ErrorLog: slog.NewLogLogger(s.logger.Handler(), slog.LevelDebug)}
 	release := context.AfterFunc(ctx, func() { _ = server.Close() })
 	defer release()
-	err = server.Serve(listener)
+	table := memory.NewTable(s.name, s.memory.StatusConnections(), s.clock, s.metrics, s.logger)
+	err = server.Serve(memory.Listener{Listener: listener, Table: table})
 	if ctx.Err() != nil {
 		return nil
 	}
