Bound the connections and the messages of other entry hosts

Cause: any number of connections was taken from peers, and the decoder of gob allocates up to 10 MB for the stated length of a message before its bytes arrive; 16 MB were read from each connection. Change: a message above 16 KB claims its stated length from the memory budget before it is read, and stalled ones give way. At a fifth of the descriptors the oldest connection is closed; a peer makes one call on each.

--- a/entryhost/relay/fx.go
+++ b/entryhost/relay/fx.go
@@ -226,7 +226,8 @@
 		root.Add(ingress.NewStatus("metrics", in.Sockets.metrics, in.Parameters, in.Front.Draining()))
 	}
 	if in.Sockets.peers != nil {
-		root.Add(peering.NewListener(in.Sockets.peers, map[string]task.Mailbox[mirror.ChangesRequest]{
+		table := memory.NewTable("peers", in.Memory.Limits().PeerConnections(), in.Clock, in.Parameters.Metrics, in.Logger)
+		root.Add(peering.NewListener(in.Sockets.peers, in.Memory, table, map[string]task.Mailbox[mirror.ChangesRequest]{
 			in.Adapter.OrdersTable:        in.Mirrors.orders.Mailbox(),
 			in.Adapter.RegistrationsTable: in.Mirrors.registrations.Mailbox(),
 			in.Adapter.HostsTable:         in.Mirrors.hosts.Mailbox(),
--- a/entryhost/relay/peering/accept_test.go
+++ b/entryhost/relay/peering/accept_test.go
@@ -2,13 +2,17 @@
 
 import (
 	"context"
+	"log/slog"
 	"net"
 	"syscall"
 	"testing"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/jonboulle/clockwork"
 	"github.com/onsi/gomega"
 
+	"github.com/lentilpoint/lentilpoint/entryhost/memory"
 	"github.com/lentilpoint/lentilpoint/entryhost/relay/dispatch"
 	"github.com/lentilpoint/lentilpoint/entryhost/relay/loads"
 	"github.com/lentilpoint/lentilpoint/entryhost/relay/mirror"
@@ -28,7 +32,9 @@
 	g := gomega.NewWithT(t)
 	bound, err := net.Listen("tcp", "127.0.0.1:0")
 	g.Expect(err).NotTo(gomega.HaveOccurred())
-	listener := NewListener(exhaustedListener{bound}, map[string]task.Mailbox[mirror.ChangesRequest]{}, task.NewMailbox[dispatch.Message](1),
+	logger, clock := slog.New(slog.DiscardHandler), clockwork.NewRealClock()
+	budget := memory.NewBudget(memory.Limits{}.Complete(), clock, metrics.NewSet(), logger)
+	listener := NewListener(exhaustedListener{bound}, budget, memory.NewTable("peers", 10, clock, metrics.NewSet(), logger), map[string]task.Mailbox[mirror.ChangesRequest]{}, task.NewMailbox[dispatch.Message](1),
 		task.NewMailbox[suspects.Message](1), task.NewMailbox[loads.Exchange](1), task.NewMailbox[moves.StateRequest](1))
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
--- a/entryhost/relay/peering/peering.go
+++ b/entryhost/relay/peering/peering.go
@@ -15,6 +15,7 @@
 
 	"github.com/zeebo/errs"
 
+	"github.com/lentilpoint/lentilpoint/entryhost/memory"
 	"github.com/lentilpoint/lentilpoint/entryhost/relay/dispatch"
 	"github.com/lentilpoint/lentilpoint/entryhost/relay/loads"
 	"github.com/lentilpoint/lentilpoint/entryhost/relay/mirror"
@@ -114,13 +115,16 @@
 	suspects   task.Mailbox[suspects.Message]
 	loads      task.Mailbox[loads.Exchange]
 	mover      task.Mailbox[moves.StateRequest]
+	budget     *memory.Budget
+	table      *memory.Table
 }
 
 // NewListener returns a listener on a bound socket. It serves the followers' copies,
 // which are keyed by table, and the dispatcher's budget, and delivers peers' reports
-// of suspects and of loads. The mover tells peers which states it follows.
-func NewListener(listener net.Listener, followers map[string]task.Mailbox[mirror.ChangesRequest], dispatcher task.Mailbox[dispatch.Message], suspected task.Mailbox[suspects.Message], collector task.Mailbox[loads.Exchange], mover task.Mailbox[moves.StateRequest]) *Listener {
-	return &Listener{socket: task.NewSocket(listener), followers: followers, dispatcher: dispatcher, suspects: suspected, loads: collector, mover: mover}
+// of suspects and of loads. The mover tells peers which states it follows. The budget and
+// the table bound what peers may take.
+func NewListener(listener net.Listener, budget *memory.Budget, table *memory.Table, followers map[string]task.Mailbox[mirror.ChangesRequest], dispatcher task.Mailbox[dispatch.Message], suspected task.Mailbox[suspects.Message], collector task.Mailbox[loads.Exchange], mover task.Mailbox[moves.StateRequest]) *Listener {
+	return &Listener{socket: task.NewSocket(listener), budget: budget, table: table, followers: followers, dispatcher: dispatcher, suspects: suspected, loads: collector, mover: mover}
 }
 
 // String names the task in the logs.
@@ -137,6 +141,7 @@
 	defer func() { _ = listener.Close() }()
 	release := context.AfterFunc(ctx, func() { _ = listener.Close() })
 	defer release()
+	limited := memory.Listener{Listener: listener, Table: l.table}
 	server := rpc.NewServer()
 	for name, service := range map[string]any{
 		copiesService: &Copies{followers: l.followers}, budgetService: &Budget{dispatcher: l.dispatcher}, suspectsService: &Suspects{mailbox: l.suspects},
@@ -147,7 +152,7 @@
 		}
 	}
 	for {
-		conn, err := listener.Accept()
+		conn, err := limited.Accept()
 		if ctx.Err() != nil {
 			return nil
 		}
@@ -158,7 +163,7 @@
 			_ = conn.Close()
 			continue
 		}
-		go server.ServeConn(&boundedConn{Conn: conn, remaining: maxPeerBytes})
+		go server.ServeConn(newRequestConn(conn, l.budget))
 	}
 }
 
