--- a/cmd/lentilpointd/callermemory/callermemory_test.go
+++ b/cmd/lentilpointd/callermemory/callermemory_test.go
@@ -66,13 +66,15 @@
 address = %[7]q
 `
 
-// relayProcess is a relay with lowered limits.
-type relayProcess struct {
+// hostProcess is a relay, or the daemon with its own API, with lowered limits.
+type hostProcess struct {
 	front, ready, peers, metrics string
 	session                      *gexec.Session
+	// ordinaryRequest returns the status of one ordinary request on a new connection.
+	ordinaryRequest func() int
 }
 
-func startRelay(ctx SpecContext, program string) *relayProcess {
+func startRelay(ctx SpecContext, program string) *hostProcess {
 	GinkgoHelper()
 	store, err := standin.StartStore(ctx)
 	Expect(err).NotTo(HaveOccurred())
@@ -91,7 +93,7 @@
 		addresses[i], err = standin.FreeAddress()
 		Expect(err).NotTo(HaveOccurred())
 	}
-	r := &relayProcess{front: addresses[0], ready: addresses[1], peers: addresses[2], metrics: addresses[3]}
+	r := &hostProcess{front: addresses[0], ready: addresses[1], peers: addresses[2], metrics: addresses[3]}
 	_, metricsPort, err := net.SplitHostPort(r.metrics)
 	Expect(err).NotTo(HaveOccurred())
 	settings := filepath.Join(GinkgoT().TempDir(), "node.toml")
@@ -103,6 +105,10 @@
 	Expect(err).NotTo(HaveOccurred())
 	DeferCleanup(func() { r.session.Kill().Wait(10 * time.Second) })
 	Eventually(func() int { return status(http.Get("http://" + r.ready + platform.PathReady)) }, 10*time.Second).Should(Equal(http.StatusOK))
+	r.ordinaryRequest = func() int {
+		header := http.Header{platform.HeaderKey: {key}, platform.HeaderRequestID: {"ordinary"}}
+		return post("http://"+r.front+"/order/1", header, strings.Repeat("x", 20<<10))
+	}
 	return r
 }
 
@@ -115,19 +121,17 @@
 	return response.StatusCode
 }
 
-// ordinaryRequest returns the status of one ordinary request on a new connection.
-func (r *relayProcess) ordinaryRequest() int {
-	request, err := http.NewRequest("POST", "http://"+r.front+"/order/1", strings.NewReader(strings.Repeat("x", 20<<10)))
+// post returns the status of a request on a new connection, or 0 without an answer.
+func post(url string, header http.Header, body string) int {
+	request, err := http.NewRequest("POST", url, strings.NewReader(body))
 	Expect(err).NotTo(HaveOccurred())
-	request.Host = "site.example"
-	request.Header.Set(platform.HeaderKey, key)
-	request.Header.Set(platform.HeaderRequestID, "ordinary")
+	request.Host, request.Header = "site.example", header
 	client := http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: 10 * time.Second}
 	return status(client.Do(request))
 }
 
 // processMB returns a memory figure of the process, and descriptors its open descriptors.
-func (r *relayProcess) processMB(field string) float64 {
+func (r *hostProcess) processMB(field string) float64 {
 	GinkgoHelper()
 	content, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", r.session.Command.Process.Pid))
 	Expect(err).NotTo(HaveOccurred())
@@ -143,7 +147,7 @@
 	return 0
 }
 
-func (r *relayProcess) descriptors() int {
+func (r *hostProcess) descriptors() int {
 	GinkgoHelper()
 	entries, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", r.session.Command.Process.Pid))
 	Expect(err).NotTo(HaveOccurred())
@@ -207,6 +211,24 @@
 	return head.String() + "\r\n"
 }
 
+// checkBounds lets a crowd connect to an address of a host, and checks the host while the
+// crowd stays connected.
+func checkBounds(host *hostProcess, address string, size int, send func(conn net.Conn, number int)) {
+	GinkgoHelper()
+	Expect(host.ordinaryRequest()).To(Equal(http.StatusOK))
+	before := host.processMB("VmHWM")
+	crowd(address, size, send)
+	open := host.descriptors()
+	time.Sleep(settleTime)
+	open = max(open, host.descriptors())
+	Eventually(host.ordinaryRequest, time.Minute, 100*time.Millisecond).Should(Equal(http.StatusOK))
+	Expect(host.session.ExitCode()).To(Equal(-1), "the process lives")
+	peak := host.processMB("VmHWM")
+	AddReportEntry("figures", fmt.Sprintf("VmHWM %.0f MB before, %.0f MB after, VmRSS %.0f MB, %d descriptors", before, peak, host.processMB("VmRSS"), open))
+	Expect(peak).To(BeNumerically("<=", memoryMB))
+	Expect(open).To(BeNumerically("<=", maxFDs))
+}
+
 var program string
 
 var _ = BeforeSuite(func() {
@@ -220,20 +242,9 @@
 	// Each entry names what its crowd sends. The crowd stays connected during the ordinary
 	// request.
 	DescribeTable("keeps to its memory and descriptors and answers an ordinary request",
-		func(ctx SpecContext, door func(*relayProcess) string, size int, send func(conn net.Conn, number int)) {
+		func(ctx SpecContext, door func(*hostProcess) string, size int, send func(conn net.Conn, number int)) {
 			relay := startRelay(ctx, program)
-			Expect(relay.ordinaryRequest()).To(Equal(http.StatusOK))
-			before := relay.processMB("VmHWM")
-			crowd(door(relay), size, send)
-			open := relay.descriptors()
-			time.Sleep(settleTime)
-			open = max(open, relay.descriptors())
-			Eventually(relay.ordinaryRequest, time.Minute, 100*time.Millisecond).Should(Equal(http.StatusOK))
-			Expect(relay.session.ExitCode()).To(Equal(-1), "the process lives")
-			peak := relay.processMB("VmHWM")
-			AddReportEntry("figures", fmt.Sprintf("VmHWM %.0f MB before, %.0f MB after, VmRSS %.0f MB, %d descriptors", before, peak, relay.processMB("VmRSS"), open))
-			Expect(peak).To(BeNumerically("<=", memoryMB))
-			Expect(open).To(BeNumerically("<=", maxFDs))
+			checkBounds(relay, door(relay), size, send)
 		},
 		Entry("heads of legal size made of very many short or odd lines", front, 400, func(conn net.Conn, number int) {
 			_, _ = io.WriteString(conn, legalHead(number, 8000))
@@ -275,13 +286,13 @@
 		Entry("very many connections that stay open after an answer", front, 1500, func(conn net.Conn, _ int) {
 			_, _ = io.WriteString(conn, "GET /none HTTP/1.1\r\nHost: site.example\r\n\r\n")
 		}),
-		Entry("very many connections to the readiness check", func(r *relayProcess) string { return r.ready }, 800, func(net.Conn, int) {}),
-		Entry("heads of short lines to the readiness check", func(r *relayProcess) string { return r.ready }, 400, func(conn net.Conn, number int) {
+		Entry("very many connections to the readiness check", func(r *hostProcess) string { return r.ready }, 800, func(net.Conn, int) {}),
+		Entry("heads of short lines to the readiness check", func(r *hostProcess) string { return r.ready }, 400, func(conn net.Conn, number int) {
 			_, _ = io.WriteString(conn, strings.TrimSuffix(strings.ReplaceAll(legalHead(number, 490), "Content-Length: 10\r\n", ""), "\r\n"))
 		}),
-		Entry("very many connections to the metrics", func(r *relayProcess) string { return r.metrics }, 800, func(net.Conn, int) {}),
-		Entry("very many connections of peers", func(r *relayProcess) string { return r.peers }, 800, func(net.Conn, int) {}),
-		Entry("messages of peers that stop short of their end", func(r *relayProcess) string { return r.peers }, 100, func(conn net.Conn, _ int) {
+		Entry("very many connections to the metrics", func(r *hostProcess) string { return r.metrics }, 800, func(net.Conn, int) {}),
+		Entry("very many connections of peers", func(r *hostProcess) string { return r.peers }, 800, func(net.Conn, int) {}),
+		Entry("messages of peers that stop short of their end", func(r *hostProcess) string { return r.peers }, 100, func(conn net.Conn, _ int) {
 			// A gob message states its length, here 4 MB, as a count of bytes and the bytes.
 			_, _ = conn.Write([]byte{0xfd, 0x40, 0x00, 0x00})
 			writeRepeated(conn, "x", maxBodyBytes-10)
@@ -289,4 +300,4 @@
 	)
 })
 
-func front(r *relayProcess) string { return r.front }
+func front(r *hostProcess) string { return r.front }
