Move the bounds of heads and bodies to a package of their own

Cause: the product's own API needs the bounds of the relay's front. Change: package intake holds the part of a connection that claims for heads and bodies and decides whether a request runs or gives way; the front uses it. The counter is now lentilpoint_heads_refused_total. Result: the tests of intake and ingress pass, also with the race detector; a spec of the connection in a drain, which builds a connection itself, gives it a gate without bounds.

--- a/entryhost/relay/ingress/head.go
+++ b/entryhost/intake/head.go
@@ -1,4 +1,4 @@
-package ingress
+package intake
 
 import (
 	"bytes"
@@ -66,9 +66,9 @@
 // and its copy in the request are counted as twice the bytes.
 func (h *headCounter) cost() int64 { return int64(2*h.bytes + headLineCost*h.lines) }
 
-// headGuard decides whether heads are read on. Connections share it; it does not change
-// except for its counters.
-type headGuard struct {
+// Guard holds what the connections of a socket share. It does not change except for its
+// counters.
+type Guard struct {
 	budget   *memory.Budget
 	clock    clockwork.Clock
 	metrics  *metrics.Set
@@ -77,31 +77,36 @@
 	loggedAt atomic.Int64
 }
 
+// NewGuard returns the guard of a socket.
+func NewGuard(budget *memory.Budget, clock clockwork.Clock, set *metrics.Set, logger *slog.Logger) *Guard {
+	return &Guard{budget: budget, clock: clock, metrics: set, logger: logger}
+}
+
 // refuse counts a refused head, and writes at most one log line in each headLogInterval.
-func (g *headGuard) refuse(reason string) {
-	g.metrics.GetOrCreateCounter(series.Name("lentilpoint_relay_heads_refused_total", "reason", reason)).Inc()
+func (g *Guard) refuse(reason string) {
+	g.metrics.GetOrCreateCounter(series.Name("lentilpoint_heads_refused_total", "reason", reason)).Inc()
 	refused, now, last := g.refused.Add(1), g.clock.Now().UnixNano(), g.loggedAt.Load()
 	if now-last >= int64(headLogInterval) && g.loggedAt.CompareAndSwap(last, now) {
 		g.logger.Warn("heads refused", eventcode.HeadsRefused.Attr(), "reason", reason, "refused_since_start", refused, "line_limit", g.budget.Limits().HeadLines)
 	}
 }
 
-// admitHead counts bytes of a head and claims the memory that it takes. It returns false
-// if the head is refused.
-func (c *callerConn) admitHead(content []byte) bool {
-	if c.guard == nil || c.head.ended {
+// AdmitBytes counts bytes of a head that were read and claims the memory that it takes. It returns false
+// if the head is refused. Bytes that are not of a head are always admitted.
+func (g *Gate) AdmitBytes(content []byte) bool {
+	if g.guard == nil || g.stage.Load() != stageHead || g.head.ended {
 		return true
 	}
-	c.head.count(content)
-	if c.head.lines > c.guard.budget.Limits().HeadLines {
-		c.guard.refuse("lines")
-		c.sendRefusal(responseHeadTooLong)
+	g.head.count(content)
+	if g.head.lines > g.guard.budget.Limits().HeadLines {
+		g.guard.refuse("lines")
+		g.sendRefusal(responseHeadTooLong)
 		return false
 	}
-	for cost := c.head.cost(); cost > unclaimedHead && cost > c.headClaimed; c.headClaimed += headStep {
-		if !c.Claim(headStep) {
-			c.guard.refuse("memory")
-			c.sendRefusal(responseNoRoom)
+	for cost := g.head.cost(); cost > unclaimedHead && cost > g.headClaimed; g.headClaimed += headStep {
+		if !g.Claim(headStep) {
+			g.guard.refuse("memory")
+			g.sendRefusal(responseNoRoom)
 			return false
 		}
 	}
@@ -110,8 +115,10 @@
 
 // sendRefusal answers a head that net/http has not read to its end. The connection is
 // closed after it.
-func (c *callerConn) sendRefusal(response string) {
-	_ = c.Conn.SetWriteDeadline(time.Now().Add(refusalTimeout))
-	_, _ = c.Conn.Write([]byte(response))
-	_ = c.CloseWrite()
+func (g *Gate) sendRefusal(response string) {
+	_ = g.conn.SetWriteDeadline(time.Now().Add(refusalTimeout))
+	_, _ = g.conn.Write([]byte(response))
+	if half, supported := g.conn.(interface{ CloseWrite() error }); supported {
+		_ = half.CloseWrite()
+	}
 }
--- a/entryhost/relay/ingress/head_test.go
+++ b/entryhost/intake/head_test.go
@@ -1,12 +1,18 @@
-package ingress
+package intake
 
 import (
 	"strings"
+	"testing"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 )
 
+func TestIntake(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "intake")
+}
+
 // Guards against heads that are counted wrongly: a body with many lines would be refused,
 // or a head in small pieces not counted.
 var _ = Describe("the count of a head", func() {
--- a/entryhost/relay/ingress/admit.go
+++ b/entryhost/relay/ingress/admit.go
@@ -100,13 +100,13 @@
 	// Without a deadline, as where the writer has no connection, only the limit counts.
 	controller := http.NewResponseController(writer)
 	_ = controller.SetReadDeadline(deadline)
-	conn := connOf(incoming.Context())
-	body, err := memory.ReadBody(incoming.Body, incoming.ContentLength, maxBytes, conn)
+	gate := gateOf(incoming.Context())
+	body, err := memory.ReadBody(incoming.Body, incoming.ContentLength, maxBytes, gate)
 	switch {
-	case errors.Is(err, memory.ErrNoRoom) || !conn.endBody():
+	case errors.Is(err, memory.ErrNoRoom) || !gate.EndBody():
 		// The rest of the body is not read, so its connection cannot be used again.
 		writer.Header().Set("Connection", "close")
-		_ = controller.SetReadDeadline(pastDeadline)
+		gate.Interrupt()
 		return nil, model.NotRun(model.KindUnavailable, model.ReasonMemoryFull, "this host has no memory for the request, or others needed it while the body arrived slowly", "send it again after the pause").WithRetryAfter(jitter(retryAfter))
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		// The deadline stays, since net/http reads the rest of the body before it answers.
--- a/entryhost/relay/ingress/conn.go
+++ b/entryhost/relay/ingress/conn.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"sync/atomic"
 
+	"github.com/lentilpoint/lentilpoint/entryhost/intake"
 	"github.com/lentilpoint/lentilpoint/entryhost/memory"
 )
 
@@ -41,7 +42,7 @@
 	busy *atomic.Int64
 	// guard bounds the heads and bodies, and table the connections. They are nil without
 	// bounds.
-	guard *headGuard
+	guard *intake.Guard
 	table *memory.Table
 }
 
@@ -60,8 +61,7 @@
 
 // track returns a connection whose state is tracked.
 func (l callerListener) track(accepted net.Conn) *callerConn {
-	conn := &callerConn{Conn: accepted, keepIdle: l.keepIdle, keepNew: l.keepNew, busy: l.busy, guard: l.guard}
-	conn.holder = memory.NewHolder(conn.yield)
+	conn := &callerConn{Conn: accepted, keepIdle: l.keepIdle, keepNew: l.keepNew, busy: l.busy, gate: intake.NewGate(accepted, l.guard)}
 	stopIdle := context.AfterFunc(l.keepIdle, conn.closeIdle)
 	stopNew := context.AfterFunc(l.keepNew, conn.closeNew)
 	conn.detach = func() { stopIdle(); stopNew() }
@@ -82,15 +82,8 @@
 	// readAhead is set once a byte of the next request was read during an answer.
 	readAhead atomic.Bool
 
-	guard  *headGuard
-	stage  atomic.Int32
-	holder *memory.Holder
-	// claimed is set while the holder may have claims. Close is called by others too.
-	claimed atomic.Bool
-	// head and headClaimed are those of the head that is being read. Only the goroutine of
-	// the connection uses them.
-	head        headCounter
-	headClaimed int64
+	// gate bounds what is read.
+	gate *intake.Gate
 }
 
 // errNotBegun is what net/http reads instead of a request that arrives while its
@@ -100,8 +93,7 @@
 // Read implements net.Conn.
 func (c *callerConn) Read(buffer []byte) (int, error) {
 	c.awaitRequest()
-	if c.stage.Load() == stageYielded {
-		// net/http may have set a new deadline since.
+	if c.gate.HasYielded() {
 		return 0, errNotBegun
 	}
 	count, err := c.Conn.Read(buffer)
@@ -113,7 +105,7 @@
 		// byte ahead to notice that the caller leaves.
 		c.readAhead.Store(true)
 	}
-	if count > 0 && c.stage.Load() == stageHead && !c.admitHead(buffer[:count]) {
+	if !c.gate.AdmitBytes(buffer[:count]) {
 		return 0, errNotBegun
 	}
 	return count, err
@@ -163,7 +155,7 @@
 // Close implements net.Conn.
 func (c *callerConn) Close() error {
 	c.detach()
-	c.releaseAll()
+	c.gate.ReleaseAll()
 	if former := c.state.Swap(connClosing); former == connBusy || former == connAnswered {
 		c.busy.Add(-1)
 	}
@@ -179,6 +171,23 @@
 	return c.Conn.Close()
 }
 
+// Ended implements memory.Connection.
+func (c *callerConn) Ended() bool { return c.state.Load() == connClosing }
+
+// YieldAt implements memory.Connection.
+func (c *callerConn) YieldAt(stage memory.Stage) bool {
+	switch stage {
+	case memory.StageSilent:
+		return c.closeIf(connNew)
+	case memory.StageHead:
+		return c.state.Load() == connBusy && c.gate.YieldHead()
+	case memory.StageIdle:
+		return c.closeIf(connIdle)
+	default:
+		return c.gate.YieldBody()
+	}
+}
+
 // closeIdle closes the connection if it waits for its next request.
 func (c *callerConn) closeIdle() { _ = c.closeIf(connIdle) }
 
@@ -201,7 +210,7 @@
 func trackConnState(conn net.Conn, state http.ConnState) {
 	if c, ours := conn.(*callerConn); ours && state == http.StateIdle {
 		c.state.CompareAndSwap(connBusy, connAnswered)
-		c.awaitHead()
+		c.gate.AwaitHead()
 	}
 }
 
@@ -218,5 +227,16 @@
 // its connection was closed.
 func beginRequest(ctx context.Context) bool {
 	conn, tracked := ctx.Value(connKey{}).(*callerConn)
-	return !tracked || conn.beginRequest() && conn.beginBody()
+	return !tracked || conn.beginRequest() && conn.gate.BeginBody()
+}
+
+// gateOf returns the gate of a request's connection. One that is not tracked, as that of
+// another server, has no bounds.
+func gateOf(ctx context.Context) *intake.Gate {
+	if conn, tracked := ctx.Value(connKey{}).(*callerConn); tracked {
+		return conn.gate
+	}
+	gate := intake.NewGate(nil, nil)
+	gate.BeginBody()
+	return gate
 }
--- a/entryhost/relay/ingress/conn_test.go
+++ b/entryhost/relay/ingress/conn_test.go
@@ -13,6 +13,8 @@
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+
+	"github.com/lentilpoint/lentilpoint/entryhost/intake"
 )
 
 func TestIngress(t *testing.T) {
@@ -148,7 +150,7 @@
 		end()
 		for _, state := range []connState{connNew, connIdle} {
 			// No callback closes this connection, as if it had not run yet.
-			late := &callerConn{Conn: inner, keepIdle: ended, keepNew: ended, busy: &atomic.Int64{}, detach: func() {}}
+			late := &callerConn{Conn: inner, keepIdle: ended, keepNew: ended, busy: &atomic.Int64{}, detach: func() {}, gate: intake.NewGate(inner, nil)}
 			late.state.Store(state)
 			Expect(late.beginRequest()).To(BeFalse())
 			Expect(late.busy.Load()).To(BeZero())
--- a/entryhost/relay/ingress/front.go
+++ b/entryhost/relay/ingress/front.go
@@ -15,6 +15,7 @@
 	"github.com/jonboulle/clockwork"
 	"github.com/thejerf/suture/v4"
 
+	"github.com/lentilpoint/lentilpoint/entryhost/intake"
 	"github.com/lentilpoint/lentilpoint/entryhost/memory"
 	"github.com/lentilpoint/lentilpoint/entryhost/relay/catalog"
 	"github.com/lentilpoint/lentilpoint/entryhost/relay/forward"
@@ -178,7 +179,7 @@
 	defer stopKeepIdle()
 	keepNew, stopKeepNew := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopKeepNew()
-	guard := &headGuard{budget: f.Memory, clock: f.Clock, metrics: f.Metrics, logger: f.Logger}
+	guard := intake.NewGuard(f.Memory, f.Clock, f.Metrics, f.Logger)
 	table := memory.NewTable("callers", f.Memory.Limits().Connections, f.Clock, f.Metrics, f.Logger)
 	go func() {
 		served <- server.Serve(callerListener{Listener: listener, keepIdle: keepIdle, keepNew: keepNew, busy: f.busy, guard: guard, table: table})
@@ -254,7 +255,7 @@
 	}
 	f.openRequests.Inc()
 	defer f.openRequests.Dec()
-	defer connOf(c.Request.Context()).releaseAll()
+	defer gateOf(c.Request.Context()).ReleaseAll()
 	caller := &responseWriter{writer: c.Writer, draining: f.draining}
 	defer f.endRequest(c.Request, caller)
 	arrived := f.Clock.Now()
