Bound the memory and the connections of the product's own API

Cause: as of the relay's front: bodies of 4 MB read whatever others need, heads and connections not counted. A call that is passed on while its body arrives has begun to run and does not give way.

--- a/cmd/lentilpointd/main.go
+++ b/cmd/lentilpointd/main.go
@@ -7,6 +7,7 @@
 	"log/slog"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -14,6 +15,7 @@
 	"github.com/spf13/cobra"
 
 	"github.com/lentilpoint/lentilpoint/entryhost"
+	"github.com/lentilpoint/lentilpoint/entryhost/memory"
 	usersplatform "github.com/lentilpoint/lentilpoint/platform"
 	"github.com/lentilpoint/lentilpoint/settings"
 	"github.com/lentilpoint/lentilpoint/version"
@@ -60,9 +62,18 @@
 func run(ctx context.Context, values settings.Settings) error {
 	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
+	setMemoryLimit(int64(values.MachineMemoryMB)*1e6, values.Limits())
 	logger := values.NewLogger(os.Stderr)
 	slog.SetDefault(logger)
 	return entryhost.Run(ctx, values, entryhost.Environment{
 		Clock: clockwork.NewRealClock(), Metrics: metrics.NewSet(), Logger: logger, Platform: usersplatform.NewServices(values.PlatformURL),
 	})
 }
+
+// setMemoryLimit lets the collector keep the heap below the stated memory of the machine. It
+// works as usual while less is in use, or if no memory is stated.
+func setMemoryLimit(stated int64, limits memory.Limits) {
+	if stated > 0 {
+		debug.SetMemoryLimit(limits.SoftLimit())
+	}
+}
--- a/cmd/lentilpointd/relay.go
+++ b/cmd/lentilpointd/relay.go
@@ -7,7 +7,6 @@
 	"log/slog"
 	"os"
 	"os/signal"
-	"runtime/debug"
 	"syscall"
 	"time"
 
@@ -38,7 +37,9 @@
 			if err != nil {
 				return err
 			}
+			stated := values.Memory.Memory
 			values.Memory = bounds.Limits(values.Memory)
+			setMemoryLimit(stated, values.Memory)
 			return runRelay(cmd.Context(), path, values, hangups)
 		},
 	}
@@ -51,9 +52,6 @@
 func runRelay(ctx context.Context, path string, values relay.Settings, hangups <-chan os.Signal) error {
 	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	// The collector then keeps the heap below the memory of the machine, and works as usual
-	// while less is in use.
-	debug.SetMemoryLimit(values.Memory.SoftLimit())
 	clock, metricSet := clockwork.NewRealClock(), metrics.NewSet()
 	writer := logs.NewWriter(os.Stdout, clock, metricSet)
 	logContext, stopLogWriter := context.WithCancel(context.WithoutCancel(ctx))
--- a/entryhost/callers/call.go
+++ b/entryhost/callers/call.go
@@ -92,7 +92,8 @@
 		Key:           key,
 	}
 	if !call.Keyed() {
-		return call, nil
+		// The body is passed on as it arrives, so the call may run from now on.
+		return call, endBody(c)
 	}
 	fault = bufferBody(c, &call)
 	return call, fault
--- a/entryhost/callers/fx.go
+++ b/entryhost/callers/fx.go
@@ -10,6 +10,7 @@
 	"go.uber.org/fx"
 
 	"github.com/lentilpoint/lentilpoint/entryhost/config"
+	"github.com/lentilpoint/lentilpoint/entryhost/memory"
 	"github.com/lentilpoint/lentilpoint/entryhost/requests"
 	"github.com/lentilpoint/lentilpoint/entryhost/requests/tickets"
 	"github.com/lentilpoint/lentilpoint/eventcode"
@@ -19,8 +20,9 @@
 
 // Module provides the caller API.
 var Module = fx.Module("callers",
-	fx.Provide(provideServer, provideCursors),
+	fx.Provide(provideServer, provideCursors, provideMemory),
 	task.AsChild[*Server](),
+	task.AsChild[*memory.Budget](),
 )
 
 type serverDependencies struct {
@@ -31,6 +33,7 @@
 	Config   task.Mailbox[config.Message]
 	Tickets  tickets.Issuer
 	Cursors  Cursors
+	Memory   *memory.Budget
 	Metrics  *metrics.Set
 	Clock    clockwork.Clock
 	Logger   *slog.Logger
@@ -57,6 +60,10 @@
 	return NewCursors(keys), nil
 }
 
+func provideMemory(values settings.Settings, clock clockwork.Clock, set *metrics.Set, logger *slog.Logger) *memory.Budget {
+	return memory.NewBudget(values.Limits(), clock, set, logger)
+}
+
 func provideServer(dependencies serverDependencies) (*Server, error) {
 	listener, err := net.Listen("tcp", dependencies.Settings.CallerAddress)
 	if err != nil {
@@ -67,6 +74,7 @@
 		Config:   dependencies.Config,
 		Tickets:  dependencies.Tickets,
 		Cursors:  dependencies.Cursors,
+		Memory:   dependencies.Memory,
 		Metrics:  dependencies.Metrics,
 		Clock:    dependencies.Clock,
 		Logger:   dependencies.Logger,
--- a/entryhost/callers/server.go
+++ b/entryhost/callers/server.go
@@ -6,7 +6,6 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"errors"
-	"io"
 	"log/slog"
 	"net"
 	"net/http"
@@ -21,6 +20,8 @@
 	"github.com/zeebo/errs"
 
 	"github.com/lentilpoint/lentilpoint/entryhost/config"
+	"github.com/lentilpoint/lentilpoint/entryhost/intake"
+	"github.com/lentilpoint/lentilpoint/entryhost/memory"
 	"github.com/lentilpoint/lentilpoint/entryhost/requests"
 	"github.com/lentilpoint/lentilpoint/entryhost/requests/tickets"
 	"github.com/lentilpoint/lentilpoint/faultwire"
@@ -42,6 +43,9 @@
 	readHeaderTimeout = 5 * time.Second
 	// maxHeaderBytes bounds the length of a caller's headers.
 	maxHeaderBytes = 64 << 10
+	// memoryRetryAfter is the pause after a request that gave way or had no room. Holders
+	// that stall give way after 1 s.
+	memoryRetryAfter = time.Second
 	// heartbeatInterval is the longest time without bytes on a stream to a caller.
 	heartbeatInterval = 5 * time.Second
 )
@@ -67,9 +71,11 @@
 	Config   task.Mailbox[config.Message]
 	Tickets  tickets.Issuer
 	Cursors  Cursors
-	Metrics  *metrics.Set
-	Clock    clockwork.Clock
-	Logger   *slog.Logger
+	// Memory is the budget of this host.
+	Memory  *memory.Budget
+	Metrics *metrics.Set
+	Clock   clockwork.Clock
+	Logger  *slog.Logger
 }
 
 // NewServer returns the server task of the caller API on a bound socket.
@@ -117,10 +123,16 @@
 		Handler:           s.handler(),
 		ReadHeaderTimeout: readHeaderTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
+		ConnState:         intake.TrackState,
+		ConnContext:       intake.WithConn,
 		ErrorLog:          slog.NewLogLogger(s.Logger.Handler(), slog.LevelDebug),
 	}
 	failed := make(chan error, 1)
-	go func() { failed <- server.Serve(listener) }()
+	bounded := intake.Listener{
+		Listener: listener, Guard: intake.NewGuard(s.Memory, s.Clock, s.Metrics, s.Logger),
+		Table: memory.NewTable("callers", s.Memory.Limits().Connections, s.Clock, s.Metrics, s.Logger),
+	}
+	go func() { failed <- server.Serve(bounded) }()
 	for {
 		select {
 		case <-ctx.Done():
@@ -150,6 +162,7 @@
 func (s *Server) handler() http.Handler {
 	router := gin.New()
 	router.UseRawPath = true
+	router.Use(admitRequest)
 	router.GET("/healthz", func(c *gin.Context) { c.String(http.StatusOK, "ok\n") })
 	router.GET("/readyz", s.readyz)
 	router.GET("/metrics", s.writeMetrics)
@@ -260,17 +273,57 @@
 	return s.Clock.Now().Add(timeout), nil
 }
 
-// readBody reads a body of at most maxBodyBytes.
-func readBody(c *gin.Context) ([]byte, *model.Fault) {
-	content, err := io.ReadAll(http.MaxBytesReader(c.Writer, c.Request.Body, maxBodyBytes))
-	if err == nil {
-		return content, nil
+// gateKey is the key of a request's gate in its context.
+const gateKey = "gate"
+
+// admitRequest ends a request whose connection was closed to make room before the request
+// could run. It returns what the request has claimed when it is done.
+func admitRequest(c *gin.Context) {
+	gate, admitted := intake.Begin(c.Request.Context())
+	if !admitted {
+		panic(http.ErrAbortHandler)
 	}
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
+	defer gate.ReleaseAll()
+	c.Set(gateKey, gate)
+	c.Next()
+}
+
+func gateOf(c *gin.Context) *intake.Gate { return c.MustGet(gateKey).(*intake.Gate) }
+
+// readBody reads a body of at most maxBodyBytes. The request cannot give way to others after
+// that.
+func readBody(c *gin.Context) ([]byte, *model.Fault) {
+	gate := gateOf(c)
+	content, err := memory.ReadBody(c.Request.Body, c.Request.ContentLength, maxBodyBytes, gate)
+	switch {
+	case errors.Is(err, memory.ErrNoRoom):
+		gate.Interrupt()
+		return nil, yieldedFault(c)
+	case errors.Is(err, memory.ErrTooLarge):
 		return nil, model.NotRun(model.KindInvalid, model.ReasonBodyTooLarge, "the body is too large", "send at most 4 MiB")
 	}
-	return nil, model.BadField("body", "the body could not be read: "+err.Error())
+	if fault := endBody(c); fault != nil {
+		return nil, fault
+	}
+	if err != nil {
+		return nil, model.BadField("body", "the body could not be read: "+err.Error())
+	}
+	return content, nil
+}
+
+// endBody ends the time in which a request may give way. It returns a fault if it has.
+func endBody(c *gin.Context) *model.Fault {
+	if gateOf(c).EndBody() {
+		return nil
+	}
+	return yieldedFault(c)
+}
+
+// yieldedFault refuses a request whose body is not read to its end. Its connection cannot be
+// used again.
+func yieldedFault(c *gin.Context) *model.Fault {
+	c.Header("Connection", "close")
+	return model.NotRun(model.KindUnavailable, model.ReasonMemoryFull, "this host has no memory for the request, or others needed its place while the body arrived slowly", "send it again after the pause").WithRetryAfter(memoryRetryAfter)
 }
 
 // writeFault answers with a fault and counts it by its reason.
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -83,7 +83,8 @@
 	RemoteServers int
 	// RandomSeed seeds random choices; 0 means that a seed is drawn at start.
 	RandomSeed uint64
-	// MachineMemoryMB and MachineDescriptors are those of the machine.
+	// MachineMemoryMB and MachineDescriptors are those of the machine, or 0 if they are not
+	// stated.
 	MachineMemoryMB    int
 	MachineDescriptors int
 	// Callers bounds what callers may take of the machine.
@@ -113,8 +114,8 @@
 	flags.DurationVar(&target.LoadInterval, "load-interval", time.Second, "mean time between reads of a backend server's load")
 	flags.Float64Var(&target.LoadRate, "load-rate", 2, "reads of load of all backend servers in a second, at most; 0 means no bound")
 	flags.IntVar(&target.RemoteServers, "remote-servers", 16, "backend servers of other data centres for each service that this host may use")
-	flags.IntVar(&target.MachineMemoryMB, "memory-mb", memory.DefaultMemory/1e6, "MB of memory of the machine, from which bounds for callers are derived")
-	flags.IntVar(&target.MachineDescriptors, "max-descriptors", memory.DefaultDescriptors, "descriptors of the machine, from which bounds for callers are derived")
+	flags.IntVar(&target.MachineMemoryMB, "memory-mb", 0, "MB of memory of the machine, from which bounds for callers are derived; 0 assumes 1000 and sets no limit for the process")
+	flags.IntVar(&target.MachineDescriptors, "max-descriptors", 0, "descriptors of the machine, from which bounds for callers are derived; 0 assumes 4096")
 	target.Callers.RegisterFlags(flags)
 	flags.Uint64Var(&target.RandomSeed, "random-seed", 0, "seed of random choices; 0 draws one at start")
 }
@@ -212,11 +213,11 @@
 		report("log-level", "must be debug, info, warn or error")
 	}
 	s.checkDurations(report)
-	if s.MachineMemoryMB < minMemoryMB {
-		report("memory-mb", fmt.Sprintf("must be %d or more", minMemoryMB))
+	if s.MachineMemoryMB != 0 && s.MachineMemoryMB < minMemoryMB {
+		report("memory-mb", fmt.Sprintf("must be %d or more, or 0", minMemoryMB))
 	}
-	if s.MachineDescriptors < minDescriptors {
-		report("max-descriptors", fmt.Sprintf("must be %d or more", minDescriptors))
+	if s.MachineDescriptors != 0 && s.MachineDescriptors < minDescriptors {
+		report("max-descriptors", fmt.Sprintf("must be %d or more, or 0", minDescriptors))
 	}
 	problems = append(problems, s.Callers.Check(s.machine()))
 	return errors.Join(problems...)
