--- a/cmd/lentilpointd/callermemory/callermemory_test.go
+++ b/cmd/lentilpointd/callermemory/callermemory_test.go
@@ -239,6 +239,15 @@
 })
 
 var _ = Describe("a relay with callers outside our control", Serial, func() {
+	It("serves the largest requests that the configuration allows in calm, one after the other", func(ctx SpecContext) {
+		relay := startRelay(ctx, program)
+		for range 20 {
+			header := http.Header{platform.HeaderKey: {key}, platform.HeaderRequestID: {"large"}, "X-Long": {strings.Repeat("x", 15<<10)}}
+			Expect(post("http://"+relay.front+"/order/1", header, strings.Repeat("x", maxBodyBytes))).To(Equal(http.StatusOK))
+		}
+		Expect(relay.processMB("VmHWM")).To(BeNumerically("<=", memoryMB))
+	})
+
 	// Each entry names what its crowd sends. The crowd stays connected during the ordinary
 	// request.
 	DescribeTable("keeps to its memory and descriptors and answers an ordinary request",
