--- a/entryhost/memory/budget.go
+++ b/entryhost/memory/budget.go
@@ -89,7 +89,8 @@
 // String names the task in the logs.
 func (b *Budget) String() string { return "memory budget" }
 
-// Claim reports whether further bytes may be kept, and counts them if so.
+// Claim reports whether further bytes may be kept, and counts them if so. They never give
+// way. If others give way to them, it waits for that, for claimTimeout at most.
 func (b *Budget) Claim(bytes int64) bool { return b.ClaimFor(b.shared, bytes) }
 
 // Release returns claimed bytes.
