--- a/entryhost/relay/fx.go
+++ b/entryhost/relay/fx.go
@@ -12,6 +12,7 @@
 	"github.com/thejerf/suture/v4"
 	"go.uber.org/fx"
 
+	"github.com/lentilpoint/lentilpoint/entryhost/memory"
 	"github.com/lentilpoint/lentilpoint/entryhost/relay/catalog"
 	"github.com/lentilpoint/lentilpoint/entryhost/relay/dispatch"
 	"github.com/lentilpoint/lentilpoint/entryhost/relay/exchange"
@@ -56,7 +57,7 @@
 var Module = fx.Module("relay",
 	fx.Provide(
 		provideSockets, loads.NewTask, provideDispatcher, provideSuspects, provideMover, provideCatalog, provideRoster, provideMirrors,
-		provideForwarder, provideHoldings, provideFront, provideRoot,
+		provideForwarder, provideMemory, provideHoldings, provideFront, provideRoot,
 	),
 )
 
@@ -174,12 +175,16 @@
 	return &forward.Forwarder{Dispatcher: dispatcher.Mailbox(), Suspects: suspected.Mailbox(), Codec: adapter.Codec, Clock: clock, Metrics: set, Logger: logger}
 }
 
-func provideHoldings(set *metrics.Set) *ingress.Holdings {
-	return ingress.NewHoldings(ingress.NewHeldBudget(), set)
+func provideMemory(settings Settings, clock clockwork.Clock, set *metrics.Set, logger *slog.Logger) *memory.Budget {
+	return memory.NewBudget(settings.Memory.Complete(), clock, set, logger)
 }
 
-func provideFront(settings Settings, bound sockets, adapter Adapter, clock clockwork.Clock, set *metrics.Set, logger *slog.Logger, view *catalog.Task, forwarder *forward.Forwarder, holdings *ingress.Holdings) (*ingress.Front, ingress.Parameters) {
-	parameters := ingress.Parameters{Protocol: adapter.Callers, StopGracePeriod: settings.StopGracePeriod, DeregistrationDelay: settings.DeregistrationDelay, Catalog: view.Mailbox(), Forwarder: forwarder, Holdings: holdings.Mailbox(), Clock: clock, Metrics: set, Logger: logger}
+func provideHoldings(set *metrics.Set, budget *memory.Budget) *ingress.Holdings {
+	return ingress.NewHoldings(ingress.NewHeldBudget(budget), set)
+}
+
+func provideFront(settings Settings, bound sockets, adapter Adapter, clock clockwork.Clock, set *metrics.Set, logger *slog.Logger, view *catalog.Task, forwarder *forward.Forwarder, budget *memory.Budget, holdings *ingress.Holdings) (*ingress.Front, ingress.Parameters) {
+	parameters := ingress.Parameters{Protocol: adapter.Callers, StopGracePeriod: settings.StopGracePeriod, DeregistrationDelay: settings.DeregistrationDelay, Catalog: view.Mailbox(), Forwarder: forwarder, Memory: budget, Holdings: holdings.Mailbox(), Clock: clock, Metrics: set, Logger: logger}
 	return ingress.NewFront(bound.front, parameters), parameters
 }
 
@@ -195,6 +200,7 @@
 	Catalog    *catalog.Task
 	Roster     *roster.Task
 	Mirrors    mirrors
+	Memory     *memory.Budget
 	Front      *ingress.Front
 	Holdings   *ingress.Holdings
 	Parameters ingress.Parameters
@@ -217,6 +223,7 @@
 	root.Add(in.Mirrors.orders)
 	root.Add(in.Mirrors.registrations)
 	root.Add(in.Mirrors.hosts)
+	root.Add(in.Memory)
 	root.Add(in.Front)
 	root.Add(in.Holdings)
 	root.Add(reload.NewTask(in.Settings, in.Reload, in.applySettings, in.Clock, in.Logger))
@@ -225,7 +232,8 @@
 		root.Add(ingress.NewStatus("metrics", in.Sockets.metrics, in.Parameters, in.Front.Draining()))
 	}
 	if in.Sockets.peers != nil {
-		root.Add(peering.NewListener(in.Sockets.peers, map[string]task.Mailbox[mirror.ChangesRequest]{
+		table := memory.NewTable("peers", in.Memory.Limits().PeerConnections(), in.Clock, in.Parameters.Metrics, in.Logger)
+		root.Add(peering.NewListener(in.Sockets.peers, in.Memory, table, map[string]task.Mailbox[mirror.ChangesRequest]{
 			in.Adapter.OrdersTable:        in.Mirrors.orders.Mailbox(),
 			in.Adapter.RegistrationsTable: in.Mirrors.registrations.Mailbox(),
 			in.Adapter.HostsTable:         in.Mirrors.hosts.Mailbox(),
--- a/entryhost/relay/ingress/conn.go
+++ b/entryhost/relay/ingress/conn.go
@@ -5,6 +5,9 @@
 	"net"
 	"net/http"
 	"sync/atomic"
+
+	"github.com/lentilpoint/lentilpoint/entryhost/intake"
+	"github.com/lentilpoint/lentilpoint/entryhost/memory"
 )
 
 // connState is the state of a caller's connection, which decides whether it may
@@ -37,6 +40,10 @@
 	// busy is the number of connections with a request that is being read or answered, or
 	// that may be in the buffer of net/http.
 	busy *atomic.Int64
+	// guard bounds the heads and bodies, and table the connections. They are nil without
+	// bounds.
+	guard *intake.Guard
+	table *memory.Table
 }
 
 // Accept implements net.Listener.
@@ -45,12 +52,19 @@
 	if err != nil {
 		return nil, err
 	}
-	return l.track(accepted), nil
+	conn := l.track(accepted)
+	if l.table != nil {
+		l.table.Admit(conn)
+	}
+	return conn, nil
 }
 
 // track returns a connection whose state is tracked.
 func (l callerListener) track(accepted net.Conn) *callerConn {
-	conn := &callerConn{Conn: accepted, keepIdle: l.keepIdle, keepNew: l.keepNew, busy: l.busy, output: newCallerOutput(accepted)}
+	conn := &callerConn{
+		Conn: accepted, keepIdle: l.keepIdle, keepNew: l.keepNew, busy: l.busy,
+		output: newCallerOutput(accepted), gate: intake.NewGate(accepted, l.guard),
+	}
 	stopIdle := context.AfterFunc(l.keepIdle, conn.closeIdle)
 	stopNew := context.AfterFunc(l.keepNew, conn.closeNew)
 	conn.detach = func() { stopIdle(); stopNew() }
@@ -71,6 +85,8 @@
 	// readAhead is set once a byte of the next request was read during an answer.
 	readAhead atomic.Bool
 	output    *callerOutput
+	// gate bounds what is read.
+	gate *intake.Gate
 }
 
 // errNotBegun is what net/http reads instead of a request that arrives while its
@@ -80,6 +96,9 @@
 // Read implements net.Conn.
 func (c *callerConn) Read(buffer []byte) (int, error) {
 	c.awaitRequest()
+	if c.gate.HasYielded() {
+		return 0, errNotBegun
+	}
 	count, err := c.Conn.Read(buffer)
 	if count > 0 && !c.beginRequest() {
 		return 0, errNotBegun
@@ -89,6 +108,9 @@
 		// byte ahead to notice that the caller leaves.
 		c.readAhead.Store(true)
 	}
+	if !c.gate.AdmitBytes(buffer[:count]) {
+		return 0, errNotBegun
+	}
 	return count, err
 }
 
@@ -136,6 +158,7 @@
 // Close implements net.Conn.
 func (c *callerConn) Close() error {
 	c.detach()
+	c.gate.ReleaseAll()
 	if former := c.state.Swap(connClosing); former == connBusy || former == connAnswered {
 		c.busy.Add(-1)
 	}
@@ -151,17 +174,37 @@
 	return c.Conn.Close()
 }
 
+// Ended implements memory.Connection.
+func (c *callerConn) Ended() bool { return c.state.Load() == connClosing }
+
+// YieldAt implements memory.Connection.
+func (c *callerConn) YieldAt(stage memory.Stage) bool {
+	switch stage {
+	case memory.StageSilent:
+		return c.closeIf(connNew)
+	case memory.StageHead:
+		return c.state.Load() == connBusy && c.gate.YieldHead()
+	case memory.StageIdle:
+		return c.closeIf(connIdle)
+	default:
+		return c.gate.YieldBody()
+	}
+}
+
 // closeIdle closes the connection if it waits for its next request.
-func (c *callerConn) closeIdle() { c.closeIf(connIdle) }
+func (c *callerConn) closeIdle() { _ = c.closeIf(connIdle) }
 
 // closeNew closes the connection if it waits for its first request.
-func (c *callerConn) closeNew() { c.closeIf(connNew) }
+func (c *callerConn) closeNew() { _ = c.closeIf(connNew) }
 
-func (c *callerConn) closeIf(state connState) {
-	if c.state.CompareAndSwap(state, connClosing) {
-		// The error does not matter: the caller may have closed the connection.
-		_ = c.Conn.Close()
+// closeIf closes the connection if it is in the state, and reports whether it was.
+func (c *callerConn) closeIf(state connState) bool {
+	if !c.state.CompareAndSwap(state, connClosing) {
+		return false
 	}
+	// The error does not matter: the caller may have closed the connection.
+	_ = c.Conn.Close()
+	return true
 }
 
 // trackConnState records when an answer is sent. It is the ConnState hook of the
@@ -170,6 +213,7 @@
 func trackConnState(conn net.Conn, state http.ConnState) {
 	if c, ours := conn.(*callerConn); ours && state == http.StateIdle {
 		c.state.CompareAndSwap(connBusy, connAnswered)
+		c.gate.AwaitHead()
 	}
 }
 
@@ -186,5 +230,16 @@
 // its connection was closed.
 func beginRequest(ctx context.Context) bool {
 	conn, tracked := ctx.Value(connKey{}).(*callerConn)
-	return !tracked || conn.beginRequest()
+	return !tracked || conn.beginRequest() && conn.gate.BeginBody()
+}
+
+// gateOf returns the gate of a request's connection. One that is not tracked, as that of
+// another server, has no bounds.
+func gateOf(ctx context.Context) *intake.Gate {
+	if conn, tracked := ctx.Value(connKey{}).(*callerConn); tracked {
+		return conn.gate
+	}
+	gate := intake.NewGate(nil, nil)
+	gate.BeginBody()
+	return gate
 }
--- a/entryhost/relay/ingress/front.go
+++ b/entryhost/relay/ingress/front.go
@@ -15,6 +15,8 @@
 	"github.com/jonboulle/clockwork"
 	"github.com/thejerf/suture/v4"
 
+	"github.com/lentilpoint/lentilpoint/entryhost/intake"
+	"github.com/lentilpoint/lentilpoint/entryhost/memory"
 	"github.com/lentilpoint/lentilpoint/entryhost/relay/catalog"
 	"github.com/lentilpoint/lentilpoint/entryhost/relay/forward"
 	"github.com/lentilpoint/lentilpoint/eventcode"
@@ -61,7 +63,8 @@
 	DeregistrationDelay time.Duration
 	Catalog             task.Mailbox[catalog.ViewRequest]
 	Forwarder           *forward.Forwarder
-	// Holdings counts what is held for slow callers.
+	// Memory is the budget of this host, and Holdings counts what is held for slow callers.
+	Memory   *memory.Budget
 	Holdings task.Mailbox[HoldingMessage]
 	Clock    clockwork.Clock
 	Metrics  *metrics.Set
@@ -177,8 +180,10 @@
 	defer stopKeepIdle()
 	keepNew, stopKeepNew := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopKeepNew()
+	guard := intake.NewGuard(f.Memory, f.Clock, f.Metrics, f.Logger)
+	table := memory.NewTable("callers", f.Memory.Limits().Connections, f.Clock, f.Metrics, f.Logger)
 	go func() {
-		served <- server.Serve(callerListener{Listener: listener, keepIdle: keepIdle, keepNew: keepNew, busy: f.busy})
+		served <- server.Serve(callerListener{Listener: listener, keepIdle: keepIdle, keepNew: keepNew, busy: f.busy, guard: guard, table: table})
 	}()
 	var failed <-chan error = served
 	var refuseStreams, closeIdle, refuseAll <-chan time.Time
@@ -251,6 +256,7 @@
 	}
 	f.openRequests.Inc()
 	defer f.openRequests.Dec()
+	defer gateOf(c.Request.Context()).ReleaseAll()
 	ctx, cut := context.WithCancelCause(c.Request.Context())
 	defer cut(nil)
 	caller := &responseWriter{writer: c.Writer, draining: f.draining, output: outputOf(ctx)}
--- a/entryhost/relay/ingress/holdings.go
+++ b/entryhost/relay/ingress/holdings.go
@@ -16,15 +16,19 @@
 	Release(bytes int64)
 }
 
-// shareBudget is a Budget of a constant size for the use of one task.
-type shareBudget struct{ free int64 }
+// shareBudget is a part of the budget of the host, for the use of one task.
+type shareBudget struct {
+	host Budget
+	free int64
+}
 
-// NewHeldBudget returns the budget of the responses to slow callers.
-func NewHeldBudget() Budget { return &shareBudget{free: maxHostHeld} }
+// NewHeldBudget returns the part of the host's budget that the responses to slow callers
+// may use.
+func NewHeldBudget(host Budget) Budget { return &shareBudget{host: host, free: maxHostHeld} }
 
 // Claim implements Budget.
 func (b *shareBudget) Claim(bytes int64) bool {
-	if bytes > b.free {
+	if bytes > b.free || !b.host.Claim(bytes) {
 		return false
 	}
 	b.free -= bytes
@@ -32,7 +36,10 @@
 }
 
 // Release implements Budget.
-func (b *shareBudget) Release(bytes int64) { b.free += bytes }
+func (b *shareBudget) Release(bytes int64) {
+	b.free += bytes
+	b.host.Release(bytes)
+}
 
 // HoldingMessage is a message to the task of holdings.
 type HoldingMessage interface{ isHoldingMessage() }
--- a/entryhost/relay/ingress/slow_test.go
+++ b/entryhost/relay/ingress/slow_test.go
@@ -19,6 +19,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/lentilpoint/lentilpoint/entryhost/memory"
 	"github.com/lentilpoint/lentilpoint/entryhost/relay/catalog"
 	"github.com/lentilpoint/lentilpoint/entryhost/relay/dispatch"
 	"github.com/lentilpoint/lentilpoint/entryhost/relay/exchange"
@@ -138,6 +139,7 @@
 		holdings := NewHoldings(budget, set)
 		front = NewFront(smallBuffers{listener}, Parameters{
 			Protocol: fakeProtocol{}, Catalog: views, Forwarder: forwarder, Holdings: holdings.Mailbox(), Clock: clockwork.NewRealClock(), Metrics: set, Logger: logger,
+			Memory:          memory.NewBudget(memory.Limits{}.Complete(), clockwork.NewRealClock(), set, logger),
 			StopGracePeriod: 10 * time.Second,
 		})
 		go func() { _ = holdings.Serve(ctx) }()
@@ -176,7 +178,7 @@
 	// Guards against callers that hold up their servers, which then cut the stream off, and
 	// against a bound whose effect reaches others.
 	It("disconnects the tenth that reads nothing and gives all others every event", func() {
-		start(NewHeldBudget())
+		start(NewHeldBudget(hostBudget{}))
 		slow := []net.Conn{call(fmt.Sprint("/", longStream)), call(fmt.Sprint("/", longStream))}
 		const others = 18
 		bodies := make(chan string, others)
@@ -209,7 +211,7 @@
 	// Guards against a server that is not read while a caller is, and against a stop that cuts
 	// off what is held.
 	It("reads a stream to its end at once and gives its caller all events later, also in a drain", func() {
-		start(NewHeldBudget())
+		start(NewHeldBudget(hostBudget{}))
 		conn := call(fmt.Sprint("/", shortStream))
 		Eventually(released, "10s").Should(Receive(Equal(dispatch.OutcomeSuccess)))
 		Expect(held()).NotTo(BeZero())
@@ -226,7 +228,7 @@
 	// Guards against answers that are kept for callers that never read them.
 	It("disconnects a caller that does not take its answer before its request's deadline", func() {
 		route.Kind, route.Timeout = routing.Idempotent, 500*time.Millisecond
-		start(NewHeldBudget())
+		start(NewHeldBudget(hostBudget{}))
 		conn := call("/answer")
 		Eventually(func() uint64 { return cut(cutRequestDeadline) }, "10s").Should(BeEquivalentTo(1))
 		Eventually(held).Should(BeZero())
@@ -237,7 +239,7 @@
 	// Guards against a caller that is disconnected since others have taken all memory for longer.
 	It("disconnects the caller that has held as much for longer when another one needs its memory", func() {
 		route.Kind = routing.Idempotent
-		start(&shareBudget{free: 3 * answerBytes / 2})
+		start(&shareBudget{host: hostBudget{}, free: 3 * answerBytes / 2})
 		first := call("/answer")
 		Eventually(held, "10s").ShouldNot(BeZero())
 		second := call("/answer")
@@ -253,7 +255,7 @@
 	DescribeTable("disconnects only the slow caller when it has no memory left for them",
 		func(kind routing.Kind, path string) {
 			route.Kind = kind
-			start(&shareBudget{})
+			start(&shareBudget{host: hostBudget{}})
 			call(path)
 			Eventually(func() uint64 { return cut(cutHostBound) }, "10s").Should(BeEquivalentTo(1))
 			_, err := read(call("/0"))
@@ -284,7 +286,7 @@
 		unread, conn := net.Pipe()
 		defer func() { _ = unread.Close() }()
 		ctx, cut := context.WithCancelCause(context.Background())
-		holdings := NewHoldings(NewHeldBudget(), metrics.NewSet())
+		holdings := NewHoldings(NewHeldBudget(hostBudget{}), metrics.NewSet())
 		counting, stop := context.WithCancel(context.Background())
 		defer stop()
 		go func() { _ = holdings.Serve(counting) }()
@@ -300,7 +302,7 @@
 	// Guards against one organisation whose slow callers use up the share of the others.
 	It("is bounded for each organisation and for all, at the cost of the largest, and free again afterwards", func() {
 		const half = maxOrganisationHeld / 2
-		holdings := NewHoldings(&shareBudget{free: 4 * half}, metrics.NewSet())
+		holdings := NewHoldings(&shareBudget{host: hostBudget{}, free: 4 * half}, metrics.NewSet())
 		claim := func(organisation string, bytes int64) (evictions, cutReason) {
 			response := make(evictions, 1)
 			return response, holdings.claim(claimHeld{response: response, organisation: organisation, bytes: bytes})
@@ -329,3 +331,10 @@
 		Expect(holdings.budget.Claim(4 * half)).To(BeTrue())
 	})
 })
+
+// hostBudget is the budget of a host that has memory left.
+type hostBudget struct{}
+
+func (hostBudget) Claim(int64) bool { return true }
+
+func (hostBudget) Release(int64) {}
--- a/entryhost/relay/peering/copies_test.go
+++ b/entryhost/relay/peering/copies_test.go
@@ -5,12 +5,16 @@
 	"context"
 	"encoding/gob"
 	"fmt"
+	"log/slog"
 	"net"
 	"testing"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/jonboulle/clockwork"
 	"github.com/onsi/gomega"
 
+	"github.com/lentilpoint/lentilpoint/entryhost/memory"
 	"github.com/lentilpoint/lentilpoint/entryhost/relay/dispatch"
 	"github.com/lentilpoint/lentilpoint/entryhost/relay/loads"
 	"github.com/lentilpoint/lentilpoint/entryhost/relay/mirror"
@@ -36,10 +40,13 @@
 	bound, err := net.Listen("tcp", "127.0.0.1:0")
 	g.Expect(err).NotTo(gomega.HaveOccurred())
 	requests := task.NewMailbox[mirror.ChangesRequest](8)
-	listener := NewListener(bound, map[string]task.Mailbox[mirror.ChangesRequest]{"op": requests}, task.NewMailbox[dispatch.Message](1),
+	logger, clock := slog.New(slog.DiscardHandler), clockwork.NewRealClock()
+	budget := memory.NewBudget(memory.Limits{}.Complete(), clock, metrics.NewSet(), logger)
+	listener := NewListener(bound, budget, memory.NewTable("peers", 10, clock, metrics.NewSet(), logger), map[string]task.Mailbox[mirror.ChangesRequest]{"op": requests}, task.NewMailbox[dispatch.Message](1),
 		task.NewMailbox[suspects.Message](1), task.NewMailbox[loads.Exchange](1), task.NewMailbox[moves.StateRequest](1))
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
+	go func() { _ = budget.Serve(ctx) }()
 	go func() { _ = listener.Serve(ctx) }()
 	go func() {
 		for {
--- a/eventcode/relay.go
+++ b/eventcode/relay.go
@@ -52,7 +52,10 @@
 	ServerRefuses          Code = 2161
 	StreamRefusedByUrgency Code = 2162
 	ServerFull             Code = 2163
+	MemoryBudgetUsedUp     Code = 2164
+	ConnectionsClosed      Code = 2165
 	SlowCallerCut          Code = 2166
+	HeadsRefused           Code = 2167
 )
 
 var relayEvents = []Entry{
@@ -105,6 +108,9 @@
 	{ServerRefuses, "server refuses", "A server turned a request away and asked for no requests for a time, or stated a time that cannot be used. This host sends it nothing new until then; if all servers of a service have asked for that, its requests are refused with the shortest of these times.", "If it repeats, the service lacks capacity: look at its servers."},
 	{StreamRefusedByUrgency, "stream refused by urgency", "A less urgent stream was refused at once as not run, since more urgent streams would miss their latency objective (reason more_urgent_streams_wait) or it would miss its own (wait_exceeds_objective). The line names the predicted wait, the waiting prompts by rank, the usable engines, the rank and the age of this host's view.", "If it repeats, the engines of the data centre that the line names lack capacity. If view_age_ms is above 300, look at the collector of its loads (event 2147)."},
 	{ServerFull, "server full", "A server of a plain service refused several requests in a row as not run, so that this host asks it seldom, or has answered after that.", "If it repeats, the service lacks capacity: look at its servers. A single server that is named alone refuses for another reason."},
+	{MemoryBudgetUsedUp, "memory budget used up", "Clients sent more than the memory of this host allows. Since the last such line, refused claims were refused and gave_way requests were ended before they ran, because they stalled, were slow or were large.", "Find the senders of large or slow requests in the events 2141 with the reason memory_full. If they are ordinary callers, give the host more memory or --caller-memory-mb."},
+	{ConnectionsClosed, "connections closed", "A socket had as many connections as allowed; those without a request were closed to make room, of the address with most connections first.", "If the callers are ordinary, raise --max-caller-connections or the descriptors and the memory of the machine."},
 	{SlowCallerCut, "slow caller disconnected", "A caller took its response more slowly than its route allows, or the bound on what is held for slow callers was reached; this host closed its connection and ended its attempt. The line has the reason and the bytes that were left.", "Nothing for a single caller. If it repeats for an organisation, tell it to read streams as they arrive; a reason that ends in bound and repeats on one host means that many callers read slowly."},
+	{HeadsRefused, "heads refused", "Callers sent heads with more lines than --max-head-lines (answered 431), or larger than the memory of this host allowed (answered 503); the requests did not run.", "Find the senders; no ordinary caller sends hundreds of header lines."},
 	{RelayMovePaused, "version move paused", "This host could not run several rounds of a version move in a row; it sends the new version no more than the initial share until it can.", "Check the store."},
 }
