Index servers by service and choose from a bounded sample

Cause: each decision copied all servers of the host's view, and computed for each the rendezvous weights of all hosts of its data centre. Reports of loads read all servers too. Change: servers are indexed by service and data centre when the view, the adoptions or the hosts change, and ownership and the order of collectors are computed when the hosts change. A stream is placed from a sample of 32 engines of its data centre, and of 32 elsewhere if these are busy; a plain request from all servers of its data centre. The result stands only if the filters would keep it whatever the other servers are. Otherwise, and while a version move is in force, all servers of the service are read as before.

--- a/entryhost/relay/dispatch/adopt.go
+++ b/entryhost/relay/dispatch/adopt.go
@@ -112,6 +112,7 @@
 	}
 	t.adopted[server.ID] = adopted
 	t.servers[server.ID] = &serverState{server: server}
+	t.index = nil
 	t.Logger.Info("server adopted that answers at the address of another registration", eventcode.ServerAdopted.Attr(), "server", server.ID,
 		"service", server.Service, "address", server.Address, "former", adopted.former.ID, "superseded", adopted.superseded)
 }
@@ -161,6 +162,7 @@
 // endAdoption removes an adopted server that is not registered, or not any more.
 func (t *Task) endAdoption(id string) {
 	delete(t.adopted, id)
+	t.index = nil
 	if state, found := t.servers[id]; found {
 		state.closeIdle()
 		t.notifyCopyLost(state)
--- a/entryhost/relay/dispatch/assign.go
+++ b/entryhost/relay/dispatch/assign.go
@@ -12,11 +12,12 @@
 // it has to wait for a server.
 func (t *Task) tryAssign(ctx context.Context, request Acquire) bool {
 	now := t.Clock.Now()
-	candidates := t.candidates(request.Service, now)
-	if stage, moving := t.stageOf(request.Service); moving {
-		candidates = filterVersions(stage.OfRoute(request.Route), request.Point, candidates)
+	chosen := t.quickChoice(&request, now)
+	var candidates []candidate
+	if chosen == nil {
+		candidates = t.candidatesFor(&request, now)
+		chosen = t.pickServer(&request, candidates)
 	}
-	chosen := t.pickServer(&request, candidates)
 	if chosen == nil {
 		if request.OnlyPreferred {
 			t.refuse(request, RefusedCopyGone)
@@ -34,7 +35,7 @@
 	}
 	deferred := false
 	if t.sharesLoads(request.Service) && !request.OnlyPreferred {
-		waiting := t.demandAt(chosen.server.DataCentre, candidates, now)
+		waiting := t.demandAt(chosen.server.DataCentre, t.enginesFor(&request, chosen.server.DataCentre, candidates), now)
 		if retryAfter, refused := waiting.refusal(request.Organisation, t.Random.Float64()); refused && !request.Retry {
 			t.refuseFor(request, RefusedOverload, retryAfter)
 			return true
@@ -57,6 +58,24 @@
 	return true
 }
 
+// candidatesFor returns the servers of the versions that may serve the request.
+func (t *Task) candidatesFor(request *Acquire, now time.Time) []candidate {
+	candidates := t.candidates(request.Service, now)
+	if stage, moving := t.stageOf(request.Service); moving {
+		return filterVersions(stage.OfRoute(request.Route), request.Point, candidates)
+	}
+	return candidates
+}
+
+// enginesFor counts the engines of a data centre that may serve the request. The candidates
+// are nil unless a version move restricts them or the quick choice found none.
+func (t *Task) enginesFor(request *Acquire, dataCentre string, candidates []candidate) int {
+	if candidates == nil {
+		return t.engineCount(request.Service, dataCentre)
+	}
+	return countEngines(dataCentre, candidates)
+}
+
 // pickServer returns the preferred server if it is usable and not paused. Otherwise
 // it returns the one with the lowest cost, or nil if there is none or the request
 // accepts only the preferred one.
@@ -90,7 +109,7 @@
 		t.Metrics.GetOrCreateCounter(series.Name("lentilpoint_relay_deferred_total", "service", request.Service)).Inc()
 	}
 	if request.Backup {
-		if backup := chooseBackup(t.Random, t.DataCentre, &request, candidates, chosen.server); backup != nil {
+		if backup := t.pickBackup(&request, chosen, candidates, now); backup != nil {
 			granted.backup, granted.copyLost = t.servers[backup.server.ID], request.CopyLost
 			granted.backup.copies++
 			assignment.Backup = backup.server
@@ -107,6 +126,18 @@
 	t.reportAttempt(ctx, state.server)
 }
 
+// pickBackup returns the server for a copy of the run's cache, or nil. The candidates are
+// nil after a quick choice.
+func (t *Task) pickBackup(request *Acquire, chosen *candidate, candidates []candidate, now time.Time) *candidate {
+	if candidates == nil {
+		if backup := t.quickBackup(request, chosen, now); backup != nil {
+			return backup
+		}
+		candidates = t.candidatesFor(request, now)
+	}
+	return chooseBackup(t.Random, t.DataCentre, request, candidates, chosen.server)
+}
+
 // takeConnection returns the most recently used idle connection, or a new one.
 func (t *Task) takeConnection(ctx context.Context, state *serverState, notRepeatable bool, now time.Time) (*exchange.Connection, bool) {
 	for len(state.idle) > 0 {
@@ -134,28 +165,6 @@
 	request.Reply.Send(Assignment{Refusal: refusal, RetryAfter: retryAfter})
 }
 
-// candidates returns the servers of the service, except those of rejected versions.
-func (t *Task) candidates(service string, now time.Time) []candidate {
-	var candidates []candidate
-	limit := t.connectionLimit(service)
-	for id, state := range t.servers {
-		if state.server.Service != service || !t.isKnown(id) {
-			continue
-		}
-		candidates = append(candidates, candidate{
-			server: state.server, others: t.othersLoad(state.server, now), inFlight: state.inFlight, decoding: state.decoding, copies: state.copies,
-			owned: t.ownership.owns(state.server),
-			warm:  len(state.idle) > 0, full: len(state.idle) == 0 && state.open >= limit,
-			paused: now.Before(state.health.pausedUntil), dataCentreDown: t.pools[poolOf(state.server)].down(now), recovering: state.health.pause > 0,
-			stale: state.health.stale, leaving: t.isLeaving(id), refusesFor: t.refusesFor(id, now), failureRate: state.health.failureRate,
-		})
-	}
-	if stage, moving := t.stageOf(service); moving {
-		return withoutRejected(stage, candidates)
-	}
-	return candidates
-}
-
 // connectionLimit returns the number of connections that this host may open to
 // one server of the service.
 func (t *Task) connectionLimit(service string) int {
--- a/entryhost/relay/dispatch/loads.go
+++ b/entryhost/relay/dispatch/loads.go
@@ -81,7 +81,12 @@
 // collectorOf returns the address of the collector of a data centre, or "".
 func (t *Task) collectorOf(dataCentre string) string {
 	now := t.Clock.Now()
-	return loads.Collector(dataCentre, t.allHosts, func(address string) bool { return now.Before(t.collectorsDown[address]) })
+	order, found := t.collectors[dataCentre]
+	if !found {
+		order = loads.Collectors(dataCentre, t.allHosts)
+		t.collectors[dataCentre] = order
+	}
+	return loads.Collector(order, func(address string) bool { return now.Before(t.collectorsDown[address]) })
 }
 
 // exchangeLoads exchanges loads with the collectors of the data centres. The results
@@ -126,9 +131,11 @@
 		Host: t.Self, DataCentre: dataCentre, Sequence: t.createdAt.Add(t.uptime()).UnixNano(),
 		Servers: map[string]loads.Load{}, Organisations: t.readingByOrganisation(dataCentre),
 	}
-	for id, state := range t.servers {
-		if state.inFlight > 0 && state.server.DataCentre == dataCentre && t.sharesLoads(state.server.Service) {
-			report.Servers[id] = loads.Load{Reading: state.inFlight - state.decoding, Decoding: state.decoding}
+	// The leases are few, whatever the number of servers is.
+	for _, granted := range t.leases {
+		state, server := granted.server, granted.server.server
+		if t.servers[server.ID] == state && server.DataCentre == dataCentre && t.sharesLoads(server.Service) {
+			report.Servers[server.ID] = loads.Load{Reading: state.inFlight - state.decoding, Decoding: state.decoding}
 		}
 	}
 	return report
@@ -154,7 +161,10 @@
 		return
 	}
 	if !message.request.remoteLoadsKnown {
-		chosen := t.pickServer(message.request, t.candidates(message.request.Service, now))
+		chosen := t.quickChoice(message.request, now)
+		if chosen == nil {
+			chosen = t.pickServer(message.request, t.candidates(message.request.Service, now))
+		}
 		if chosen != nil && chosen.server.DataCentre != t.DataCentre {
 			message.request.remoteLoadsKnown = true
 			t.exchangeLoads(ctx, message.request, t.otherDataCentres())
@@ -177,16 +187,6 @@
 	return others
 }
 
-// othersLoad returns the attempts of other hosts on a server, as far as they are
-// known.
-func (t *Task) othersLoad(server *routing.Server, now time.Time) loads.Load {
-	known := t.shared[server.DataCentre]
-	if now.Sub(known.receivedAt) > loadsLifetime {
-		return loads.Load{}
-	}
-	return known.others.Servers[server.ID]
-}
-
 // reportAttempt reports a new attempt on an engine at once, so that other hosts do
 // not choose the same engine.
 func (t *Task) reportAttempt(ctx context.Context, server *routing.Server) {
@@ -229,18 +229,24 @@
 
 // demandAt returns what waits at the engines of a service in a data centre, as far as
 // this host knows.
-func (t *Task) demandAt(dataCentre string, candidates []candidate, now time.Time) demand {
-	result := demand{prompts: t.readingByOrganisation(dataCentre)}
+func (t *Task) demandAt(dataCentre string, engines int, now time.Time) demand {
+	result := demand{prompts: t.readingByOrganisation(dataCentre), engines: engines}
 	if known := t.shared[dataCentre]; now.Sub(known.receivedAt) <= loadsLifetime {
 		for name, count := range known.others.Organisations {
 			result.prompts[name] += count
 		}
 	}
-	// Engines that crashed are back within the time in which a prompt is read.
+	return result
+}
+
+// countEngines counts the candidates of a data centre that take work or, after a crash,
+// will do so within the time in which a prompt is read.
+func countEngines(dataCentre string, candidates []candidate) int {
+	count := 0
 	for _, c := range candidates {
 		if c.server.DataCentre == dataCentre && !c.server.Draining && !c.leaving && !c.stale {
-			result.engines++
+			count++
 		}
 	}
-	return result
+	return count
 }
--- a/entryhost/relay/dispatch/policy.go
+++ b/entryhost/relay/dispatch/policy.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"math"
 	"math/rand/v2"
 	"time"
 
@@ -111,9 +112,11 @@
 
 // usable keeps servers that may take work.
 func usable(_ *Acquire, candidates []candidate) []candidate {
-	return filterCandidates(candidates, func(c *candidate) bool {
-		return !c.server.Draining && !c.leaving && c.refusesFor == 0 && !c.stale && !c.full
-	})
+	return filterCandidates(candidates, isUsable)
+}
+
+func isUsable(c *candidate) bool {
+	return !c.server.Draining && !c.leaving && c.refusesFor == 0 && !c.stale && !c.full
 }
 
 // notExcluded removes servers that the request must not use again.
@@ -148,9 +151,18 @@
 	return filterUnlessEmpty(candidates, func(c *candidate) bool { return c.failureRate <= lowest+maxFailureRateExcess })
 }
 
+// filterCandidates keeps the accepted candidates. Usually these are all, which needs no
+// copy.
 func filterCandidates(candidates []candidate, accept func(*candidate) bool) []candidate {
-	kept := make([]candidate, 0, len(candidates))
-	for i := range candidates {
+	first := 0
+	for first < len(candidates) && accept(&candidates[first]) {
+		first++
+	}
+	if first == len(candidates) {
+		return candidates
+	}
+	kept := append(make([]candidate, 0, len(candidates)), candidates[:first]...)
+	for i := first + 1; i < len(candidates); i++ {
 		if accept(&candidates[i]) {
 			kept = append(kept, candidates[i])
 		}
@@ -170,6 +182,12 @@
 // chooseServer applies the filters and returns the candidate with the lowest
 // cost, or nil.
 func chooseServer(random *rand.Rand, dataCentre string, request *Acquire, candidates []candidate) *candidate {
+	chosen, _ := chooseScored(random, dataCentre, request, candidates)
+	return chosen
+}
+
+// chooseScored also returns the candidate's cost, which is infinite if there is none.
+func chooseScored(random *rand.Rand, dataCentre string, request *Acquire, candidates []candidate) (*candidate, float64) {
 	for _, apply := range filters {
 		candidates = apply(request, candidates)
 	}
@@ -186,22 +204,29 @@
 	})
 	candidates = reachable(request, candidates)
 	candidates = filterUnlessEmpty(candidates, func(c *candidate) bool { return c.server.DataCentre != chosen.DataCentre })
-	return cheapest(random, dataCentre, candidates)
+	backup, _ := cheapest(random, dataCentre, candidates)
+	return backup
 }
 
-func cheapest(random *rand.Rand, dataCentre string, candidates []candidate) *candidate {
+// cheapest returns the candidate with the lowest cost, and the cost.
+func cheapest(random *rand.Rand, dataCentre string, candidates []candidate) (*candidate, float64) {
 	var best *candidate
-	var lowest float64
+	lowest := math.Inf(1)
 	for i := range candidates {
-		cost := jitterCost * random.Float64()
-		for _, score := range scorers {
-			cost += score(dataCentre, &candidates[i])
-		}
-		if best == nil || cost < lowest {
+		if cost := costOf(random, dataCentre, &candidates[i]); cost < lowest {
 			best, lowest = &candidates[i], cost
 		}
 	}
-	return best
+	return best, lowest
+}
+
+// costOf returns the sum of the candidate's costs and a jitter.
+func costOf(random *rand.Rand, dataCentre string, c *candidate) float64 {
+	cost := jitterCost * random.Float64()
+	for _, score := range scorers {
+		cost += score(dataCentre, c)
+	}
+	return cost
 }
 
 const (
--- a/entryhost/relay/dispatch/task.go
+++ b/entryhost/relay/dispatch/task.go
@@ -77,8 +77,11 @@
 	// decoding is the number of attempts in flight that have sent an event.
 	decoding int
 	copies   int
-	open     int
-	idle     []idleConnection
+	// owned is set if this host owns the server among the hosts of version ownedSince.
+	owned      bool
+	ownedSince int
+	open       int
+	idle       []idleConnection
 	// pendingChecks receive the result of the running probe; nil if none runs.
 	pendingChecks []task.Reply[CheckResult]
 	cache         cacheList
@@ -137,14 +140,25 @@
 	refusing map[string]refusingServer
 	// ended holds when registrations ended, by id of the server.
 	ended map[string]time.Time
-	// ownership decides which servers of the data centre this host owns.
-	ownership ownership
+	// ownership decides which servers of the data centre this host owns. It is a new one
+	// with each hostsVersion.
+	ownership    ownership
+	hostsVersion int
+	// index holds the known servers by service; nil after a change of them or of the
+	// hosts.
+	index serverIndex
+	// sampled is the memory of the candidates of a decision, which the next one uses
+	// again.
+	sampled []candidate
 	// hostCount is the number of entry hosts, which share retry budgets and
 	// connection limits.
 	hostCount int
 	// peers are the other entry hosts, allHosts those and this one.
 	peers    []routing.Host
 	allHosts []routing.Host
+	// collectors are the hosts of each data centre in the order in which they collect its
+	// loads; see loads.Collectors.
+	collectors map[string][]string
 	// shared are the attempts of other hosts by data centre, and collectorsDown the
 	// collectors that failed, with the end of their exclusion.
 	shared         map[string]sharedLoads
@@ -166,12 +180,13 @@
 	return &Task{
 		Parameters: parameters,
 		lifetime:   lifetime, endLifetime: endLifetime,
-		mailbox:   task.NewMailbox[Message](mailboxSize),
-		views:     task.NewMailbox[*catalog.View](viewsSize),
-		hosts:     task.NewMailbox[[]routing.Host](viewsSize),
-		hostCount: minHostCount,
-		allHosts:  []routing.Host{{Address: parameters.Self, DataCentre: parameters.DataCentre}},
-		shared:    map[string]sharedLoads{}, collectorsDown: map[string]time.Time{},
+		mailbox:    task.NewMailbox[Message](mailboxSize),
+		views:      task.NewMailbox[*catalog.View](viewsSize),
+		hosts:      task.NewMailbox[[]routing.Host](viewsSize),
+		hostCount:  minHostCount,
+		allHosts:   []routing.Host{{Address: parameters.Self, DataCentre: parameters.DataCentre}},
+		collectors: map[string][]string{},
+		shared:     map[string]sharedLoads{}, collectorsDown: map[string]time.Time{},
 		adopted:   map[string]adoption{},
 		ended:     map[string]time.Time{},
 		leaving:   map[string]leavingServer{},
@@ -236,6 +251,9 @@
 	t.peers = hosts
 	t.allHosts = append([]routing.Host{{Address: t.Self, DataCentre: t.DataCentre}}, hosts...)
 	t.ownership = newOwnership(t.Self, t.DataCentre, hosts)
+	t.hostsVersion++
+	t.collectors = map[string][]string{}
+	t.index = nil
 }
 
 func (t *Task) handle(ctx context.Context, message Message) {
@@ -292,6 +310,7 @@
 func (t *Task) applyView(view *catalog.View) {
 	t.recordEnded(t.view, view)
 	t.view = view
+	t.index = nil
 	for service := range view.Moves {
 		t.moveOf(service)
 	}
--- a/entryhost/relay/loads/loads_test.go
+++ b/entryhost/relay/loads/loads_test.go
@@ -91,8 +91,8 @@
 	none := func(string) bool { return false }
 
 	It("is one of its hosts, and the next one while it is excluded", func() {
-		first := Collector("dc-1", hosts, none)
-		second := Collector("dc-1", hosts, func(address string) bool { return address == first })
+		first := Collector(Collectors("dc-1", hosts), none)
+		second := Collector(Collectors("dc-1", hosts), func(address string) bool { return address == first })
 		Expect(first).NotTo(BeEmpty())
 		Expect(second).NotTo(Or(BeEmpty(), Equal(first)))
 		for _, host := range hosts {
@@ -100,6 +100,6 @@
 				Expect(host.DataCentre).To(Equal("dc-1"))
 			}
 		}
-		Expect(Collector("elsewhere", hosts, none)).To(BeEmpty())
+		Expect(Collector(Collectors("elsewhere", hosts), none)).To(BeEmpty())
 	})
 })
--- a/entryhost/relay/loads/policy.go
+++ b/entryhost/relay/loads/policy.go
@@ -1,6 +1,9 @@
 package loads
 
 import (
+	"cmp"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/lentilpoint/lentilpoint/entryhost/relay/routing"
@@ -85,18 +88,26 @@
 // collectorKey is the prefix of the rendezvous keys by which collectors are chosen.
 const collectorKey = "loads/"
 
-// Collector returns the address of the host that collects the loads of a data
-// centre, or "" if the data centre has no host that is not excluded. Hosts with the
-// same list choose the same one.
-func Collector(dataCentre string, hosts []routing.Host, excluded func(address string) bool) string {
-	collector, highest := "", uint64(0)
+// Collectors returns the addresses of the hosts of a data centre in the order in which they
+// collect its loads: the first one that is not excluded does. Hosts with the same list
+// choose the same one.
+func Collectors(dataCentre string, hosts []routing.Host) []string {
+	weights := map[string]uint64{}
 	for _, host := range hosts {
-		if host.DataCentre != dataCentre || excluded(host.Address) {
-			continue
+		if host.DataCentre == dataCentre {
+			weights[host.Address] = routing.RendezvousWeight(host.Address, collectorKey+dataCentre)
 		}
-		if weight := routing.RendezvousWeight(host.Address, collectorKey+dataCentre); collector == "" || weight > highest {
-			collector, highest = host.Address, weight
+	}
+	return slices.SortedFunc(maps.Keys(weights), func(a, b string) int { return cmp.Compare(weights[b], weights[a]) })
+}
+
+// Collector returns the address of the host that collects the loads of a data centre, or
+// "" if none of those in order is left.
+func Collector(order []string, excluded func(address string) bool) string {
+	for _, address := range order {
+		if !excluded(address) {
+			return address
 		}
 	}
-	return collector
+	return ""
 }
