Do not take loads for new that were asked for before a freeze

Cause: loads counted as new from the moment at which the dispatcher read the answer. A host that was frozen in between chose by the state before, for 300 ms. Change: the age of loads counts from the ask. Answers older than their lifetime are not used, and the stream asks once more. An answer does not replace one that was asked for later.

--- a/entryhost/relay/dispatch/balance_test.go
+++ b/entryhost/relay/dispatch/balance_test.go
@@ -49,7 +49,7 @@
 	view.Config = &routing.Config{Services: map[string]routing.Service{"engine": {Name: "engine", Engine: &routing.Engine{}}}}
 	dispatcher.applyHosts(peers)
 	dispatcher.applyView(view)
-	dispatcher.shared["here"] = sharedLoads{others: others, receivedAt: dispatcher.Clock.Now()}
+	dispatcher.shared["here"] = sharedLoads{others: others, askedAt: dispatcher.Clock.Now()}
 	return dispatcher
 }
 
--- a/entryhost/relay/dispatch/grants.go
+++ b/entryhost/relay/dispatch/grants.go
@@ -26,7 +26,7 @@
 
 // isViewFresh reports whether the attempts of other hosts in a data centre are known.
 func (t *Task) isViewFresh(dataCentre string, now time.Time) bool {
-	return now.Sub(t.shared[dataCentre].receivedAt) <= loadsLifetime
+	return now.Sub(t.shared[dataCentre].askedAt) <= loadsLifetime
 }
 
 // askGrant adds to a report the engines of which the collector is to grant one to the
--- a/entryhost/relay/dispatch/grants_test.go
+++ b/entryhost/relay/dispatch/grants_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"slices"
+	"time"
 
 	"github.com/jonboulle/clockwork"
 	. "github.com/onsi/ginkgo/v2"
@@ -182,6 +183,21 @@
 		Expect(owners(hosts...)).To(And(HaveLen(engineCount), once), "it has joined again")
 	})
 
+	// Guards against a host that takes what it saw before it was frozen for the present.
+	It("ask again after they were frozen, since the view and the grant are old", func(ctx SpecContext) {
+		ask(ctx, 0)
+		Eventually(hosts[0].mailbox.C()).Should(HaveLen(1))
+		clock.Advance(loadsLifetime + time.Second)
+		taken := map[string]bool{}
+		for i := 1; i < hostCount; i++ {
+			taken[stream(ctx, i)] = true
+		}
+		next(ctx, 0)
+		Expect(replies[0]).NotTo(Receive())
+		next(ctx, 0)
+		Expect(taken).NotTo(HaveKey(chosen(0)))
+	})
+
 	// Guards against streams that are chosen blindly since the collector has just failed.
 	It("ask the next collector at once when one does not answer", func(ctx SpecContext) {
 		down := hosts[0].collectorOf("here")
--- a/entryhost/relay/dispatch/loads.go
+++ b/entryhost/relay/dispatch/loads.go
@@ -13,7 +13,7 @@
 
 const (
 	// loadsLifetime is how long the attempts of other hosts are used after they were
-	// received; engines take about a second for a prompt.
+	// asked for; engines take about a second for a prompt.
 	loadsLifetime = 300 * time.Millisecond
 	// collectorCooldown is how long a collector that failed is excluded.
 	collectorCooldown = 3 * time.Second
@@ -31,8 +31,9 @@
 // sharedLoads is what this host knows of other hosts' attempts on the engines of a
 // data centre.
 type sharedLoads struct {
-	others     loads.Others
-	receivedAt time.Time
+	others loads.Others
+	// askedAt is when this host asked for them.
+	askedAt time.Time
 	// reportedAt is when this host last reported, and reported whether it then had
 	// attempts.
 	reportedAt time.Time
@@ -45,6 +46,9 @@
 // assigned or, if there is none, after a change of this host's attempts.
 type loadsExchanged struct {
 	request *Acquire
+	// sentAt is when the host asked. The loads are those of then or later, also if the
+	// host was frozen before it reads the result.
+	sentAt  time.Time
 	results []loadsResult
 }
 
@@ -122,7 +126,7 @@
 		}()
 	}
 	go func() {
-		message := loadsExchanged{request: request}
+		message := loadsExchanged{request: request, sentAt: now}
 		for range calls {
 			message.results = append(message.results, <-results)
 		}
@@ -154,7 +158,8 @@
 	if message.request != nil {
 		delete(t.asks, message.request.ask)
 	}
-	failed := false
+	outdated := now.Sub(message.sentAt) > loadsLifetime
+	failed := outdated
 	for _, result := range message.results {
 		if result.err != nil {
 			failed = true
@@ -164,9 +169,13 @@
 				"data_centre", result.dataCentre, "collector", result.collector, "error", result.err)
 			continue
 		}
-		known := t.shared[result.dataCentre]
-		known.others, known.receivedAt = result.others, now
-		t.shared[result.dataCentre] = known
+		if outdated {
+			continue
+		}
+		if known := t.shared[result.dataCentre]; !message.sentAt.Before(known.askedAt) {
+			known.others, known.askedAt = result.others, message.sentAt
+			t.shared[result.dataCentre] = known
+		}
 		if message.request != nil && result.dataCentre == t.DataCentre {
 			message.request.granted = result.others.Granted
 		}
