Count the observed speed of an engine in its cost

Cause: engines of a service differ in speed by up to 1.3, and slow ones got as many streams as fast ones. Change: a host reports the time to the first event of attempts that found no other prompt at their engine. Collector and host compare the smoothed time of each engine with the median of its service. The difference, at most 1.3 times, is a cost in seconds.

--- a/entryhost/relay/dispatch/assign.go
+++ b/entryhost/relay/dispatch/assign.go
@@ -102,6 +102,7 @@
 	granted := leaseState{
 		server: state, service: request.Service, organisation: request.Organisation, retry: request.Retry,
 		route: request.Route, stepStarted: now, fromCopy: request.OnlyPreferred,
+		alone: chosen.reading() == 0 && !request.OnlyPreferred && t.isViewFresh(chosen.server.DataCentre, now),
 	}
 	assignment := Assignment{Server: state.server}
 	if deferred {
--- a/entryhost/relay/dispatch/candidates.go
+++ b/entryhost/relay/dispatch/candidates.go
@@ -100,7 +100,7 @@
 		warm:  len(state.idle) > 0, full: len(state.idle) == 0 && state.open >= group.connectionLimit,
 		paused: now.Before(state.health.pausedUntil), dataCentreDown: group.down, recovering: state.health.pause > 0,
 		stale: state.health.stale, leaving: t.isLeaving(id), refusesFor: t.refusesFor(id, now), failureRate: state.health.failureRate,
-		unseen: group.unseen,
+		slowdown: t.speeds.Slowdown(id), unseen: group.unseen,
 	}
 }
 
@@ -142,7 +142,7 @@
 	maxHoldersExamined = 16
 	// surelyLowestCost is the cost below which no server of another data centre and none
 	// that fails more often than maxFailureRateExcess can be cheaper.
-	surelyLowestCost = min(remoteCost+notOwnedCost, failureRateCost*maxFailureRateExcess)
+	surelyLowestCost = min(remoteCost+notOwnedCost, failureRateCost*maxFailureRateExcess) - loads.MaxSpeedup
 )
 
 // quickChoice returns a server that the filters would keep whatever the others are, or nil if
@@ -161,7 +161,7 @@
 	}
 	t.observe(servers.local, limit, now)
 	granted, grantedCost := t.grantedCandidate(request, servers.local, now)
-	if grantedCost < grantMargin {
+	if grantedCost < grantMargin-loads.MaxSpeedup {
 		return granted
 	}
 	t.sampled = t.sample(t.sampled[:0], servers.local, examined, limit, now)
--- a/entryhost/relay/dispatch/even_test.go
+++ b/entryhost/relay/dispatch/even_test.go
@@ -34,6 +34,8 @@
 	slowness []float64
 	runs     []*evenRun
 	now      float64
+	// knowsSpeed is set if hosts know the slowness.
+	knowsSpeed bool
 }
 
 const (
@@ -80,6 +82,9 @@
 	result := make([]candidate, len(f.servers))
 	for j := range result {
 		result[j] = candidate{server: f.servers[j], owned: f.owned[host][j], warm: true}
+		if f.knowsSpeed {
+			result[j].slowdown = f.slowness[j] - 1
+		}
 	}
 	for _, run := range f.runs {
 		c, started, at := &result[run.engine], f.now, f.now
@@ -261,6 +266,10 @@
 	// The collector decides with what is in force when it is asked.
 	{"grant-8", func(f *evenFleet, host int, age float64) int { return f.lowest(f.shuffled(f.granted(host, age), 8)) }},
 	{"grant-16", func(f *evenFleet, host int, age float64) int { return f.lowest(f.shuffled(f.granted(host, age), 16)) }},
+	{"grant-16-speed", func(f *evenFleet, host int, age float64) int {
+		f.knowsSpeed = true
+		return f.lowest(f.shuffled(f.granted(host, age), 16))
+	}},
 	{"alone", func(f *evenFleet, host int, _ float64) int { return f.lowest(f.candidates(host, math.Inf(1))) }},
 	{"alone-own-first", func(f *evenFleet, host int, _ float64) int {
 		candidates := f.candidates(host, math.Inf(1))
@@ -284,7 +293,7 @@
 var _ = Describe("the choice of engines from views that are 100 ms old", func() {
 	It("meets another prompt while an engine is idle in less than 2 of 100 cases, and did so in more than 20 without grants", func() {
 		met := func(method string) float64 { return newEvenFleet(22, 70).simulate(0.6, 0.1, methodOf(method)).met }
-		Expect(met("grant-16")).To(BeNumerically("<", 0.02))
+		Expect(met("grant-16-speed")).To(BeNumerically("<", 0.02))
 		Expect(met("lowest")).To(BeNumerically(">", 0.2))
 	})
 
--- a/entryhost/relay/dispatch/grants.go
+++ b/entryhost/relay/dispatch/grants.go
@@ -76,6 +76,23 @@
 	return &c, costOf(t.Random, t.DataCentre, &c)
 }
 
+// recordSpeed records the time to the first event if the engine read no other prompt beside
+// it, as far as this host knows.
+func (t *Task) recordSpeed(granted leaseState) {
+	state, now := granted.server, t.Clock.Now()
+	server := state.server
+	if !granted.alone || state.inFlight-state.decoding > 1 || !t.isViewFresh(server.DataCentre, now) ||
+		t.shared[server.DataCentre].others.Servers[server.ID].Reading > 0 {
+		return
+	}
+	event := loads.FirstEvent{Service: granted.service, Seconds: now.Sub(granted.stepStarted).Seconds()}
+	t.speeds.Observe(server.ID, event)
+	if t.firstEvents[server.DataCentre] == nil {
+		t.firstEvents[server.DataCentre] = map[string]loads.FirstEvent{}
+	}
+	t.firstEvents[server.DataCentre][server.ID] = event
+}
+
 // countChoice counts how an engine was chosen: granted by the collector, by the view of its
 // loads, or by this host's own attempts alone.
 func (t *Task) countChoice(request *Acquire, chosen *candidate, now time.Time) {
--- a/entryhost/relay/dispatch/grants_test.go
+++ b/entryhost/relay/dispatch/grants_test.go
@@ -34,7 +34,7 @@
 		return loads.Others{}, errors.New("cut off")
 	}
 	if l.earlier {
-		report.Proposals, report.Pending = nil, nil
+		report.Proposals, report.Pending, report.FirstEvents = nil, nil, nil
 	}
 	return task.Call(ctx, l.collectors[collector], func(reply task.Reply[loads.Others]) loads.Exchange {
 		return loads.Exchange{Report: report, Reply: reply}
@@ -240,3 +240,33 @@
 		Expect(slices.Sorted(maps.Keys(engines))).To(Equal(slices.Sorted(maps.Keys(owned))))
 	})
 })
+
+var _ = Describe("the speed of an engine", func() {
+	// Guards against a slow engine that gets as many streams as a fast one, and against
+	// times that include the wait for another prompt.
+	It("is that of attempts that found no other prompt there", func(ctx SpecContext) {
+		dispatcher := newFleetTask(10, 2, 1, 0)
+		first := func(id string, took time.Duration, others int) {
+			replies := make(chan Assignment, 1)
+			dispatcher.shared["here"] = sharedLoads{askedAt: dispatcher.Clock.Now(), others: loads.Others{Servers: map[string]loads.Load{id: {Reading: others}}}}
+			dispatcher.tryAssign(ctx, Acquire{Service: "engine", Prefer: id, Reply: task.Reply[Assignment](replies)})
+			assigned := <-replies
+			assigned.Connection.Close()
+			dispatcher.Clock.(*clockwork.FakeClock).Advance(took)
+			dispatcher.shared["here"] = sharedLoads{askedAt: dispatcher.Clock.Now()}
+			dispatcher.handle(ctx, FirstEventSent{Lease: assigned.Lease})
+			dispatcher.handle(ctx, Release{Lease: assigned.Lease, Outcome: OutcomeSuccess})
+		}
+		ids := slices.Sorted(maps.Keys(dispatcher.servers))
+		for range 10 {
+			for i, id := range ids {
+				first(id, time.Second+time.Duration(i/9)*200*time.Millisecond, 0)
+				first(id, 5*time.Second, 1)
+			}
+		}
+		Expect(dispatcher.speeds.Slowdown(ids[0])).To(BeNumerically("~", 0, 0.01))
+		Expect(dispatcher.speeds.Slowdown(ids[9])).To(BeNumerically("~", 0.2, 0.01))
+		first(ids[0], time.Second, 0)
+		Expect(dispatcher.loadReport("here").FirstEvents).To(Equal(map[string]loads.FirstEvent{ids[0]: {Service: "engine", Seconds: 1}}))
+	})
+})
--- a/entryhost/relay/dispatch/loads.go
+++ b/entryhost/relay/dispatch/loads.go
@@ -139,8 +139,9 @@
 	report := loads.HostLoads{
 		Host: t.Self, DataCentre: dataCentre, Sequence: t.nextSequence(),
 		Servers: map[string]loads.Load{}, Organisations: t.readingByOrganisation(dataCentre),
-		Pending: slices.Collect(maps.Keys(t.asks)),
+		Pending: slices.Collect(maps.Keys(t.asks)), FirstEvents: t.firstEvents[dataCentre],
 	}
+	delete(t.firstEvents, dataCentre)
 	// The leases are few, whatever the number of servers is.
 	for _, granted := range t.leases {
 		state, server := granted.server, granted.server.server
--- a/entryhost/relay/dispatch/policy.go
+++ b/entryhost/relay/dispatch/policy.go
@@ -42,6 +42,9 @@
 	refusesFor time.Duration
 	// failureRate is the smoothed share of failed attempts.
 	failureRate float64
+	// slowdown is the part by which the server takes longer for a prompt than others of
+	// its service.
+	slowdown float64
 	// unseen is set if the attempts of other hosts on the server, which are shared, are
 	// not known.
 	unseen bool
@@ -223,7 +226,7 @@
 // costOf returns the sum of the candidate's costs and a jitter.
 func costOf(random *rand.Rand, dataCentre string, c *candidate) float64 {
 	load := loads.Load{Reading: c.reading(), Decoding: c.allDecoding()}
-	return load.Cost() + costBesideLoad(random, dataCentre, c)
+	return load.Cost(c.slowdown) + costBesideLoad(random, dataCentre, c)
 }
 
 // costBesideLoad returns the costs that do not depend on the attempts on the server.
--- a/entryhost/relay/dispatch/task.go
+++ b/entryhost/relay/dispatch/task.go
@@ -11,6 +11,7 @@
 
 	"github.com/lentilpoint/lentilpoint/entryhost/relay/catalog"
 	"github.com/lentilpoint/lentilpoint/entryhost/relay/exchange"
+	"github.com/lentilpoint/lentilpoint/entryhost/relay/loads"
 	"github.com/lentilpoint/lentilpoint/entryhost/relay/routing"
 	"github.com/lentilpoint/lentilpoint/entryhost/relay/series"
 	"github.com/lentilpoint/lentilpoint/eventcode"
@@ -111,6 +112,8 @@
 	route       string
 	stepStarted time.Time
 	fromCopy    bool
+	// alone is set if the engine read no other prompt when it was chosen.
+	alone bool
 }
 
 // Task is the dispatcher. It owns the state of all servers.
@@ -166,10 +169,14 @@
 	// asks are the asks for grants that this host has not acted on, by sequence.
 	asks         map[int64]bool
 	lastSequence int64
-	servers      map[string]*serverState
-	leases       map[Lease]leaseState
-	lastLease    Lease
-	budgets      map[string]*budget
+	// speeds are the speeds of engines that this host observed, and firstEvents those
+	// that are to be reported to the collector of a data centre, by server.
+	speeds      *loads.Speeds
+	firstEvents map[string]map[string]loads.FirstEvent
+	servers     map[string]*serverState
+	leases      map[Lease]leaseState
+	lastLease   Lease
+	budgets     map[string]*budget
 	// moves are the version moves with a stage in force, by service.
 	moves   map[string]*moveState
 	waiting []Acquire
@@ -189,8 +196,8 @@
 		hostCount:  minHostCount,
 		allHosts:   []routing.Host{{Address: parameters.Self, DataCentre: parameters.DataCentre}},
 		collectors: map[string][]string{},
-		asks:       map[int64]bool{},
-		shared:     map[string]sharedLoads{}, collectorsDown: map[string]time.Time{},
+		asks:       map[int64]bool{}, firstEvents: map[string]map[string]loads.FirstEvent{}, speeds: loads.NewSpeeds(),
+		shared: map[string]sharedLoads{}, collectorsDown: map[string]time.Time{},
 		adopted:   map[string]adoption{},
 		ended:     map[string]time.Time{},
 		leaving:   map[string]leavingServer{},
@@ -415,6 +422,7 @@
 		return
 	}
 	t.recordAnswer(granted)
+	t.recordSpeed(granted)
 	granted.decoding, granted.stepStarted = true, t.Clock.Now()
 	granted.server.decoding++
 	t.leases[message.Lease] = granted
--- a/entryhost/relay/loads/grants.go
+++ b/entryhost/relay/loads/grants.go
@@ -30,7 +30,7 @@
 	granted, lowest, reserved := "", math.Inf(1), b.reserved("")
 	for _, proposal := range report.Proposals {
 		load := b.servers[proposal.Server].plus(reserved[proposal.Server], 1)
-		if cost := proposal.Cost + load.Cost(); cost < lowest {
+		if cost := proposal.Cost + load.Cost(b.speeds.Slowdown(proposal.Server)); cost < lowest {
 			granted, lowest = proposal.Server, cost
 		}
 	}
--- a/entryhost/relay/loads/grants_test.go
+++ b/entryhost/relay/loads/grants_test.go
@@ -1,6 +1,7 @@
 package loads
 
 import (
+	"fmt"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -39,4 +40,26 @@
 		Expect(b.exchange(HostLoads{Host: "b"}, now.Add(grantLifetime-1)).Servers).NotTo(BeEmpty())
 		Expect(b.exchange(HostLoads{Host: "b"}, now.Add(grantLifetime)).Servers).To(BeEmpty())
 	})
+
+	// Guards against slow servers that are granted as often as fast ones, and against
+	// times of one service that are compared with those of another.
+	It("prefers the faster of two idle servers", func() {
+		observe := func(server, service string, seconds float64) {
+			for range minSpeedSamples {
+				b.exchange(HostLoads{Host: "a", FirstEvents: map[string]FirstEvent{server: {Service: service, Seconds: seconds}}}, now)
+			}
+		}
+		observe("s", "engine", 9)
+		Expect(ask("a", 1).Granted).To(Equal("s"), "no other server is known to be faster")
+		for i := range 8 {
+			observe(fmt.Sprint("other-", i), "other", 20)
+		}
+		Expect(b.speeds.Slowdown("s")).To(BeZero())
+		for _, server := range []string{"t", "u", "v"} {
+			observe(server, "engine", 1)
+		}
+		Expect(b.speeds.Slowdown("s")).To(BeNumerically("~", maxSlowness-1))
+		b.grants = nil
+		Expect(ask("a", 2).Granted).To(Equal("t"))
+	})
 })
--- a/entryhost/relay/loads/messages.go
+++ b/entryhost/relay/loads/messages.go
@@ -28,12 +28,15 @@
 	// decodingCost is the cost of an attempt that sends events, which the new prompt
 	// delays.
 	decodingCost = 0.9
+	// promptSeconds is the time in which a server of average speed reads a prompt.
+	promptSeconds = 1.0
 )
 
 // Cost returns the delay of a further attempt on a server with these attempts, against that
-// on an idle server.
-func (l Load) Cost() float64 {
-	return prefillCost*float64(l.Reading) + decodingCost*float64(l.Decoding)
+// on an idle server of average speed. The slowdown is the part by which the server takes
+// longer than that; see Speeds.
+func (l Load) Cost(slowdown float64) float64 {
+	return prefillCost*float64(l.Reading) + decodingCost*float64(l.Decoding) + slowdown*promptSeconds
 }
 
 // Proposal is a server that a host could choose, and its cost to that host without the
@@ -43,6 +46,13 @@
 	Cost   float64
 }
 
+// FirstEvent is the time in seconds that a server took to its first event without another
+// prompt beside it.
+type FirstEvent struct {
+	Service string
+	Seconds float64
+}
+
 // HostLoads holds the attempts of one host on the servers of a data centre.
 type HostLoads struct {
 	Host       string
@@ -59,6 +69,8 @@
 	// acted on, of which the grants stay reserved. Hosts of earlier builds send neither.
 	Proposals []Proposal
 	Pending   []int64
+	// FirstEvents are the times that servers took since the host's last report, by id.
+	FirstEvents map[string]FirstEvent
 }
 
 // Others holds the attempts of all hosts but the one that asked: by id of the
--- a/entryhost/relay/loads/policy.go
+++ b/entryhost/relay/loads/policy.go
@@ -23,10 +23,11 @@
 	organisations map[string]int
 	// grants are the servers reserved for hosts that have asked, few at a time.
 	grants []grant
+	speeds *Speeds
 }
 
 func newBoard() *board {
-	return &board{hosts: map[string]hostReport{}, servers: map[string]Load{}, organisations: map[string]int{}}
+	return &board{hosts: map[string]hostReport{}, servers: map[string]Load{}, organisations: map[string]int{}, speeds: NewSpeeds()}
 }
 
 // exchange applies the host's report and returns the attempts of the others, with a grant if
@@ -34,6 +35,9 @@
 func (b *board) exchange(report HostLoads, now time.Time) Others {
 	b.apply(report, now)
 	b.settle(report, now)
+	for server, event := range report.FirstEvents {
+		b.speeds.Observe(server, event)
+	}
 	others := b.others(report.Host)
 	others.Granted = b.grant(report, now)
 	return others
