Sample other data centres of a stream from at most four of them

Cause: with 16 data centres a decision read the failures and loads of 15 groups to look at two engines of each. Change: engines of other data centres, and holders of copies, are sampled from up to four data centres, from a random one on.

--- a/entryhost/relay/dispatch/candidates.go
+++ b/entryhost/relay/dispatch/candidates.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"github.com/lentilpoint/lentilpoint/entryhost/relay/loads"
@@ -37,8 +38,7 @@
 	servers []*serverState
 	// The following are set by observe at the start of a decision: the attempts of other
 	// hosts by id of the server, whether these are shared but not known, whether the group
-	// is avoided, and the number of
-	// connections that this host may open to each server.
+	// is avoided, and the number of connections that this host may open to each server.
 	others          map[string]loads.Load
 	unseen          bool
 	down            bool
@@ -140,6 +140,8 @@
 	// maxHoldersExamined is that number for the holder of a copy, which needs memory and
 	// no compute.
 	maxHoldersExamined = 16
+	// maxGroupsExamined is the number of other data centres from which these are taken.
+	maxGroupsExamined = 4
 	// surelyLowestCost is the cost below which no server of another data centre and none
 	// that fails more often than maxFailureRateExcess can be cheaper.
 	surelyLowestCost = min(remoteCost+notOwnedCost, failureRateCost*maxFailureRateExcess) - loads.MaxSpeedup
@@ -175,10 +177,7 @@
 	if !isStream {
 		return nil
 	}
-	t.sampled = t.sampled[:0]
-	for _, group := range servers.remote {
-		t.sampled = t.sample(t.sampled, group, max(1, maxExamined/len(servers.remote)), limit, now)
-	}
+	t.sampleGroups(servers.remote, maxExamined, limit, now)
 	if remote, remoteCost := t.cheapestSound(request); remoteCost < cost {
 		return remote
 	}
@@ -207,20 +206,27 @@
 // keep whatever the others are.
 func (t *Task) quickBackup(request *Acquire, chosen *candidate, now time.Time) *candidate {
 	servers, limit := t.serversOf(request.Service), t.connectionLimit(request.Service)
-	sampled := t.sampled[:0]
-	for _, group := range servers.groups() {
-		if group.pool.dataCentre != chosen.server.DataCentre {
-			sampled = t.sample(sampled, group, max(1, maxHoldersExamined/max(len(servers.remote), 1)), limit, now)
-		}
-	}
-	t.sampled = sampled
-	backup := chooseBackup(t.Random, t.DataCentre, request, sampled, chosen.server)
+	others := slices.DeleteFunc(servers.groups(), func(group *serverGroup) bool { return group.pool.dataCentre == chosen.server.DataCentre })
+	t.sampleGroups(others, maxHoldersExamined, limit, now)
+	backup := chooseBackup(t.Random, t.DataCentre, request, t.sampled, chosen.server)
 	if backup == nil || backup.dataCentreDown {
 		return nil
 	}
 	return backup
 }
 
+// sampleGroups samples a number of servers of up to maxGroupsExamined of the groups.
+func (t *Task) sampleGroups(groups []*serverGroup, count, connectionLimit int, now time.Time) {
+	t.sampled = t.sampled[:0]
+	if len(groups) == 0 {
+		return
+	}
+	first, examined := t.Random.IntN(len(groups)), min(len(groups), maxGroupsExamined)
+	for i := range examined {
+		t.sampled = t.sample(t.sampled, groups[(first+i)%len(groups)], count/examined, connectionLimit, now)
+	}
+}
+
 // sample appends a number of servers of the group, or all if it has fewer. They follow
 // each other from a random one on.
 func (t *Task) sample(sampled []candidate, group *serverGroup, count, connectionLimit int, now time.Time) []candidate {
