Share failures of engines between the hosts of a data centre

Cause: an engine that fails each request at once is always idle, and each host learned of it by requests of its own. Change: the reports of loads carry the recent failures of engines, which count like waiting prompts at the other hosts and when the collector grants an engine. The field is optional.

--- a/entryhost/relay/dispatch/grants_test.go
+++ b/entryhost/relay/dispatch/grants_test.go
@@ -11,6 +11,7 @@
 	"github.com/jonboulle/clockwork"
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+	"github.com/onsi/gomega/types"
 
 	"github.com/lentilpoint/lentilpoint/entryhost/relay/loads"
 	"github.com/lentilpoint/lentilpoint/entryhost/relay/routing"
@@ -23,8 +24,10 @@
 	// down are the collectors that do not answer, asked those that were asked.
 	down  map[string]bool
 	asked chan string
-	// earlier is set if the collector is of a build without grants.
-	earlier bool
+	// earlier is set if the collector is of a build without grants, and withoutFailures if
+	// it is of one that does not share failures.
+	earlier         bool
+	withoutFailures bool
 }
 
 // Exchange implements LoadExchanger.
@@ -36,6 +39,12 @@
 	if l.earlier {
 		report.Proposals, report.Pending, report.FirstEvents = nil, nil, nil
 	}
+	if l.withoutFailures {
+		for id, load := range report.Servers {
+			load.Failed = 0
+			report.Servers[id] = load
+		}
+	}
 	return task.Call(ctx, l.collectors[collector], func(reply task.Reply[loads.Others]) loads.Exchange {
 		return loads.Exchange{Report: report, Reply: reply}
 	})
@@ -184,6 +193,36 @@
 		Expect(owners(hosts...)).To(And(HaveLen(engineCount), once), "it has joined again")
 	})
 
+	// Guards against an engine that fails each request at once and so is always idle: each
+	// host learned of it by requests of its own, until these had no attempt left.
+	DescribeTable("send few requests to an engine that fails each at once while the others are busy",
+		func(ctx SpecContext, shared bool, expected types.GomegaMatcher) {
+			failing, failed := "10.2.0.0:80", 0
+			for i := range 3 * hostCount {
+				host := i % hostCount
+				links[host].withoutFailures = !shared
+				for served := false; !served; {
+					ask(ctx, host)
+					next(ctx, host)
+					var assigned Assignment
+					Expect(replies[host]).To(Receive(&assigned))
+					assigned.Connection.Close()
+					next(ctx, host)
+					if served = assigned.Server.ID != failing; served {
+						continue
+					}
+					failed++
+					hosts[host].handle(ctx, Release{Lease: assigned.Lease, Outcome: OutcomeFailed})
+					hosts[host].reportDue(ctx)
+					next(ctx, host)
+				}
+			}
+			Expect(failed).To(expected)
+		},
+		Entry("as each host learns of it for itself, without shared failures", false, BeNumerically(">=", hostCount)),
+		Entry("with shared failures", true, BeNumerically("<", hostCount)),
+	)
+
 	// Guards against a host that takes what it saw before it was frozen for the present.
 	It("ask again after they were frozen, since the view and the grant are old", func(ctx SpecContext) {
 		ask(ctx, 0)
--- a/entryhost/relay/dispatch/loads.go
+++ b/entryhost/relay/dispatch/loads.go
@@ -172,6 +172,7 @@
 			report.Servers[server.ID] = loads.Load{Reading: state.inFlight - state.decoding, Decoding: state.decoding}
 		}
 	}
+	t.reportFailures(&report)
 	return report
 }
 
--- a/entryhost/relay/dispatch/policy.go
+++ b/entryhost/relay/dispatch/policy.go
@@ -232,7 +232,7 @@
 
 // costOf returns the sum of the candidate's costs and a jitter.
 func costOf(random *rand.Rand, dataCentre string, c *candidate) float64 {
-	load := loads.Load{Reading: c.reading(), Decoding: c.allDecoding()}
+	load := loads.Load{Reading: c.reading(), Decoding: c.allDecoding(), Failed: c.others.Failed}
 	return load.Cost(c.slowdown) + costBesideLoad(random, dataCentre, c)
 }
 
--- a/entryhost/relay/dispatch/task.go
+++ b/entryhost/relay/dispatch/task.go
@@ -182,6 +182,8 @@
 	leases      map[Lease]leaseState
 	lastLease   Lease
 	budgets     map[string]*budget
+	// failures are the recent failures of engines that are reported to other hosts, by id.
+	failures map[string]recentFailures
 	// promptTimes are the times in which engines read a prompt, by service.
 	promptTimes map[string]promptEstimate
 	// moves are the version moves with a stage in force, by service.
@@ -222,6 +224,7 @@
 		budgets:       map[string]*budget{},
 		moves:         map[string]*moveState{},
 		promptTimes:   map[string]promptEstimate{},
+		failures:      map[string]recentFailures{},
 		plainServices: map[string]plainService{},
 	}
 }
@@ -429,6 +432,7 @@
 	t.markLoadChanged(granted.server.server)
 	failureRate := granted.server.health.failureRate
 	t.recordOutcome(granted.server, message.Outcome)
+	t.recordFailure(granted.server.server, message.Outcome)
 	if granted.plain && message.Outcome == OutcomeRejected {
 		// A full server is no failing one; the backoff decides when it is asked again.
 		granted.server.health.failureRate = failureRate
--- a/entryhost/relay/loads/messages.go
+++ b/entryhost/relay/loads/messages.go
@@ -16,6 +16,9 @@
 	// Reading attempts have not sent an event yet, Decoding ones have.
 	Reading  int
 	Decoding int
+	// Failed are the recent attempts that the server failed, since the last one of the
+	// same host that it answered. Hosts of earlier builds do not send it.
+	Failed int
 }
 
 const (
@@ -28,6 +31,11 @@
 	// decodingCost is the cost of an attempt that sends events, which the new prompt
 	// delays.
 	decodingCost = 0.9
+	// failedCost is the cost of a recent failure: the time of the attempt that may be lost
+	// with another one, up to maxFailuresCounted of them. Any busy server that answers is
+	// better than one that fails each request.
+	failedCost         = 1.5
+	maxFailuresCounted = 4
 	// promptSeconds is the time in which a server of average speed reads a prompt.
 	promptSeconds = 1.0
 )
@@ -36,7 +44,7 @@
 // on an idle server of average speed. The slowdown is the part by which the server takes
 // longer than that; see Speeds.
 func (l Load) Cost(slowdown float64) float64 {
-	return prefillCost*float64(l.Reading) + decodingCost*float64(l.Decoding) + slowdown*promptSeconds
+	return prefillCost*float64(l.Reading) + decodingCost*float64(l.Decoding) + failedCost*float64(min(l.Failed, maxFailuresCounted)) + slowdown*promptSeconds
 }
 
 // Proposal is a server that a host could choose, and its cost to that host without the
--- a/entryhost/relay/loads/policy.go
+++ b/entryhost/relay/loads/policy.go
@@ -69,7 +69,7 @@
 }
 
 func (l Load) plus(other Load, sign int) Load {
-	return Load{Reading: l.Reading + sign*other.Reading, Decoding: l.Decoding + sign*other.Decoding}
+	return Load{Reading: l.Reading + sign*other.Reading, Decoding: l.Decoding + sign*other.Decoding, Failed: l.Failed + sign*other.Failed}
 }
 
 // setOrDelete sets the value of a key, or deletes the key if the value is zero.
