Explain the dispatcher's decision about a request

Cause: operators could not see why a request goes to a server or is refused without sending it.

Change: the dispatcher answers the message Explain with the route, refusal, predicted wait, ages of the views, and for each server the filter that removed it and the parts of its cost. It calls the code of the real choice on a copy of the task without a random source; filters and scorers get names for it. The wait for a server moves from forward to routing.Route.ServerWait, as the explanation needs it too. The candidates test reads the filters from the named list; it checks the same.

--- a/entryhost/relay/dispatch/admission.go
+++ b/entryhost/relay/dispatch/admission.go
@@ -26,9 +26,7 @@
 // which an engine was chosen. It returns the engine and the demand in its data centre, or
 // nil if the stream was refused or waits for the loads of other data centres.
 func (t *Task) admitStream(ctx context.Context, request *Acquire, chosen *candidate, waiting demand, candidates []candidate, now time.Time) (*candidate, demand) {
-	needs := streamNeeds{
-		ranks: t.ranksOf(request.Service), objective: request.Objective, left: request.Deadline.Sub(now), prompt: t.promptTimes[request.Service].duration(),
-	}
+	needs := t.needsOf(request, now)
 	decided := t.admissionAt(chosen.server.DataCentre, waiting, needs)
 	// A stream that was sent to an engine may have run, so that a refusal could not state
 	// that it has not, and one of which the caller has events would be cut off.
@@ -53,6 +51,13 @@
 	return chosen, waiting
 }
 
+// needsOf returns what the admission of the stream depends on besides the demand.
+func (t *Task) needsOf(request *Acquire, now time.Time) streamNeeds {
+	return streamNeeds{
+		ranks: t.ranksOf(request.Service), objective: request.Objective, left: request.Deadline.Sub(now), prompt: t.promptTimes[request.Service].duration(),
+	}
+}
+
 func (t *Task) admissionAt(dataCentre string, waiting demand, needs streamNeeds) admission {
 	decided := waiting.admit(needs)
 	decided.dataCentre = dataCentre
--- a/entryhost/relay/dispatch/assign.go
+++ b/entryhost/relay/dispatch/assign.go
@@ -16,12 +16,7 @@
 	if request.Plain != nil {
 		return t.tryAssignPlain(ctx, request, t.candidatesFor(&request, now), now)
 	}
-	chosen := t.quickChoice(&request, now)
-	var candidates []candidate
-	if chosen == nil {
-		candidates = t.candidatesFor(&request, now)
-		chosen = t.pickServer(&request, candidates)
-	}
+	chosen, candidates := t.choose(&request, now)
 	if chosen == nil {
 		if request.OnlyPreferred {
 			t.refuse(request, RefusedCopyGone)
@@ -39,7 +34,7 @@
 	}
 	deferred := false
 	if t.sharesLoads(request.Service) && !request.OnlyPreferred {
-		waiting := t.demandAt(chosen.server.DataCentre, &request, t.enginesFor(&request, chosen.server.DataCentre, candidates, now), now)
+		waiting := t.demandFor(&request, chosen, candidates, now)
 		if retryAfter, refused := waiting.refusal(request.Organisation, t.Random.Float64()); refused && !request.Retry {
 			t.refuseFor(request, RefusedOverload, retryAfter)
 			return true
@@ -59,6 +54,16 @@
 	return true
 }
 
+// choose returns the server with the lowest cost for a request that is no call of a plain
+// service, or nil. The candidates are nil after a quick choice.
+func (t *Task) choose(request *Acquire, now time.Time) (*candidate, []candidate) {
+	if chosen := t.quickChoice(request, now); chosen != nil {
+		return chosen, nil
+	}
+	candidates := t.candidatesFor(request, now)
+	return t.pickServer(request, candidates), candidates
+}
+
 // payAndGrant leases the chosen server to the request if the retry budget allows it, and
 // otherwise asks other hosts to pay.
 func (t *Task) payAndGrant(ctx context.Context, request Acquire, chosen *candidate, candidates []candidate, deferred bool, now time.Time) {
@@ -82,6 +87,11 @@
 	return candidates
 }
 
+// demandFor returns what waits in the data centre of the chosen engine.
+func (t *Task) demandFor(request *Acquire, chosen *candidate, candidates []candidate, now time.Time) demand {
+	return t.demandAt(chosen.server.DataCentre, request, t.enginesFor(request, chosen.server.DataCentre, candidates, now), now)
+}
+
 // enginesFor counts the engines of a data centre that may serve the request. The candidates
 // are nil unless a version move restricts them or the quick choice found none.
 func (t *Task) enginesFor(request *Acquire, dataCentre string, candidates []candidate, now time.Time) engineCounts {
--- a/entryhost/relay/dispatch/candidates.go
+++ b/entryhost/relay/dispatch/candidates.go
@@ -221,7 +221,10 @@
 	if len(groups) == 0 {
 		return
 	}
-	first, examined := t.Random.IntN(len(groups)), min(len(groups), maxGroupsExamined)
+	first, examined := t.startOf(len(groups)), min(len(groups), maxGroupsExamined)
+	if t.Random == nil {
+		examined, count = len(groups), math.MaxInt
+	}
 	for i := range examined {
 		t.sampled = t.sample(t.sampled, groups[(first+i)%len(groups)], count/examined, connectionLimit, now)
 	}
@@ -234,7 +237,10 @@
 		return sampled
 	}
 	t.observe(group, connectionLimit, now)
-	next := t.Random.IntN(len(group.servers))
+	next := t.startOf(len(group.servers))
+	if t.Random == nil {
+		count = len(group.servers)
+	}
 	for range min(count, len(group.servers)) {
 		sampled = append(sampled, t.candidateOf(group, group.servers[next], now))
 		if next++; next == len(group.servers) {
@@ -243,3 +249,12 @@
 	}
 	return sampled
 }
+
+// startOf returns the index at which a sample begins. An explanation has no random source
+// and examines all servers, so that it does not depend on a sample.
+func (t *Task) startOf(count int) int {
+	if t.Random == nil {
+		return 0
+	}
+	return t.Random.IntN(count)
+}
--- a/entryhost/relay/dispatch/candidates_test.go
+++ b/entryhost/relay/dispatch/candidates_test.go
@@ -38,8 +38,8 @@
 				return
 			}
 			kept := dispatcher.candidates("engine", now)
-			for _, apply := range filters {
-				kept = apply(&request, kept)
+			for _, filter := range filters {
+				kept = filter.apply(&request, kept)
 			}
 			if !slices.ContainsFunc(kept, func(c candidate) bool { return c.server == chosen.server }) {
 				t.Fatalf("%+v is not kept", chosen)
--- a/entryhost/relay/dispatch/policy.go
+++ b/entryhost/relay/dispatch/policy.go
@@ -64,6 +64,17 @@
 // scorer returns a cost of a candidate beside that of its load; the lowest sum wins.
 type scorer func(dataCentre string, candidate *candidate) float64
 
+// namedFilter and namedScorer have the names by which explanations of routes refer to them.
+type namedFilter struct {
+	name  string
+	apply filter
+}
+
+type namedScorer struct {
+	name  string
+	score scorer
+}
+
 const (
 	// The unit of all costs is a second by which a stream is delayed; loads.Load.Cost has
 	// the cost of attempts.
@@ -99,18 +110,21 @@
 	maxFailureRateExcess = 0.3
 )
 
-var filters = []filter{usable, notExcluded, notAvoided, reachable, notPaused, notFailing}
+var filters = []namedFilter{
+	{"usable", usable}, {"not_excluded", notExcluded}, {"not_avoided", notAvoided}, {"reachable", reachable}, {"not_paused", notPaused},
+	{"not_failing", notFailing},
+}
 
-var scorers = []scorer{
-	func(_ string, c *candidate) float64 { return copyCost * float64(c.copies) },
-	func(_ string, c *candidate) float64 { return notOwnedCost * indicator(!c.owned) },
-	func(_ string, c *candidate) float64 { return unseenCost * indicator(c.unseen && !c.owned) },
-	func(dataCentre string, c *candidate) float64 {
+var scorers = []namedScorer{
+	{"copies", func(_ string, c *candidate) float64 { return copyCost * float64(c.copies) }},
+	{"not_owned", func(_ string, c *candidate) float64 { return notOwnedCost * indicator(!c.owned) }},
+	{"loads_unknown", func(_ string, c *candidate) float64 { return unseenCost * indicator(c.unseen && !c.owned) }},
+	{"remote", func(dataCentre string, c *candidate) float64 {
 		return remoteCost * indicator(c.server.DataCentre != dataCentre)
-	},
-	func(_ string, c *candidate) float64 { return newConnectionCost * indicator(!c.warm) },
-	func(_ string, c *candidate) float64 { return failureRateCost * c.failureRate },
-	func(_ string, c *candidate) float64 { return refusedCost * indicator(c.backoff.refusals > 0) },
+	}},
+	{"new_connection", func(_ string, c *candidate) float64 { return newConnectionCost * indicator(!c.warm) }},
+	{"failure_rate", func(_ string, c *candidate) float64 { return failureRateCost * c.failureRate }},
+	{"was_full", func(_ string, c *candidate) float64 { return refusedCost * indicator(c.backoff.refusals > 0) }},
 }
 
 func indicator(condition bool) float64 {
@@ -198,8 +212,8 @@
 
 // chooseScored also returns the candidate's cost, which is infinite if there is none.
 func chooseScored(random *rand.Rand, dataCentre string, request *Acquire, candidates []candidate) (*candidate, float64) {
-	for _, apply := range filters {
-		candidates = apply(request, candidates)
+	for _, filter := range filters {
+		candidates = filter.apply(request, candidates)
 	}
 	return cheapest(random, dataCentre, candidates)
 }
@@ -232,19 +246,32 @@
 
 // costOf returns the sum of the candidate's costs and a jitter.
 func costOf(random *rand.Rand, dataCentre string, c *candidate) float64 {
-	load := loads.Load{Reading: c.reading(), Decoding: c.allDecoding(), Failed: c.others.Failed}
-	return load.Cost(c.slowdown) + costBesideLoad(random, dataCentre, c)
+	return c.load().Cost(c.slowdown) + costBesideLoad(random, dataCentre, c)
+}
+
+// load returns the attempts of all hosts on the server.
+func (c *candidate) load() loads.Load {
+	return loads.Load{Reading: c.reading(), Decoding: c.allDecoding(), Failed: c.others.Failed}
 }
 
 // costBesideLoad returns the costs that do not depend on the attempts on the server.
 func costBesideLoad(random *rand.Rand, dataCentre string, c *candidate) float64 {
-	cost := jitterCost * random.Float64()
-	for _, score := range scorers {
-		cost += score(dataCentre, c)
+	cost := jitterOf(random)
+	for _, scorer := range scorers {
+		cost += scorer.score(dataCentre, c)
 	}
 	return cost
 }
 
+// jitterOf returns the jitter of a cost; it is 0 for an explanation, which has no random
+// source.
+func jitterOf(random *rand.Rand) float64 {
+	if random == nil {
+		return 0
+	}
+	return jitterCost * random.Float64()
+}
+
 const (
 	// minPause and maxPause bound how long a server is avoided after it was
 	// unreachable or silent; the pause doubles with each failure. A crashed
--- a/entryhost/relay/dispatch/task.go
+++ b/entryhost/relay/dispatch/task.go
@@ -337,6 +337,8 @@
 		t.finishCheck(message)
 	case identifyResult:
 		t.handleIdentified(message)
+	case Explain:
+		message.Reply.Send(t.explain(message.Query))
 	}
 }
 
--- a/entryhost/relay/forward/policy.go
+++ b/entryhost/relay/forward/policy.go
@@ -23,10 +23,6 @@
 	// attempt of an idempotent request is abandoned for another server; the rest
 	// suffices for the second response.
 	attemptTimeoutShare = 0.6
-	// serverWaitShare is the part of the latency objective for which a request
-	// waits for a server; a refusal after an eighth of the objective counts as
-	// late.
-	serverWaitShare = 0.12
 	// maxOfferedWait bounds the wait for a server of a plain service once a server has had
 	// the request; its deadline may end the wait before. A late answer is worth more than
 	// a refusal, and a server that was full has room within some 100 ms.
--- a/entryhost/relay/forward/task.go
+++ b/entryhost/relay/forward/task.go
@@ -286,7 +286,7 @@
 
 // maxServerWait returns how long the request may wait for a server.
 func (r *requestTask) maxServerWait() time.Duration {
-	return time.Duration(serverWaitShare * float64(r.request.Route.LatencyObjective))
+	return r.request.Route.ServerWait()
 }
 
 // logRetry logs and counts that the request goes to another server.
--- a/entryhost/relay/routing/config.go
+++ b/entryhost/relay/routing/config.go
@@ -73,6 +73,15 @@
 	return r.Kind == Idempotent || r.Kind == Streaming && r.Resumable
 }
 
+// serverWaitShare is the part of the latency objective for which a request waits for a
+// server; a refusal after an eighth of the objective counts as late.
+const serverWaitShare = 0.12
+
+// ServerWait returns how long a request that was sent to no server may wait for one.
+func (r *Route) ServerWait() time.Duration {
+	return time.Duration(serverWaitShare * float64(r.LatencyObjective))
+}
+
 // Service returns the service for a request by the weights of the split, or ""
 // without a split. Point is uniform in [0, 1).
 func (r *Route) Service(point float64) string {
@@ -195,3 +204,13 @@
 	organisation, found := c.organisations[key]
 	return organisation, found
 }
+
+// OrganisationNamed returns the organisation with the name.
+func (c *Config) OrganisationNamed(name string) (Organisation, bool) {
+	for _, organisation := range c.organisations {
+		if organisation.Name == name {
+			return organisation, true
+		}
+	}
+	return Organisation{}, false
+}
