Add the command explain-route

Cause: the explanation of the dispatcher had no way to an operator.

Change: the net/rpc service Routes of the peers' channel answers Explain, and lentilpoint explain-route asks one named host and prints the answer as table, JSON or YAML.

--- a/cmd/lentilpoint/commands/root.go
+++ b/cmd/lentilpoint/commands/root.go
@@ -1,5 +1,6 @@
 // Package commands holds the commands of lentilpoint, the operators' command
-// line. Each command is a client of the operator API.
+// line. Each command is a client of the operator API, except explain-route, which asks a
+// host of the relay as its peers do.
 package commands
 
 import (
@@ -102,7 +103,7 @@
 	flags.DurationVar(&g.timeout, "timeout", defaultTimeout, "longest time of one request, over all servers")
 	flags.StringVar(&g.caFile, "ca-file", "", "PEM file with certificates that are trusted besides the system's")
 	root.AddCommand(configCommand(g), questionnaireCommand(g), servicesCommand(g), organisationsCommand(g),
-		movesCommand(g), statusCommand(g), eventsCommand(g), explainCommand(g))
+		movesCommand(g), statusCommand(g), eventsCommand(g), explainCommand(g), explainRouteCommand(g))
 	markUsage(root)
 	return root
 }
--- a/entryhost/relay/peering/peering.go
+++ b/entryhost/relay/peering/peering.go
@@ -123,6 +123,7 @@
 	for name, service := range map[string]any{
 		copiesService: &Copies{followers: l.followers}, budgetService: &Budget{dispatcher: l.dispatcher}, suspectsService: &Suspects{mailbox: l.suspects},
 		loadsService: &Loads{mailbox: l.loads}, promptsService: &Prompts{dispatcher: l.dispatcher}, movesService: &Moves{mover: l.mover},
+		routesService: &Routes{dispatcher: l.dispatcher},
 	} {
 		if err := server.RegisterName(name, service); err != nil {
 			return Error.Wrap(err)
