Share the recent calls of plain services in a data centre

Cause: each host sees one or two calls of a plain service a second, too few to notice an overload, and calls of one data centre are known to no one.

Change: reports of loads carry the calls since the last one: first attempts, answers and their times by server, and the fastest answer. The fields are optional, and there are no further calls. Nothing uses them yet.

--- a/entryhost/relay/loads/loads_test.go
+++ b/entryhost/relay/loads/loads_test.go
@@ -96,6 +96,23 @@
 	})
 })
 
+var _ = Describe("the recent calls of plain services", func() {
+	// Guards against shedding by calls that are over, and against reports that are lost.
+	It("are the sums of the reports of all hosts within the window", func() {
+		now := time.Unix(100, 0)
+		calls := func(count int, fastest time.Duration) map[string]ServiceCalls {
+			return map[string]ServiceCalls{"s": {Offered: count, Fastest: fastest, Answers: map[string]Answers{"a": {Count: count, Sum: time.Duration(count) * time.Second}}}}
+		}
+		var window CallWindow
+		window.Add(calls(1, 3), now)
+		window.Add(calls(2, 2), now.Add(10*time.Millisecond))
+		window.Add(calls(4, 0), now.Add(400*time.Millisecond))
+		Expect(window.Sums(now.Add(CallWindowLength - 1))).To(Equal(calls(7, 2)))
+		Expect(window.Sums(now.Add(CallWindowLength))).To(Equal(calls(4, 0)))
+		Expect(window.Sums(now.Add(2 * CallWindowLength))).To(BeEmpty())
+	})
+})
+
 var _ = Describe("the collector of a data centre", func() {
 	var hosts []routing.Host
 	for i := range 50 {
--- a/entryhost/relay/loads/messages.go
+++ b/entryhost/relay/loads/messages.go
@@ -31,6 +31,9 @@
 	Organisations map[string]int
 	// Ranks counts the same attempts by rank. Hosts of earlier builds do not send it.
 	Ranks map[int]int
+	// Calls are those of plain services that the host has seen since its last report, and
+	// not before the last CallWindowLength. Hosts of earlier builds do not send them.
+	Calls map[string]ServiceCalls
 }
 
 // Others holds the attempts of all hosts but the one that asked: by id of the
@@ -41,6 +44,9 @@
 	// Ranks lacks the attempts of hosts of earlier builds, and all of them if the
 	// collector is of an earlier build; see ByRank.
 	Ranks map[int]int
+	// Calls are those that all hosts of the data centre, with the one that asked, reported
+	// within CallWindowLength, by plain service.
+	Calls map[string]ServiceCalls
 }
 
 // Exchange delivers a report and asks for the attempts of the other hosts.
--- a/entryhost/relay/loads/task.go
+++ b/entryhost/relay/loads/task.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/jonboulle/clockwork"
 
@@ -16,11 +17,13 @@
 	// boards is accessed only by the task's goroutine. Usually it holds the board of
 	// this host's data centre, if this host is the collector.
 	boards map[string]board
+	// calls are the recent calls of plain services by data centre.
+	calls map[string]*CallWindow
 }
 
 // NewTask returns a collector without reports.
 func NewTask(clock clockwork.Clock) *Task {
-	return &Task{clock: clock, mailbox: task.NewMailbox[Exchange](mailboxSize), boards: map[string]board{}}
+	return &Task{clock: clock, mailbox: task.NewMailbox[Exchange](mailboxSize), boards: map[string]board{}, calls: map[string]*CallWindow{}}
 }
 
 // Mailbox receives reports.
@@ -51,8 +54,23 @@
 		reports = newBoard()
 		t.boards[report.DataCentre] = reports
 	}
-	reports.apply(report, t.clock.Now())
-	return reports.others(report.Host)
+	now := t.clock.Now()
+	reports.apply(report, now)
+	others := reports.others(report.Host)
+	others.Calls = t.exchangeCalls(report, now)
+	return others
+}
+
+// exchangeCalls adds the calls of a report, which count also if a later report overtook it,
+// and returns those of the data centre.
+func (t *Task) exchangeCalls(report HostLoads, now time.Time) map[string]ServiceCalls {
+	window, found := t.calls[report.DataCentre]
+	if !found {
+		window = &CallWindow{}
+		t.calls[report.DataCentre] = window
+	}
+	window.Add(report.Calls, now)
+	return window.Sums(now)
 }
 
 func (t *Task) expire() {
@@ -61,6 +79,7 @@
 		reports.expire(now)
 		if len(reports.hosts) == 0 {
 			delete(t.boards, dataCentre)
+			delete(t.calls, dataCentre)
 		}
 	}
 }
