--- a/entryhost/relay/dispatch/loads.go
+++ b/entryhost/relay/dispatch/loads.go
@@ -102,7 +102,8 @@
 }
 
 // sharesLoads reports whether the hosts share their attempts on the servers of the
-// service. Calls of plain services end sooner than reports of them would arrive.
+// service. Calls of plain services end sooner than reports of them
+// would arrive; of them only sums of recent ones are shared.
 func (t *Task) sharesLoads(service string) bool {
 	return t.Loads != nil && t.view.Config != nil && t.view.Config.Services[service].Engine != nil
 }
@@ -173,6 +174,9 @@
 		}
 	}
 	t.reportFailures(&report)
+	if dataCentre == t.DataCentre {
+		report.Calls = t.takeCalls()
+	}
 	return report
 }
 
@@ -207,6 +211,9 @@
 			known.others, known.askedAt = result.others, message.sentAt
 			t.shared[result.dataCentre] = known
 		}
+		if result.dataCentre == t.DataCentre {
+			t.updateShedding(result.others.Calls, now)
+		}
 		if message.request != nil && result.dataCentre == t.DataCentre {
 			message.request.granted = result.others.Granted
 		}
--- a/entryhost/relay/dispatch/task.go
+++ b/entryhost/relay/dispatch/task.go
@@ -193,6 +193,10 @@
 	// had calls, by name.
 	plain         []Acquire
 	plainServices map[string]plainService
+	// ownCalls are the calls of plain services that are not reported yet, and shedding what
+	// is refused at once.
+	ownCalls loads.CallWindow
+	shedding map[shedKey]shedding
 	// searches are the prompt searches in progress.
 	searches []*promptSearch
 }
@@ -226,6 +230,7 @@
 		promptTimes:   map[string]promptEstimate{},
 		failures:      map[string]recentFailures{},
 		plainServices: map[string]plainService{},
+		shedding:      map[shedKey]shedding{},
 	}
 }
 
--- a/entryhost/relay/loads/messages.go
+++ b/entryhost/relay/loads/messages.go
@@ -81,6 +81,9 @@
 	Pending   []int64
 	// FirstEvents are the times that servers took since the host's last report, by id.
 	FirstEvents map[string]FirstEvent
+	// Calls are those of plain services that the host has seen since its last report, and
+	// not before the last CallWindowLength. Hosts of earlier builds do not send them.
+	Calls map[string]ServiceCalls
 }
 
 // Others holds the attempts of all hosts but the one that asked: by id of the
@@ -95,6 +98,9 @@
 	// reports again. It is empty if there was no proposal or the collector is of an
 	// earlier build.
 	Granted string
+	// Calls are those that all hosts of the data centre, with the one that asked, reported
+	// within CallWindowLength, by plain service.
+	Calls map[string]ServiceCalls
 }
 
 // Exchange delivers a report and asks for the attempts of the other hosts.
--- a/eventcode/relay.go
+++ b/eventcode/relay.go
@@ -56,6 +56,7 @@
 	ConnectionsClosed      Code = 2165
 	SlowCallerCut          Code = 2166
 	HeadsRefused           Code = 2167
+	PlainCallsShed         Code = 2168
 )
 
 var relayEvents = []Entry{
@@ -110,6 +111,7 @@
 	{ServerFull, "server full", "A server of a plain service refused several requests in a row as not run, so that this host asks it seldom, or has answered after that.", "If it repeats, the service lacks capacity: look at its servers. A single server that is named alone refuses for another reason."},
 	{MemoryBudgetUsedUp, "memory budget used up", "Clients sent more than the memory of this host allows. Since the last such line, refused claims were refused and gave_way requests were ended before they ran, because they stalled, were slow or were large.", "Find the senders of large or slow requests in the events 2141 with the reason memory_full. If they are ordinary callers, give the host more memory or --caller-memory-mb."},
 	{ConnectionsClosed, "connections closed", "A socket had as many connections as allowed; those without a request were closed to make room, of the address with most connections first.", "If the callers are ordinary, raise --max-caller-connections or the descriptors and the memory of the machine."},
+	{PlainCallsShed, "plain calls shed", "This host began to refuse a part of the calls of a plain service at once as not run, since no server was expected to answer in time, or it stopped doing so. The line names the delay of answers that the hosts of the data centre saw, the part that is refused, and at the end the number of calls.", "If it repeats, the service lacks capacity: look at its servers."},
 	{SlowCallerCut, "slow caller disconnected", "A caller took its response more slowly than its route allows, or the bound on what is held for slow callers was reached; this host closed its connection and ended its attempt. The line has the reason and the bytes that were left.", "Nothing for a single caller. If it repeats for an organisation, tell it to read streams as they arrive; a reason that ends in bound and repeats on one host means that many callers read slowly."},
 	{HeadsRefused, "heads refused", "Callers sent heads with more lines than --max-head-lines (answered 431), or larger than the memory of this host allowed (answered 503); the requests did not run.", "Find the senders; no ordinary caller sends hundreds of header lines."},
 	{RelayMovePaused, "version move paused", "This host could not run several rounds of a version move in a row; it sends the new version no more than the initial share until it can.", "Check the store."},
