Complete a move in its last round once traffic has left the old servers

Cause: a move of 9 s to a version that is proven after 6 s starts its handover at 7.0 s. The round at 8.0 s came before the fraction 0.9 from which a proven target is completed, and the next one at 9.0 s after the end, so that a good version was not completed in time. Change: in the last round before the end a proven target is completed if all traffic has gone to it for a round. The spec of a short move also checks that it is not completed without that round.

--- a/entryhost/relay/moves/moves_test.go
+++ b/entryhost/relay/moves/moves_test.go
@@ -62,10 +62,20 @@
 	It("completes a short move before its time is over", func() {
 		seen := sums(sample(10, 0, time.Millisecond), sample(100, 0, time.Millisecond))
 		got := nextState(state, progress{seen: seen, elapsed: 3 * time.Second, duration: 4 * time.Second}, limits)
+		Expect(got.Phase).To(Equal(routing.PhaseActive))
 		Expect(got.Share).To(Equal(1.0))
 		Expect(nextState(got, progress{seen: seen, elapsed: 3700 * time.Millisecond, duration: 4 * time.Second}, limits).Phase).To(Equal(routing.PhaseCompleted))
 	})
 
+	// Guards against a move of 9 s whose target is proven after 6 s: the round at 8.0 s came
+	// before withdrawalFraction, and the next one after the end.
+	It("completes a move whose next round would come after its end, once traffic has left the old servers for a round", func() {
+		seen := sums(sample(10, 0, time.Millisecond), sample(100, 0, time.Millisecond))
+		got := nextState(state, progress{seen: seen, elapsed: 7010 * time.Millisecond, duration: 9 * time.Second}, limits)
+		Expect(got.Phase).To(Equal(routing.PhaseActive))
+		Expect(nextState(got, progress{seen: seen, elapsed: 8017 * time.Millisecond, duration: 9 * time.Second}, limits).Phase).To(Equal(routing.PhaseCompleted))
+	})
+
 	It("withdraws a version that turns out to be faulty under the whole load", func() {
 		got := nextState(state, progress{seen: sums(sample(10, 0, time.Millisecond), sample(100, 0, time.Millisecond)), elapsed: 15 * time.Second, duration: 20 * time.Second}, limits)
 		Expect(got.Share).To(Equal(1.0))
--- a/entryhost/relay/moves/policy.go
+++ b/entryhost/relay/moves/policy.go
@@ -52,8 +52,9 @@
 	exposureLookahead = 2 * time.Second
 	// completionFraction is the fraction of the move's duration at which it is completed
 	// if the target is proven; the rest is reserved for an outage of the store. The
-	// handover comes before it, but not before minTrialFraction. After withdrawalFraction the move to an unproven target is withdrawn: a
-	// good version costs another order then, a faulty one would cost all requests.
+	// handover comes before it, but not before minTrialFraction. After withdrawalFraction
+	// the move to an unproven target is withdrawn: a good version costs another order then,
+	// a faulty one would cost all requests.
 	completionFraction = 0.8
 	minTrialFraction   = 0.5
 	withdrawalFraction = 0.9
@@ -378,10 +379,12 @@
 	// the target could be compared with.
 	proven := state.Handover > 0 || doubt == ""
 	late := p.elapsed >= time.Duration(withdrawalFraction*float64(p.duration))
+	// The last round of a short move may come before withdrawalFraction.
+	isLast := p.elapsed+roundInterval >= p.duration
 	switch {
 	case fault != "":
 		state = state.withdrawn(resultFaulty+": "+fault, p.latestStart)
-	case proven && (late || state.Handover >= handoverRounds):
+	case proven && (late || state.Handover >= handoverRounds || state.Handover > 0 && isLast):
 		state.Phase, state.Share = routing.PhaseCompleted, 1
 	case proven && p.elapsed >= handoverStart(p.duration):
 		state.Handover, state.Share = state.Handover+1, 1
