--- a/review/standins-2/endless.go
+++ b/review/standins-2/endless.go
@@ -16,7 +16,9 @@
 	// faultyEngines send bytes without end, half of all as in garble.
 	faultyEngines = 9
 	// streamCallers have a stream each.
-	streamCallers = 100
+	streamCallers = 140
+	// promptTime is that of 5,200 tokens at 5 tokens a millisecond.
+	promptTime = 1040 * time.Millisecond
 	// endlessChunk is sent every endlessPause, about 1.2 MB a second.
 	endlessChunk = 32 << 10
 	endlessPause = 25 * time.Millisecond
@@ -57,7 +59,7 @@
 			return
 		}
 		ordinary.begun(request.Header.Get("X-Lentilpoint-Attempt-Id"))
-		stream(server.runs, server, writer, request, 700*time.Millisecond, 60*time.Millisecond)
+		stream(server.runs, server, writer, request, promptTime, 60*time.Millisecond)
 	}
 	s.put("op", "config", manifest(7, true))
 	entries := newRegistry(s)
