review: records with what was sent, run and answered

Cause: the records of cases 6, 7 and 10 had sums only. Change: a line an attempt, of case 6 the last 600 answered ones.

--- a/review/standins-2/callers.go
+++ b/review/standins-2/callers.go
@@ -5,9 +5,11 @@
 	"context"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"net/http/httptrace"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -58,6 +60,23 @@
 	return ids
 }
 
+// maxWritten is the number of answered attempts that a record has a line for.
+const maxWritten = 600
+
+// writeTo writes an attempt a line: what was sent, whether a server ran it, and its answer. Of
+// the answered ones it writes the last.
+func (b *book) writeTo(r *record) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	for i, id := range slices.Sorted(maps.Keys(b.attempts)) {
+		a := b.attempts[id]
+		if a.answered && i < len(b.attempts)-maxWritten {
+			continue
+		}
+		r.writeFile("sent %s, kept connection: %v, run by a sound server: %v, answered: %v, failure: %q", id, a.kept, a.begun, a.answered, a.failure)
+	}
+}
+
 // call is one kind of request of a caller.
 type call struct {
 	prefix, method, path string
--- a/review/standins-2/endless.go
+++ b/review/standins-2/endless.go
@@ -101,6 +101,7 @@
 	r.write("%s took %d MB at most", front.name, peak/1_000_000)
 	stopped.Store(true)
 	callers.Wait()
+	ordinary.writeTo(r)
 	lost := ordinary.lost()
 	r.write("callers got %v (by status, 0 for none); the process ended: %v; requests of kept connections that a sound engine worked on and that got no answer: %d", ordinary.statuses, ended, len(lost))
 	for _, id := range lost {
--- a/review/standins-2/heads.go
+++ b/review/standins-2/heads.go
@@ -142,6 +142,7 @@
 	for _, conn := range conns {
 		_ = conn.Close()
 	}
+	ordinary.writeTo(r)
 	lost := ordinary.lost()
 	r.write("ordinary callers got %v (by status, 0 for none); the process ended: %v; requests of kept connections that a server worked on and that got no answer: %d", ordinary.statuses, ended, len(lost))
 	for _, id := range lost {
--- a/review/standins-2/main.go
+++ b/review/standins-2/main.go
@@ -43,6 +43,13 @@
 	fmt.Print(line)
 }
 
+// writeFile adds a line to the file only.
+func (r *record) writeFile(format string, values ...any) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	_, _ = fmt.Fprintf(r.file, format+"\n", values...)
+}
+
 // scenario is a script. Trouble is false for the run without the disruption.
 type scenario func(folder string, r *record, trouble bool) (broken bool, err error)
 
--- a/review/standins-2/underload.go
+++ b/review/standins-2/underload.go
@@ -95,6 +95,7 @@
 	seen := &exposure{isBad: trouble}
 	handle := func(server *server, writer http.ResponseWriter, request *http.Request) {
 		fails := seen.arrive(server.version == "v2")
+		r.write("server %s (%s) runs %s and fails it: %v", server.id, server.version, request.Header.Get("X-Lentilpoint-Attempt-Id"), fails)
 		time.Sleep(30 * time.Millisecond)
 		if fails {
 			writer.Header().Set("X-Lentilpoint-Response-Seal", "seal."+request.Header.Get("X-Lentilpoint-Attempt-Id"))
@@ -140,6 +141,7 @@
 					front := f.relays[rand.IntN(len(f.relays))]
 					id := newAttempt("m")
 					got := send(front.front(), method, path+id, id, nil, 1500*time.Millisecond, nil)
+					r.write("client: %s %s by %s: %v", method, id, front.name, got)
 					mutex.Lock()
 					defer mutex.Unlock()
 					statuses[fmt.Sprintf("%s %d", method, got.status)]++
