--- a/review/standins-2/heads.go
+++ b/review/standins-2/heads.go
@@ -19,6 +19,7 @@
 	// head, which is the limit of the manifest.
 	oddClients   = 1400
 	oddHeadBytes = 16384
+	oddWorkers   = 4
 	// ordinaryCallers send orders meanwhile.
 	ordinaryCallers = 60
 )
@@ -38,10 +39,8 @@
 	return lines.Bytes()
 }
 
-// openOddClient sends a first request, reads its answer, and then sends on the same connection
-// a head of legal size with very many short lines, and nothing of its body. With emptyLine an
-// empty line stands before it.
-func openOddClient(front string, emptyLine bool) (net.Conn, error) {
+// openOddClient sends a first request and reads its answer; the connection stays open.
+func openOddClient(front string) (net.Conn, error) {
 	conn, err := net.DialTimeout("tcp", front, 2*time.Second)
 	if err != nil {
 		return nil, err
@@ -58,7 +57,12 @@
 	if _, err := io.Copy(io.Discard, response.Body); err != nil {
 		return conn, err
 	}
-	_ = conn.SetReadDeadline(time.Time{})
+	return conn, conn.SetReadDeadline(time.Time{})
+}
+
+// sendOddHead sends, on a connection that has had an answer, a head of legal size with very many
+// short lines, and nothing of its body. With emptyLine an empty line stands before it.
+func sendOddHead(conn net.Conn, emptyLine bool) error {
 	head := "POST " + pathOrder + "odd HTTP/1.1\r\nHost: desk.example\r\nX-Lentilpoint-Attempt-Id: " + newAttempt("o") + "\r\nX-Api-Key: " + apiKey + "\r\nContent-Length: 100\r\n"
 	var request bytes.Buffer
 	if emptyLine {
@@ -67,11 +71,11 @@
 	request.WriteString(head)
 	request.Write(shortLines(oddHeadBytes - len(head) - 2))
 	request.WriteString("\r\n")
-	_, err = conn.Write(request.Bytes())
-	return conn, err
+	_, err := conn.Write(request.Bytes())
+	return err
 }
 
-// runHeads has clients send heads of legal size with very many short lines. In the disruption an
+// runHeads has clients on kept connections send heads of legal size with very many short lines. In the disruption an
 // empty line stands before each of these requests.
 func runHeads(folder string, r *record, trouble bool) (bool, error) {
 	s, err := newStore()
@@ -112,30 +116,32 @@
 		})
 	}
 	time.Sleep(2 * time.Second)
-	r.write("%s takes %d MB with %d ordinary callers; %d odd clients come", front.name, front.residentBytes()/1_000_000, ordinaryCallers, oddClients)
-	var opened, failed atomic.Int64
-	var odd sync.WaitGroup
-	var mutex sync.Mutex
 	var conns []net.Conn
-	for range 4 {
+	for range oddClients {
+		conn, err := openOddClient(front.front())
+		if conn != nil {
+			conns = append(conns, conn)
+		}
+		if err != nil {
+			return false, fmt.Errorf("an odd client got no answer to its first request: %w", err)
+		}
+	}
+	r.write("%s takes %d MB with %d ordinary callers and %d odd clients that have had an answer; these send their heads", front.name, front.residentBytes()/1_000_000, ordinaryCallers, oddClients)
+	var sent, failed atomic.Int64
+	var odd sync.WaitGroup
+	for worker := range oddWorkers {
 		odd.Go(func() {
-			for range oddClients / 4 {
-				conn, err := openOddClient(front.front(), trouble)
-				if err != nil {
+			for i := worker; i < len(conns); i += oddWorkers {
+				if err := sendOddHead(conns[i], trouble); err != nil {
 					failed.Add(1)
 				} else {
-					opened.Add(1)
-				}
-				if conn != nil {
-					mutex.Lock()
-					conns = append(conns, conn)
-					mutex.Unlock()
+					sent.Add(1)
 				}
 			}
 		})
 	}
 	peak, ended := f.watchMemory(r, front, time.Now().Add(15*time.Second))
-	r.write("%s took %d MB at most; %d odd requests were sent, %d connections failed", front.name, peak/1_000_000, opened.Load(), failed.Load())
+	r.write("%s took %d MB at most; %d odd requests were sent, %d connections failed", front.name, peak/1_000_000, sent.Load(), failed.Load())
 	stopped.Store(true)
 	callers.Wait()
 	odd.Wait()
--- a/review/standins-2/relay.go
+++ b/review/standins-2/relay.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -40,13 +41,35 @@
 	memoryMB int
 }
 
+// firstPort and portCount are a range below the one from which the system takes ports of its
+// own accord, so that no other connection takes a port before the relay listens on it.
+const (
+	firstPort = 12000
+	portCount = 18000
+)
+
+// givenPorts are the ports that freePort has returned.
+var givenPorts = map[int]bool{}
+
+// freePort returns a port of the address that is free, as is the one after it, and that it has
+// not returned before.
 func freePort(ip string) (int, error) {
-	listener, err := net.Listen("tcp", ip+":0")
+	for range 100 {
+		port := firstPort + 2*rand.IntN(portCount/2)
+		if !givenPorts[port] && isFree(ip, port) && isFree(ip, port+1) {
+			givenPorts[port] = true
+			return port, nil
+		}
+	}
+	return 0, fmt.Errorf("no free port on %s", ip)
+}
+
+func isFree(ip string, port int) bool {
+	listener, err := net.Listen("tcp", fmt.Sprintf("%s:%d", ip, port))
 	if err != nil {
-		return 0, err
+		return false
 	}
-	defer func() { _ = listener.Close() }()
-	return listener.Addr().(*net.TCPAddr).Port, nil
+	return listener.Close() == nil
 }
 
 // add returns another relay, which is not started.
